--- /dev/null
+++ b/Makefile
@@ -0,0 +1,82 @@
+# Build of papayaloft. See README.md for the targets.
+
+BUILD ?= build
+SAN ?=
+CC = gcc
+PKGS = glib-2.0 jansson libmicrohttpd neon libzmq liburcu-bp libprotobuf-c libxxhash
+CSTD = -std=gnu11
+WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
+       -Wno-missing-field-initializers -Werror
+# Without optimisation limits on inlining liburcu's flavour functions stay
+# out of line, so that one library build serves all programs.
+CFLAGS ?= -O2 -g
+ALL_CFLAGS = $(CSTD) $(CFLAGS) $(WARN) -D_GNU_SOURCE \
+  $(if $(SAN),-fsanitize=$(SAN) -fno-omit-frame-pointer) \
+  $(addprefix -I,$(wildcard lib/*)) $(shell pkg-config --cflags $(PKGS))
+ALL_LIBS = $(shell pkg-config --libs $(PKGS)) -lpthread -lm
+TEST_LIBS = $(shell pkg-config --libs cunit)
+
+LIB_SRC := $(wildcard lib/*/*.c)
+CMDS := $(notdir $(wildcard cmd/*))
+STANDINS := $(notdir $(wildcard tests/standin/*))
+TESTS := $(patsubst tests/%.c,%,$(wildcard tests/*_test.c))
+LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o)
+LIB := $(BUILD)/libpapayaloft.a
+BIN := $(addprefix $(BUILD)/bin/,$(CMDS) $(STANDINS) $(TESTS))
+OWN_SRC := $(filter-out %.pb-c.c %.gen.c,$(shell find lib cmd tests -name '*.c'))
+OWN_HDR := $(filter-out %.pb-c.h %.gen.h,$(shell find lib cmd tests -name '*.h'))
+
+all: $(BIN)
+
+$(LIB): $(LIB_OBJ)
+	@rm -f $@
+	ar rcs $@ $^
+
+$(BUILD)/%.o: %.c
+	@mkdir -p $(@D)
+	$(CC) $(ALL_CFLAGS) -I$(dir $<) -MMD -MP -c $< -o $@
+
+define program
+$(BUILD)/bin/$(1): $$(patsubst %.c,$(BUILD)/%.o,$$(wildcard $(2)/*.c)) $(LIB)
+	@mkdir -p $$(@D)
+	$(CC) $$(ALL_CFLAGS) $$^ -o $$@ $$(ALL_LIBS)
+endef
+$(foreach c,$(CMDS),$(eval $(call program,$(c),cmd/$(c))))
+$(foreach c,$(STANDINS),$(eval $(call program,$(c),tests/standin/$(c))))
+
+$(BUILD)/bin/%_test: $(BUILD)/tests/%_test.o $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(ALL_CFLAGS) $^ -o $@ $(TEST_LIBS) $(ALL_LIBS)
+
+# Regenerates the committed sources from schema/; needs protoc-c and awk.
+generate:
+	protoc-c --proto_path=schema --c_out=lib/msg schema/peer.proto
+	awk -f schema/codes.awk schema/codes.txt
+	awk -f schema/events.awk schema/events.txt
+	awk -f schema/counters.awk schema/counters.txt
+	awk -f schema/settings.awk schema/settings.txt
+
+format:
+	clang-format -i $(OWN_SRC) $(OWN_HDR)
+
+format-check:
+	clang-format --dry-run --Werror $(OWN_SRC) $(OWN_HDR)
+
+lint:
+	@printf '%s\n' $(OWN_SRC) | xargs -P $$(nproc) -n 1 \
+	  sh -c 'clang-tidy --quiet "$$@" -- $(ALL_CFLAGS) 2>/dev/null' lint
+
+check:
+	@bash scripts/check
+
+unit: all
+	@bash scripts/unit $(BUILD)
+
+demo:
+	@bash scripts/demo
+
+clean:
+	rm -rf $(BUILD) build-*
+
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
+.PHONY: all generate format format-check lint check unit demo clean
--- /dev/null
+++ b/lib/base/clock.c
@@ -0,0 +1,34 @@
+#include "pl.h"
+
+static int64_t
+real_now_us (struct pl_clock *clock)
+{
+  (void)clock;
+  return g_get_monotonic_time ();
+}
+
+struct pl_clock *
+pl_clock_real (void)
+{
+  static struct pl_clock real = { .now_us = real_now_us };
+  return &real;
+}
+
+static int64_t
+manual_now_us (struct pl_clock *clock)
+{
+  return ((struct pl_manual_clock *)clock)->now_us;
+}
+
+void
+pl_manual_clock_init (struct pl_manual_clock *clock, int64_t now_us)
+{
+  *clock = (struct pl_manual_clock){ .base.now_us = manual_now_us,
+                                     .now_us = now_us };
+}
+
+void
+pl_manual_clock_advance (struct pl_manual_clock *clock, int64_t us)
+{
+  clock->now_us += us;
+}
--- /dev/null
+++ b/lib/base/log.c
@@ -0,0 +1,173 @@
+#include "pl.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+static bool json_format;
+static GLogLevelFlags lowest = G_LOG_LEVEL_INFO;
+
+static const struct pl_event_info *
+event_info (enum pl_event event)
+{
+  for (unsigned i = 0; i < pl_event_count; i++)
+    if (pl_event_table[i].event == event)
+      return &pl_event_table[i];
+  return &pl_event_table[0];
+}
+
+static const char *
+level_name (GLogLevelFlags level)
+{
+  if (level & (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL))
+    return "error";
+  if (level & G_LOG_LEVEL_WARNING)
+    return "warning";
+  if (level & G_LOG_LEVEL_MESSAGE)
+    return "notice";
+  return "info";
+}
+
+static void
+append_json_text (GString *out, const char *text, size_t len)
+{
+  g_string_append_c (out, '"');
+  for (size_t i = 0; i < len; i++)
+    {
+      unsigned char c = (unsigned char)text[i];
+      if (c == '"' || c == '\\')
+        g_string_append_printf (out, "\\%c", c);
+      else if (c < 0x20)
+        g_string_append_printf (out, "\\u%04x", c);
+      else
+        g_string_append_c (out, (char)c);
+    }
+  g_string_append_c (out, '"');
+}
+
+/* Returns the end of the value that starts at TEXT; a value in double quotes
+   may hold spaces.  */
+static const char *
+value_end (const char *text)
+{
+  if (*text != '"')
+    return text + strcspn (text, " ");
+  const char *end = strchr (text + 1, '"');
+  return end == NULL ? text + strlen (text) : end + 1;
+}
+
+/* Turns "a=1 b=\"x y\"" into JSON members; other words go to "text".  */
+static void
+append_json_fields (GString *out, const char *text)
+{
+  while (*text != '\0')
+    {
+      const char *equals = strchr (text, '=');
+      size_t name = equals == NULL ? 0 : (size_t)(equals - text);
+      if (equals == NULL || memchr (text, ' ', name) != NULL)
+        {
+          g_string_append (out, ",\"text\":");
+          append_json_text (out, text, strlen (text));
+          return;
+        }
+      const char *value = equals + 1;
+      const char *end = value_end (value);
+      g_string_append_c (out, ',');
+      append_json_text (out, text, name);
+      g_string_append_c (out, ':');
+      bool quoted = *value == '"' && end - value >= 2;
+      append_json_text (out, value + quoted,
+                        (size_t)(end - value) - 2 * (size_t)quoted);
+      text = end + strspn (end, " ");
+    }
+}
+
+static void
+append_time (GString *out)
+{
+  GDateTime *now = g_date_time_new_now_utc ();
+  g_autofree char *day = g_date_time_format (now, "%Y-%m-%dT%H:%M:%S");
+  g_string_append_printf (out, "%s.%06dZ", day,
+                          g_date_time_get_microsecond (now));
+  g_date_time_unref (now);
+}
+
+static GLogWriterOutput
+write_line (GLogLevelFlags level, const GLogField *fields, gsize n_fields,
+            gpointer user)
+{
+  (void)user;
+  if ((level & G_LOG_LEVEL_MASK) > lowest)
+    return G_LOG_WRITER_HANDLED;
+  const char *message = "";
+  const char *event = "0";
+  const char *name = "LIBRARY";
+  for (gsize i = 0; i < n_fields; i++)
+    {
+      if (strcmp (fields[i].key, "MESSAGE") == 0)
+        message = fields[i].value;
+      else if (strcmp (fields[i].key, "PAPAYALOFT_EVENT") == 0)
+        event = fields[i].value;
+      else if (strcmp (fields[i].key, "PAPAYALOFT_NAME") == 0)
+        name = fields[i].value;
+    }
+  g_autoptr (GString) line = g_string_sized_new (256);
+  if (json_format)
+    {
+      g_string_append (line, "{\"time\":\"");
+      append_time (line);
+      g_string_append_printf (line,
+                              "\",\"level\":\"%s\",\"event\":%s,"
+                              "\"name\":\"%s\"",
+                              level_name (level), event, name);
+      append_json_fields (line, message);
+      g_string_append (line, "}\n");
+    }
+  else
+    {
+      append_time (line);
+      g_string_append_printf (line, " %s %s %s %s\n", level_name (level),
+                              event, name, message);
+    }
+  /* One write a line keeps lines of several threads apart.  */
+  if (write (STDERR_FILENO, line->str, line->len) < 0)
+    return G_LOG_WRITER_UNHANDLED;
+  return G_LOG_WRITER_HANDLED;
+}
+
+void
+pl_log_init (const char *format, const char *level)
+{
+  json_format = strcmp (format, "json") == 0;
+  if (strcmp (level, "error") == 0)
+    lowest = G_LOG_LEVEL_CRITICAL;
+  else if (strcmp (level, "warning") == 0)
+    lowest = G_LOG_LEVEL_WARNING;
+  else if (strcmp (level, "notice") == 0)
+    lowest = G_LOG_LEVEL_MESSAGE;
+  else
+    lowest = G_LOG_LEVEL_INFO;
+  g_log_set_writer_func (write_line, NULL, NULL);
+}
+
+void
+pl_log (enum pl_event event, const char *fmt, ...)
+{
+  const struct pl_event_info *info = event_info (event);
+  if (info->level > lowest)
+    return;
+  char message[1024];
+  va_list args;
+  va_start (args, fmt);
+  vsnprintf (message, sizeof message, fmt, args);
+  va_end (args);
+  char number[12];
+  snprintf (number, sizeof number, "%d", (int)event);
+  const GLogField fields[] = {
+    { .key = "MESSAGE", .value = message, .length = -1 },
+    { .key = "PAPAYALOFT_EVENT", .value = number, .length = -1 },
+    { .key = "PAPAYALOFT_NAME", .value = info->name, .length = -1 },
+  };
+  g_log_structured_array (info->level, fields, G_N_ELEMENTS (fields));
+}
--- /dev/null
+++ b/lib/base/shared.c
@@ -0,0 +1,39 @@
+#include "pl.h"
+
+#include <urcu-bp.h>
+
+void
+pl_shared_init (struct pl_shared *shared,
+                void (*free_fn) (struct pl_shared *shared))
+{
+  g_atomic_ref_count_init (&shared->refs);
+  shared->free = free_fn;
+}
+
+void
+pl_shared_unref (struct pl_shared *shared)
+{
+  if (shared != NULL && g_atomic_ref_count_dec (&shared->refs))
+    shared->free (shared);
+}
+
+void
+pl_slot_publish (struct pl_slot *slot, struct pl_shared *value)
+{
+  struct pl_shared *former = rcu_xchg_pointer (&slot->value, value);
+  if (former == NULL)
+    return;
+  synchronize_rcu ();
+  pl_shared_unref (former);
+}
+
+struct pl_shared *
+pl_slot_get (struct pl_slot *slot)
+{
+  rcu_read_lock ();
+  struct pl_shared *value = rcu_dereference (slot->value);
+  if (value != NULL)
+    g_atomic_ref_count_inc (&value->refs);
+  rcu_read_unlock ();
+  return value;
+}
--- /dev/null
+++ b/lib/base/str.c
@@ -0,0 +1,97 @@
+#include "pl.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/random.h>
+
+struct pl_str
+pl_str (const char *text)
+{
+  return (struct pl_str){ .data = text, .len = strlen (text) };
+}
+
+bool
+pl_str_eq (struct pl_str a, struct pl_str b)
+{
+  return a.len == b.len && (a.len == 0 || memcmp (a.data, b.data, a.len) == 0);
+}
+
+bool
+pl_str_to_int (struct pl_str s, int64_t min, int64_t max, int64_t *out)
+{
+  char buf[24];
+  if (s.len == 0 || s.len >= sizeof buf)
+    return false;
+  memcpy (buf, s.data, s.len);
+  buf[s.len] = '\0';
+  gint64 value;
+  if (!g_ascii_string_to_signed (buf, 10, min, max, &value, NULL))
+    return false;
+  *out = value;
+  return true;
+}
+
+bool
+pl_str_to_hex64 (struct pl_str s, uint64_t *out)
+{
+  if (s.len != 16)
+    return false;
+  uint64_t value = 0;
+  for (size_t i = 0; i < s.len; i++)
+    {
+      char c = s.data[i];
+      if (!g_ascii_isxdigit (c) || g_ascii_isupper (c))
+        return false;
+      value = value << 4 | (uint64_t)g_ascii_xdigit_value (c);
+    }
+  *out = value;
+  return true;
+}
+
+bool
+pl_addr_parse (struct pl_str s, struct pl_addr *out)
+{
+  const char *colon = memchr (s.data, ':', s.len);
+  if (colon == NULL)
+    return false;
+  char host[INET_ADDRSTRLEN];
+  size_t len = (size_t)(colon - s.data);
+  if (len >= sizeof host)
+    return false;
+  memcpy (host, s.data, len);
+  host[len] = '\0';
+  struct in_addr in;
+  if (inet_pton (AF_INET, host, &in) != 1)
+    return false;
+  struct pl_str port = { .data = colon + 1, .len = s.len - len - 1 };
+  int64_t number;
+  if (!pl_str_to_int (port, 1, 65535, &number))
+    return false;
+  *out = (struct pl_addr){ .ip = ntohl (in.s_addr), .port = (uint16_t)number };
+  return true;
+}
+
+char *
+pl_addr_text (struct pl_addr addr, char buf[PL_ADDR_TEXT])
+{
+  snprintf (buf, PL_ADDR_TEXT, "%u.%u.%u.%u:%u", addr.ip >> 24,
+            addr.ip >> 16 & 255, addr.ip >> 8 & 255, addr.ip & 255, addr.port);
+  return buf;
+}
+
+bool
+pl_addr_eq (struct pl_addr a, struct pl_addr b)
+{
+  return a.ip == b.ip && a.port == b.port;
+}
+
+uint64_t
+pl_random64 (void)
+{
+  uint64_t value = 0;
+  while (value == 0)
+    if (getrandom (&value, sizeof value, 0) != (ssize_t)sizeof value)
+      value = 0;
+  return value;
+}
