--- /dev/null
+++ b/lib/disp/disp.h
@@ -0,0 +1,109 @@
+/* The dispatch thread: jobs from submission to reply.  It owns the job queue,
+   the owner's records, the slots and the workers' health.  */
+#pragma once
+
+#include "claim.h"
+#include "conf.h"
+#include "job.h"
+#include "memb.h"
+#include "run.h"
+
+/* Slots of one worker.  */
+struct disp_lot
+{
+  struct pl_addr addr;
+  unsigned count;
+};
+
+/* What dispatch asks of the control thread.  All functions only post and may
+   be called from the dispatch thread at any time.  */
+struct disp_peer_ops
+{
+  /* Asks WITNESS for a permit; answered by disp_permit_result.  */
+  void (*permit) (struct disp_peer_ops *ops, claim_id witness,
+                  struct claim_hash hash, int64_t epoch);
+  /* Asks PEER for up to N slots; answered by disp_grant.  */
+  void (*borrow) (struct disp_peer_ops *ops, claim_id peer, unsigned n);
+  /* Answers a peer's request, and returns borrowed slots.  */
+  void (*grant) (struct disp_peer_ops *ops, claim_id peer,
+                 const struct disp_lot *lots, unsigned n);
+  void (*give_back) (struct disp_peer_ops *ops, claim_id peer,
+                     const struct disp_lot *lots, unsigned n);
+};
+
+struct disp_opts
+{
+  const struct conf *conf;
+  struct pl_clock *clock;
+  claim_id self;
+  struct pl_slot *note_slot; /* struct note_conf */
+  struct pl_slot *memb_slot; /* struct memb_view */
+  struct disp_peer_ops *peers;
+};
+
+struct disp_status
+{
+  unsigned queued_tasks;
+  unsigned running_tasks;
+  unsigned unfinished_jobs;
+  unsigned records;
+  unsigned free_slots;
+  int64_t epoch;
+};
+
+struct disp;
+struct disp *
+disp_new (const struct disp_opts *opts);
+/* Stops the thread; every job that is left gets a true reply first.  */
+void
+disp_free (struct disp *disp);
+
+/* Any thread.  DONE is called exactly once on the dispatch thread; it must not
+   block.  The key's owner must be this instance or an inherited one.  */
+void
+disp_submit (struct disp *disp, struct job_req *req, job_done_fn *done,
+             void *user);
+/* Replies with the state of KEY, or its final reply.  */
+void
+disp_lookup (struct disp *disp, struct pl_str key, job_done_fn *done,
+             void *user);
+void
+disp_cancel (struct disp *disp, struct pl_str key, job_done_fn *done,
+             void *user);
+
+/* From the control thread; each posts.  */
+void
+disp_permit_result (struct disp *disp, struct claim_hash hash, bool granted);
+void
+disp_peer_lost (struct disp *disp, claim_id peer); /* suspect or left */
+void
+disp_peer_dead (struct disp *disp, claim_id peer);
+void
+disp_borrow (struct disp *disp, claim_id peer, unsigned n);
+void
+disp_grant (struct disp *disp, claim_id peer, const struct disp_lot *lots,
+            unsigned n);
+void
+disp_returned (struct disp *disp, claim_id peer, const struct disp_lot *lots,
+               unsigned n);
+/* A peer's heartbeat: slots that it holds of ours.  */
+void
+disp_holds (struct disp *disp, claim_id peer, unsigned total);
+void
+disp_leaving (struct disp *disp, struct pl_addr addr, bool leaving);
+void
+disp_view_changed (struct disp *disp);
+
+/* Hand-over, from the control thread.  EXPORTED gets the chunks on the
+   dispatch thread, then null.  */
+void
+disp_export (struct disp *disp, size_t max_bytes,
+             void (*exported) (GBytes *chunk, void *user), void *user);
+void
+disp_import (struct disp *disp, GBytes *chunk);
+void
+disp_inherit (struct disp *disp, claim_id owner);
+
+/* Any thread; values may be a tick old.  */
+void
+disp_get_status (struct disp *disp, struct disp_status *out);
--- /dev/null
+++ b/lib/note/note.h
@@ -0,0 +1,110 @@
+/* Release notes and the configuration folded from them.  */
+#pragma once
+
+#include "pl.h"
+
+#define NOTE_MAX_BYTES                                                        \
+  (1024 * 1024) /* largest value of the platform's store */
+
+struct note_kind
+{
+  char *name;
+  bool repeatable; /* may be placed again after an explicit refusal */
+  char *fan_out;   /* member of "input" whose elements become tasks; or null */
+  unsigned max_tasks;
+  int64_t deadline_ms; /* default deadline */
+};
+
+struct note_service
+{
+  char *name;
+  struct note_kind *kinds;
+  unsigned n_kinds;
+};
+
+struct note_team
+{
+  char *name;
+  unsigned weight;    /* share under contention, 1 to 1000 */
+  unsigned max_slots; /* slots in a failure domain; 0: no limit */
+};
+
+struct note_worker
+{
+  struct pl_addr addr;
+  char *domain;
+  char *rack;
+  unsigned slots;
+  int64_t memory_mb;
+  int64_t added_revision; /* the latest revision that added the worker */
+};
+
+/* The configuration in force: immutable, published through a pl_slot.  */
+struct note_conf
+{
+  struct pl_shared base;
+  int64_t revision; /* 1 and up */
+  struct note_service *services;
+  unsigned n_services;
+  struct note_team *teams;
+  unsigned n_teams;
+  struct note_worker *workers; /* of all failure domains */
+  unsigned n_workers;
+};
+
+/* Null if the configuration lacks it.  */
+const struct note_kind *
+note_find_kind (const struct note_conf *conf, const char *service,
+                const char *kind);
+const struct note_team *
+note_find_team (const struct note_conf *conf, const char *team);
+const struct note_worker *
+note_find_worker (const struct note_conf *conf, struct pl_addr addr);
+
+/* Validates a note as a whole against BASE (null: the empty configuration).
+   ERR names the JSON path and the rule broken.  */
+bool
+note_validate (struct pl_str note, const struct note_conf *base,
+               struct pl_err *err);
+/* Returns the configuration that NOTE makes of BASE at REVISION, or null.  */
+struct note_conf *
+note_fold (struct pl_str note, const struct note_conf *base, int64_t revision,
+           struct pl_err *err);
+/* The whole configuration as a JSON document, and back.  */
+char *
+note_conf_to_json (const struct note_conf *conf);
+struct note_conf *
+note_conf_from_json (struct pl_str text, struct pl_err *err);
+
+/* History: what an instance knows of accepted notes.  Owned by one thread
+   (control); publishes each new configuration to SLOT.  */
+struct note_history;
+
+enum note_offer
+{
+  NOTE_APPLIED, /* in force now */
+  NOTE_STALE,   /* not newer than what is in force */
+  NOTE_GAP,     /* newer than the next revision: earlier notes are missing */
+  NOTE_BAD,     /* invalid; the revision in force stays */
+};
+
+struct note_history *
+note_history_new (struct pl_slot *slot);
+void
+note_history_free (struct note_history *history);
+int64_t
+note_history_revision (const struct note_history *history);
+/* Offers one accepted note.  SOURCE is "store" or "peer", for the log.  */
+enum note_offer
+note_history_offer (struct note_history *history, int64_t revision,
+                    struct pl_str note, const char *source,
+                    struct pl_err *err);
+/* Offers a whole document (note_conf_to_json); applied only if its revision is
+   higher than the one in force.  */
+enum note_offer
+note_history_offer_whole (struct note_history *history, struct pl_str document,
+                          const char *source, struct pl_err *err);
+/* The accepted note of REVISION if it is among the last 64, else null; not
+   owned by the caller.  */
+GBytes *
+note_history_get (const struct note_history *history, int64_t revision);
