--- /dev/null
+++ b/cmd/papayaload/main.c
@@ -0,0 +1,238 @@
+/* papayaload: load and experiment tool.  */
+#include "load.h"
+
+#include <argp.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define EXIT_USAGE 2
+
+const char *argp_program_version = "papayaload 0.1.0";
+
+enum load_option
+{
+  OPT_ENTRY = 'e',
+  OPT_MIX = 'm',
+  OPT_SEED = 's',
+  OPT_RATE = 'r',
+  OPT_SECONDS = 't',
+  OPT_THREADS = 'j',
+  OPT_SCALE = 'x',
+  OPT_HISTORY = 'H',
+  OPT_OUT = 'o',
+  OPT_STICKY = 256,
+  OPT_TRIES,
+  OPT_DEADLINE,
+  OPT_LOAD,
+  OPT_SLOTS,
+  OPT_SVG,
+  OPT_FIRST,
+};
+
+static const struct argp_option options[] = {
+  { "entry", OPT_ENTRY, "ADDR,...", 0, "Entry instances, a.b.c.d:port", 0 },
+  { "mix", OPT_MIX, "NAME", 0,
+    "Shape of the jobs: midlands, guatemala or all (default all)", 0 },
+  { "seed", OPT_SEED, "N", 0, "Seed of all random choices (default 1)", 0 },
+  { "rate", OPT_RATE, "N", 0, "Jobs a second (default 10)", 0 },
+  { "load", OPT_LOAD, "X", 0,
+    "Offered slot load instead of a rate, 1 is all slots; needs --slots", 0 },
+  { "slots", OPT_SLOTS, "N", 0, "Slots of all workers", 0 },
+  { "seconds", OPT_SECONDS, "N", 0, "Length of the run (default 10)", 0 },
+  { "scale", OPT_SCALE, "X", 0, "Factor on all run times (default 1)", 0 },
+  { "threads", OPT_THREADS, "N", 0,
+    "Submissions open at once (default 128, at most 2,000)", 0 },
+  { "tries", OPT_TRIES, "N", 0,
+    "Keys that a job may use when it is told that nothing ran (default 1)",
+    0 },
+  { "deadline-ms", OPT_DEADLINE, "N", 0, "Deadline (default 30,000)", 0 },
+  { "sticky", OPT_STICKY, NULL, 0,
+    "Use key prefixes of the entry that is called", 0 },
+  { "first", OPT_FIRST, "N", 0, "Number of the first job (default 0)", 0 },
+  { "history", OPT_HISTORY, "FILE", 0, "Append a line an attempt", 0 },
+  { "out", OPT_OUT, "FILE", 0, "Write the report as JSON", 0 },
+  { "svg", OPT_SVG, "FILE", 0, "Plot for compare", 0 },
+  { 0 },
+};
+
+struct args
+{
+  struct load_opts opts;
+  double load;
+  double slots;
+  const char *svg;
+  char **words;
+  int n_words;
+};
+
+static double
+parse_number (struct argp_state *state, const char *flag, const char *arg,
+              double min, double max)
+{
+  char *end;
+  double value = g_ascii_strtod (arg, &end);
+  if (end == arg || *end != '\0' || !(value >= min && value <= max))
+    argp_failure (state, EXIT_USAGE, 0,
+                  "--%s: value '%s' is not a number from %g to %g", flag, arg,
+                  min, max);
+  return value;
+}
+
+static void
+parse_entries (struct argp_state *state, struct load_opts *opts,
+               const char *arg)
+{
+  g_auto (GStrv) list = g_strsplit (arg, ",", -1);
+  unsigned n = g_strv_length (list);
+  opts->entries = g_new0 (struct pl_addr, n);
+  for (unsigned i = 0; i < n; i++)
+    if (!pl_addr_parse (pl_str (list[i]), &opts->entries[i]))
+      argp_failure (state, EXIT_USAGE, 0,
+                    "--entry: value '%s' is not an address a.b.c.d:port",
+                    list[i]);
+  opts->n_entries = n;
+}
+
+static error_t
+parse_option (int key, char *arg, struct argp_state *state)
+{
+  struct args *args = state->input;
+  struct load_opts *opts = &args->opts;
+  switch (key)
+    {
+    case OPT_ENTRY:
+      parse_entries (state, opts, arg);
+      return 0;
+    case OPT_MIX:
+      opts->mix = load_mix_find (arg);
+      if (opts->mix == NULL)
+        argp_failure (state, EXIT_USAGE, 0,
+                      "--mix: value '%s' is not one of midlands, guatemala, "
+                      "all",
+                      arg);
+      return 0;
+    case OPT_SEED:
+      opts->seed = (guint32)parse_number (state, "seed", arg, 0, 4294967295.);
+      return 0;
+    case OPT_RATE:
+      opts->rate = parse_number (state, "rate", arg, 0.01, 100000);
+      return 0;
+    case OPT_LOAD:
+      args->load = parse_number (state, "load", arg, 0.01, 20);
+      return 0;
+    case OPT_SLOTS:
+      args->slots = parse_number (state, "slots", arg, 1, 1e6);
+      return 0;
+    case OPT_SECONDS:
+      opts->seconds = parse_number (state, "seconds", arg, 0.1, 600);
+      return 0;
+    case OPT_SCALE:
+      opts->scale = parse_number (state, "scale", arg, 0.001, 10);
+      return 0;
+    case OPT_THREADS:
+      opts->threads = (unsigned)parse_number (state, "threads", arg, 1, 2000);
+      return 0;
+    case OPT_TRIES:
+      opts->tries = (unsigned)parse_number (state, "tries", arg, 1, 1000);
+      return 0;
+    case OPT_DEADLINE:
+      opts->deadline_ms
+          = (int)parse_number (state, "deadline-ms", arg, 1, 600000);
+      return 0;
+    case OPT_FIRST:
+      opts->first = (unsigned)parse_number (state, "first", arg, 0, 1e9);
+      return 0;
+    case OPT_STICKY:
+      opts->sticky = true;
+      return 0;
+    case OPT_HISTORY:
+      opts->history = arg;
+      return 0;
+    case OPT_OUT:
+      opts->out = arg;
+      return 0;
+    case OPT_SVG:
+      args->svg = arg;
+      return 0;
+    case ARGP_KEY_ARGS:
+      args->words = state->argv + state->next;
+      args->n_words = state->argc - state->next;
+      return 0;
+    case ARGP_KEY_NO_ARGS:
+      argp_usage (state);
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static int
+run (struct args *args)
+{
+  struct load_opts *opts = &args->opts;
+  if (opts->n_entries == 0)
+    {
+      fprintf (stderr, "papayaload: run needs --entry\n");
+      return EXIT_USAGE;
+    }
+  if (args->load > 0 && args->slots <= 0)
+    {
+      fprintf (stderr, "papayaload: --load needs --slots\n");
+      return EXIT_USAGE;
+    }
+  if (args->load > 0)
+    opts->rate = args->load * args->slots * 1000.0
+                 / load_mix_work_ms (opts->mix, opts->scale, opts->seed);
+  unsigned n;
+  struct load_job *jobs = load_plan (opts, &n);
+  GHashTable *before = load_metrics (opts);
+  printf ("%u jobs, %.2f a second, seed %u\n", n, opts->rate, opts->seed);
+  if (!load_run (opts, jobs, n))
+    {
+      fprintf (stderr, "papayaload: can't write %s\n", opts->history);
+      return EXIT_USAGE;
+    }
+  GHashTable *after = load_metrics (opts);
+  unsigned wrong = load_report (opts, jobs, n, before, after);
+  g_hash_table_unref (before);
+  g_hash_table_unref (after);
+  load_plan_free (jobs, n);
+  return wrong == 0 ? 0 : 1;
+}
+
+int
+main (int argc, char **argv)
+{
+  struct args args = {
+    .opts = {
+      .mix = load_mix_find ("all"),
+      .seed = 1,
+      .rate = 10,
+      .seconds = 10,
+      .scale = 1,
+      .threads = 128,
+      .tries = 1,
+    },
+  };
+  struct argp argp = {
+    .options = options,
+    .parser = parse_option,
+    .args_doc = "run\ncompare REPORT...\ncheck FILE...",
+    .doc = "Load and experiment tool of papayaloft.\vrun: exit 1 if an answer "
+           "was wrong.  check: exit 1 if a history breaks a rule.",
+  };
+  argp_parse (&argp, argc, argv, 0, NULL, &args);
+  signal (SIGPIPE, SIG_IGN);
+  call_init ();
+  const char *word = args.words[0];
+  if (strcmp (word, "run") == 0 && args.n_words == 1)
+    return run (&args);
+  if (strcmp (word, "compare") == 0 && args.n_words > 1)
+    return load_compare (args.words + 1, args.n_words - 1, args.svg);
+  if (strcmp (word, "check") == 0 && args.n_words > 1)
+    return load_check (args.words + 1, args.n_words - 1);
+  fprintf (stderr, "papayaload: unknown command; see --help\n");
+  return EXIT_USAGE;
+}
--- /dev/null
+++ b/cmd/papayaload/run.c
@@ -0,0 +1,309 @@
+/* Runs a plan: arrivals at their times whatever the answers do, one thread an
+   open submission.  */
+#include "load.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+
+#define DEFAULT_DEADLINE_MS 30000
+/* A caller resubmits a key whose answer was lost this often, with a pause in
+   between, before it gives up.  */
+#define MAX_RESENDS 20
+#define RESEND_PAUSE_US 300000
+
+struct run_state
+{
+  const struct load_opts *opts;
+  struct load_job *jobs;
+  unsigned n;
+  gint next;
+  int64_t start_us;
+  FILE *history;
+  GMutex lock;
+  char (*prefixes)[96]; /* the latest of each entry */
+};
+
+struct client
+{
+  struct run_state *state;
+  struct call **calls; /* one an entry, made on first use */
+  unsigned at;         /* entry of the next request */
+};
+
+static struct call *
+client_call (struct client *client, unsigned entry)
+{
+  if (client->calls[entry] == NULL)
+    client->calls[entry] = call_new (client->state->opts->entries[entry],
+                                     DEFAULT_DEADLINE_MS / 1000 + 2);
+  return client->calls[entry];
+}
+
+static void
+drop_call (struct client *client, unsigned entry)
+{
+  if (client->calls[entry] != NULL)
+    call_free (client->calls[entry]);
+  client->calls[entry] = NULL;
+}
+
+static void
+remember_prefix (struct run_state *state, unsigned entry, const char *prefix)
+{
+  if (prefix[0] == '\0')
+    return;
+  g_mutex_lock (&state->lock);
+  g_strlcpy (state->prefixes[entry], prefix, sizeof state->prefixes[entry]);
+  g_mutex_unlock (&state->lock);
+}
+
+static void
+forget_prefix (struct run_state *state, const char *prefix)
+{
+  g_mutex_lock (&state->lock);
+  for (unsigned i = 0; i < state->opts->n_entries; i++)
+    if (strcmp (state->prefixes[i], prefix) == 0)
+      state->prefixes[i][0] = '\0';
+  g_mutex_unlock (&state->lock);
+}
+
+static bool
+fetch_prefix (struct client *client, unsigned entry, char prefix[96])
+{
+  struct call_reply reply;
+  bool ok = call_do (client_call (client, entry), "GET", "/v1/prefix", NULL,
+                     NULL, &reply);
+  ok = ok && reply.status == 200 && reply.prefix[0] != '\0';
+  if (ok)
+    g_strlcpy (prefix, reply.prefix, 96);
+  else
+    drop_call (client, entry);
+  call_reply_clear (&reply);
+  return ok;
+}
+
+/* The key prefix for a new submission: of the entry that is called or, as
+   behind a balancer, of any one.  */
+static bool
+choose_prefix (struct client *client, unsigned number, char prefix[96])
+{
+  struct run_state *state = client->state;
+  unsigned n = state->opts->n_entries;
+  unsigned first = state->opts->sticky ? client->at : number % n;
+  for (unsigned i = 0; i < n; i++)
+    {
+      unsigned entry = (first + i) % n;
+      g_mutex_lock (&state->lock);
+      g_strlcpy (prefix, state->prefixes[entry], 96);
+      g_mutex_unlock (&state->lock);
+      if (prefix[0] != '\0')
+        return true;
+      if (fetch_prefix (client, entry, prefix))
+        {
+          remember_prefix (state, entry, prefix);
+          return true;
+        }
+    }
+  return false;
+}
+
+static char *
+job_body (const struct load_opts *opts, const struct load_job *job,
+          unsigned attempt)
+{
+  json_t *tasks = json_array ();
+  for (unsigned i = 0; i < job->n_tasks; i++)
+    {
+      json_t *echo = json_sprintf ("%u.%u.%u", job->number, attempt, i);
+      json_array_append_new (tasks,
+                             json_pack ("{s:i, s:{s:i, s:o}}", "size_ms",
+                                        (int)job->run_ms[i], "input", "run_ms",
+                                        (int)job->run_ms[i], "echo", echo));
+    }
+  int deadline
+      = opts->deadline_ms > 0 ? opts->deadline_ms : DEFAULT_DEADLINE_MS;
+  json_t *root
+      = json_pack ("{s:s, s:s, s:s, s:i, s:o}", "service", job->kind->service,
+                   "kind", job->kind->kind, "team", job->kind->team,
+                   "deadline_ms", deadline, "tasks", tasks);
+  char *text = json_dumps (root, JSON_COMPACT);
+  json_decref (root);
+  return text;
+}
+
+static bool
+echo_is_own (json_t *answer, const struct load_job *job, unsigned attempt,
+             unsigned i)
+{
+  char expected[48];
+  snprintf (expected, sizeof expected, "%u.%u.%u", job->number, attempt, i);
+  const char *echo = json_string_value (json_object_get (answer, "echo"));
+  return echo != NULL && strcmp (echo, expected) == 0;
+}
+
+/* Whether a complete answer is whole, in order and the job's own.  */
+static bool
+answers_are_own (json_t *root, const struct load_job *job, unsigned attempt)
+{
+  json_t *answers = json_object_get (root, "answers");
+  if (json_array_size (answers) != job->n_tasks)
+    return false;
+  for (unsigned i = 0; i < job->n_tasks; i++)
+    if (!echo_is_own (json_array_get (answers, i), job, attempt, i))
+      return false;
+  return true;
+}
+
+static void
+write_history (struct run_state *state, const struct load_job *job,
+               const char *key, unsigned attempt, enum pl_code code)
+{
+  if (state->history == NULL)
+    return;
+  const struct pl_code_info *info = pl_code_info (code);
+  const char *outcome
+      = code == PL_SYSTEM ? "no_answer" : pl_outcome_name (info->outcome);
+  g_mutex_lock (&state->lock);
+  fprintf (state->history, "%u %u %s %s %s/%s %u %s %lld\n", job->number,
+           attempt, outcome, info->name, job->kind->service, job->kind->kind,
+           job->n_tasks, key, (long long)g_get_real_time ());
+  fflush (state->history);
+  g_mutex_unlock (&state->lock);
+}
+
+/* Reads the result of one answer; PL_SYSTEM if it is not ours to read.  */
+static enum pl_code
+read_code (const struct call_reply *reply, struct load_job *job,
+           unsigned attempt)
+{
+  json_t *root = json_loadb (reply->body->str, reply->body->len, 0, NULL);
+  json_t *code = json_object_get (root, "code");
+  enum pl_code result = PL_SYSTEM;
+  if (json_is_integer (code))
+    result = (enum pl_code)json_integer_value (code);
+  if (result == PL_OK && !answers_are_own (root, job, attempt))
+    job->wrong = true;
+  json_decref (root);
+  return result;
+}
+
+/* Submits one key until its fate is known or the caller gives up.  */
+static enum pl_code
+submit_key (struct client *client, struct load_job *job, const char *key,
+            const char *body, unsigned attempt)
+{
+  struct run_state *state = client->state;
+  enum pl_code code = PL_SYSTEM;
+  for (unsigned i = 0; i <= MAX_RESENDS; i++)
+    {
+      unsigned entry = client->at;
+      struct call_reply reply;
+      bool ok = call_do (client_call (client, entry), "POST", "/v1/jobs", key,
+                         body, &reply);
+      if (ok)
+        {
+          remember_prefix (state, entry, reply.prefix);
+          code = read_code (&reply, job, attempt);
+        }
+      else
+        {
+          drop_call (client, entry);
+          client->at = (client->at + 1) % state->opts->n_entries;
+        }
+      call_reply_clear (&reply);
+      bool again = !ok || code == PL_SYSTEM || code == PL_TOO_MANY_CALLERS;
+      if (!again)
+        return code;
+      job->resends++;
+      g_usleep (RESEND_PAUSE_US);
+    }
+  return code;
+}
+
+static bool
+may_use_new_key (enum pl_code code)
+{
+  return code != PL_SYSTEM
+         && strcmp (pl_code_info (code)->resubmit, "new_key") == 0;
+}
+
+static void
+run_job (struct client *client, struct load_job *job)
+{
+  struct run_state *state = client->state;
+  job->code = PL_SYSTEM;
+  for (unsigned attempt = 1; attempt <= state->opts->tries; attempt++)
+    {
+      char prefix[96];
+      job->attempts = attempt;
+      if (!choose_prefix (client, job->number, prefix))
+        {
+          g_usleep (RESEND_PAUSE_US);
+          continue;
+        }
+      g_autofree char *key
+          = g_strdup_printf ("%s.j%u-%u", prefix, job->number, attempt);
+      char *body = job_body (state->opts, job, attempt);
+      job->code = submit_key (client, job, key, body, attempt);
+      free (body);
+      write_history (state, job, key, attempt, job->code);
+      if (!may_use_new_key (job->code))
+        break;
+      forget_prefix (state, prefix);
+    }
+  job->response_us
+      = g_get_monotonic_time () - state->start_us - job->arrival_us;
+}
+
+static gpointer
+client_main (gpointer user)
+{
+  struct run_state *state = user;
+  unsigned n = state->opts->n_entries;
+  struct client client = { .state = state };
+  client.calls = g_new0 (struct call *, n);
+  for (;;)
+    {
+      unsigned i = (unsigned)g_atomic_int_add (&state->next, 1);
+      if (i >= state->n)
+        break;
+      struct load_job *job = &state->jobs[i];
+      int64_t wait
+          = state->start_us + job->arrival_us - g_get_monotonic_time ();
+      if (wait > 0)
+        g_usleep ((gulong)wait);
+      client.at = job->number % n;
+      run_job (&client, job);
+    }
+  for (unsigned i = 0; i < n; i++)
+    drop_call (&client, i);
+  g_free (client.calls);
+  return NULL;
+}
+
+bool
+load_run (const struct load_opts *opts, struct load_job *jobs, unsigned n)
+{
+  struct run_state state = { .opts = opts, .jobs = jobs, .n = n };
+  if (opts->history != NULL)
+    {
+      state.history = fopen (opts->history, "a");
+      if (state.history == NULL)
+        return false;
+    }
+  g_mutex_init (&state.lock);
+  state.prefixes = g_malloc0 (sizeof *state.prefixes * opts->n_entries);
+  state.start_us = g_get_monotonic_time ();
+  GThread **threads = g_new (GThread *, opts->threads);
+  for (unsigned i = 0; i < opts->threads; i++)
+    threads[i] = g_thread_new ("client", client_main, &state);
+  for (unsigned i = 0; i < opts->threads; i++)
+    g_thread_join (threads[i]);
+  g_free (threads);
+  g_free (state.prefixes);
+  g_mutex_clear (&state.lock);
+  if (state.history != NULL)
+    fclose (state.history);
+  return true;
+}
--- /dev/null
+++ b/lib/entry/impl.h
@@ -0,0 +1,37 @@
+/* Shared by the files of lib/entry.  */
+#pragma once
+
+#include "disp.h"
+#include "entry.h"
+#include "http.h"
+#include "peer.h"
+#include "plat.h"
+
+struct entry
+{
+  struct http_ops http_ops;      /* requests of callers and operators */
+  struct peer_ops peer_ops;      /* requests forwarded by peers */
+  struct plat_feed_ops feed_ops; /* news of the platform */
+  const struct conf *conf;
+  struct pl_clock *clock;
+  claim_id self;
+  struct pl_slot note_slot;
+  struct pl_slot memb_slot;
+  struct peer *peer;
+  struct disp *disp;
+  struct http *http;
+  struct plat_feed *feed; /* null without a platform */
+  GMutex lock;
+  GCond drain_asked;
+  bool draining;
+};
+
+/* Routes one request to this instance or to the one that vouches for the
+   key.  FORWARDED requests are never forwarded again.  */
+void
+entry_route (struct entry *entry, bool forwarded, const char *method,
+             struct pl_str path, struct pl_str key, const struct pl_str *body,
+             job_done_fn *done, void *user);
+/* Appends the status document of GET /v1/status.  */
+void
+entry_status (struct entry *entry, GString *out);
