--- a/lib/claim/claim.h
+++ b/lib/claim/claim.h
@@ -38,7 +38,9 @@
 
 /* The owner's records (dispatch thread).  Epochs start at 1; an epoch also
    ends early when it holds an eighth of keep_records.  A call costs O(1) apart
-   from the eviction of whole epochs.  A finished record takes MEM_RECORD.  */
+   from the eviction of whole epochs.  A finished record takes 64 bytes of heap
+   and 13 to 26 in the hash table (80 in all at 100,000 refusals), a stored
+   answer more.  */
 struct claim_table;
 struct claim_record;
 
@@ -129,8 +131,9 @@
 claim_inherits (const struct claim_table *table, claim_id owner);
 
 /* The witness's table (control thread).  A permit or revocation takes
-   MEM_PERMIT.  A floor is kept for ever for each of at
-   most keep_records owners; an owner beyond them gets no permit.  */
+   32 bytes of heap and 13 to 26 in the hash table (48 in all at 100,000).  A
+   floor is kept for ever for each of at most keep_records owners; an owner
+   beyond them gets no permit.  */
 struct claim_witness;
 
 enum claim_revoked
--- a/tests/claim_test.c
+++ b/tests/claim_test.c
@@ -222,51 +222,73 @@
 
 struct model
 {
-  unsigned started;
+  bool recorded;
+  bool started;
   bool revoked;
-  bool permitted;
-  int64_t epoch;
+  bool permitted; /* the witness granted it, even if nobody heard */
+  int64_t epoch;  /* of the key; 0: not issued yet */
   struct claim_record *open;
 };
 
 static void
-model_submit (struct claim_table *table, struct claim_witness *w,
-              struct model *m, unsigned n)
+model_submit (struct claim_table *table, struct model *m, unsigned n)
 {
   struct claim_record *record;
-  if (m->epoch == 0)
-    m->epoch = claim_epoch (table);
   enum claim_found found = begin (table, SELF, m->epoch, n, body_a, &record);
-  CU_ASSERT (m->open == NULL || (found == CLAIM_RUNNING && record == m->open));
-  if (found != CLAIM_NEW)
-    return;
-  CU_ASSERT (m->started == 0);
-  struct claim_hash hash = claim_hash_of (pl_str (text));
-  if (!claim_permit (w, SELF, hash, m->epoch))
+  if (m->open != NULL)
     {
-      CU_ASSERT (!m->permitted);
-      finish (table, record, PL_NO_PERMIT);
+      CU_ASSERT (found == CLAIM_RUNNING && record == m->open);
       return;
     }
-  CU_ASSERT (!m->revoked);
-  m->permitted = true;
-  m->started++;
+  CU_ASSERT (!m->recorded || found == CLAIM_DONE || found == CLAIM_FORGOTTEN);
+  if (found != CLAIM_NEW)
+    return;
+  m->recorded = true;
   m->open = record;
 }
 
+/* A permit request reaches the witness; some replies are lost.  */
 static void
-model_revoke (struct claim_witness *w, struct model *m, unsigned n)
+model_permit (struct claim_table *table, struct claim_witness *w,
+              struct model *m, unsigned n, bool lost)
 {
-  if (m->epoch == 0)
+  if (m->open == NULL || m->started)
     return;
   key_of (SELF, m->epoch, n);
+  bool granted
+      = claim_permit (w, SELF, claim_hash_of (pl_str (text)), m->epoch);
+  CU_ASSERT (!granted || !m->revoked);
+  m->permitted |= granted;
+  if (lost)
+    return;
+  m->started = granted;
+  if (granted)
+    return;
+  finish (table, m->open, PL_NO_PERMIT);
+  m->open = NULL;
+}
+
+static void
+model_revoke (struct claim_witness *w, struct model *m, unsigned n)
+{
+  key_of (SELF, m->epoch, n);
   enum claim_revoked said
       = claim_revoke (w, SELF, claim_hash_of (pl_str (text)), m->epoch);
   CU_ASSERT (said != CLAIM_REVOKED || !m->permitted);
   CU_ASSERT (said != CLAIM_PERMITTED || m->permitted);
+  CU_ASSERT (said == CLAIM_REVOKED || said == CLAIM_UNKNOWN || !m->revoked);
   m->revoked |= said == CLAIM_REVOKED;
 }
 
+static void
+model_finish (struct claim_table *table, struct model *m)
+{
+  if (m->open == NULL)
+    return;
+  finish (table, m->open, m->started ? PL_OK : PL_NO_PERMIT);
+  m->open = NULL;
+}
+
 /* Invariant: no key starts twice, and none is both revoked and started, over
    100,000 random steps with evictions by age and by count.  */
 static void
@@ -284,21 +306,22 @@
                    % MODEL_KEYS;
       struct model *m = &models[n];
       int op = g_rand_int_range (rnd, 0, 100);
-      if (op < 45)
-        model_submit (table, w, m, n);
+      if (m->epoch == 0)
+        m->epoch = claim_epoch (table);
+      if (op < 35)
+        model_submit (table, m, n);
+      else if (op < 60)
+        model_permit (table, w, m, n, op < 45);
       else if (op < 65)
         model_revoke (w, m, n);
-      else if (op < 90 && m->open != NULL)
-        {
-          finish (table, m->open, PL_OK);
-          m->open = NULL;
-        }
-      else if (op >= 97)
+      else if (op < 97)
+        model_finish (table, m);
+      else
         {
           advance (table, 3);
           claim_witness_tick (w);
         }
-      CU_ASSERT (!m->revoked || m->started == 0);
+      CU_ASSERT (!m->revoked || !m->started);
       CU_ASSERT (claim_witness_count (w) <= 300);
     }
   for (unsigned i = 0; i < MODEL_KEYS; i++)
