--- a/lib/job/req.c
+++ b/lib/job/req.c
@@ -66,7 +66,8 @@
   for (unsigned i = 0; i < req->n_tasks; i++)
     if (req->tasks[i].input != NULL)
       g_bytes_unref (req->tasks[i].input);
-  g_clear_pointer (&req->tasks, g_free);
+  g_free (req->tasks);
+  req->tasks = NULL;
   req->n_tasks = 0;
 }
 
