Test that an heir's floor reaches the next heir

Without raising the floor of a known series on import, a key that the first heir had dropped was answered as never received.

--- a/tests/claim_test.c
+++ b/tests/claim_test.c
@@ -1,90 +1,11 @@
 /* Tests of lib/claim: no key starts twice, and "not run" is never said of a
    key that may have started or was dropped.  */
-#include "claim.h"
-#include "test.h"
+#include "claim_fixture.h"
 
 #include <malloc.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define SELF UINT64_C (0x1111)
-#define HEIR UINT64_C (0x2222)
-#define S INT64_C (1000000)
-
-static struct pl_manual_clock clk;
-static const uint8_t body_a[JOB_HASH_BYTES] = { 1 };
-static const uint8_t body_b[JOB_HASH_BYTES] = { 2 };
-
-static struct claim_table *
-new_table (claim_id self, unsigned keep_records)
-{
-  struct claim_opts opts = { .clock = &clk.base,
-                             .self = self,
-                             .epoch_us = 10 * S,
-                             .keep_us = 900 * S,
-                             .keep_records = keep_records,
-                             .answer_us = 300 * S,
-                             .answer_bytes = 4096 };
-  return claim_table_new (&opts);
-}
-
-static char text[CLAIM_PREFIX_TEXT + 32];
-
-static struct claim_key
-key_of (claim_id owner, int64_t epoch, unsigned n)
-{
-  char prefix[CLAIM_PREFIX_TEXT];
-  claim_prefix_text ("brum", owner, 0, epoch, prefix);
-  g_snprintf (text, sizeof text, "%s.k%u", prefix, n);
-  struct claim_key key;
-  CU_ASSERT_FATAL (claim_key_parse (pl_str (text), &key, NULL));
-  return key;
-}
-
-static enum claim_found
-begin (struct claim_table *table, claim_id owner, int64_t epoch, unsigned n,
-       const uint8_t *body, struct claim_record **record)
-{
-  struct claim_key key = key_of (owner, epoch, n);
-  return claim_begin (table, &key, pl_str (text), body, record);
-}
-
-static void
-finish (struct claim_table *table, struct claim_record *record,
-        enum pl_code code)
-{
-  struct job_reply *reply = job_reply_wrap (code, 0, g_bytes_new ("{}", 2));
-  claim_finish (table, record, reply);
-  job_reply_unref (reply);
-}
-
-static void
-run (struct claim_table *table, int64_t epoch, unsigned n, enum pl_code code)
-{
-  struct claim_record *record;
-  CU_ASSERT_EQUAL (begin (table, SELF, epoch, n, body_a, &record), CLAIM_NEW);
-  finish (table, record, code);
-}
-
-static enum pl_code
-code_of (struct claim_record *record)
-{
-  struct job_reply *reply = claim_record_reply (record, pl_str (text));
-  enum pl_code code = reply->code;
-  job_reply_unref (reply);
-  return code;
-}
-
-static void
-advance (struct claim_table *table, unsigned seconds)
-{
-  for (unsigned i = 0; i < seconds; i++)
-    {
-      pl_manual_clock_advance (&clk, S);
-      claim_tick (table);
-    }
-}
-
 static void
 test_key_forms (void)
 {
@@ -425,6 +346,34 @@
   claim_table_free (next);
 }
 
+/* Guards against "not run" for a key of an epoch that an heir has dropped,
+   when the next heir already knows the owner with a lower floor.  */
+static void
+test_heir_floor (void)
+{
+  struct claim_table *table = filled_table ();
+  struct claim_table *heir = new_table (HEIR, 50);
+  struct claim_table *next = new_table (0x3333, 1000);
+  GPtrArray *chunks = export_all (table);
+  for (unsigned i = 0; i < chunks->len; i++)
+    CU_ASSERT (import (heir, chunks->pdata[i]));
+  CU_ASSERT (claim_count (heir) <= 50);
+  claim_inherit (heir, SELF);
+  CU_ASSERT_EQUAL (ask (heir, 1, 2), PL_UNKNOWN_FORGOTTEN);
+  CU_ASSERT (import (next, chunks->pdata[1]));
+  GPtrArray *second = export_all (heir);
+  for (unsigned i = 0; i < second->len; i++)
+    CU_ASSERT (import (next, second->pdata[i]));
+  claim_inherit (next, HEIR);
+  CU_ASSERT_EQUAL (ask (next, 1, 2000), PL_UNKNOWN_FORGOTTEN);
+  CU_ASSERT_EQUAL (ask (next, 10, 2000), PL_HANDED_OVER_UNSEEN);
+  g_ptr_array_unref (chunks);
+  g_ptr_array_unref (second);
+  claim_table_free (table);
+  claim_table_free (heir);
+  claim_table_free (next);
+}
+
 /* Guards against "not run" for a key in a chunk that was lost or damaged.  */
 static void
 test_bad_chunks (void)
@@ -498,6 +447,7 @@
     { "witness rules", test_witness_rules },
     { "model", test_model },
     { "hand-over", test_hand_over },
+    { "heir's floor", test_heir_floor },
     { "bad chunks", test_bad_chunks },
     { "memory", test_memory },
     CU_TEST_INFO_NULL,
