Add peer messages, membership and the control and relay threads

The daemon had no links between entry instances. The schema, a bounded codec, the membership table and both threads are added: heartbeats, permits, revocations, notes, lending, hand-over and forwards.

--- /dev/null
+++ b/lib/memb/table.c
@@ -0,0 +1,261 @@
+#include "table.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+struct memb_table *
+memb_table_new (const struct memb_opts *opts)
+{
+  struct memb_table *table = g_new0 (struct memb_table, 1);
+  table->opts = *opts;
+  table->peers = g_ptr_array_new_with_free_func (g_free);
+  table->self.id = opts->self;
+  table->self.control = opts->control;
+  g_strlcpy (table->self.domain, opts->domain, sizeof table->self.domain);
+  table->dirty = true;
+  return table;
+}
+
+void
+memb_table_free (struct memb_table *table)
+{
+  g_ptr_array_unref (table->peers);
+  g_free (table);
+}
+
+struct memb_entry *
+memb_entry_at (const struct memb_table *table, unsigned index)
+{
+  return g_ptr_array_index (table->peers, index);
+}
+
+static struct memb_entry *
+find (const struct memb_table *table, claim_id id)
+{
+  for (unsigned i = 0; i < table->peers->len; i++)
+    if (memb_entry_at (table, i)->peer.id == id)
+      return memb_entry_at (table, i);
+  return NULL;
+}
+
+static void
+change (struct memb_table *table, struct memb_entry *entry,
+        enum memb_state state, enum memb_change what)
+{
+  entry->peer.state = state;
+  table->dirty = true;
+  if (table->opts.changed != NULL)
+    table->opts.changed (&entry->peer, what,
+                         pl_now_us (table->opts.clock) - entry->heard_us,
+                         table->opts.user);
+}
+
+static void
+leave (struct memb_table *table, struct memb_entry *entry)
+{
+  if (entry->peer.state != MEMB_LEFT)
+    change (table, entry, MEMB_LEFT, MEMB_CHANGE_LEFT);
+}
+
+static void
+replace_at (struct memb_table *table, struct pl_addr addr, claim_id id)
+{
+  for (unsigned i = 0; i < table->peers->len; i++)
+    {
+      struct memb_entry *entry = memb_entry_at (table, i);
+      if (entry->peer.id != id && pl_addr_eq (entry->peer.control, addr))
+        leave (table, entry);
+    }
+}
+
+static bool
+same (const struct memb_peer *a, const struct memb_peer *b)
+{
+  return a->draining == b->draining && a->epoch == b->epoch
+         && a->witness == b->witness && a->revision == b->revision
+         && pl_addr_eq (a->control, b->control)
+         && strcmp (a->domain, b->domain) == 0;
+}
+
+bool
+memb_heard (struct memb_table *table, const struct memb_peer *said)
+{
+  struct memb_entry *entry = find (table, said->id);
+  if (said->id == table->self.id
+      || pl_addr_eq (said->control, table->self.control))
+    return false;
+  if (entry != NULL && entry->peer.state == MEMB_LEFT)
+    return false;
+  if (entry == NULL && table->peers->len >= MEMB_MAX_PEERS)
+    return false;
+  replace_at (table, said->control, said->id);
+  bool up = entry == NULL || entry->peer.state != MEMB_ALIVE;
+  if (entry == NULL)
+    {
+      entry = g_new0 (struct memb_entry, 1);
+      g_ptr_array_add (table->peers, entry);
+    }
+  if (up || !same (&entry->peer, said))
+    table->dirty = true;
+  entry->peer = *said;
+  entry->peer.state = MEMB_ALIVE;
+  entry->heard_us = pl_now_us (table->opts.clock);
+  if (up)
+    change (table, entry, MEMB_ALIVE, MEMB_CHANGE_UP);
+  return true;
+}
+
+void
+memb_left (struct memb_table *table, claim_id id)
+{
+  struct memb_entry *entry = find (table, id);
+  if (entry != NULL)
+    leave (table, entry);
+}
+
+static bool
+near (const struct memb_table *table, const struct memb_peer *peer)
+{
+  return strcmp (peer->domain, table->self.domain) == 0;
+}
+
+/* Returns true if the entry is to be removed.  */
+static bool
+tick_entry (struct memb_table *table, struct memb_entry *entry, int64_t now)
+{
+  const struct memb_opts *opts = &table->opts;
+  int64_t silence = now - entry->heard_us;
+  int64_t factor = near (table, &entry->peer) ? 1 : opts->far_factor;
+  if (silence >= opts->forget_us)
+    {
+      change (table, entry, entry->peer.state, MEMB_CHANGE_FORGOT);
+      return true;
+    }
+  if (entry->peer.state == MEMB_ALIVE && silence >= opts->suspect_us * factor)
+    change (table, entry, MEMB_SUSPECT, MEMB_CHANGE_SUSPECT);
+  if (entry->peer.state == MEMB_SUSPECT && silence >= opts->dead_us * factor)
+    change (table, entry, MEMB_DEAD, MEMB_CHANGE_DEAD);
+  return false;
+}
+
+static bool
+can_witness (const struct memb_table *table, const struct memb_peer *peer)
+{
+  return peer->state == MEMB_ALIVE && !peer->draining && near (table, peer);
+}
+
+static uint64_t
+rank_of (const struct memb_table *table, claim_id id)
+{
+  const uint64_t words[] = { table->self.id, id };
+  return XXH3_64bits (words, sizeof words);
+}
+
+/* The best ranked live peer that is not draining; NEAR_ONLY restricts the
+   choice to the own domain.  */
+static const struct memb_peer *
+best_peer (const struct memb_table *table, bool near_only)
+{
+  const struct memb_peer *best = NULL;
+  for (unsigned i = 0; i < table->peers->len; i++)
+    {
+      const struct memb_peer *peer = &memb_entry_at (table, i)->peer;
+      if (peer->state != MEMB_ALIVE || peer->draining)
+        continue;
+      if (near_only && !near (table, peer))
+        continue;
+      if (best == NULL
+          || rank_of (table, peer->id) > rank_of (table, best->id))
+        best = peer;
+    }
+  return best;
+}
+
+/* A usable witness is kept when a better ranked peer joins, because a change
+   of the prefix gains nothing.  */
+static void
+choose_witness (struct memb_table *table)
+{
+  const struct memb_entry *current = find (table, table->self.witness);
+  if (current != NULL && can_witness (table, &current->peer))
+    return;
+  const struct memb_peer *best = best_peer (table, true);
+  claim_id witness = best == NULL ? 0 : best->id;
+  if (witness == table->self.witness)
+    return;
+  table->self.witness = witness;
+  table->dirty = true;
+  pl_log (PL_EV_WITNESS, "witness=%016" G_GINT64_MODIFIER "x", witness);
+}
+
+const struct memb_peer *
+memb_choose_heir (const struct memb_table *table)
+{
+  const struct memb_entry *current = find (table, table->self.witness);
+  if (current != NULL && can_witness (table, &current->peer))
+    return &current->peer;
+  const struct memb_peer *best = best_peer (table, true);
+  return best != NULL ? best : best_peer (table, false);
+}
+
+void
+memb_tick (struct memb_table *table)
+{
+  int64_t now = pl_now_us (table->opts.clock);
+  for (unsigned i = table->peers->len; i-- > 0;)
+    if (tick_entry (table, memb_entry_at (table, i), now))
+      g_ptr_array_remove_index_fast (table->peers, i);
+  memb_heirs_tick (table, now);
+  choose_witness (table);
+}
+
+void
+memb_set_self (struct memb_table *table, int64_t epoch, int64_t revision,
+               bool draining)
+{
+  struct memb_peer *self = &table->self;
+  if (self->epoch == epoch && self->revision == revision
+      && self->draining == draining)
+    return;
+  self->epoch = epoch;
+  self->revision = revision;
+  self->draining = draining;
+  table->dirty = true;
+}
+
+const struct memb_peer *
+memb_table_find (const struct memb_table *table, claim_id id)
+{
+  const struct memb_entry *entry = find (table, id);
+  return entry == NULL ? NULL : &entry->peer;
+}
+
+const struct memb_peer *
+memb_table_at (const struct memb_table *table, struct pl_addr addr)
+{
+  for (unsigned i = 0; i < table->peers->len; i++)
+    {
+      const struct memb_peer *peer = &memb_entry_at (table, i)->peer;
+      if (peer->state != MEMB_LEFT && pl_addr_eq (peer->control, addr))
+        return peer;
+    }
+  return NULL;
+}
+
+unsigned
+memb_table_count (const struct memb_table *table)
+{
+  return table->peers->len;
+}
+
+const struct memb_peer *
+memb_table_peer (const struct memb_table *table, unsigned index)
+{
+  return &memb_entry_at (table, index)->peer;
+}
+
+const struct memb_peer *
+memb_table_self (const struct memb_table *table)
+{
+  return &table->self;
+}
--- /dev/null
+++ b/lib/peer/notes.c
@@ -0,0 +1,254 @@
+#include "impl.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* Replies sent for one request; the asker asks again for the rest.  Below the
+   links' high-water mark.  */
+#define WINDOW 64
+#define MAX_NOTES 64 /* behind by more, the whole document is sent */
+#define ASK_AGAIN_US 500000
+
+static void
+assembly_clear (struct assembly *assembly)
+{
+  if (assembly->data != NULL)
+    g_byte_array_unref (assembly->data);
+  *assembly = (struct assembly){ 0 };
+}
+
+void
+notes_free (struct peer *peer)
+{
+  assembly_clear (&peer->assembly);
+  if (peer->document != NULL)
+    g_bytes_unref (peer->document);
+}
+
+static void
+ask (struct peer *peer, claim_id from, int64_t last, uint32_t chunk)
+{
+  Msg__NoteRequest m = MSG__NOTE_REQUEST__INIT;
+  m.first = note_history_revision (peer->history) + 1;
+  m.last = MAX (last, m.first);
+  m.chunk = chunk;
+  Msg__Envelope e = MSG__ENVELOPE__INIT;
+  e.body_case = MSG__ENVELOPE__BODY_NOTE_REQUEST;
+  e.note_request = &m;
+  peer->asked_us = ctl_now (peer);
+  ctl_send (peer, from, &e);
+}
+
+void
+notes_heard (struct peer *peer, claim_id from, int64_t revision)
+{
+  if (revision <= note_history_revision (peer->history)
+      || ctl_now (peer) - peer->asked_us < ASK_AGAIN_US)
+    return;
+  const struct assembly *assembly = &peer->assembly;
+  bool resume = assembly->from == from && assembly->whole;
+  ask (peer, from, revision, resume ? assembly->next : 0);
+}
+
+static void
+send_chunk (struct peer *peer, claim_id to, bool whole, int64_t revision,
+            struct pl_str text, uint64_t checksum, uint32_t index)
+{
+  size_t start = (size_t)index * MSG_CHUNK_BYTES;
+  Msg__NoteReply m = MSG__NOTE_REPLY__INIT;
+  m.whole = whole;
+  m.revision = revision;
+  m.total = (uint32_t)text.len;
+  m.index = index;
+  m.checksum = checksum;
+  m.data.data = (uint8_t *)text.data + start;
+  m.data.len = MIN (text.len - start, MSG_CHUNK_BYTES);
+  Msg__Envelope e = MSG__ENVELOPE__INIT;
+  e.body_case = MSG__ENVELOPE__BODY_NOTE_REPLY;
+  e.note_reply = &m;
+  ctl_send (peer, to, &e);
+}
+
+/* Sends chunks from FIRST on; returns the number sent, LIMIT at most.  */
+static unsigned
+send_text (struct peer *peer, claim_id to, bool whole, int64_t revision,
+           GBytes *bytes, uint32_t first, unsigned limit)
+{
+  struct pl_str text;
+  text.data = g_bytes_get_data (bytes, &text.len);
+  if (text.len == 0 || text.len > MSG_WHOLE_BYTES)
+    return 0;
+  uint64_t checksum = XXH3_64bits (text.data, text.len);
+  unsigned sent = 0;
+  for (uint32_t i = first;
+       (uint64_t)i * MSG_CHUNK_BYTES < text.len && sent < limit; i++, sent++)
+    send_chunk (peer, to, whole, revision, text, checksum, i);
+  return sent;
+}
+
+static GBytes *
+document (struct peer *peer)
+{
+  struct pl_shared *shared = pl_slot_get (peer->opts.note_slot);
+  const struct note_conf *conf = (struct note_conf *)shared;
+  if (conf != NULL
+      && (peer->document == NULL || peer->document_revision != conf->revision))
+    {
+      char *text = note_conf_to_json (conf);
+      if (peer->document != NULL)
+        g_bytes_unref (peer->document);
+      peer->document = g_bytes_new_take (text, strlen (text));
+      peer->document_revision = conf->revision;
+    }
+  pl_shared_unref (shared);
+  return peer->document;
+}
+
+void
+notes_request (struct peer *peer, claim_id from, const Msg__NoteRequest *m)
+{
+  int64_t last = MIN (m->last, note_history_revision (peer->history));
+  if (last < m->first)
+    return;
+  if (last - m->first >= MAX_NOTES
+      || note_history_get (peer->history, m->first) == NULL)
+    {
+      GBytes *whole = document (peer);
+      if (whole != NULL)
+        send_text (peer, from, true, peer->document_revision, whole, m->chunk,
+                   WINDOW);
+      return;
+    }
+  unsigned sent = 0;
+  for (int64_t revision = m->first; revision <= last; revision++)
+    {
+      GBytes *note = note_history_get (peer->history, revision);
+      if (note == NULL || sent >= WINDOW)
+        return;
+      /* A note of the store's largest value has 22 chunks.  */
+      sent += send_text (peer, from, false, revision, note, 0, WINDOW);
+    }
+}
+
+static void
+applied (struct peer *peer, enum note_offer offer)
+{
+  if (offer != NOTE_APPLIED)
+    return;
+  int64_t revision = note_history_revision (peer->history);
+  peer->opts.ops->revision (peer->opts.ops, revision);
+}
+
+static void
+offer (struct peer *peer, bool whole, int64_t revision, struct pl_str text,
+       const char *source)
+{
+  struct pl_err err = { 0 };
+  enum note_offer result;
+  if (whole)
+    result = note_history_offer_whole (peer->history, text, source, &err);
+  else
+    result = note_history_offer (peer->history, revision, text, source, &err);
+  applied (peer, result);
+}
+
+static bool
+begins (const struct assembly *assembly, claim_id from,
+        const Msg__NoteReply *m)
+{
+  return m->index == 0
+         && (assembly->data == NULL || assembly->from != from
+             || assembly->revision != m->revision || assembly->next > 0);
+}
+
+static bool
+continues (const struct assembly *assembly, claim_id from,
+           const Msg__NoteReply *m)
+{
+  return assembly->data != NULL && assembly->from == from
+         && assembly->whole == m->whole && assembly->revision == m->revision
+         && assembly->total == m->total && assembly->checksum == m->checksum
+         && assembly->next == m->index;
+}
+
+static void
+finish (struct peer *peer, claim_id from)
+{
+  struct assembly *assembly = &peer->assembly;
+  struct pl_str text = { .data = (const char *)assembly->data->data,
+                         .len = assembly->data->len };
+  if (XXH3_64bits (text.data, text.len) == assembly->checksum)
+    offer (peer, assembly->whole, assembly->revision, text, "peer");
+  else
+    link_drop (from, "checksum", text.len);
+  assembly_clear (assembly);
+}
+
+void
+notes_reply (struct peer *peer, claim_id from, const Msg__NoteReply *m)
+{
+  struct assembly *assembly = &peer->assembly;
+  if (m->revision <= note_history_revision (peer->history))
+    return;
+  if (begins (assembly, from, m))
+    {
+      assembly_clear (assembly);
+      *assembly = (struct assembly){ .from = from,
+                                     .whole = m->whole,
+                                     .revision = m->revision,
+                                     .checksum = m->checksum,
+                                     .total = m->total,
+                                     .data = g_byte_array_new () };
+    }
+  if (!continues (assembly, from, m))
+    {
+      link_drop (from, "chunk out of order", m->data.len);
+      return;
+    }
+  g_byte_array_append (assembly->data, m->data.data, (guint)m->data.len);
+  assembly->next++;
+  if (assembly->data->len == assembly->total)
+    finish (peer, from);
+  else if (assembly->whole && assembly->next % WINDOW == 0)
+    ask (peer, from, m->revision, assembly->next);
+}
+
+struct note_item
+{
+  struct ctl_item base;
+  bool whole;
+  int64_t revision;
+  GBytes *text;
+};
+
+static void
+run_offer (struct peer *peer, struct ctl_item *base)
+{
+  struct note_item *item = (struct note_item *)base;
+  struct pl_str text;
+  text.data = g_bytes_get_data (item->text, &text.len);
+  offer (peer, item->whole, item->revision, text, "store");
+  g_bytes_unref (item->text);
+}
+
+static void
+post_offer (struct peer *peer, bool whole, int64_t revision, GBytes *text)
+{
+  struct note_item *item = g_new0 (struct note_item, 1);
+  item->whole = whole;
+  item->revision = revision;
+  item->text = g_bytes_ref (text);
+  ctl_post (peer, &item->base, run_offer);
+}
+
+void
+peer_offer_note (struct peer *peer, int64_t revision, GBytes *note)
+{
+  post_offer (peer, false, revision, note);
+}
+
+void
+peer_offer_whole (struct peer *peer, GBytes *document_text)
+{
+  post_offer (peer, true, 0, document_text);
+}
--- /dev/null
+++ b/lib/peer/permit.c
@@ -0,0 +1,201 @@
+#include "impl.h"
+
+#include <string.h>
+
+#define MAX_PENDING 65536
+
+struct permit
+{
+  struct claim_hash hash; /* first: the key of the table */
+  claim_id witness;
+  int64_t epoch;
+  int64_t first_us;
+  int64_t sent_us;
+};
+
+struct permit_item
+{
+  struct ctl_item base;
+  claim_id witness;
+  struct claim_hash hash;
+  int64_t epoch;
+};
+
+static guint
+hash_of (gconstpointer key)
+{
+  return (guint)((const struct claim_hash *)key)->lo;
+}
+
+static gboolean
+same_hash (gconstpointer a, gconstpointer b)
+{
+  return memcmp (a, b, sizeof (struct claim_hash)) == 0;
+}
+
+static bool
+reachable (struct peer *peer, claim_id witness)
+{
+  const struct memb_peer *known = memb_table_find (peer->memb, witness);
+  return known != NULL && known->state == MEMB_ALIVE;
+}
+
+static void
+ask (struct peer *peer, struct ctl_item *base)
+{
+  struct permit_item *item = (struct permit_item *)base;
+  if (!reachable (peer, item->witness)
+      || g_hash_table_size (peer->permits) >= MAX_PENDING)
+    {
+      disp_permit_result (peer->disp, item->hash, false);
+      return;
+    }
+  if (g_hash_table_contains (peer->permits, &item->hash))
+    return;
+  struct permit *permit = g_new0 (struct permit, 1);
+  permit->hash = item->hash;
+  permit->witness = item->witness;
+  permit->epoch = item->epoch;
+  permit->first_us = ctl_now (peer);
+  g_hash_table_insert (peer->permits, &permit->hash, permit);
+  g_ptr_array_add (ctl_mate (peer, item->witness)->permit_requests, permit);
+}
+
+static void
+post_permit (struct disp_peer_ops *ops, claim_id witness,
+             struct claim_hash hash, int64_t epoch)
+{
+  struct permit_item *item = g_new0 (struct permit_item, 1);
+  item->witness = witness;
+  item->hash = hash;
+  item->epoch = epoch;
+  ctl_post ((struct peer *)ops, &item->base, ask);
+}
+
+void
+permit_init (struct peer *peer)
+{
+  peer->permits = g_hash_table_new_full (hash_of, same_hash, NULL, g_free);
+  peer->disp_ops.permit = post_permit;
+}
+
+void
+permit_free (struct peer *peer)
+{
+  g_hash_table_unref (peer->permits);
+}
+
+static void
+send_batch (struct peer *peer, claim_id witness, GPtrArray *requests,
+            unsigned start)
+{
+  uint64_t hi[MSG_CLAIMS];
+  uint64_t lo[MSG_CLAIMS];
+  int64_t epoch[MSG_CLAIMS];
+  unsigned n = MIN (requests->len - start, MSG_CLAIMS);
+  int64_t now = ctl_now (peer);
+  for (unsigned i = 0; i < n; i++)
+    {
+      struct permit *permit = g_ptr_array_index (requests, start + i);
+      hi[i] = permit->hash.hi;
+      lo[i] = permit->hash.lo;
+      epoch[i] = permit->epoch;
+      permit->sent_us = now;
+    }
+  Msg__PermitRequest m = MSG__PERMIT_REQUEST__INIT;
+  m.n_hi = m.n_lo = m.n_epoch = n;
+  m.hi = hi;
+  m.lo = lo;
+  m.epoch = epoch;
+  Msg__Envelope e = MSG__ENVELOPE__INIT;
+  e.body_case = MSG__ENVELOPE__BODY_PERMIT_REQUEST;
+  e.permit_request = &m;
+  ctl_send (peer, witness, &e);
+}
+
+void
+permit_flush (struct peer *peer)
+{
+  GHashTableIter iter;
+  struct mate *mate;
+  g_hash_table_iter_init (&iter, peer->mates);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&mate))
+    {
+      GPtrArray *requests = mate->permit_requests;
+      for (unsigned i = 0; i < requests->len; i += MSG_CLAIMS)
+        send_batch (peer, mate->id, requests, i);
+      g_ptr_array_set_size (requests, 0);
+    }
+}
+
+void
+permit_retry (struct peer *peer)
+{
+  const struct conf *conf = peer->opts.conf;
+  int64_t now = ctl_now (peer);
+  GHashTableIter iter;
+  struct permit *permit;
+  g_hash_table_iter_init (&iter, peer->permits);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&permit))
+    {
+      if (now - permit->first_us >= conf->permit_give_up_ms * 1000)
+        {
+          disp_permit_result (peer->disp, permit->hash, false);
+          g_hash_table_iter_remove (&iter);
+        }
+      else if (now - permit->sent_us >= conf->permit_resend_ms * 1000)
+        g_ptr_array_add (ctl_mate (peer, permit->witness)->permit_requests,
+                         permit);
+    }
+  permit_flush (peer);
+}
+
+void
+permit_lost (struct peer *peer, claim_id witness)
+{
+  GHashTableIter iter;
+  struct permit *permit;
+  g_ptr_array_set_size (ctl_mate (peer, witness)->permit_requests, 0);
+  g_hash_table_iter_init (&iter, peer->permits);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&permit))
+    {
+      if (permit->witness != witness)
+        continue;
+      disp_permit_result (peer->disp, permit->hash, false);
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
+void
+permit_request (struct peer *peer, claim_id from, const Msg__PermitRequest *m)
+{
+  protobuf_c_boolean granted[MSG_CLAIMS];
+  for (size_t i = 0; i < m->n_hi; i++)
+    {
+      struct claim_hash hash = { .hi = m->hi[i], .lo = m->lo[i] };
+      granted[i] = claim_permit (peer->witness, from, hash, m->epoch[i]);
+    }
+  Msg__PermitReply reply = MSG__PERMIT_REPLY__INIT;
+  reply.n_hi = reply.n_lo = reply.n_granted = m->n_hi;
+  reply.hi = m->hi;
+  reply.lo = m->lo;
+  reply.granted = granted;
+  Msg__Envelope e = MSG__ENVELOPE__INIT;
+  e.body_case = MSG__ENVELOPE__BODY_PERMIT_REPLY;
+  e.permit_reply = &reply;
+  ctl_send (peer, from, &e);
+}
+
+void
+permit_reply (struct peer *peer, claim_id from, const Msg__PermitReply *m)
+{
+  for (size_t i = 0; i < m->n_hi; i++)
+    {
+      struct claim_hash hash = { .hi = m->hi[i], .lo = m->lo[i] };
+      struct permit *permit = g_hash_table_lookup (peer->permits, &hash);
+      if (permit == NULL || permit->witness != from)
+        continue; /* repeated, or given up */
+      disp_permit_result (peer->disp, hash, m->granted[i]);
+      g_hash_table_remove (peer->permits, &hash);
+    }
+}
--- /dev/null
+++ b/lib/peer/relay.c
@@ -0,0 +1,422 @@
+#include "impl.h"
+
+#include <string.h>
+#include <zmq.h>
+
+#define MAX_PENDING 8192
+#define MAX_INBOUND 8192
+#define MAX_LINKS 1024
+#define POLL_MS 100
+#define POLL_BUSY_MS 5 /* while forwards may time out */
+#define TURN_MESSAGES 256
+
+struct relay
+{
+  struct peer *peer;
+  void *router;
+  struct relay_box *box;
+  GThread *thread;
+  gint stop;           /* atomic */
+  GPtrArray *links;    /* struct link, to relay ports */
+  GHashTable *pending; /* struct forward by id */
+  uint64_t next_id;
+  struct memb_view *view;
+};
+
+/* Outlives the relay while handlers still hold replies to deliver.  */
+struct relay_box
+{
+  gatomicrefcount refs;
+  struct pl_mbox *mbox;
+  gint inbound; /* atomic: submissions that wait for a reply */
+};
+
+struct forward
+{
+  struct pl_item base;
+  uint64_t id;
+  claim_id owner;
+  Msg__Method method;
+  GBytes *path;
+  GBytes *key;
+  GBytes *body;
+  int64_t deadline_us;
+  job_done_fn *done;
+  void *user;
+};
+
+/* A submission of a peer that is being handled here.  */
+struct inbound
+{
+  struct pl_item base;
+  struct relay_box *box;
+  claim_id from;
+  uint64_t id;
+  struct job_reply *reply;
+};
+
+static const char *const method_names[]
+    = { [MSG__METHOD__METHOD_POST] = "POST",
+        [MSG__METHOD__METHOD_GET] = "GET",
+        [MSG__METHOD__METHOD_DELETE] = "DELETE" };
+
+static void
+box_unref (struct relay_box *box)
+{
+  if (!g_atomic_ref_count_dec (&box->refs))
+    return;
+  struct pl_item *item;
+  while ((item = pl_mbox_take (box->mbox, 0)) != NULL)
+    item->run (item, NULL);
+  pl_mbox_free (box->mbox);
+  g_free (box);
+}
+
+static void
+forward_end (struct forward *forward, struct job_reply *reply)
+{
+  forward->done (reply, forward->user);
+  g_bytes_unref (forward->path);
+  g_bytes_unref (forward->key);
+  g_bytes_unref (forward->body);
+  g_free (forward);
+}
+
+static struct pl_addr
+relay_addr (struct pl_addr control)
+{
+  control.port++;
+  return control;
+}
+
+static struct link *
+link_to (struct relay *relay, claim_id id)
+{
+  const struct memb_peer *known
+      = relay->view == NULL ? NULL : memb_find (relay->view, id);
+  if (known == NULL || known->state != MEMB_ALIVE
+      || id == relay->peer->opts.self)
+    return NULL;
+  struct pl_addr addr = relay_addr (known->control);
+  for (unsigned i = 0; i < relay->links->len; i++)
+    {
+      struct link *link = g_ptr_array_index (relay->links, i);
+      if (pl_addr_eq (link->addr, addr))
+        return link;
+    }
+  if (relay->links->len >= MAX_LINKS)
+    return NULL;
+  struct link *link = link_new (relay->peer->ctx, addr, false);
+  if (link != NULL)
+    g_ptr_array_add (relay->links, link);
+  return link;
+}
+
+static bool
+send_to (struct relay *relay, claim_id to, Msg__Envelope *e)
+{
+  struct link *link = link_to (relay, to);
+  e->from = relay->peer->opts.self;
+  e->to = to;
+  return link != NULL && link_send (link, e, MSG_RELAY);
+}
+
+static ProtobufCBinaryData
+binary (GBytes *bytes)
+{
+  ProtobufCBinaryData data;
+  data.data = (uint8_t *)g_bytes_get_data (bytes, &data.len);
+  return data;
+}
+
+static void
+run_forward (struct pl_item *base, void *owner)
+{
+  struct forward *forward = (struct forward *)base;
+  struct relay *relay = owner;
+  if (relay == NULL || g_hash_table_size (relay->pending) >= MAX_PENDING)
+    {
+      forward_end (forward, NULL);
+      return;
+    }
+  forward->id = ++relay->next_id;
+  Msg__Forward m = MSG__FORWARD__INIT;
+  m.id = forward->id;
+  m.method = forward->method;
+  m.path = binary (forward->path);
+  m.key = binary (forward->key);
+  m.body = binary (forward->body);
+  Msg__Envelope e = MSG__ENVELOPE__INIT;
+  e.body_case = MSG__ENVELOPE__BODY_FORWARD;
+  e.forward = &m;
+  if (send_to (relay, forward->owner, &e))
+    g_hash_table_insert (relay->pending, &forward->id, forward);
+  else
+    forward_end (forward, NULL);
+}
+
+static Msg__Method
+method_of (const char *name)
+{
+  for (unsigned i = 1; i < G_N_ELEMENTS (method_names); i++)
+    if (strcmp (method_names[i], name) == 0)
+      return (Msg__Method)i;
+  return MSG__METHOD__METHOD_NONE;
+}
+
+void
+peer_forward (struct peer *peer, claim_id owner, const char *method,
+              struct pl_str path, struct pl_str key, struct pl_str body,
+              int64_t timeout_ms, job_done_fn *done, void *user)
+{
+  struct forward *forward = g_new0 (struct forward, 1);
+  forward->base.run = run_forward;
+  forward->owner = owner;
+  forward->method = method_of (method);
+  forward->path = g_bytes_new (path.data, path.len);
+  forward->key = g_bytes_new (key.data, key.len);
+  forward->body = g_bytes_new (body.data, body.len);
+  forward->deadline_us = ctl_now (peer) + timeout_ms * 1000;
+  forward->done = done;
+  forward->user = user;
+  pl_mbox_post (peer->relay->box->mbox, &forward->base);
+}
+
+static void
+send_reply (struct relay *relay, const struct inbound *inbound)
+{
+  Msg__ForwardReply m = MSG__FORWARD_REPLY__INIT;
+  m.id = inbound->id;
+  m.code = (uint32_t)inbound->reply->code;
+  m.retry_after_ms = inbound->reply->retry_after_ms;
+  m.body = binary (inbound->reply->body);
+  Msg__Envelope e = MSG__ENVELOPE__INIT;
+  e.body_case = MSG__ENVELOPE__BODY_FORWARD_REPLY;
+  e.forward_reply = &m;
+  send_to (relay, inbound->from, &e);
+}
+
+static void
+run_reply (struct pl_item *base, void *owner)
+{
+  struct inbound *inbound = (struct inbound *)base;
+  if (owner != NULL)
+    send_reply (owner, inbound);
+  job_reply_unref (inbound->reply);
+  g_free (inbound);
+}
+
+/* Any thread.  */
+static void
+handled (struct job_reply *reply, void *user)
+{
+  struct inbound *inbound = user;
+  struct relay_box *box = inbound->box;
+  g_atomic_int_add (&box->inbound, -1);
+  inbound->reply = job_reply_ref (reply);
+  inbound->base.run = run_reply;
+  pl_mbox_post (box->mbox, &inbound->base);
+  box_unref (box);
+}
+
+static struct pl_str
+str_of (ProtobufCBinaryData data)
+{
+  return (struct pl_str){ .data = (const char *)data.data, .len = data.len };
+}
+
+static void
+got_forward (struct relay *relay, claim_id from, const Msg__Forward *m)
+{
+  struct peer_ops *ops = relay->peer->opts.ops;
+  if (g_atomic_int_get (&relay->box->inbound) >= MAX_INBOUND)
+    {
+      link_drop (from, "too many forwards", m->body.len);
+      return;
+    }
+  struct inbound *inbound = g_new0 (struct inbound, 1);
+  inbound->box = relay->box;
+  inbound->from = from;
+  inbound->id = m->id;
+  g_atomic_ref_count_inc (&relay->box->refs);
+  g_atomic_int_add (&relay->box->inbound, 1);
+  ops->forwarded (ops, method_names[m->method], str_of (m->path),
+                  str_of (m->key), str_of (m->body), handled, inbound);
+}
+
+static void
+got_reply (struct relay *relay, claim_id from, const Msg__ForwardReply *m)
+{
+  struct forward *forward = g_hash_table_lookup (relay->pending, &m->id);
+  if (forward == NULL || forward->owner != from)
+    return; /* timed out */
+  g_hash_table_steal (relay->pending, &m->id);
+  GBytes *body = g_bytes_new (m->body.data, m->body.len);
+  struct job_reply *reply
+      = job_reply_wrap ((enum pl_code)m->code, m->retry_after_ms, body);
+  forward_end (forward, reply);
+  job_reply_unref (reply);
+}
+
+static bool
+current (const struct relay *relay, const Msg__Envelope *e)
+{
+  const struct memb_peer *known
+      = relay->view == NULL ? NULL : memb_find (relay->view, e->from);
+  return e->to == relay->peer->opts.self && e->from != e->to && known != NULL
+         && known->state != MEMB_LEFT;
+}
+
+static void
+receive (struct relay *relay)
+{
+  for (int i = 0; i < TURN_MESSAGES; i++)
+    {
+      Msg__Envelope *e = NULL;
+      enum link_got got = link_recv (relay->router, MSG_RELAY, &e);
+      if (got == LINK_NOTHING)
+        return;
+      if (got == LINK_BAD)
+        continue;
+      if (!current (relay, e))
+        link_drop (e->from, "stale", 0);
+      else if (e->body_case == MSG__ENVELOPE__BODY_FORWARD)
+        got_forward (relay, e->from, e->forward);
+      else
+        got_reply (relay, e->from, e->forward_reply);
+      msg_free (e);
+    }
+}
+
+/* Ends forwards that are late or whose owner is not alive any more.  */
+static void
+expire (struct relay *relay)
+{
+  int64_t now = ctl_now (relay->peer);
+  GHashTableIter iter;
+  struct forward *forward;
+  g_hash_table_iter_init (&iter, relay->pending);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&forward))
+    {
+      const struct memb_peer *owner = memb_find (relay->view, forward->owner);
+      if (now < forward->deadline_us && owner != NULL
+          && owner->state == MEMB_ALIVE)
+        continue;
+      g_hash_table_iter_steal (&iter);
+      forward_end (forward, NULL);
+    }
+}
+
+static bool
+in_use (const struct relay *relay, const struct link *link)
+{
+  for (unsigned i = 0; i < relay->view->n_peers; i++)
+    {
+      const struct memb_peer *known = &relay->view->peers[i];
+      if (known->state == MEMB_ALIVE
+          && pl_addr_eq (relay_addr (known->control), link->addr))
+        return true;
+    }
+  return false;
+}
+
+/* Closing the link to a lost peer drops what waits in it, so that no forward
+   arrives after its caller has been told that it is lost.  */
+static void
+take_view (struct relay *relay)
+{
+  if (relay->view != NULL)
+    pl_shared_unref (&relay->view->base);
+  relay->view = (struct memb_view *)pl_slot_get (relay->peer->opts.memb_slot);
+  if (relay->view == NULL)
+    return;
+  for (unsigned i = relay->links->len; i-- > 0;)
+    if (!in_use (relay, g_ptr_array_index (relay->links, i)))
+      g_ptr_array_remove_index_fast (relay->links, i);
+  for (unsigned i = 0; i < relay->view->n_peers; i++)
+    link_to (relay, relay->view->peers[i].id);
+  expire (relay);
+}
+
+static void
+run_view (struct pl_item *item, void *owner)
+{
+  if (owner != NULL)
+    take_view (owner);
+  g_free (item);
+}
+
+void
+relay_view_changed (struct relay *relay)
+{
+  struct pl_item *item = g_new0 (struct pl_item, 1);
+  item->run = run_view;
+  pl_mbox_post (relay->box->mbox, item);
+}
+
+static gpointer
+relay_run (gpointer user)
+{
+  struct relay *relay = user;
+  zmq_pollitem_t polled[] = {
+    { .socket = relay->router, .events = ZMQ_POLLIN },
+    { .fd = pl_mbox_fd (relay->box->mbox), .events = ZMQ_POLLIN },
+  };
+  while (!g_atomic_int_get (&relay->stop))
+    {
+      struct pl_item *item;
+      while ((item = pl_mbox_take (relay->box->mbox, 0)) != NULL)
+        item->run (item, relay);
+      receive (relay);
+      bool busy = g_hash_table_size (relay->pending) > 0;
+      if (busy)
+        expire (relay);
+      zmq_poll (polled, G_N_ELEMENTS (polled), busy ? POLL_BUSY_MS : POLL_MS);
+    }
+  return NULL;
+}
+
+struct relay *
+relay_new (struct peer *peer, struct pl_err *err)
+{
+  void *router
+      = link_bind (peer->ctx, relay_addr (peer->control), MSG_RELAY, err);
+  if (router == NULL)
+    return NULL;
+  struct relay *relay = g_new0 (struct relay, 1);
+  relay->peer = peer;
+  relay->router = router;
+  relay->box = g_new0 (struct relay_box, 1);
+  g_atomic_ref_count_init (&relay->box->refs);
+  relay->box->mbox = pl_mbox_new ();
+  relay->links = g_ptr_array_new_with_free_func ((GDestroyNotify)link_free);
+  relay->pending = g_hash_table_new (g_int64_hash, g_int64_equal);
+  return relay;
+}
+
+void
+relay_start (struct relay *relay)
+{
+  relay->thread = g_thread_new ("relay", relay_run, relay);
+}
+
+void
+relay_free (struct relay *relay)
+{
+  g_atomic_int_set (&relay->stop, 1);
+  relay_view_changed (relay); /* wakes the thread */
+  if (relay->thread != NULL)
+    g_thread_join (relay->thread);
+  GHashTableIter iter;
+  struct forward *forward;
+  g_hash_table_iter_init (&iter, relay->pending);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&forward))
+    forward_end (forward, NULL);
+  g_hash_table_unref (relay->pending);
+  g_ptr_array_unref (relay->links);
+  zmq_close (relay->router);
+  if (relay->view != NULL)
+    pl_shared_unref (&relay->view->base);
+  box_unref (relay->box);
+  g_free (relay);
+}
--- /dev/null
+++ b/tests/peer_test.c
@@ -0,0 +1,328 @@
+/* Tests of lib/peer: several instances in one process over loopback.  The
+   dispatch thread is replaced by a recording stand-in.  */
+#include "msg.h"
+#include "peer.h"
+#include "peer_fakes.h"
+#include "test.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <zmq.h>
+
+#define WAIT_MS 4000
+#define MAX_NODES 3
+
+struct node
+{
+  struct peer_ops ops; /* first */
+  struct conf conf;
+  struct pl_slot notes;
+  struct pl_slot views;
+  struct disp disp;
+  struct peer *peer;
+  struct pl_addr addr;
+  gint watching;
+  gint revision;
+  gint silent; /* forwarded submissions get no reply */
+};
+
+static bool
+bind_port (int fd, uint16_t *port)
+{
+  struct sockaddr_in sa = { .sin_family = AF_INET };
+  socklen_t len = sizeof sa;
+  sa.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  sa.sin_port = htons (*port);
+  if (bind (fd, (struct sockaddr *)&sa, len) != 0)
+    return false;
+  getsockname (fd, (struct sockaddr *)&sa, &len);
+  *port = ntohs (sa.sin_port);
+  return true;
+}
+
+/* A port given by the kernel whose successor is free, too.  */
+static uint16_t
+free_ports (void)
+{
+  for (;;)
+    {
+      int a = socket (AF_INET, SOCK_STREAM, 0);
+      int b = socket (AF_INET, SOCK_STREAM, 0);
+      uint16_t port = 0;
+      uint16_t next = 0;
+      bool ok = bind_port (a, &port);
+      next = (uint16_t)(port + 1);
+      ok = ok && next != 0 && bind_port (b, &next);
+      close (a);
+      close (b);
+      if (ok)
+        return port;
+    }
+}
+
+static void
+forwarded (struct peer_ops *ops, const char *method, struct pl_str path,
+           struct pl_str key, struct pl_str body, job_done_fn *done,
+           void *user)
+{
+  struct node *node = (struct node *)ops;
+  if (g_atomic_int_get (&node->silent))
+    return;
+  char *text = g_strdup_printf ("%s %.*s %.*s %.*s", method, PL_FMT (path),
+                                PL_FMT (key), PL_FMT (body));
+  struct job_reply *reply
+      = job_reply_wrap (PL_QUOTA, 77, g_bytes_new_take (text, strlen (text)));
+  done (reply, user);
+  job_reply_unref (reply);
+}
+
+static void
+on_revision (struct peer_ops *ops, int64_t revision)
+{
+  g_atomic_int_set (&((struct node *)ops)->revision, (gint)revision);
+}
+
+static void
+on_watch (struct peer_ops *ops, bool on)
+{
+  g_atomic_int_set (&((struct node *)ops)->watching, on);
+}
+
+static void
+node_start (struct node *node, claim_id id, const char *domain,
+            const struct node *seed)
+{
+  struct pl_err err = { 0 };
+  char text[PL_ADDR_TEXT];
+  memset (node, 0, sizeof *node);
+  node->ops = (struct peer_ops){ forwarded, on_revision, on_watch };
+  CU_ASSERT_FATAL (conf_init (&node->conf, &err));
+  node->conf.heartbeat_ms = 20;
+  node->conf.far_heartbeat_ms = 40;
+  node->conf.suspect_ms = 300;
+  node->conf.dead_ms = 400;
+  g_free (node->conf.domain);
+  node->conf.domain = g_strdup (domain);
+  if (seed != NULL)
+    {
+      g_free (node->conf.peers);
+      node->conf.peers = g_strdup (pl_addr_text (seed->addr, text));
+    }
+  g_mutex_init (&node->disp.lock);
+  struct peer_opts opts = { .conf = &node->conf,
+                            .clock = pl_clock_real (),
+                            .self = id,
+                            .note_slot = &node->notes,
+                            .memb_slot = &node->views,
+                            .ops = &node->ops };
+  for (int i = 0; i < 20 && node->peer == NULL; i++)
+    {
+      node->addr = (struct pl_addr){ INADDR_LOOPBACK, free_ports () };
+      g_free (node->conf.peer_listen);
+      node->conf.peer_listen = g_strdup (pl_addr_text (node->addr, text));
+      node->peer = peer_new (&opts, &err);
+    }
+  CU_ASSERT_PTR_NOT_NULL_FATAL (node->peer);
+  peer_start (node->peer, &node->disp);
+}
+
+static void
+node_stop (struct node *node)
+{
+  peer_free (node->peer);
+  pl_slot_publish (&node->notes, NULL);
+  pl_slot_publish (&node->views, NULL);
+  if (node->disp.imported != NULL)
+    g_string_free (node->disp.imported, TRUE);
+  conf_clear (&node->conf);
+}
+
+static struct memb_view *
+view_of (struct node *node)
+{
+  return (struct memb_view *)pl_slot_get (&node->views);
+}
+
+/* Alive peers in the node's view.  */
+static unsigned
+alive (struct node *node)
+{
+  struct memb_view *view = view_of (node);
+  unsigned n = 0;
+  for (unsigned i = 0; view != NULL && i < view->n_peers; i++)
+    n += view->peers[i].state == MEMB_ALIVE;
+  if (view != NULL)
+    pl_shared_unref (&view->base);
+  return n;
+}
+
+static claim_id
+witness_of (struct node *node)
+{
+  struct memb_view *view = view_of (node);
+  claim_id witness = view == NULL ? 0 : view->self.witness;
+  if (view != NULL)
+    pl_shared_unref (&view->base);
+  return witness;
+}
+
+/* Waits until EXPR holds; false after WAIT_MS.  */
+#define WAIT_FOR(expr)                                                        \
+  ({                                                                          \
+    int64_t end_us = g_get_monotonic_time () + WAIT_MS * 1000;                \
+    bool held_;                                                               \
+    while (!(held_ = (expr)) && g_get_monotonic_time () < end_us)             \
+      g_usleep (1000);                                                        \
+    held_;                                                                    \
+  })
+
+static void
+start_pair (struct node nodes[2])
+{
+  node_start (&nodes[0], 0x11, "brum", NULL);
+  node_start (&nodes[1], 0x22, "brum", &nodes[0]);
+  CU_ASSERT (WAIT_FOR (witness_of (&nodes[0]) == 0x22));
+  CU_ASSERT (WAIT_FOR (witness_of (&nodes[1]) == 0x11));
+}
+
+/* Guards against instances that know each other only through a common seed
+   and never meet.  */
+static void
+test_three_find_each_other (void)
+{
+  struct node nodes[3];
+  node_start (&nodes[0], 0x11, "brum", NULL);
+  node_start (&nodes[1], 0x22, "brum", &nodes[0]);
+  node_start (&nodes[2], 0x33, "brum", &nodes[0]);
+  for (int i = 0; i < 3; i++)
+    CU_ASSERT (WAIT_FOR (alive (&nodes[i]) == 2));
+  CU_ASSERT (WAIT_FOR (g_atomic_int_get (&nodes[0].watching)));
+  CU_ASSERT (WAIT_FOR (g_atomic_int_get (&nodes[1].watching)));
+  CU_ASSERT (WAIT_FOR (!g_atomic_int_get (&nodes[2].watching)));
+  claim_id first = witness_of (&nodes[2]);
+  struct node *lost = first == 0x11 ? &nodes[0] : &nodes[1];
+  struct node *left = first == 0x11 ? &nodes[1] : &nodes[0];
+  node_stop (lost);
+  claim_id other = first == 0x11 ? 0x22 : 0x11;
+  CU_ASSERT (WAIT_FOR (witness_of (&nodes[2]) == other));
+  CU_ASSERT (WAIT_FOR (g_atomic_int_get (&nodes[2].watching)));
+  CU_ASSERT (WAIT_FOR (g_atomic_int_get (&nodes[2].disp.lost) > 0));
+  CU_ASSERT (WAIT_FOR (g_atomic_int_get (&nodes[2].disp.dead) > 0));
+  node_stop (left);
+  node_stop (&nodes[2]);
+}
+
+static void
+count_revoked (enum claim_revoked result, void *user)
+{
+  g_atomic_int_set ((gint *)user, (gint)result);
+}
+
+static gint
+ask_revoke (struct node *node, const char *key)
+{
+  gint result = -1;
+  peer_revoke (node->peer, pl_str (key), count_revoked, &result);
+  CU_ASSERT (WAIT_FOR (g_atomic_int_get (&result) != -1));
+  return g_atomic_int_get (&result);
+}
+
+#define KEY_A "brum.0000000000000011.0000000000000022.1.a"
+#define KEY_B "brum.0000000000000011.0000000000000022.1.b"
+#define KEY_GONE "brum.0000000000000011.0000000000000099.1.c"
+
+/* Guards against a start after a revocation, and a revocation that is reported
+   for a key that has a permit.  */
+static void
+test_permit_and_revoke (void)
+{
+  struct node nodes[2];
+  start_pair (nodes);
+  struct disp_peer_ops *ops = peer_disp_ops (nodes[0].peer);
+  ops->permit (ops, 0x22, claim_hash_of (pl_str (KEY_A)), 1);
+  CU_ASSERT (WAIT_FOR (g_atomic_int_get (&nodes[0].disp.granted) == 1));
+  CU_ASSERT_EQUAL (ask_revoke (&nodes[0], KEY_A), CLAIM_PERMITTED);
+  CU_ASSERT_EQUAL (ask_revoke (&nodes[1], KEY_A), CLAIM_PERMITTED);
+  CU_ASSERT_EQUAL (ask_revoke (&nodes[1], KEY_B), CLAIM_REVOKED);
+  ops->permit (ops, 0x22, claim_hash_of (pl_str (KEY_B)), 1);
+  CU_ASSERT (WAIT_FOR (g_atomic_int_get (&nodes[0].disp.refused) == 1));
+  CU_ASSERT_EQUAL (ask_revoke (&nodes[0], KEY_GONE), CLAIM_UNKNOWN);
+  CU_ASSERT_EQUAL (ask_revoke (&nodes[0], "not a key"), CLAIM_UNKNOWN);
+  ops->permit (ops, 0x99, claim_hash_of (pl_str (KEY_GONE)), 1);
+  CU_ASSERT (WAIT_FOR (g_atomic_int_get (&nodes[0].disp.refused) == 2));
+  int64_t before = pl_counter (PL_CTR_PEER_MESSAGES_SENT_TOTAL);
+  for (unsigned i = 0; i < 1000; i++)
+    ops->permit (ops, 0x22, (struct claim_hash){ 7, i }, 1);
+  CU_ASSERT (WAIT_FOR (g_atomic_int_get (&nodes[0].disp.granted) == 1001));
+  int64_t messages = pl_counter (PL_CTR_PEER_MESSAGES_SENT_TOTAL) - before;
+  CU_ASSERT (messages < 500); /* batched */
+  node_stop (&nodes[1]);
+  ops->permit (ops, 0x22, claim_hash_of (pl_str (KEY_GONE)), 1);
+  CU_ASSERT (WAIT_FOR (g_atomic_int_get (&nodes[0].disp.refused) == 3));
+  node_stop (&nodes[0]);
+}
+
+struct answer
+{
+  gint state; /* 1: reply, 2: null */
+  char text[256];
+};
+
+static void
+answered (struct job_reply *reply, void *user)
+{
+  struct answer *answer = user;
+  if (reply != NULL)
+    g_snprintf (answer->text, sizeof answer->text, "%d %d %.*s", reply->code,
+                (int)reply->retry_after_ms,
+                (int)g_bytes_get_size (reply->body),
+                (const char *)g_bytes_get_data (reply->body, NULL));
+  g_atomic_int_set (&answer->state, reply != NULL ? 1 : 2);
+}
+
+static struct answer
+forward (struct node *node, claim_id owner, int64_t timeout_ms)
+{
+  struct answer answer = { 0 };
+  peer_forward (node->peer, owner, "POST", pl_str ("/v1/jobs"), pl_str ("k"),
+                pl_str ("{}"), timeout_ms, answered, &answer);
+  CU_ASSERT (WAIT_FOR (g_atomic_int_get (&answer.state) != 0));
+  return answer;
+}
+
+/* Guards against crossed or invented replies, and callers that wait for an
+   owner that is gone.  */
+static void
+test_forward (void)
+{
+  struct node nodes[2];
+  start_pair (nodes);
+  struct answer answer = forward (&nodes[0], 0x22, 2000);
+  CU_ASSERT_STRING_EQUAL (answer.text, "202 77 POST /v1/jobs k {}");
+  CU_ASSERT_EQUAL (forward (&nodes[0], 0x99, 2000).state, 2);
+  g_atomic_int_set (&nodes[1].silent, 1);
+  CU_ASSERT_EQUAL (forward (&nodes[0], 0x22, 50).state, 2);
+  struct answer late = { 0 };
+  peer_forward (nodes[0].peer, 0x22, "GET", pl_str ("/x"), pl_str ("k"),
+                pl_str (""), 60000, answered, &late);
+  g_usleep (20000);
+  node_stop (&nodes[1]);
+  CU_ASSERT (WAIT_FOR (g_atomic_int_get (&late.state) == 2));
+  node_stop (&nodes[0]);
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = {
+    { "three find each other", test_three_find_each_other },
+    { "permit and revoke", test_permit_and_revoke },
+    { "forward", test_forward },
+    CU_TEST_INFO_NULL,
+  };
+  pl_log_init ("text", "warning");
+  return test_run ("peer", tests);
+}
