Test peer messages, membership and links; end the links before dispatch

Dispatch and the links call each other, so neither could be freed first. peer_stop now ends the threads and leaves the entry points callable. A chunked document whose sender moves to another revision starts anew.

--- a/lib/msg/msg.h
+++ b/lib/msg/msg.h
@@ -5,15 +5,15 @@
 #include "pl.h"
 
 #define MSG_VERSION 1
-#define MSG_CONTROL_BYTES (64 * 1024)
-/* A forwarded body or answer has at most 4 MiB; the rest is for the key, the
-   path and the framing.  */
-#define MSG_RELAY_BYTES (4 * 1024 * 1024 + 4096)
-#define MSG_CHUNK_BYTES (48 * 1024)
-#define MSG_WHOLE_BYTES (8 * 1024 * 1024) /* largest chunked document */
-#define MSG_CLAIMS 1024                   /* permits in one message */
-#define MSG_LOTS 512                      /* workers in one lending message */
-#define MSG_KNOWN 8                       /* addresses in one heartbeat */
+#define MSG_CONTROL_BYTES 65536
+/* A forwarded body or answer has at most 4 MiB; 4 KiB are for the key, the
+ * path and the framing.  */
+#define MSG_RELAY_BYTES 4198400
+#define MSG_CHUNK_BYTES 49152
+#define MSG_WHOLE_BYTES 8388608 /* largest chunked document */
+#define MSG_CLAIMS 1024         /* permits in one message */
+#define MSG_LOTS 512            /* workers in one lending message */
+#define MSG_KNOWN 8             /* addresses in one heartbeat */
 #define MSG_HEIRS 64
 
 enum msg_channel
--- a/lib/peer/beat.c
+++ b/lib/peer/beat.c
@@ -8,7 +8,7 @@
 /* Time for the last messages of a planned stop to reach the network.  */
 #define LEAVE_LINGER_MS 200
 /* A grant older than this that the peer has not seen counts as lost.  */
-#define GRANT_LOST_US (2 * G_USEC_PER_SEC)
+#define GRANT_LOST_US 2000000L
 
 int64_t
 beat_expiry (const struct peer *peer)
@@ -68,14 +68,14 @@
 }
 
 static void
-fill_mate (struct peer *peer, Msg__Heartbeat *m, struct pl_addr addr)
+fill_remote (struct peer *peer, Msg__Heartbeat *m, struct pl_addr addr)
 {
   const struct memb_peer *known = memb_table_at (peer->memb, addr);
   if (known == NULL)
     return;
-  struct mate *mate = ctl_mate (peer, known->id);
-  m->held = mate->held;
-  m->grants_seen = mate->grants_seen;
+  struct remote *remote = ctl_remote (peer, known->id);
+  m->held = remote->held;
+  m->grants_seen = remote->grants_seen;
 }
 
 static bool
@@ -97,7 +97,7 @@
   m.draining = self->draining;
   m.free_slots = status.free_slots;
   fill_known (peer, &m, ip, port);
-  fill_mate (peer, &m, link->addr);
+  fill_remote (peer, &m, link->addr);
   m.n_inherited = memb_inherited (peer->memb, self->id, owners);
   m.inherited = owners;
   Msg__Envelope e = MSG__ENVELOPE__INIT;
@@ -142,9 +142,9 @@
 static void
 heard_held (struct peer *peer, claim_id from, const Msg__Heartbeat *m)
 {
-  const struct mate *mate = ctl_mate (peer, from);
-  if (m->grants_seen == mate->grants_sent
-      || ctl_now (peer) - mate->granted_us > GRANT_LOST_US)
+  const struct remote *remote = ctl_remote (peer, from);
+  if (m->grants_seen == remote->grants_sent
+      || ctl_now (peer) - remote->granted_us > GRANT_LOST_US)
     disp_holds (peer->disp, from, m->held);
 }
 
--- a/lib/peer/ctl.c
+++ b/lib/peer/ctl.c
@@ -3,7 +3,7 @@
 #include <zmq.h>
 
 #define POLL_MS 50
-#define POLL_BUSY_MS 5 /* while resends may be due */
+#define POLL_BUSY_MS 5L /* while resends may be due */
 #define TURN_MESSAGES 512
 #define TICK_US 10000
 #define SECOND_US G_USEC_PER_SEC
@@ -31,17 +31,17 @@
   pl_mbox_post (peer->mbox, &item->base);
 }
 
-struct mate *
-ctl_mate (struct peer *peer, claim_id id)
+struct remote *
+ctl_remote (struct peer *peer, claim_id id)
 {
-  struct mate *mate = g_hash_table_lookup (peer->mates, &id);
-  if (mate != NULL)
-    return mate;
-  mate = g_new0 (struct mate, 1);
-  mate->id = id;
-  mate->permit_requests = g_ptr_array_new ();
-  g_hash_table_insert (peer->mates, &mate->id, mate);
-  return mate;
+  struct remote *remote = g_hash_table_lookup (peer->remotes, &id);
+  if (remote != NULL)
+    return remote;
+  remote = g_new0 (struct remote, 1);
+  remote->id = id;
+  remote->permit_requests = g_ptr_array_new ();
+  g_hash_table_insert (peer->remotes, &remote->id, remote);
+  return remote;
 }
 
 bool
@@ -153,12 +153,17 @@
 }
 
 static void
-publish (struct peer *peer)
+update_self (struct peer *peer)
 {
   struct disp_status status = { 0 };
   disp_get_status (peer->disp, &status);
   memb_set_self (peer->memb, status.epoch,
                  note_history_revision (peer->history), peer->draining);
+}
+
+static void
+publish (struct peer *peer)
+{
   struct memb_view *view = memb_view_next (peer->memb);
   if (view == NULL)
     return;
@@ -176,6 +181,7 @@
 tick (struct peer *peer)
 {
   int64_t now = ctl_now (peer);
+  update_self (peer);
   if (now >= peer->retry_us)
     {
       peer->retry_us = now + POLL_BUSY_MS * 1000;
--- a/lib/peer/heir.c
+++ b/lib/peer/heir.c
@@ -45,10 +45,8 @@
 }
 
 static void
-end (struct peer *peer, bool confirmed)
+tell (struct hand_over *hand, bool confirmed)
 {
-  struct hand_over *hand = peer->hand_over;
-  peer->hand_over = NULL;
   g_mutex_lock (&hand->lock);
   hand->ended = true;
   hand->confirmed = confirmed;
@@ -57,6 +55,14 @@
   hand_unref (hand);
 }
 
+static void
+end (struct peer *peer, bool confirmed)
+{
+  struct hand_over *hand = peer->hand_over;
+  peer->hand_over = NULL;
+  tell (hand, confirmed);
+}
+
 static void
 send_current (struct peer *peer)
 {
@@ -177,22 +183,22 @@
 static void
 take_chunk (struct peer *peer, claim_id from, const Msg__HandOver *m)
 {
-  struct mate *mate = ctl_mate (peer, from);
-  if (m->index == 0 && mate->transfer != m->transfer)
+  struct remote *remote = ctl_remote (peer, from);
+  if (m->index == 0 && remote->transfer != m->transfer)
     {
-      mate->transfer = m->transfer;
-      mate->transfer_next = 0;
+      remote->transfer = m->transfer;
+      remote->transfer_next = 0;
     }
-  if (mate->transfer != m->transfer || m->index > mate->transfer_next)
+  if (remote->transfer != m->transfer || m->index > remote->transfer_next)
     {
       link_drop (from, "hand-over out of order", m->data.len);
       return;
     }
   /* Acknowledged first, because an inherited owner counts as left.  */
   acknowledge (peer, from, m);
-  if (m->index < mate->transfer_next)
+  if (m->index < remote->transfer_next)
     return;
-  mate->transfer_next++;
+  remote->transfer_next++;
   if (!m->last)
     {
       g_autoptr (GBytes) chunk = g_bytes_new (m->data.data, m->data.len);
@@ -207,6 +213,9 @@
 static void
 heard_heir (struct peer *peer, claim_id from, const Msg__Heir *m)
 {
+  /* An heir adds itself when it has all chunks.  */
+  if (m->heir == peer->opts.self)
+    return;
   for (size_t i = 0; i < m->n_owners; i++)
     memb_add_heir (peer->memb, m->owners[i], m->heir);
   memb_add_heir (peer->memb, from, m->heir);
@@ -227,7 +236,7 @@
 run_chunk (struct peer *peer, struct ctl_item *base)
 {
   GBytes *chunk = ((struct chunk_item *)base)->chunk;
-  struct hand_over *hand = peer->hand_over;
+  struct hand_over *hand = peer == NULL ? NULL : peer->hand_over;
   if (hand == NULL)
     {
       if (chunk != NULL)
@@ -254,8 +263,11 @@
 begin (struct peer *peer, struct ctl_item *base)
 {
   struct hand_over *hand = ((struct start_item *)base)->hand;
-  if (peer->hand_over != NULL)
-    end (peer, false);
+  if (peer == NULL || peer->hand_over != NULL)
+    {
+      tell (hand, false);
+      return;
+    }
   peer->hand_over = hand;
   disp_export (peer->disp, MSG_CHUNK_BYTES, exported, peer);
 }
@@ -284,7 +296,7 @@
 }
 
 void
-heir_free (struct peer *peer)
+heir_end (struct peer *peer)
 {
   if (peer->hand_over != NULL)
     end (peer, false);
--- a/lib/peer/impl.h
+++ b/lib/peer/impl.h
@@ -11,7 +11,7 @@
 struct hand_over;
 
 /* What the control thread keeps of one peer besides its membership.  */
-struct mate
+struct remote
 {
   claim_id id;
   uint32_t held;        /* slots of the peer that this instance holds */
@@ -49,9 +49,10 @@
   struct memb_table *memb;
   struct claim_witness *witness;
   struct note_history *history;
-  GPtrArray *links;  /* struct link */
-  GHashTable *mates; /* claim_id to struct mate */
+  GPtrArray *links;    /* struct link */
+  GHashTable *remotes; /* claim_id to struct remote */
   GHashTable *permits;
+  bool permits_unsent;
   GHashTable *revokes;
   uint64_t next_revoke;
   int64_t retry_us;    /* next look for resends */
@@ -60,16 +61,17 @@
   unsigned known_next; /* rotates the addresses in heartbeats */
   bool draining;
   int watching; /* -1: not told yet */
+  bool stopped;
   struct assembly assembly;
-  int64_t asked_us; /* time of the last NoteRequest */
+  int64_t asked_us; /* time of the last NoteRequest or chunk */
   GBytes *document; /* the whole configuration at document_revision */
   int64_t document_revision;
   struct hand_over *hand_over;
   struct relay *relay;
 };
 
-/* An item for the control thread; FN gets PEER and frees nothing of the item.
-   The struct that embeds it is freed afterwards with g_free.  */
+/* An item for the control thread, which frees it after FN.  FN gets a null
+   PEER if the thread has ended and then only releases what the item holds.  */
 struct ctl_item
 {
   struct pl_item base;
@@ -83,8 +85,8 @@
 ctl_run (gpointer user);
 int64_t
 ctl_now (const struct peer *peer);
-struct mate *
-ctl_mate (struct peer *peer, claim_id id); /* made if it does not exist */
+struct remote *
+ctl_remote (struct peer *peer, claim_id id); /* made if it does not exist */
 /* Sends to a known peer that has not left; false if it was not queued.  */
 bool
 ctl_send (struct peer *peer, claim_id to, Msg__Envelope *envelope);
@@ -129,7 +131,7 @@
 void
 revoke_init (struct peer *peer);
 void
-revoke_free (struct peer *peer);
+revoke_end (struct peer *peer);
 void
 revoke_retry (struct peer *peer);
 void
@@ -161,13 +163,16 @@
 void
 heir_message (struct peer *peer, const Msg__Envelope *e);
 void
-heir_free (struct peer *peer);
+heir_end (struct peer *peer);
 
 /* relay.c: runs on its own thread; these may be called from any.  */
 struct relay *
 relay_new (struct peer *peer, struct pl_err *err);
 void
 relay_start (struct relay *relay);
+/* Joins the thread and ends all forwards.  */
+void
+relay_stop (struct relay *relay);
 void
 relay_free (struct relay *relay);
 void
--- a/lib/peer/lend.c
+++ b/lib/peer/lend.c
@@ -37,6 +37,8 @@
 run_borrow (struct peer *peer, struct ctl_item *base)
 {
   struct lend_item *item = (struct lend_item *)base;
+  if (peer == NULL)
+    return;
   Msg__Borrow m = MSG__BORROW__INIT;
   m.slots = CLAMP (item->n, 1, G_MAXUINT16);
   Msg__Envelope e = MSG__ENVELOPE__INIT;
@@ -51,10 +53,10 @@
             unsigned n)
 {
   struct lists lists;
-  struct mate *mate = ctl_mate (peer, to);
+  struct remote *remote = ctl_remote (peer, to);
   fill (&lists, lots, n);
   Msg__Grant m = MSG__GRANT__INIT;
-  m.number = ++mate->grants_sent;
+  m.number = ++remote->grants_sent;
   m.n_ip = m.n_port = m.n_count = lists.n;
   m.ip = lists.ip;
   m.port = lists.port;
@@ -62,7 +64,7 @@
   Msg__Envelope e = MSG__ENVELOPE__INIT;
   e.body_case = MSG__ENVELOPE__BODY_GRANT;
   e.grant = &m;
-  mate->granted_us = ctl_now (peer);
+  remote->granted_us = ctl_now (peer);
   ctl_send (peer, to, &e);
 }
 
@@ -71,12 +73,13 @@
 {
   struct lend_item *item = (struct lend_item *)base;
   unsigned start = 0;
-  do
+  while (peer != NULL)
     {
       send_grant (peer, item->peer, item->lots + start, item->n - start);
       start += MSG_LOTS;
+      if (start >= item->n)
+        break;
     }
-  while (start < item->n);
   g_free (item->lots);
 }
 
@@ -84,8 +87,9 @@
 run_return (struct peer *peer, struct ctl_item *base)
 {
   struct lend_item *item = (struct lend_item *)base;
-  struct mate *mate = ctl_mate (peer, item->peer);
-  for (unsigned start = 0; start < item->n; start += MSG_LOTS)
+  struct remote *remote = peer == NULL ? NULL : ctl_remote (peer, item->peer);
+  for (unsigned start = 0; remote != NULL && start < item->n;
+       start += MSG_LOTS)
     {
       struct lists lists;
       fill (&lists, item->lots + start, item->n - start);
@@ -97,7 +101,7 @@
       Msg__Envelope e = MSG__ENVELOPE__INIT;
       e.body_case = MSG__ENVELOPE__BODY_GIVE_BACK;
       e.give_back = &m;
-      mate->held -= MIN (mate->held, lists.total);
+      remote->held -= MIN (remote->held, lists.total);
       /* If it is lost, the next heartbeat tells the lender the total.  */
       ctl_send (peer, item->peer, &e);
     }
@@ -161,13 +165,13 @@
 static void
 granted (struct peer *peer, claim_id from, const Msg__Grant *m)
 {
-  struct mate *mate = ctl_mate (peer, from);
+  struct remote *remote = ctl_remote (peer, from);
   uint32_t total = 0;
-  g_autofree struct disp_lot *lots
-      = lots_of (m->n_ip, m->ip, m->port, m->count, &total);
-  mate->held += total;
-  mate->grants_seen = m->number;
+  struct disp_lot *lots = lots_of (m->n_ip, m->ip, m->port, m->count, &total);
+  remote->held += total;
+  remote->grants_seen = m->number;
   disp_grant (peer->disp, from, lots, (unsigned)m->n_ip);
+  g_free (lots);
 }
 
 void
@@ -181,8 +185,9 @@
   else if (e->body_case == MSG__ENVELOPE__BODY_GIVE_BACK)
     {
       const Msg__Return *m = e->give_back;
-      g_autofree struct disp_lot *lots
+      struct disp_lot *lots
           = lots_of (m->n_ip, m->ip, m->port, m->count, &total);
       disp_returned (peer->disp, e->from, lots, (unsigned)m->n_ip);
+      g_free (lots);
     }
 }
--- a/lib/peer/notes.c
+++ b/lib/peer/notes.c
@@ -6,8 +6,8 @@
 /* Replies sent for one request; the asker asks again for the rest.  Below the
    links' high-water mark.  */
 #define WINDOW 64
-#define MAX_NOTES 64 /* behind by more, the whole document is sent */
-#define ASK_AGAIN_US 500000
+#define MAX_NOTES 64        /* behind by more, the whole document is sent */
+#define ASK_AGAIN_US 500000 /* without progress */
 
 static void
 assembly_clear (struct assembly *assembly)
@@ -152,15 +152,6 @@
   applied (peer, result);
 }
 
-static bool
-begins (const struct assembly *assembly, claim_id from,
-        const Msg__NoteReply *m)
-{
-  return m->index == 0
-         && (assembly->data == NULL || assembly->from != from
-             || assembly->revision != m->revision || assembly->next > 0);
-}
-
 static bool
 continues (const struct assembly *assembly, claim_id from,
            const Msg__NoteReply *m)
@@ -190,7 +181,7 @@
   struct assembly *assembly = &peer->assembly;
   if (m->revision <= note_history_revision (peer->history))
     return;
-  if (begins (assembly, from, m))
+  if (m->index == 0)
     {
       assembly_clear (assembly);
       *assembly = (struct assembly){ .from = from,
@@ -202,11 +193,15 @@
     }
   if (!continues (assembly, from, m))
     {
+      /* The sender's revision has changed: the next request starts anew.  */
+      if (assembly->from == from)
+        assembly_clear (assembly);
       link_drop (from, "chunk out of order", m->data.len);
       return;
     }
   g_byte_array_append (assembly->data, m->data.data, (guint)m->data.len);
   assembly->next++;
+  peer->asked_us = ctl_now (peer);
   if (assembly->data->len == assembly->total)
     finish (peer, from);
   else if (assembly->whole && assembly->next % WINDOW == 0)
@@ -227,7 +222,8 @@
   struct note_item *item = (struct note_item *)base;
   struct pl_str text;
   text.data = g_bytes_get_data (item->text, &text.len);
-  offer (peer, item->whole, item->revision, text, "store");
+  if (peer != NULL)
+    offer (peer, item->whole, item->revision, text, "store");
   g_bytes_unref (item->text);
 }
 
--- a/lib/peer/peer.c
+++ b/lib/peer/peer.c
@@ -11,11 +11,11 @@
 };
 
 static void
-free_mate (gpointer data)
+free_remote (gpointer data)
 {
-  struct mate *mate = data;
-  g_ptr_array_unref (mate->permit_requests);
-  g_free (mate);
+  struct remote *remote = data;
+  g_ptr_array_unref (remote->permit_requests);
+  g_free (remote);
 }
 
 static void
@@ -55,7 +55,7 @@
 static void
 dead (struct peer *peer, claim_id id)
 {
-  ctl_mate (peer, id)->held = 0;
+  ctl_remote (peer, id)->held = 0;
   disp_peer_dead (peer->disp, id);
 }
 
@@ -70,7 +70,7 @@
   if (change == MEMB_CHANGE_DEAD || change == MEMB_CHANGE_LEFT)
     dead (peer, known->id);
   if (change == MEMB_CHANGE_FORGOT)
-    g_hash_table_remove (peer->mates, &known->id);
+    g_hash_table_remove (peer->remotes, &known->id);
 }
 
 static void
@@ -131,8 +131,8 @@
     }
   peer->mbox = pl_mbox_new ();
   peer->links = g_ptr_array_new_with_free_func ((GDestroyNotify)link_free);
-  peer->mates
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_mate);
+  peer->remotes
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_remote);
   peer->watching = -1;
   new_memb (peer);
   peer->witness = claim_witness_new (opts->clock, opts->conf->keep_s * 1000000,
@@ -161,22 +161,36 @@
 }
 
 void
-peer_free (struct peer *peer)
+peer_stop (struct peer *peer)
 {
+  if (peer->stopped)
+    return;
+  peer->stopped = true;
   g_atomic_int_set (&peer->stop, 1);
   ctl_post (peer, g_new0 (struct ctl_item, 1), run_nothing);
   if (peer->thread != NULL)
     g_thread_join (peer->thread);
   if (peer->draining)
     beat_leave (peer);
+  relay_stop (peer->relay);
+  heir_end (peer);
+  revoke_end (peer);
+}
+
+void
+peer_free (struct peer *peer)
+{
+  struct pl_item *item;
+  peer_stop (peer);
+  while ((item = pl_mbox_take (peer->mbox, 0)) != NULL)
+    item->run (item, NULL);
   relay_free (peer->relay);
-  heir_free (peer);
   notes_free (peer);
-  revoke_free (peer);
   permit_free (peer);
+  g_hash_table_unref (peer->revokes);
   g_ptr_array_unref (peer->links);
   close_sockets (peer);
-  g_hash_table_unref (peer->mates);
+  g_hash_table_unref (peer->remotes);
   memb_table_free (peer->memb);
   claim_witness_free (peer->witness);
   note_history_free (peer->history);
@@ -193,7 +207,8 @@
 static void
 run_seed (struct peer *peer, struct ctl_item *base)
 {
-  beat_link (peer, ((struct seed_item *)base)->addr, beat_expiry (peer));
+  if (peer != NULL)
+    beat_link (peer, ((struct seed_item *)base)->addr, beat_expiry (peer));
 }
 
 void
@@ -208,6 +223,8 @@
 run_drain (struct peer *peer, struct ctl_item *item)
 {
   (void)item;
+  if (peer == NULL)
+    return;
   peer->draining = true;
   for (unsigned i = 0; i < peer->links->len; i++)
     ((struct link *)g_ptr_array_index (peer->links, i))->next_beat_us = 0;
--- a/lib/peer/peer.h
+++ b/lib/peer/peer.h
@@ -37,10 +37,17 @@
 /* Binds the sockets; null with ERR set on failure.  */
 struct peer *
 peer_new (const struct peer_opts *opts, struct pl_err *err);
-/* Starts the threads.  DISP gets the control events; it must outlive the
-   links.  */
+/* Starts the threads.  DISP gets the control events; it must live
+   until peer_stop has returned.  */
 void
 peer_start (struct peer *peer, struct disp *disp);
+/* Ends the threads, a planned stop with a message to the peers; forwards and
+   revocations that are left get null and CLAIM_UNKNOWN.  All functions may
+   still be called and then do nothing but that, so that DISP can be freed
+   before peer_free.  */
+void
+peer_stop (struct peer *peer);
+/* Calls peer_stop if need be.  */
 void
 peer_free (struct peer *peer);
 /* The vtable that dispatch calls; valid before peer_start.  */
--- a/lib/peer/permit.c
+++ b/lib/peer/permit.c
@@ -44,6 +44,8 @@
 ask (struct peer *peer, struct ctl_item *base)
 {
   struct permit_item *item = (struct permit_item *)base;
+  if (peer == NULL)
+    return;
   if (!reachable (peer, item->witness)
       || g_hash_table_size (peer->permits) >= MAX_PENDING)
     {
@@ -58,7 +60,8 @@
   permit->epoch = item->epoch;
   permit->first_us = ctl_now (peer);
   g_hash_table_insert (peer->permits, &permit->hash, permit);
-  g_ptr_array_add (ctl_mate (peer, item->witness)->permit_requests, permit);
+  g_ptr_array_add (ctl_remote (peer, item->witness)->permit_requests, permit);
+  peer->permits_unsent = true;
 }
 
 static void
@@ -117,13 +120,16 @@
 permit_flush (struct peer *peer)
 {
   GHashTableIter iter;
-  struct mate *mate;
-  g_hash_table_iter_init (&iter, peer->mates);
-  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&mate))
+  struct remote *remote;
+  if (!peer->permits_unsent)
+    return;
+  peer->permits_unsent = false;
+  g_hash_table_iter_init (&iter, peer->remotes);
+  while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&remote))
     {
-      GPtrArray *requests = mate->permit_requests;
+      GPtrArray *requests = remote->permit_requests;
       for (unsigned i = 0; i < requests->len; i += MSG_CLAIMS)
-        send_batch (peer, mate->id, requests, i);
+        send_batch (peer, remote->id, requests, i);
       g_ptr_array_set_size (requests, 0);
     }
 }
@@ -144,8 +150,11 @@
           g_hash_table_iter_remove (&iter);
         }
       else if (now - permit->sent_us >= conf->permit_resend_ms * 1000)
-        g_ptr_array_add (ctl_mate (peer, permit->witness)->permit_requests,
-                         permit);
+        {
+          g_ptr_array_add (ctl_remote (peer, permit->witness)->permit_requests,
+                           permit);
+          peer->permits_unsent = true;
+        }
     }
   permit_flush (peer);
 }
@@ -155,7 +164,7 @@
 {
   GHashTableIter iter;
   struct permit *permit;
-  g_ptr_array_set_size (ctl_mate (peer, witness)->permit_requests, 0);
+  g_ptr_array_set_size (ctl_remote (peer, witness)->permit_requests, 0);
   g_hash_table_iter_init (&iter, peer->permits);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&permit))
     {
--- a/lib/peer/relay.c
+++ b/lib/peer/relay.c
@@ -7,7 +7,7 @@
 #define MAX_INBOUND 8192
 #define MAX_LINKS 1024
 #define POLL_MS 100
-#define POLL_BUSY_MS 5 /* while forwards may time out */
+#define POLL_BUSY_MS 5L /* while forwards may time out */
 #define TURN_MESSAGES 256
 
 struct relay
@@ -20,6 +20,7 @@
   GPtrArray *links;    /* struct link, to relay ports */
   GHashTable *pending; /* struct forward by id */
   uint64_t next_id;
+  int64_t expire_us; /* next look for late forwards */
   struct memb_view *view;
 };
 
@@ -369,8 +370,12 @@
         item->run (item, relay);
       receive (relay);
       bool busy = g_hash_table_size (relay->pending) > 0;
-      if (busy)
-        expire (relay);
+      int64_t now = ctl_now (relay->peer);
+      if (busy && now >= relay->expire_us)
+        {
+          relay->expire_us = now + POLL_BUSY_MS * 1000;
+          expire (relay);
+        }
       zmq_poll (polled, G_N_ELEMENTS (polled), busy ? POLL_BUSY_MS : POLL_MS);
     }
   return NULL;
@@ -401,7 +406,7 @@
 }
 
 void
-relay_free (struct relay *relay)
+relay_stop (struct relay *relay)
 {
   g_atomic_int_set (&relay->stop, 1);
   relay_view_changed (relay); /* wakes the thread */
@@ -412,6 +417,12 @@
   g_hash_table_iter_init (&iter, relay->pending);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&forward))
     forward_end (forward, NULL);
+  g_hash_table_remove_all (relay->pending);
+}
+
+void
+relay_free (struct relay *relay)
+{
   g_hash_table_unref (relay->pending);
   g_ptr_array_unref (relay->links);
   zmq_close (relay->router);
--- a/lib/peer/revoke.c
+++ b/lib/peer/revoke.c
@@ -104,7 +104,7 @@
   struct pl_str text = { .data = item->key, .len = item->len };
   struct claim_key key;
   struct pl_err err;
-  if (claim_key_parse (text, &key, &err))
+  if (peer != NULL && claim_key_parse (text, &key, &err))
     start (peer, &key, claim_hash_of (text), item);
   else
     item->done (CLAIM_UNKNOWN, item->user);
@@ -145,14 +145,14 @@
 }
 
 void
-revoke_free (struct peer *peer)
+revoke_end (struct peer *peer)
 {
   GHashTableIter iter;
   struct revoke *revoke;
   g_hash_table_iter_init (&iter, peer->revokes);
   while (g_hash_table_iter_next (&iter, NULL, (gpointer *)&revoke))
     revoke->done (CLAIM_UNKNOWN, revoke->user);
-  g_hash_table_unref (peer->revokes);
+  g_hash_table_remove_all (peer->revokes);
 }
 
 void
--- /dev/null
+++ b/tests/memb_test.c
@@ -0,0 +1,238 @@
+/* Tests of lib/memb with the manual clock.  */
+#include "memb.h"
+#include "test.h"
+
+#include <string.h>
+
+#define SECOND 1000000L
+
+__attribute__ ((weak)) char *
+claim_prefix_text (const char *domain, claim_id owner, claim_id witness,
+                   int64_t epoch, char buf[CLAIM_PREFIX_TEXT])
+{
+  g_snprintf (buf, CLAIM_PREFIX_TEXT,
+              "%s.%016" G_GINT64_MODIFIER "x.%016" G_GINT64_MODIFIER
+              "x.%" G_GINT64_FORMAT,
+              domain, owner, witness, epoch);
+  return buf;
+}
+
+static struct pl_manual_clock time_now;
+static unsigned changes[MEMB_CHANGE_FORGOT + 1];
+
+static void
+changed (const struct memb_peer *peer, enum memb_change change,
+         int64_t silence_us, void *user)
+{
+  (void)peer;
+  (void)silence_us;
+  (void)user;
+  changes[change]++;
+}
+
+static struct memb_table *
+new_table (void)
+{
+  pl_manual_clock_init (&time_now, SECOND);
+  memset (changes, 0, sizeof changes);
+  struct memb_opts opts = { .clock = &time_now.base,
+                            .self = 1,
+                            .domain = "brum",
+                            .control = { 1, 1000 },
+                            .suspect_us = 1500000,
+                            .dead_us = 2 * SECOND,
+                            .far_factor = 4,
+                            .forget_us = 60 * SECOND,
+                            .keep_us = 900 * SECOND,
+                            .changed = changed };
+  return memb_table_new (&opts);
+}
+
+static bool
+hear (struct memb_table *table, claim_id id, uint16_t port, const char *domain,
+      bool draining)
+{
+  struct memb_peer said
+      = { .id = id, .control = { 1, port }, .epoch = 5, .draining = draining };
+  g_strlcpy (said.domain, domain, sizeof said.domain);
+  return memb_heard (table, &said);
+}
+
+static enum memb_state
+state_of (const struct memb_table *table, claim_id id)
+{
+  return memb_table_find (table, id)->state;
+}
+
+static void
+advance (struct memb_table *table, int64_t us)
+{
+  pl_manual_clock_advance (&time_now, us);
+  memb_tick (table);
+}
+
+/* Guards against suspicion, shares and forgetting at other times than the
+   settings say.  */
+static void
+test_silence (void)
+{
+  struct memb_table *table = new_table ();
+  CU_ASSERT (hear (table, 2, 2000, "brum", false));
+  CU_ASSERT (hear (table, 3, 3000, "potteries", false));
+  advance (table, 1499999);
+  CU_ASSERT_EQUAL (state_of (table, 2), MEMB_ALIVE);
+  CU_ASSERT_EQUAL (memb_table_self (table)->witness, 2);
+  advance (table, 1);
+  CU_ASSERT_EQUAL (state_of (table, 2), MEMB_SUSPECT);
+  CU_ASSERT_EQUAL (state_of (table, 3), MEMB_ALIVE);
+  CU_ASSERT_EQUAL (memb_table_self (table)->witness, 0);
+  struct memb_view *view = memb_view_next (table);
+  CU_ASSERT_EQUAL (view->n_sharers, 2);
+  CU_ASSERT_EQUAL (memb_share (view, 1, (struct pl_addr){ 9, 9 }, 8), 4);
+  pl_shared_unref (&view->base);
+  CU_ASSERT_PTR_NULL (memb_view_next (table));
+  advance (table, 500000);
+  CU_ASSERT_EQUAL (state_of (table, 2), MEMB_DEAD);
+  view = memb_view_next (table);
+  CU_ASSERT_EQUAL (memb_share (view, 1, (struct pl_addr){ 9, 9 }, 8), 8);
+  pl_shared_unref (&view->base);
+  CU_ASSERT (hear (table, 2, 2000, "brum", false));
+  CU_ASSERT_EQUAL (state_of (table, 2), MEMB_ALIVE);
+  advance (table, 6 * SECOND);
+  CU_ASSERT_EQUAL (state_of (table, 3), MEMB_DEAD);
+  advance (table, 60 * SECOND);
+  CU_ASSERT_EQUAL (memb_table_count (table), 0);
+  CU_ASSERT_EQUAL (changes[MEMB_CHANGE_UP], 3);
+  CU_ASSERT_EQUAL (changes[MEMB_CHANGE_FORGOT], 2);
+  memb_table_free (table);
+}
+
+/* Guards against a former incarnation that comes back through a late
+   heartbeat, and against a view that changes without a reason.  */
+static void
+test_replaced_incarnation (void)
+{
+  struct memb_table *table = new_table ();
+  CU_ASSERT (hear (table, 2, 2000, "brum", false));
+  CU_ASSERT (hear (table, 3, 2000, "brum", false));
+  CU_ASSERT_EQUAL (state_of (table, 2), MEMB_LEFT);
+  CU_ASSERT_EQUAL (changes[MEMB_CHANGE_LEFT], 1);
+  CU_ASSERT_FALSE (hear (table, 2, 2000, "brum", false));
+  CU_ASSERT_FALSE (hear (table, 1, 4000, "brum", false));
+  CU_ASSERT_FALSE (hear (table, 9, 1000, "brum", false));
+  CU_ASSERT_EQUAL (state_of (table, 3), MEMB_ALIVE);
+  memb_tick (table);
+  pl_shared_unref (&memb_view_next (table)->base);
+  CU_ASSERT (hear (table, 3, 2000, "brum", false));
+  CU_ASSERT_PTR_NULL (memb_view_next (table));
+  memb_table_free (table);
+}
+
+/* Guards against a witness that changes without need, or that is draining or
+   of another domain.  */
+static void
+test_witness (void)
+{
+  struct memb_table *table = new_table ();
+  hear (table, 2, 2000, "potteries", false);
+  memb_tick (table);
+  CU_ASSERT_EQUAL (memb_table_self (table)->witness, 0);
+  CU_ASSERT_EQUAL (memb_choose_heir (table)->id, 2);
+  hear (table, 10, 3000, "brum", false);
+  memb_tick (table);
+  CU_ASSERT_EQUAL (memb_table_self (table)->witness, 10);
+  for (claim_id id = 11; id < 30; id++)
+    hear (table, id, (uint16_t)(3000 + id), "brum", false);
+  memb_tick (table);
+  CU_ASSERT_EQUAL (memb_table_self (table)->witness, 10);
+  hear (table, 10, 3000, "brum", true);
+  memb_tick (table);
+  claim_id next = memb_table_self (table)->witness;
+  CU_ASSERT (next >= 11 && next < 30);
+  CU_ASSERT_EQUAL (memb_choose_heir (table)->id, next);
+  memb_left (table, next);
+  memb_tick (table);
+  CU_ASSERT_NOT_EQUAL (memb_table_self (table)->witness, next);
+  memb_table_free (table);
+}
+
+/* Guards against answers in the name of a stopped owner by the wrong one.  */
+static void
+test_heirs (void)
+{
+  struct memb_table *table = new_table ();
+  char prefix[CLAIM_PREFIX_TEXT];
+  claim_id owners[MEMB_MAX_HEIRS];
+  hear (table, 2, 2000, "brum", false);
+  hear (table, 3, 3000, "brum", false);
+  memb_add_heir (table, 2, 3);
+  memb_add_heir (table, 7, 2);
+  memb_add_heir (table, 8, 9);
+  memb_add_heir (table, 9, 8); /* a circle of faulty messages */
+  memb_set_self (table, 4, 0, true);
+  memb_tick (table);
+  struct memb_view *view = memb_view_next (table);
+  CU_ASSERT_EQUAL (memb_authority (view, 1), 1);
+  CU_ASSERT_EQUAL (memb_authority (view, 2), 3);
+  CU_ASSERT_EQUAL (memb_authority (view, 7), 3);
+  CU_ASSERT_EQUAL (memb_authority (view, 8), 0);
+  CU_ASSERT_EQUAL (memb_authority (view, 77), 0);
+  memb_prefix (view, prefix);
+  CU_ASSERT_PTR_NOT_NULL (strstr (prefix, "brum.0000000000000003."));
+  pl_shared_unref (&view->base);
+  for (claim_id id = 100; id < 300; id++)
+    memb_add_heir (table, id, 3);
+  CU_ASSERT (memb_inherited (table, 3, owners) <= MEMB_MAX_HEIRS);
+  advance (table, 900 * SECOND);
+  CU_ASSERT_EQUAL (memb_inherited (table, 3, owners), 0);
+  memb_table_free (table);
+}
+
+/* Guards against shares that don't add up to the slots, are uneven, or move
+   more slots than the newcomer's share when an instance joins.  */
+static void
+test_shares (void)
+{
+  GRand *rand = g_rand_new_with_seed (20);
+  claim_id ids[20];
+  for (int round = 0; round < 2000; round++)
+    {
+      unsigned n = (unsigned)g_rand_int_range (rand, 1, 20);
+      unsigned slots = (unsigned)g_rand_int_range (rand, 0, 40);
+      struct pl_addr addr = { g_rand_int (rand), 80 };
+      for (unsigned i = 0; i <= n; i++)
+        ids[i] = ((uint64_t)g_rand_int (rand) << 32) | g_rand_int (rand);
+      struct memb_view before = { .sharers = ids, .n_sharers = n };
+      struct memb_view after = { .sharers = ids, .n_sharers = n + 1 };
+      unsigned sum = 0;
+      unsigned sum_after = memb_share (&after, ids[n], addr, slots);
+      for (unsigned i = 0; i < n; i++)
+        {
+          unsigned share = memb_share (&before, ids[i], addr, slots);
+          unsigned next = memb_share (&after, ids[i], addr, slots);
+          CU_ASSERT (share == slots / n || share == (slots + n - 1) / n);
+          CU_ASSERT (next <= share);
+          sum += share;
+          sum_after += next;
+        }
+      CU_ASSERT_EQUAL (sum, slots);
+      CU_ASSERT_EQUAL (sum_after, slots);
+      CU_ASSERT_EQUAL (memb_share (&before, ids[n], addr, slots), 0);
+    }
+  g_rand_free (rand);
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = {
+    { "silence", test_silence },
+    { "replaced incarnation", test_replaced_incarnation },
+    { "witness", test_witness },
+    { "heirs", test_heirs },
+    { "shares", test_shares },
+    CU_TEST_INFO_NULL,
+  };
+  pl_log_init ("text", "error");
+  return test_run ("memb", tests);
+}
--- a/tests/peer_test.c
+++ b/tests/peer_test.c
@@ -12,8 +12,7 @@
 #include <unistd.h>
 #include <zmq.h>
 
-#define WAIT_MS 4000
-#define MAX_NODES 3
+#define WAIT_US 4000000L
 
 struct node
 {
@@ -169,10 +168,10 @@
   return witness;
 }
 
-/* Waits until EXPR holds; false after WAIT_MS.  */
+/* Waits until EXPR holds; false after WAIT_US.  */
 #define WAIT_FOR(expr)                                                        \
   ({                                                                          \
-    int64_t end_us = g_get_monotonic_time () + WAIT_MS * 1000;                \
+    int64_t end_us = g_get_monotonic_time () + WAIT_US;                       \
     bool held_;                                                               \
     while (!(held_ = (expr)) && g_get_monotonic_time () < end_us)             \
       g_usleep (1000);                                                        \
@@ -314,6 +313,170 @@
   node_stop (&nodes[0]);
 }
 
+/* Sends DATA over a raw DEALER, as one frame or as two.  */
+static void
+send_raw (const struct node *node, const void *data, size_t len, bool twice)
+{
+  char text[PL_ADDR_TEXT];
+  int linger = 1000;
+  void *ctx = zmq_ctx_new ();
+  void *sock = zmq_socket (ctx, ZMQ_DEALER);
+  g_autofree char *endpoint
+      = g_strdup_printf ("tcp://%s", pl_addr_text (node->addr, text));
+  zmq_setsockopt (sock, ZMQ_LINGER, &linger, sizeof linger);
+  CU_ASSERT_EQUAL (zmq_connect (sock, endpoint), 0);
+  if (twice)
+    zmq_send (sock, data, len, ZMQ_SNDMORE);
+  zmq_send (sock, data, len, 0);
+  zmq_close (sock);
+  zmq_ctx_term (ctx);
+}
+
+static int64_t
+dropped (void)
+{
+  return pl_counter (PL_CTR_PEER_MESSAGES_DROPPED_TOTAL);
+}
+
+/* Guards against damage by frames that no instance sends: noise, oversized,
+   several parts, unknown senders and former incarnations.  */
+static void
+test_bad_frames_are_dropped (void)
+{
+  struct node nodes[2];
+  start_pair (nodes);
+  static char big[70000];
+  int64_t before = dropped ();
+  send_raw (&nodes[0], "\xff\xff\xff", 3, false);
+  CU_ASSERT (WAIT_FOR (dropped () == before + 1));
+  send_raw (&nodes[0], big, sizeof big, false);
+  CU_ASSERT (WAIT_FOR (dropped () == before + 2));
+  send_raw (&nodes[0], "x", 1, true);
+  CU_ASSERT (WAIT_FOR (dropped () == before + 3));
+  Msg__Leave leave = MSG__LEAVE__INIT;
+  Msg__Envelope e = MSG__ENVELOPE__INIT;
+  e.body_case = MSG__ENVELOPE__BODY_LEAVE;
+  e.leave = &leave;
+  e.from = 0x99;
+  e.to = 0x11;
+  g_autoptr (GBytes) stranger = msg_pack (&e, MSG_CONTROL);
+  send_raw (&nodes[0], g_bytes_get_data (stranger, NULL),
+            g_bytes_get_size (stranger), false);
+  CU_ASSERT (WAIT_FOR (dropped () == before + 4));
+  e.from = 0x22;
+  e.to = 0x10; /* a former incarnation at this address */
+  g_autoptr (GBytes) stale = msg_pack (&e, MSG_CONTROL);
+  send_raw (&nodes[0], g_bytes_get_data (stale, NULL),
+            g_bytes_get_size (stale), false);
+  CU_ASSERT (WAIT_FOR (dropped () == before + 5));
+  CU_ASSERT_EQUAL (alive (&nodes[0]), 1);
+  node_stop (&nodes[1]);
+  node_stop (&nodes[0]);
+}
+
+static GBytes *
+text_of (unsigned revision, size_t len)
+{
+  GString *text = g_string_sized_new (len);
+  g_string_printf (text, "%u ", revision);
+  while (text->len < len)
+    g_string_append_printf (text, "%zu,", text->len);
+  return g_string_free_to_bytes (text);
+}
+
+static bool
+has_text (struct node *node, GBytes *text)
+{
+  struct pl_shared *shared = pl_slot_get (&node->notes);
+  const struct fake_conf *conf = (struct fake_conf *)shared;
+  size_t len;
+  const char *data = g_bytes_get_data (text, &len);
+  bool equal = conf != NULL && strlen (conf->text) == len
+               && memcmp (conf->text, data, len) == 0;
+  pl_shared_unref (shared);
+  return equal;
+}
+
+/* Guards against a revision that stays with the instance that got it, and
+   against a document that is damaged when it is sent in chunks.  */
+static void
+test_notes_are_relayed (void)
+{
+  struct node nodes[2];
+  g_autoptr (GBytes) whole = text_of (70, 4000000); /* two windows */
+  g_autoptr (GBytes) small = text_of (71, 20);
+  g_autoptr (GBytes) large = text_of (72, 200000);
+  start_pair (nodes);
+  peer_offer_whole (nodes[0].peer, whole);
+  CU_ASSERT (WAIT_FOR (g_atomic_int_get (&nodes[1].revision) == 70));
+  CU_ASSERT (has_text (&nodes[1], whole));
+  peer_offer_note (nodes[0].peer, 71, small);
+  peer_offer_note (nodes[0].peer, 72, large);
+  CU_ASSERT (WAIT_FOR (g_atomic_int_get (&nodes[1].revision) == 72));
+  CU_ASSERT (has_text (&nodes[1], large));
+  node_stop (&nodes[1]);
+  node_stop (&nodes[0]);
+}
+
+/* Guards against slots that are lost or doubled between two instances.  */
+static void
+test_lending (void)
+{
+  struct node nodes[2];
+  start_pair (nodes);
+  struct disp_peer_ops *ops = peer_disp_ops (nodes[0].peer);
+  const struct disp_lot lots[] = { { { 1, 2 }, 3 }, { { 1, 3 }, 4 } };
+  ops->borrow (ops, 0x22, 9);
+  CU_ASSERT (WAIT_FOR (g_atomic_int_get (&nodes[1].disp.borrow) == 9));
+  struct disp_peer_ops *lender = peer_disp_ops (nodes[1].peer);
+  lender->grant (lender, 0x11, lots, 2);
+  CU_ASSERT (WAIT_FOR (g_atomic_int_get (&nodes[0].disp.lots) == 7));
+  CU_ASSERT (WAIT_FOR (g_atomic_int_get (&nodes[1].disp.held) == 7));
+  ops->give_back (ops, 0x22, lots, 1);
+  CU_ASSERT (WAIT_FOR (g_atomic_int_get (&nodes[1].disp.returned) == 3));
+  CU_ASSERT (WAIT_FOR (g_atomic_int_get (&nodes[1].disp.held) == 4));
+  node_stop (&nodes[1]);
+  node_stop (&nodes[0]);
+}
+
+static claim_id
+authority (struct node *node, claim_id owner)
+{
+  struct memb_view *view = view_of (node);
+  claim_id id = memb_authority (view, owner);
+  pl_shared_unref (&view->base);
+  return id;
+}
+
+/* Guards against records lost in a planned stop, and against peers that don't
+   learn who vouches for the stopped instance.  */
+static void
+test_hand_over (void)
+{
+  struct node nodes[3];
+  node_start (&nodes[0], 0x11, "brum", NULL);
+  CU_ASSERT_FALSE (peer_hand_over (nodes[0].peer, 50)); /* nobody there */
+  node_start (&nodes[1], 0x22, "brum", &nodes[0]);
+  node_start (&nodes[2], 0x33, "potteries", &nodes[0]);
+  for (int i = 0; i < 3; i++)
+    CU_ASSERT (WAIT_FOR (alive (&nodes[i]) == 2));
+  nodes[0].disp.exports = 3;
+  peer_set_draining (nodes[0].peer);
+  CU_ASSERT (WAIT_FOR (witness_of (&nodes[1]) == 0));
+  CU_ASSERT (peer_hand_over (nodes[0].peer, 2000));
+  node_stop (&nodes[0]);
+  CU_ASSERT (WAIT_FOR (authority (&nodes[2], 0x11) == 0x22));
+  CU_ASSERT_EQUAL (authority (&nodes[1], 0x11), 0x22);
+  CU_ASSERT_EQUAL (g_atomic_int_get (&nodes[1].disp.inherited), 1);
+  CU_ASSERT_EQUAL (nodes[1].disp.imported->len, (size_t)3 * MSG_CHUNK_BYTES);
+  /* An inherited owner is handed on, to another domain if need be.  */
+  CU_ASSERT (peer_hand_over (nodes[1].peer, 2000));
+  CU_ASSERT (WAIT_FOR (authority (&nodes[2], 0x11) == 0x33));
+  CU_ASSERT (WAIT_FOR (authority (&nodes[2], 0x22) == 0x33));
+  node_stop (&nodes[1]);
+  node_stop (&nodes[2]);
+}
+
 int
 main (void)
 {
@@ -321,6 +484,10 @@
     { "three find each other", test_three_find_each_other },
     { "permit and revoke", test_permit_and_revoke },
     { "forward", test_forward },
+    { "bad frames are dropped", test_bad_frames_are_dropped },
+    { "notes are relayed", test_notes_are_relayed },
+    { "lending", test_lending },
+    { "hand-over", test_hand_over },
     CU_TEST_INFO_NULL,
   };
   pl_log_init ("text", "warning");
