Ignore own pauses in suspicion and shorten far heartbeats

An instance that was paused suspected every peer before it read the waiting heartbeats; a gap between ticks no longer counts as silence. Heartbeats to known peers carry 4 addresses (near) or 1 (far) instead of 8. Permits and revocations are counted at the witness.

--- a/lib/memb/table.c
+++ b/lib/memb/table.c
@@ -3,6 +3,9 @@
 #include <string.h>
 #include <xxhash.h>
 
+/* A gap between ticks of this part of the suspicion time is a pause.  */
+#define PAUSE_PART 2
+
 struct memb_table *
 memb_table_new (const struct memb_opts *opts)
 {
@@ -12,6 +15,7 @@
   table->self.id = opts->self;
   table->self.control = opts->control;
   g_strlcpy (table->self.domain, opts->domain, sizeof table->self.domain);
+  table->tick_us = pl_now_us (opts->clock);
   table->dirty = true;
   return table;
 }
@@ -198,10 +202,27 @@
   return best != NULL ? best : best_peer (table, false);
 }
 
+/* Ticks are at most 50 ms apart.  After a longer gap this process was paused
+   and heartbeats wait unread: the gap doesn't count as silence.  */
+static void
+forgive_pause (struct memb_table *table, int64_t now)
+{
+  int64_t gap = now - table->tick_us;
+  table->tick_us = now;
+  if (gap < table->opts.suspect_us / PAUSE_PART)
+    return;
+  for (unsigned i = 0; i < table->peers->len; i++)
+    {
+      struct memb_entry *entry = memb_entry_at (table, i);
+      entry->heard_us = MIN (entry->heard_us + gap, now);
+    }
+}
+
 void
 memb_tick (struct memb_table *table)
 {
   int64_t now = pl_now_us (table->opts.clock);
+  forgive_pause (table, now);
   for (unsigned i = table->peers->len; i-- > 0;)
     if (tick_entry (table, memb_entry_at (table, i), now))
       g_ptr_array_remove_index_fast (table->peers, i);
--- a/lib/memb/table.h
+++ b/lib/memb/table.h
@@ -22,6 +22,7 @@
   GPtrArray *peers; /* struct memb_entry */
   struct memb_table_heir heirs[MEMB_MAX_HEIRS];
   unsigned n_heirs;
+  int64_t tick_us; /* last memb_tick */
   bool dirty;
 };
 
--- a/lib/peer/beat.c
+++ b/lib/peer/beat.c
@@ -3,6 +3,9 @@
 #include <string.h>
 
 #define MAX_LINKS 1024
+/* Addresses in a heartbeat to a known peer; each takes 7 bytes.  */
+#define KNOWN_NEAR 4
+#define KNOWN_FAR 1
 /* Pause after a heartbeat that found no connection.  */
 #define RETRY_US 50000
 /* Time for the last messages of a planned stop to reach the network.  */
@@ -16,6 +19,12 @@
   return ctl_now (peer) + peer->opts.conf->forget_s * 1000000;
 }
 
+static bool
+is_near (const struct peer *peer, const struct memb_peer *known)
+{
+  return strcmp (known->domain, peer->opts.conf->domain) == 0;
+}
+
 struct link *
 beat_link (struct peer *peer, struct pl_addr addr, int64_t expires_us)
 {
@@ -50,11 +59,24 @@
     }
 }
 
+/* A full list for an address that has not answered yet; less for known peers,
+   whose next heartbeats carry the next addresses.  */
+static unsigned
+known_limit (struct peer *peer, const struct link *link)
+{
+  const struct memb_peer *known = memb_table_at (peer->memb, link->addr);
+  if (known == NULL)
+    return MSG_KNOWN;
+  return is_near (peer, known) ? KNOWN_NEAR : KNOWN_FAR;
+}
+
 static void
-fill_known (struct peer *peer, Msg__Heartbeat *m, uint32_t *ip, uint32_t *port)
+fill_known (struct peer *peer, Msg__Heartbeat *m, const struct link *link,
+            uint32_t *ip, uint32_t *port)
 {
   unsigned count = memb_table_count (peer->memb);
-  for (unsigned i = 0; i < count && m->n_known_ip < MSG_KNOWN; i++)
+  unsigned limit = known_limit (peer, link);
+  for (unsigned i = 0; i < count && m->n_known_ip < limit; i++)
     {
       const struct memb_peer *known
           = memb_table_peer (peer->memb, peer->known_next++ % count);
@@ -96,7 +118,7 @@
   m.revision = self->revision;
   m.draining = self->draining;
   m.free_slots = status.free_slots;
-  fill_known (peer, &m, ip, port);
+  fill_known (peer, &m, link, ip, port);
   fill_remote (peer, &m, link->addr);
   m.n_inherited = memb_inherited (peer->memb, self->id, owners);
   m.inherited = owners;
@@ -113,7 +135,7 @@
 {
   const struct conf *conf = peer->opts.conf;
   const struct memb_peer *known = memb_table_at (peer->memb, link->addr);
-  bool near = known == NULL || strcmp (known->domain, conf->domain) == 0;
+  bool near = known == NULL || is_near (peer, known);
   return 1000 * (near ? conf->heartbeat_ms : conf->far_heartbeat_ms);
 }
 
--- a/lib/peer/permit.c
+++ b/lib/peer/permit.c
@@ -183,6 +183,9 @@
     {
       struct claim_hash hash = { .hi = m->hi[i], .lo = m->lo[i] };
       granted[i] = claim_permit (peer->witness, from, hash, m->epoch[i]);
+      pl_count (granted[i] ? PL_CTR_PERMITS_GRANTED_TOTAL
+                           : PL_CTR_PERMITS_REFUSED_TOTAL,
+                1);
     }
   Msg__PermitReply reply = MSG__PERMIT_REPLY__INIT;
   reply.n_hi = reply.n_lo = reply.n_granted = m->n_hi;
--- a/lib/peer/revoke.c
+++ b/lib/peer/revoke.c
@@ -55,6 +55,8 @@
                                        [CLAIM_PERMITTED] = "permitted",
                                        [CLAIM_UNKNOWN] = "unknown" };
   enum claim_revoked result = claim_revoke (peer->witness, owner, hash, epoch);
+  if (result == CLAIM_REVOKED)
+    pl_count (PL_CTR_REVOCATIONS_TOTAL, 1);
   pl_log (PL_EV_REVOKE, "owner=" HEX64 " result=%s", owner, names[result]);
   return result;
 }
