Add lib/sched, lib/slot and lib/disp: jobs from submission to answer

The rest of the system needs the path from a submission to its reply. The dispatch thread now admits, asks for permits, binds tasks to slots late, collects the answers and replies once to each caller; order policies, size estimates, health and lending are in place.

--- /dev/null
+++ b/lib/disp/control.c
@@ -0,0 +1,82 @@
+/* Membership, signs of leaving workers and hand-over.  */
+#include "disp_in.h"
+
+static void
+leaving (struct disp *disp, struct disp_msg *msg)
+{
+  /* Only a newer configuration undoes a sign.  */
+  if (msg->flag)
+    slot_leaving (disp->slots, msg->addr, "platform");
+}
+
+void
+disp_leaving (struct disp *disp, struct pl_addr addr, bool is_leaving)
+{
+  struct disp_msg *msg = disp_msg_new (disp, leaving);
+  msg->addr = addr;
+  msg->flag = is_leaving;
+  disp_post (disp, msg);
+}
+
+static void
+view_changed (struct disp *disp, struct disp_msg *msg)
+{
+  (void)msg;
+  disp_refresh (disp);
+}
+
+void
+disp_view_changed (struct disp *disp)
+{
+  disp_post (disp, disp_msg_new (disp, view_changed));
+}
+
+static void export(struct disp *disp, struct disp_msg *msg)
+{
+  claim_export (disp->claims, msg->max_bytes, msg->exported, msg->user);
+  msg->exported (NULL, msg->user);
+}
+
+void
+disp_export (struct disp *disp, size_t max_bytes,
+             void (*exported) (GBytes *chunk, void *user), void *user)
+{
+  struct disp_msg *msg = disp_msg_new (disp, export);
+  msg->max_bytes = max_bytes;
+  msg->exported = exported;
+  msg->user = user;
+  disp_post (disp, msg);
+}
+
+static void
+import (struct disp *disp, struct disp_msg *msg)
+{
+  size_t len;
+  const char *data = g_bytes_get_data (msg->chunk, &len);
+  struct pl_str chunk = { .data = data, .len = len };
+  if (!claim_import (disp->claims, chunk))
+    pl_log (PL_EV_MSG_BAD,
+            "from=peer reason=\"bad hand-over chunk\" bytes=%zu", len);
+}
+
+void
+disp_import (struct disp *disp, GBytes *chunk)
+{
+  struct disp_msg *msg = disp_msg_new (disp, import);
+  msg->chunk = g_bytes_ref (chunk);
+  disp_post (disp, msg);
+}
+
+static void
+inherit (struct disp *disp, struct disp_msg *msg)
+{
+  claim_inherit (disp->claims, msg->peer);
+}
+
+void
+disp_inherit (struct disp *disp, claim_id owner)
+{
+  struct disp_msg *msg = disp_msg_new (disp, inherit);
+  msg->peer = owner;
+  disp_post (disp, msg);
+}
--- a/lib/disp/disp.h
+++ b/lib/disp/disp.h
@@ -31,6 +31,14 @@
                      const struct disp_lot *lots, unsigned n);
 };
 
+/* Replaces lib/run in tests.  START takes over TASK until disp_run_done.  */
+struct disp_run_ops
+{
+  void (*start) (struct disp_run_ops *ops, struct run_task *task);
+  void (*cancel) (struct disp_run_ops *ops, struct pl_addr addr,
+                  const char *id);
+};
+
 struct disp_opts
 {
   const struct conf *conf;
@@ -39,6 +47,8 @@
   struct pl_slot *note_slot; /* struct note_conf */
   struct pl_slot *memb_slot; /* struct memb_view */
   struct disp_peer_ops *peers;
+  struct disp_run_ops *run_ops; /* null: lib/run */
+  bool manual;                  /* no thread: the test calls disp_turn */
 };
 
 struct disp_status
@@ -58,8 +68,18 @@
 void
 disp_free (struct disp *disp);
 
-/* Any thread.  DONE is called exactly once on the dispatch thread; it must not
-   block.  The key's owner must be this instance or an inherited one.  */
+/* One turn of the dispatch thread: all posted messages, then what is due. Only
+   with the option MANUAL.  */
+void
+disp_turn (struct disp *disp);
+/* The end of a task; takes over both.  Any thread.  */
+void
+disp_run_done (struct disp *disp, struct run_task *task,
+               struct run_result *result);
+
+/* Any thread.  Takes its own reference to REQ.  DONE is called exactly once on
+   the dispatch thread; it must not block.  The key's owner must be this
+   instance or an inherited one.  */
 void
 disp_submit (struct disp *disp, struct job_req *req, job_done_fn *done,
              void *user);
--- /dev/null
+++ b/lib/disp/finish.c
@@ -0,0 +1,183 @@
+#include "disp_in.h"
+
+enum job_task_state
+disp_known (const struct disp_task *task)
+{
+  if (task->phase == DISP_TASK_OVER)
+    return task->known;
+  return task->phase == DISP_TASK_RUNNING ? JOB_TASK_MAYBE : JOB_TASK_NOT_RUN;
+}
+
+bool
+disp_started (const struct disp_job *job)
+{
+  for (unsigned i = 0; i < job->n_tasks; i++)
+    if (disp_known (&job->tasks[i]) != JOB_TASK_NOT_RUN)
+      return true;
+  return false;
+}
+
+/* The code of a job that ended for its cause, by what is known of its
+   tasks.  */
+static enum pl_code
+code_of (const struct disp_job *job, const enum job_task_state *states)
+{
+  bool ran = false;
+  bool maybe = false;
+  for (unsigned i = 0; i < job->n_tasks; i++)
+    {
+      ran = ran || states[i] == JOB_TASK_RAN;
+      maybe = maybe || states[i] == JOB_TASK_MAYBE;
+    }
+  if (!ran && !maybe)
+    return job->cause;
+  if (job->cause == PL_CANCELLED)
+    return ran ? PL_CANCELLED_RAN : PL_UNKNOWN_CANCELLED;
+  if (job->cause == PL_ANSWER_TOO_LARGE)
+    return PL_ANSWER_TOO_LARGE;
+  if (!ran)
+    return PL_UNKNOWN_LOST;
+  return job->cause == PL_DEADLINE_LOST ? PL_DEADLINE_RAN : PL_FAILED_RAN;
+}
+
+static struct job_reply *
+error_reply (struct disp *disp, const struct disp_job *job)
+{
+  g_autofree enum job_task_state *states
+      = g_new (enum job_task_state, job->n_tasks);
+  for (unsigned i = 0; i < job->n_tasks; i++)
+    states[i] = disp_known (&job->tasks[i]);
+  enum pl_code code = code_of (job, states);
+  int64_t retry_ms = 0;
+  if (pl_code_info (code)->outcome == PL_OUTCOME_NOT_RUN)
+    retry_ms
+        = sched_wait_us (disp->sched, job->base.team, slot_mine (disp->slots))
+              / 1000
+          + 1;
+  return job_reply_error (pl_str (job->req->key), code, retry_ms, job->detail,
+                          states, job->n_tasks);
+}
+
+static struct job_reply *
+complete_reply (struct disp *disp, struct disp_job *job)
+{
+  if (job->answer_bytes > (size_t)disp->opts.conf->job_answer_bytes)
+    {
+      job->cause = PL_ANSWER_TOO_LARGE;
+      job->detail = "the answers are larger than job-answer-bytes";
+      return error_reply (disp, job);
+    }
+  g_autofree GBytes **answers = g_new (GBytes *, job->n_tasks);
+  for (unsigned i = 0; i < job->n_tasks; i++)
+    answers[i] = job->tasks[i].answer;
+  return job_reply_complete (pl_str (job->req->key),
+                             disp_now (disp) - job->base.arrival_us, answers,
+                             job->n_tasks);
+}
+
+static void
+record_end (const struct disp *disp, const struct disp_job *job,
+            enum pl_code code)
+{
+  static const enum pl_counter counters[] = {
+    [PL_OUTCOME_COMPLETE] = PL_CTR_JOBS_COMPLETE_TOTAL,
+    [PL_OUTCOME_NOT_RUN] = PL_CTR_JOBS_NOT_RUN_TOTAL,
+    [PL_OUTCOME_FAILED] = PL_CTR_JOBS_FAILED_TOTAL,
+    [PL_OUTCOME_UNKNOWN] = PL_CTR_JOBS_UNKNOWN_TOTAL,
+  };
+  enum pl_outcome outcome = pl_code_info (code)->outcome;
+  if (outcome != PL_OUTCOME_NONE)
+    pl_count (counters[outcome], 1);
+  if (outcome == PL_OUTCOME_NOT_RUN)
+    pl_log (PL_EV_REFUSE, "key=%s code=%d detail=\"%s\"", job->req->key, code,
+            job->detail);
+  pl_log (PL_EV_DONE, "key=%s code=%d tasks=%u response_us=%lld",
+          job->req->key, code, job->n_tasks,
+          (long long)(disp_now (disp) - job->base.arrival_us));
+}
+
+void
+disp_finish (struct disp *disp, struct disp_job *job)
+{
+  struct job_reply *reply = job->complete == job->n_tasks
+                                ? complete_reply (disp, job)
+                                : error_reply (disp, job);
+  record_end (disp, job, reply->code);
+  job->replied = true;
+  disp_disarm (job);
+  g_hash_table_remove (disp->permits, &job->hash);
+  disp->unfinished--;
+  claim_record_set_user (job->record, NULL);
+  claim_finish (disp->claims, job->record, reply);
+  for (unsigned i = 0; i < job->waiters->len; i++)
+    {
+      struct disp_waiter *w
+          = &g_array_index (job->waiters, struct disp_waiter, i);
+      w->done (reply, w->user);
+    }
+  job_reply_unref (reply);
+  if (job->running == 0)
+    disp_job_free (disp, job);
+}
+
+static void
+drop_delayed (struct disp *disp, const struct disp_job *job)
+{
+  for (unsigned i = disp->delayed->len; i > 0; i--)
+    {
+      const struct disp_task *task = disp->delayed->pdata[i - 1];
+      if (task->base.job == &job->base)
+        g_ptr_array_remove_index_fast (disp->delayed, i - 1);
+    }
+}
+
+static void
+cancel_running (struct disp *disp, struct disp_job *job)
+{
+  for (unsigned i = 0; i < job->n_tasks; i++)
+    {
+      struct disp_task *task = &job->tasks[i];
+      if (task->phase != DISP_TASK_RUNNING)
+        continue;
+      g_atomic_int_set (&task->run->cancelled, 1);
+      if (disp->run != NULL)
+        run_cancel (disp->run, task->run->addr, task->run->id);
+      else
+        disp->opts.run_ops->cancel (disp->opts.run_ops, task->run->addr,
+                                    task->run->id);
+    }
+}
+
+void
+disp_end (struct disp *disp, struct disp_job *job, enum pl_code cause,
+          const char *detail, bool now)
+{
+  if (job->cause == PL_OK)
+    {
+      job->cause = cause;
+      job->detail = detail;
+      job->grace_us = MIN (disp_now (disp) + DISP_GRACE_US, job->deadline_us);
+      sched_drop (disp->sched, &job->base);
+      drop_delayed (disp, job);
+      g_hash_table_remove (disp->permits, &job->hash);
+      cancel_running (disp, job);
+    }
+  if (now || job->running == 0)
+    disp_finish (disp, job);
+  else
+    disp_arm (disp, job);
+}
+
+void
+disp_job_free (struct disp *disp, struct disp_job *job)
+{
+  sched_drop (disp->sched, &job->base);
+  for (unsigned i = 0; i < job->n_tasks; i++)
+    if (job->tasks[i].answer != NULL)
+      g_bytes_unref (job->tasks[i].answer);
+  job_req_unref (job->req);
+  g_array_unref (job->waiters);
+  g_free (job->tasks);
+  g_free (job->kind);
+  g_free (job);
+}
--- /dev/null
+++ b/lib/disp/permit.c
@@ -0,0 +1,49 @@
+#include "disp_in.h"
+
+static void
+permit_result (struct disp *disp, struct disp_msg *msg)
+{
+  struct disp_job *job = g_hash_table_lookup (disp->permits, &msg->hash);
+  if (job == NULL)
+    return;
+  if (!msg->flag)
+    {
+      disp_end (disp, job, PL_NO_PERMIT, "the witness refused", true);
+      return;
+    }
+  g_hash_table_remove (disp->permits, &job->hash);
+  job->permitted = true;
+  sched_ready (disp->sched, &job->base);
+  disp_arm (disp, job);
+}
+
+void
+disp_permit_result (struct disp *disp, struct claim_hash hash, bool granted)
+{
+  struct disp_msg *msg = disp_msg_new (disp, permit_result);
+  msg->hash = hash;
+  msg->flag = granted;
+  disp_post (disp, msg);
+}
+
+static void
+peer_lost (struct disp *disp, struct disp_msg *msg)
+{
+  g_autoptr (GPtrArray) jobs = g_ptr_array_new ();
+  GHashTableIter it;
+  void *value;
+  g_hash_table_iter_init (&it, disp->permits);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    if (((struct disp_job *)value)->witness == msg->peer)
+      g_ptr_array_add (jobs, value);
+  for (unsigned i = 0; i < jobs->len; i++)
+    disp_end (disp, jobs->pdata[i], PL_NO_PERMIT, "the witness is lost", true);
+}
+
+void
+disp_peer_lost (struct disp *disp, claim_id peer)
+{
+  struct disp_msg *msg = disp_msg_new (disp, peer_lost);
+  msg->peer = peer;
+  disp_post (disp, msg);
+}
--- /dev/null
+++ b/lib/disp/place.c
@@ -0,0 +1,94 @@
+#include "disp_in.h"
+
+#include <stdio.h>
+
+#define SKIPS 32     /* jobs passed over in one round */
+#define LAST_PART 10 /* the last tasks of a job: one in so many */
+
+/* Whether TASK is among the last of its job, which decide when it ends, and
+   has not yet waited for as long as it runs.  */
+static bool
+careful (const struct disp *disp, const struct disp_task *task)
+{
+  const struct disp_job *job = (const struct disp_job *)task->base.job;
+  if ((job->base.queued->len - 1) * LAST_PART > job->n_tasks)
+    return false;
+  return disp_now (disp) - task->queued_us < task->base.size_us;
+}
+
+static struct run_task *
+new_run_task (const struct disp *disp, const struct disp_job *job,
+              const struct disp_task *task)
+{
+  struct run_task *run = g_new0 (struct run_task, 1);
+  snprintf (run->id, sizeof run->id, "%016llx-%llx-%u-%u",
+            (unsigned long long)disp->opts.self,
+            (unsigned long long)job->number, task->index, task->tries);
+  run->addr = task->worker->addr;
+  run->kind = g_strdup (job->kind);
+  run->input = g_bytes_ref (job->req->tasks[task->index].input);
+  run->deadline_us = job->deadline_us;
+  run->user = (void *)task;
+  return run;
+}
+
+static void
+log_place (const struct disp *disp, const struct disp_task *task)
+{
+  char text[PL_ADDR_TEXT];
+  unsigned slot = task->worker->in_use;
+  pl_log (PL_EV_PLACE,
+          "task=%s worker=%s slot=%u wait_us=%lld policy=%s"
+          " borrowed=%d",
+          task->run->id, pl_addr_text (task->worker->addr, text), slot,
+          (long long)(task->start_us - task->queued_us),
+          disp->opts.conf->policy, slot_uses_borrowed (task->worker));
+}
+
+static void
+start (struct disp *disp, struct disp_task *task, struct slot_worker *worker)
+{
+  struct disp_job *job = (struct disp_job *)task->base.job;
+  sched_take (disp->sched, &task->base);
+  slot_take (disp->slots, worker, task->base.memory_mb);
+  sched_count_start (disp->sched);
+  task->phase = DISP_TASK_RUNNING;
+  task->worker = worker;
+  task->tries++;
+  task->start_us = disp_now (disp);
+  task->run = new_run_task (disp, job, task);
+  job->running++;
+  disp->running++;
+  pl_count (PL_CTR_TASK_STARTS_TOTAL, 1);
+  log_place (disp, task);
+  if (disp->run != NULL)
+    run_start (disp->run, task->run);
+  else
+    disp->opts.run_ops->start (disp->opts.run_ops, task->run);
+}
+
+void
+disp_place (struct disp *disp)
+{
+  if (sched_runnable (disp->sched) == 0)
+    return;
+  unsigned left = slot_free_all (disp->slots);
+  unsigned skips = 0;
+  while (left > 0 && skips < SKIPS)
+    {
+      struct disp_task *task = (struct disp_task *)sched_peek (disp->sched);
+      if (task == NULL)
+        break;
+      struct slot_worker *worker = slot_choose (
+          disp->slots, task->base.memory_mb, careful (disp, task));
+      if (worker == NULL)
+        {
+          sched_skip (disp->sched, &task->base);
+          skips++;
+          continue;
+        }
+      start (disp, task, worker);
+      left--;
+    }
+  sched_unskip (disp->sched);
+}
--- /dev/null
+++ b/lib/disp/result.c
@@ -0,0 +1,177 @@
+#include "disp_in.h"
+
+#define BACKOFF_US 5000 /* before the first repetition; doubles */
+#define BACKOFF_STEPS 5
+#define HUNG_FACTOR 4 /* run time over estimate that counts as a fault */
+
+static const char *
+status_name (enum run_status status)
+{
+  static const char *const names[] = {
+    [RUN_OK] = "ok",           [RUN_NOT_SENT] = "not_sent",
+    [RUN_REFUSED] = "refused", [RUN_FAILED] = "failed",
+    [RUN_MAYBE] = "maybe",
+  };
+  return names[status];
+}
+
+/* Judges the worker by one result.  What ended because its job had ended says
+   nothing, unless the task ran far too long.  */
+static void
+judge (struct disp *disp, struct disp_task *task,
+       const struct run_result *result, bool unreachable)
+{
+  const struct disp_job *job = (const struct disp_job *)task->base.job;
+  struct slot_worker *worker = task->worker;
+  int64_t lasted = disp_now (disp) - task->start_us;
+  bool ended = g_atomic_int_get (&task->run->cancelled) != 0;
+  bool hung = lasted > HUNG_FACTOR * task->base.size_us;
+  switch (result->status)
+    {
+    case RUN_OK:
+      slot_good (disp->slots, worker, job->kind);
+      slot_learn (disp->slots, worker, result->run_us, task->base.size_us);
+      sched_sizes_learn (disp->sizes, job->req->service, job->req->kind,
+                         job->req->team, result->run_us);
+      return;
+    case RUN_NOT_SENT:
+      if (unreachable)
+        slot_bad (disp->slots, worker, NULL);
+      return;
+    default:
+      if (ended && !hung)
+        return;
+      slot_bad (disp->slots, worker, job->kind);
+      if (hung)
+        slot_learn (disp->slots, worker, lasted, task->base.size_us);
+    }
+}
+
+static void
+count (enum run_status status, bool unreachable)
+{
+  switch (status)
+    {
+    case RUN_NOT_SENT:
+      pl_count (PL_CTR_TASK_UNREACHABLE_TOTAL, unreachable);
+      pl_count (PL_CTR_WASTED_MESSAGES_TOTAL, unreachable);
+      break;
+    case RUN_REFUSED:
+      pl_count (PL_CTR_TASK_REFUSED_TOTAL, 1);
+      pl_count (PL_CTR_WASTED_MESSAGES_TOTAL, 1);
+      break;
+    case RUN_FAILED:
+      pl_count (PL_CTR_TASK_FAILED_TOTAL, 1);
+      break;
+    case RUN_MAYBE:
+      pl_count (PL_CTR_TASK_MAYBE_TOTAL, 1);
+      break;
+    default:
+      break;
+    }
+}
+
+/* Gives the slot of TASK back.  */
+static void
+release (struct disp *disp, struct disp_task *task)
+{
+  struct disp_job *job = (struct disp_job *)task->base.job;
+  slot_release (disp->slots, task->worker, task->base.memory_mb);
+  sched_ended (disp->sched, job->base.team);
+  job->running--;
+  disp->running--;
+  task->worker = NULL;
+  task->run = NULL;
+}
+
+static void
+keep_answer (struct disp *disp, struct disp_task *task,
+             const struct run_result *result)
+{
+  struct disp_job *job = (struct disp_job *)task->base.job;
+  job->complete++;
+  job->answer_bytes += g_bytes_get_size (result->answer);
+  if (job->answer_bytes <= (size_t)disp->opts.conf->job_answer_bytes)
+    task->answer = g_bytes_ref (result->answer);
+}
+
+static void
+delay (struct disp *disp, struct disp_task *task, const char *reason)
+{
+  unsigned steps = MIN (task->tries - 1, BACKOFF_STEPS);
+  task->phase = DISP_TASK_DELAYED;
+  task->again_us = disp_now (disp) + (BACKOFF_US << steps);
+  g_ptr_array_add (disp->delayed, task);
+  struct disp_job *job = (struct disp_job *)task->base.job;
+  pl_log (PL_EV_REPLACE, "task=%llx-%u reason=\"%s\"",
+          (unsigned long long)job->number, task->index, reason);
+  disp_arm (disp, job);
+}
+
+/* Whether TASK certainly did not start and may be placed again.  */
+static bool
+may_repeat (const struct disp_job *job, enum run_status status)
+{
+  if (job->cause != PL_OK)
+    return false;
+  return status == RUN_NOT_SENT || (status == RUN_REFUSED && job->repeatable);
+}
+
+static enum job_task_state
+known_after (enum run_status status)
+{
+  if (status == RUN_OK || status == RUN_FAILED)
+    return JOB_TASK_RAN;
+  return status == RUN_MAYBE ? JOB_TASK_MAYBE : JOB_TASK_NOT_RUN;
+}
+
+/* Takes the result into the job; the job may be gone afterwards.  */
+static void
+settle (struct disp *disp, struct disp_task *task,
+        const struct run_result *result)
+{
+  struct disp_job *job = (struct disp_job *)task->base.job;
+  if (may_repeat (job, result->status))
+    {
+      delay (disp, task, result->reason != NULL ? result->reason : "");
+      return;
+    }
+  task->phase = DISP_TASK_OVER;
+  task->known = known_after (result->status);
+  if (job->replied)
+    {
+      if (job->running == 0)
+        disp_job_free (disp, job);
+      return;
+    }
+  if (result->status == RUN_OK)
+    keep_answer (disp, task, result);
+  if (job->complete == job->n_tasks)
+    disp_finish (disp, job);
+  else if (result->status != RUN_OK || job->cause != PL_OK)
+    disp_end (disp, job, PL_NO_WORKER, "a task failed", false);
+}
+
+void
+disp_result (struct disp *disp, struct disp_msg *msg)
+{
+  struct run_task *run = msg->task;
+  const struct run_result *result = msg->result;
+  struct disp_task *task = run->user;
+  const struct disp_job *job = (const struct disp_job *)task->base.job;
+  bool late = disp_now (disp) >= job->deadline_us;
+  bool unreachable = result->status == RUN_NOT_SENT && !late
+                     && g_atomic_int_get (&run->cancelled) == 0;
+  char text[PL_ADDR_TEXT];
+  pl_log (PL_EV_TASK_END, "task=%s worker=%s result=%s run_us=%lld", run->id,
+          pl_addr_text (run->addr, text), status_name (result->status),
+          (long long)result->run_us);
+  count (result->status, unreachable);
+  judge (disp, task, result, unreachable);
+  if (result->leaving)
+    slot_leaving (disp->slots, run->addr, "upstream");
+  release (disp, task);
+  settle (disp, task, result);
+  run_task_free (run);
+  run_result_free (msg->result);
+}
--- /dev/null
+++ b/lib/disp/tick.c
@@ -0,0 +1,175 @@
+#include "disp_in.h"
+
+#define IDLE_WAIT_US 50000   /* longest wait without a message */
+#define BUDGET_WAIT_US 50000 /* before the retry budget is asked again */
+
+static int
+by_due (gconstpointer a, gconstpointer b, gpointer user)
+{
+  (void)user;
+  const struct disp_job *x = a;
+  const struct disp_job *y = b;
+  return (x->due_us > y->due_us) - (x->due_us < y->due_us);
+}
+
+static int64_t
+next_due (const struct disp_job *job)
+{
+  if (job->cause != PL_OK)
+    return job->grace_us;
+  int64_t due = job->deadline_us;
+  if (job->running == 0 && job->latest_us < due && !disp_started (job))
+    due = job->latest_us;
+  if (!job->permitted)
+    due = MIN (due, MIN (job->resend_us, job->give_up_us));
+  return due;
+}
+
+void
+disp_disarm (struct disp_job *job)
+{
+  if (job->timer != NULL)
+    g_sequence_remove (job->timer);
+  job->timer = NULL;
+}
+
+void
+disp_arm (struct disp *disp, struct disp_job *job)
+{
+  disp_disarm (job);
+  job->due_us = next_due (job);
+  job->timer = g_sequence_insert_sorted (disp->timers, job, by_due, NULL);
+}
+
+/* Does what JOB needs now.  */
+static void
+attend (struct disp *disp, struct disp_job *job, int64_t now)
+{
+  if (job->cause != PL_OK)
+    {
+      disp_finish (disp, job);
+      return;
+    }
+  if (now >= job->deadline_us)
+    {
+      disp_end (disp, job, PL_DEADLINE_LOST, "the deadline has passed", true);
+      return;
+    }
+  if (now >= job->latest_us && !disp_started (job))
+    {
+      disp_end (disp, job, PL_DEADLINE_LOST, "the deadline can't be met",
+                true);
+      return;
+    }
+  if (!job->permitted && now >= job->give_up_us)
+    {
+      disp_end (disp, job, PL_NO_PERMIT, "the witness does not answer", true);
+      return;
+    }
+  if (!job->permitted && now >= job->resend_us)
+    disp_permit_ask (disp, job);
+  disp_arm (disp, job);
+}
+
+static void
+run_timers (struct disp *disp, int64_t now)
+{
+  for (;;)
+    {
+      GSequenceIter *it = g_sequence_get_begin_iter (disp->timers);
+      if (g_sequence_iter_is_end (it))
+        return;
+      struct disp_job *job = g_sequence_get (it);
+      if (job->due_us > now)
+        return;
+      attend (disp, job, now);
+    }
+}
+
+/* Queues delayed tasks again, as far as the retry budget allows.  */
+static void
+run_delayed (struct disp *disp, int64_t now)
+{
+  for (unsigned i = disp->delayed->len; i > 0; i--)
+    {
+      struct disp_task *task = disp->delayed->pdata[i - 1];
+      if (now < task->again_us)
+        continue;
+      if (!sched_retry (disp->sched))
+        {
+          const struct disp_job *job = (const struct disp_job *)task->base.job;
+          pl_log (PL_EV_RETRY_BUDGET, "task=%llx-%u",
+                  (unsigned long long)job->number, task->index);
+          task->again_us = now + BUDGET_WAIT_US;
+          continue;
+        }
+      g_ptr_array_remove_index_fast (disp->delayed, i - 1);
+      task->phase = DISP_TASK_QUEUED;
+      task->queued_us = now;
+      sched_again (disp->sched, &task->base);
+      pl_count (PL_CTR_TASK_REPLACED_TOTAL, 1);
+    }
+}
+
+/* Takes the snapshots in force; true if one has changed.  */
+void
+disp_refresh (struct disp *disp)
+{
+  struct pl_shared *conf = pl_slot_get (disp->opts.note_slot);
+  struct pl_shared *view = pl_slot_get (disp->opts.memb_slot);
+  bool same = conf == (struct pl_shared *)disp->conf
+              && view == (struct pl_shared *)disp->view;
+  pl_shared_unref ((struct pl_shared *)disp->conf);
+  pl_shared_unref ((struct pl_shared *)disp->view);
+  disp->conf = (struct note_conf *)conf;
+  disp->view = (struct memb_view *)view;
+  if (!same)
+    slot_update (disp->slots, disp->conf, disp->view);
+}
+
+static void
+publish_status (struct disp *disp)
+{
+  struct disp_status status = {
+    .queued_tasks = sched_queued (disp->sched),
+    .running_tasks = disp->running,
+    .unfinished_jobs = disp->unfinished,
+    .records = claim_count (disp->claims),
+    .free_slots = slot_free_all (disp->slots),
+    .epoch = claim_epoch (disp->claims),
+  };
+  g_mutex_lock (&disp->lock);
+  disp->status = status;
+  g_mutex_unlock (&disp->lock);
+  pl_gauge (PL_CTR_QUEUE_TASKS, status.queued_tasks);
+  pl_gauge (PL_CTR_RUNNING_TASKS, status.running_tasks);
+  pl_gauge (PL_CTR_OWNER_RECORDS, status.records);
+}
+
+void
+disp_tick (struct disp *disp)
+{
+  int64_t now = disp_now (disp);
+  run_timers (disp, now);
+  run_delayed (disp, now);
+  if (now < disp->tick_us)
+    return;
+  disp->tick_us = now + DISP_TICK_US;
+  disp_refresh (disp);
+  slot_tick (disp->slots);
+  claim_tick (disp->claims);
+  disp_lend_tick (disp);
+  publish_status (disp);
+}
+
+int64_t
+disp_wait_us (const struct disp *disp)
+{
+  int64_t now = disp_now (disp);
+  bool busy = disp->unfinished > 0;
+  int64_t until = busy ? MAX (disp->tick_us, now) : now + IDLE_WAIT_US;
+  GSequenceIter *it = g_sequence_get_begin_iter (disp->timers);
+  if (!g_sequence_iter_is_end (it))
+    until = MIN (until, ((struct disp_job *)g_sequence_get (it))->due_us);
+  return MAX (until - now, 0);
+}
--- /dev/null
+++ b/lib/sched/admit.c
@@ -0,0 +1,91 @@
+#include "sched_in.h"
+
+#define LEAST_RETRY_MS 20 /* below this a caller would only poll */
+#define RETRY_BURST_S 2   /* seconds of the least rate that may be saved up */
+
+/* Expected wait of a new job: the work ahead over the slots.  A team with a
+   small queue waits only for its own share.  */
+int64_t
+sched_wait_us (const struct sched *sched, const struct sched_team *team,
+               unsigned slots)
+{
+  slots = MAX (slots, 1);
+  int64_t all = sched->queued_us / slots;
+  if (team->queued_us == sched->queued_us)
+    return all;
+  int64_t weights = team->weight;
+  GHashTableIter it;
+  void *value;
+  g_hash_table_iter_init (&it, sched->teams);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const struct sched_team *other = value;
+      if (other != team && other->queued > 0)
+        weights += other->weight;
+    }
+  int64_t own = team->queued_us / slots * weights / team->weight;
+  return MIN (all, own);
+}
+
+static bool
+over_quota (const struct sched *sched, const struct sched_team *team)
+{
+  if (team->quota == 0)
+    return false;
+  bool others_wait = sched->queued > team->queued;
+  return others_wait && team->in_use + team->queued >= team->quota;
+}
+
+enum pl_code
+sched_admit (struct sched *sched, const struct sched_job *job, unsigned tasks,
+             int64_t deadline_us, unsigned slots, unsigned wide, bool sized,
+             int64_t *retry_after_ms, int64_t *wait_us)
+{
+  int64_t wait = sched_wait_us (sched, job->team, slots);
+  int64_t span = MAX (job->ideal_us, job->work_us / MAX (wide, 1));
+  int64_t now = pl_now_us (sched->opts.clock);
+  *wait_us = wait;
+  *retry_after_ms = MAX (wait / 1000, LEAST_RETRY_MS);
+  if (slots == 0)
+    return PL_NO_WORKER;
+  if (sched->queued + tasks > sched->opts.queue_tasks)
+    return PL_OVERLOADED;
+  if (over_quota (sched, job->team))
+    return PL_QUOTA;
+  if (now + wait + (sized ? span : 0) > deadline_us)
+    return PL_DEADLINE_LOST;
+  if (wait > sched->opts.max_wait_us)
+    return PL_OVERLOADED;
+  *retry_after_ms = 0;
+  return PL_OK;
+}
+
+static void
+refill (struct sched *sched)
+{
+  int64_t now = pl_now_us (sched->opts.clock);
+  double rate = sched->opts.retry_min_per_s;
+  double tokens
+      = sched->retry_tokens + rate * (double)(now - sched->retry_at_us) / 1e6;
+  sched->retry_at_us = now;
+  /* Starts may save up as much as the least rate does.  */
+  double most = MAX (rate * RETRY_BURST_S, sched->opts.retry_percent);
+  sched->retry_tokens = MIN (tokens, most);
+}
+
+void
+sched_count_start (struct sched *sched)
+{
+  sched->retry_tokens += sched->opts.retry_percent / 100.0;
+  refill (sched);
+}
+
+bool
+sched_retry (struct sched *sched)
+{
+  refill (sched);
+  if (sched->retry_tokens < 1)
+    return false;
+  sched->retry_tokens -= 1;
+  return true;
+}
--- /dev/null
+++ b/lib/sched/sched_in.h
@@ -0,0 +1,18 @@
+/* Internals of lib/sched.  */
+#pragma once
+
+#include "plsched.h"
+
+struct sched
+{
+  struct sched_opts opts;
+  struct sched_order *order;
+  GHashTable *teams; /* name to struct sched_team */
+  GPtrArray *skipped;
+  unsigned queued;
+  unsigned runnable;
+  int64_t queued_us;
+  uint64_t next_seq;
+  double retry_tokens;
+  int64_t retry_at_us;
+};
--- /dev/null
+++ b/lib/sched/slowdown.c
@@ -0,0 +1,131 @@
+/* The default order.  Teams get weighted fair shares by start-time fair
+   queueing; inside a team, jobs are ordered by the time at which their
+   slowdown reaches a target.  That time depends on the arrival, so every job
+   comes first after a bounded wait.  */
+#include "plsched.h"
+
+#include <math.h>
+
+#define TARGET 4 /* slowdown beyond 1 that orders the jobs of a team */
+
+struct slowdown
+{
+  struct sched_order base;
+  GSequence *teams;  /* with jobs, below their quota, by vtime */
+  GSequence *capped; /* with jobs, at their quota */
+  int64_t vtime;     /* of the latest team served */
+};
+
+static int
+by_rank (gconstpointer a, gconstpointer b, gpointer user)
+{
+  (void)user;
+  const struct sched_job *x = a;
+  const struct sched_job *y = b;
+  if (x->rank != y->rank)
+    return x->rank > y->rank ? 1 : -1;
+  return (x->seq > y->seq) - (x->seq < y->seq);
+}
+
+static int
+by_vtime (gconstpointer a, gconstpointer b, gpointer user)
+{
+  (void)user;
+  const struct sched_team *x = a;
+  const struct sched_team *y = b;
+  return (x->vtime > y->vtime) - (x->vtime < y->vtime);
+}
+
+/* Puts TEAM where it belongs now.  */
+static void
+settle (struct slowdown *order, struct sched_team *team)
+{
+  if (team->place != NULL)
+    g_sequence_remove (team->place);
+  team->place = NULL;
+  if (team->jobs == NULL || g_sequence_is_empty (team->jobs))
+    return;
+  bool capped = team->quota > 0 && team->in_use >= team->quota;
+  GSequence *list = capped ? order->capped : order->teams;
+  team->place = g_sequence_insert_sorted (list, team, by_vtime, NULL);
+}
+
+static void
+slowdown_insert (struct sched_order *base, struct sched_job *job)
+{
+  struct slowdown *order = (struct slowdown *)base;
+  struct sched_team *team = job->team;
+  if (team->jobs == NULL)
+    team->jobs = g_sequence_new (NULL);
+  bool idle = g_sequence_is_empty (team->jobs);
+  /* A team that was idle gets no credit for that time.  */
+  if (idle && team->vtime < order->vtime)
+    team->vtime = order->vtime;
+  /* The mean of the longest task and of the total work is the weight that
+     orders by work times ideal, which lowers the mean slowdown.  */
+  double span = sqrt ((double)job->ideal_us
+                      * (double)MAX (job->ideal_us, job->work_us / 64));
+  job->rank = job->arrival_us + TARGET * (int64_t)span;
+  job->place = g_sequence_insert_sorted (team->jobs, job, by_rank, NULL);
+  if (idle)
+    settle (order, team);
+}
+
+static void
+slowdown_remove (struct sched_order *base, struct sched_job *job)
+{
+  struct slowdown *order = (struct slowdown *)base;
+  g_sequence_remove (job->place);
+  job->place = NULL;
+  if (g_sequence_is_empty (job->team->jobs))
+    settle (order, job->team);
+}
+
+static struct sched_job *
+slowdown_first (struct sched_order *base)
+{
+  struct slowdown *order = (struct slowdown *)base;
+  GSequenceIter *it = g_sequence_get_begin_iter (order->teams);
+  if (g_sequence_iter_is_end (it))
+    it = g_sequence_get_begin_iter (order->capped);
+  if (g_sequence_iter_is_end (it))
+    return NULL;
+  struct sched_team *team = g_sequence_get (it);
+  return g_sequence_get (g_sequence_get_begin_iter (team->jobs));
+}
+
+static void
+slowdown_charge (struct sched_order *base, struct sched_team *team,
+                 int64_t size_us)
+{
+  struct slowdown *order = (struct slowdown *)base;
+  if (size_us > 0)
+    order->vtime = MAX (order->vtime, team->vtime);
+  team->vtime += size_us / team->weight;
+  settle (order, team);
+}
+
+static void
+slowdown_free (struct sched_order *base)
+{
+  struct slowdown *order = (struct slowdown *)base;
+  g_sequence_free (order->teams);
+  g_sequence_free (order->capped);
+  g_free (order);
+}
+
+struct sched_order *
+sched_order_slowdown (void)
+{
+  struct slowdown *order = g_new (struct slowdown, 1);
+  *order = (struct slowdown){
+    .base = { .insert = slowdown_insert,
+              .remove = slowdown_remove,
+              .first = slowdown_first,
+              .charge = slowdown_charge,
+              .free = slowdown_free },
+    .teams = g_sequence_new (NULL),
+    .capped = g_sequence_new (NULL),
+  };
+  return &order->base;
+}
--- /dev/null
+++ b/lib/slot/choose.c
@@ -0,0 +1,165 @@
+#include "slot_in.h"
+
+#define SLOW 1.5       /* slowness, against the mean, that is avoided */
+#define LEARN 0.1      /* weight of a run in a worker's speed */
+#define STEP 8.0       /* steps of slowness that count as one speed */
+#define RATIO_MAX 10.0 /* bound of one run's ratio */
+
+static unsigned
+held (const struct slot_worker *worker)
+{
+  unsigned own
+      = worker->own > worker->n_lent ? worker->own - worker->n_lent : 0;
+  /* Shares of several views may overlap for a moment.  */
+  return MIN (own + worker->n_borrowed, worker->slots);
+}
+
+unsigned
+slot_free (const struct slot_worker *worker)
+{
+  if (!slot_usable (worker))
+    return 0;
+  unsigned all = held (worker);
+  if (worker->health == SLOT_TRIAL)
+    all = MIN (all, 1);
+  return all > worker->in_use ? all - worker->in_use : 0;
+}
+
+unsigned
+slot_free_all (const struct slot_table *table)
+{
+  unsigned n = 0;
+  for (unsigned i = 0; i < table->workers->len; i++)
+    n += slot_free (slot_at (table, i));
+  return n;
+}
+
+unsigned
+slot_mine (const struct slot_table *table)
+{
+  unsigned n = 0;
+  for (unsigned i = 0; i < table->workers->len; i++)
+    if (slot_usable (slot_at (table, i)))
+      n += held (slot_at (table, i));
+  return n;
+}
+
+unsigned
+slot_domain (const struct slot_table *table)
+{
+  unsigned n = 0;
+  for (unsigned i = 0; i < table->workers->len; i++)
+    if (slot_usable (slot_at (table, i)))
+      n += slot_at (table, i)->slots;
+  return n;
+}
+
+int64_t
+slot_memory (const struct slot_table *table)
+{
+  int64_t most = 0;
+  for (unsigned i = 0; i < table->workers->len; i++)
+    if (slot_at (table, i)->listed)
+      most = MAX (most, slot_at (table, i)->memory_mb);
+  return most;
+}
+
+bool
+slot_uses_borrowed (const struct slot_worker *worker)
+{
+  return worker->in_use + worker->n_lent > worker->own;
+}
+
+static bool
+fits (const struct slot_table *table, const struct slot_worker *worker,
+      int64_t memory_mb, bool careful)
+{
+  if (slot_free (worker) == 0)
+    return false;
+  if (careful && worker->slowness > SLOW * table->slowness)
+    return false;
+  return memory_mb == 0 || worker->memory_mb == 0
+         || worker->memory_used_mb + memory_mb <= worker->memory_mb;
+}
+
+/* True if A is the better choice.  Speeds within one step count as equal, so
+   that tasks spread over all workers of that speed.  */
+static bool
+better (const struct slot_worker *a, const struct slot_worker *b)
+{
+  int slow_a = (int)(a->slowness * STEP);
+  int slow_b = (int)(b->slowness * STEP);
+  if (slow_a != slow_b)
+    return slow_a < slow_b;
+  return a->in_use < b->in_use;
+}
+
+struct slot_worker *
+slot_choose (struct slot_table *table, int64_t memory_mb, bool careful)
+{
+  unsigned n = table->workers->len;
+  if (n == 0)
+    return NULL;
+  bool fastest = table->opts.choice == SLOT_FASTEST;
+  unsigned wanted = table->opts.choice == SLOT_RANDOM ? 1 : 2;
+  if (fastest)
+    wanted = n;
+  /* Random starting points make all instances spread differently; for the
+     random policies each probe starts at a new one.  */
+  unsigned at = (unsigned)g_rand_int_range (table->rand, 0, (gint32)n);
+  struct slot_worker *best = NULL;
+  for (unsigned i = 0, found = 0; i < n && found < wanted; i++)
+    {
+      struct slot_worker *worker = slot_at (table, (at + i) % n);
+      if (!fits (table, worker, memory_mb, fastest && careful))
+        continue;
+      found++;
+      if (best == NULL || better (worker, best))
+        best = worker;
+      if (!fastest)
+        at = (unsigned)g_rand_int_range (table->rand, 0, (gint32)n);
+    }
+  return best;
+}
+
+void
+slot_mark_idle (struct slot_table *table, struct slot_worker *worker)
+{
+  unsigned all = held (worker);
+  bool idle = worker->n_borrowed > 0 && all > worker->in_use;
+  if (!idle)
+    worker->idle_us = 0;
+  else if (worker->idle_us == 0)
+    worker->idle_us = pl_now_us (table->opts.clock);
+}
+
+void
+slot_take (struct slot_table *table, struct slot_worker *worker,
+           int64_t memory_mb)
+{
+  worker->in_use++;
+  worker->memory_used_mb += memory_mb;
+  /* Use of a slot starts the idle time of the others anew.  */
+  worker->idle_us = 0;
+  slot_mark_idle (table, worker);
+}
+
+void
+slot_release (struct slot_table *table, struct slot_worker *worker,
+              int64_t memory_mb)
+{
+  worker->in_use--;
+  worker->memory_used_mb -= memory_mb;
+  slot_mark_idle (table, worker);
+}
+
+void
+slot_learn (struct slot_table *table, struct slot_worker *worker,
+            int64_t run_us, int64_t estimate_us)
+{
+  (void)table;
+  double ratio = (double)run_us / (double)MAX (estimate_us, 1);
+  ratio = CLAMP (ratio, 1 / RATIO_MAX, RATIO_MAX);
+  worker->slowness += LEARN * (ratio - worker->slowness);
+  worker->samples++;
+}
--- /dev/null
+++ b/lib/slot/slot.h
@@ -0,0 +1,176 @@
+/* Slots of the workers of the own failure domain, the workers' health, and
+   the lending of slots between instances.  Pure logic; one owning thread.  */
+#pragma once
+
+#include "memb.h"
+#include "note.h"
+#include "pl.h"
+
+enum slot_choice
+{
+  SLOT_RANDOM,
+  SLOT_TWO,     /* the better of two random ones */
+  SLOT_FASTEST, /* least expected finishing time */
+};
+
+struct slot_opts
+{
+  struct pl_clock *clock;
+  claim_id self;
+  const char *domain;
+  enum slot_choice choice;
+  uint64_t seed;
+  int64_t share_raise_us;
+  int64_t lend_idle_us;
+};
+
+/* Slots of one worker that peer ID holds or has lent.  */
+struct slot_hold
+{
+  claim_id id;
+  unsigned count;
+};
+
+enum slot_health
+{
+  SLOT_GOOD,
+  SLOT_EJECTED,
+  SLOT_TRIAL, /* ejection is over; one task at a time until one succeeds */
+};
+
+struct slot_worker
+{
+  struct pl_addr addr;
+  unsigned index; /* in the table; stays for the worker's life */
+  unsigned slots;
+  int64_t memory_mb;
+  bool listed; /* in the configuration */
+  bool leaving;
+  unsigned own;
+  unsigned share; /* what OWN becomes at RAISE_US */
+  int64_t raise_us;
+  unsigned in_use;
+  int64_t memory_used_mb;
+  GArray *lent;     /* struct slot_hold: peers that hold slots of ours */
+  GArray *borrowed; /* struct slot_hold: peers whose slots we hold */
+  unsigned n_lent;
+  unsigned n_borrowed;
+  int64_t idle_us; /* since when a borrowed slot is free; 0: none is */
+  double slowness; /* run time over estimate, smoothed; 1: as estimated */
+  unsigned samples;
+
+  enum slot_health health;
+  double streak;    /* weighted failures in a row */
+  double fails;     /* weighted failures, decaying */
+  double tries;     /* results, decaying */
+  int64_t until_us; /* end of the ejection */
+  int64_t eject_us; /* length of the latest ejection */
+};
+
+struct slot_table;
+struct slot_table *
+slot_table_new (const struct slot_opts *opts);
+void
+slot_table_free (struct slot_table *table);
+
+/* Takes the workers of CONF and the shares of VIEW; either may be null.  */
+void
+slot_update (struct slot_table *table, const struct note_conf *conf,
+             const struct memb_view *view);
+/* Raises shares and ends ejections that are due.  */
+void
+slot_tick (struct slot_table *table);
+/* Null if it is not known.  */
+struct slot_worker *
+slot_find (const struct slot_table *table, struct pl_addr addr);
+unsigned
+slot_count (const struct slot_table *table);
+struct slot_worker *
+slot_at (const struct slot_table *table, unsigned index);
+
+/* Slots that a task may take now.  */
+unsigned
+slot_free (const struct slot_worker *worker);
+unsigned
+slot_free_all (const struct slot_table *table);
+/* Slots of this instance on usable workers, in use or not.  */
+unsigned
+slot_mine (const struct slot_table *table);
+/* Slots of all usable workers of the domain.  */
+unsigned
+slot_domain (const struct slot_table *table);
+/* Largest memory of a worker of the domain; 0: not known.  */
+int64_t
+slot_memory (const struct slot_table *table);
+
+/* Chooses a worker with a free slot and MEMORY_MB for a task, or null.
+   CAREFUL avoids slow workers.  */
+struct slot_worker *
+slot_choose (struct slot_table *table, int64_t memory_mb, bool careful);
+void
+slot_take (struct slot_table *table, struct slot_worker *worker,
+           int64_t memory_mb);
+void
+slot_release (struct slot_table *table, struct slot_worker *worker,
+              int64_t memory_mb);
+/* Whether the tasks on WORKER use a borrowed slot.  */
+bool
+slot_uses_borrowed (const struct slot_worker *worker);
+
+/* Learns the speed of a worker from a run of RUN_US for an estimate.  */
+void
+slot_learn (struct slot_table *table, struct slot_worker *worker,
+            int64_t run_us, int64_t estimate_us);
+
+/* Health.  KIND is "<service>/<kind>", or null for a failure that has nothing
+   to do with the kind.  */
+void
+slot_good (struct slot_table *table, struct slot_worker *worker,
+           const char *kind);
+void
+slot_bad (struct slot_table *table, struct slot_worker *worker,
+          const char *kind);
+unsigned
+slot_ejected (const struct slot_table *table);
+
+/* A sign that the worker leaves.  It is undone only by a configuration newer
+   than the one in force now that adds the worker again.  SIGN is for the
+   log.  */
+void
+slot_leaving (struct slot_table *table, struct pl_addr addr, const char *sign);
+
+/* Lending.  Lots are arrays of struct slot_lot.  */
+struct slot_lot
+{
+  struct pl_addr addr;
+  unsigned count;
+};
+
+/* Slots to ask of each peer, as struct slot_hold, for WANTED tasks that have
+   no slot; marks them as asked.  */
+GArray *
+slot_ask (struct slot_table *table, unsigned wanted);
+/* A grant from PEER; N may be 0.  Returns the slots taken.  */
+unsigned
+slot_granted (struct slot_table *table, claim_id peer,
+              const struct slot_lot *lots, unsigned n);
+/* Lends PEER up to WANTED free own slots.  */
+GArray *
+slot_lend (struct slot_table *table, claim_id peer, unsigned wanted);
+/* PEER returns slots.  */
+void
+slot_returned (struct slot_table *table, claim_id peer,
+               const struct slot_lot *lots, unsigned n);
+/* PEER says that it holds TOTAL slots of ours.  */
+void
+slot_holds (struct slot_table *table, claim_id peer, unsigned total);
+/* A peer from which idle slots are due back, with LOTS, or 0.  They are no
+   longer held.  */
+claim_id
+slot_give_back (struct slot_table *table, GArray **lots);
+/* Ends all lending with a dead peer, in both directions.  */
+void
+slot_peer_dead (struct slot_table *table, claim_id peer);
+/* Requests that were not answered in time since the last call.  */
+unsigned
+slot_lost_requests (struct slot_table *table);
