--- a/lib/disp/finish.c
+++ b/lib/disp/finish.c
@@ -43,8 +43,7 @@
 static struct job_reply *
 error_reply (struct disp *disp, const struct disp_job *job)
 {
-  g_autofree enum job_task_state *states
-      = g_new (enum job_task_state, job->n_tasks);
+  enum job_task_state *states = g_new (enum job_task_state, job->n_tasks);
   for (unsigned i = 0; i < job->n_tasks; i++)
     states[i] = disp_known (&job->tasks[i]);
   enum pl_code code = code_of (job, states);
@@ -54,8 +53,11 @@
         = sched_wait_us (disp->sched, job->base.team, slot_mine (disp->slots))
               / 1000
           + 1;
-  return job_reply_error (pl_str (job->req->key), code, retry_ms, job->detail,
-                          states, job->n_tasks);
+  struct job_reply *reply
+      = job_reply_error (pl_str (job->req->key), code, retry_ms, job->detail,
+                         states, job->n_tasks);
+  g_free (states);
+  return reply;
 }
 
 static struct job_reply *
--- a/lib/sched/sizes.c
+++ b/lib/sched/sizes.c
@@ -99,11 +99,10 @@
   const struct entry *own = g_hash_table_lookup (sizes->entries, narrow);
   const struct entry *all = g_hash_table_lookup (sizes->entries, wide);
   bool learnt = own != NULL && own->count >= SCHED_SAMPLES;
-  /* Without fresh samples a job is not refused for its size, so that an
-     estimate that is too high can be corrected.  */
+  /* Without fresh samples a job is not refused for its size, so that a wrong
+     declaration or an old estimate can be corrected.  */
   if (sized != NULL)
-    *sized = !learnt ? declared_us > 0
-                     : pl_now_us (sizes->clock) - own->learnt_us < STALE_US;
+    *sized = learnt && pl_now_us (sizes->clock) - own->learnt_us < STALE_US;
   int64_t size = learnt ? own->mean_us : declared_us;
   bool bounded = all != NULL && all->count >= SCHED_SAMPLES;
   if (size == 0)
--- a/lib/sched/slowdown.c
+++ b/lib/sched/slowdown.c
@@ -6,7 +6,8 @@
 
 #include <math.h>
 
-#define TARGET 4 /* slowdown beyond 1 that orders the jobs of a team */
+#define SPREAD 64 /* slots over which the work of a job is spread */
+#define TARGET 4  /* slowdown beyond 1 that orders the jobs of a team */
 
 struct slowdown
 {
@@ -64,7 +65,7 @@
   /* The mean of the longest task and of the total work is the weight that
      orders by work times ideal, which lowers the mean slowdown.  */
   double span = sqrt ((double)job->ideal_us
-                      * (double)MAX (job->ideal_us, job->work_us / 64));
+                      * (double)MAX (job->ideal_us, job->work_us / SPREAD));
   job->rank = job->arrival_us + TARGET * (int64_t)span;
   job->place = g_sequence_insert_sorted (team->jobs, job, by_rank, NULL);
   if (idle)
--- a/lib/slot/choose.c
+++ b/lib/slot/choose.c
@@ -11,7 +11,7 @@
   unsigned own
       = worker->own > worker->n_lent ? worker->own - worker->n_lent : 0;
   /* Shares of several views may overlap for a moment.  */
-  return MIN (own + worker->n_borrowed, worker->slots);
+  return MIN (own + worker->n_borrowed - worker->n_expired, worker->slots);
 }
 
 unsigned
--- a/lib/slot/lend.c
+++ b/lib/slot/lend.c
@@ -5,7 +5,10 @@
 #define LONGEST_PAUSE_US 2000000
 #define KEPT_PART 8       /* one free slot in so many is not lent */
 #define SETTLE_US 1000000 /* a report may be older than a grant */
-#define REPORTS 2         /* lower reports before slots are recovered */
+/* Longest use of a borrowed slot.  The lender's share may fall, and whoever
+   gets it waits for the raise delay only.  */
+#define HOLD_US 1000000
+#define REPORTS 2 /* lower reports before slots are recovered */
 
 unsigned
 slot_hold_get (const GArray *holds, claim_id id)
@@ -56,6 +59,31 @@
                          table->peers->len - 1);
 }
 
+static void
+set_until (GArray *holds, claim_id id, int64_t until_us)
+{
+  for (unsigned i = 0; i < holds->len; i++)
+    {
+      struct slot_hold *hold = &g_array_index (holds, struct slot_hold, i);
+      if (hold->id == id && hold->until_us == 0)
+        hold->until_us = until_us;
+    }
+}
+
+void
+slot_mark_expired (struct slot_table *table, struct slot_worker *worker)
+{
+  int64_t now = pl_now_us (table->opts.clock);
+  worker->n_expired = 0;
+  for (unsigned i = 0; i < worker->borrowed->len; i++)
+    {
+      const struct slot_hold *hold
+          = &g_array_index (worker->borrowed, struct slot_hold, i);
+      if (now >= hold->until_us)
+        worker->n_expired += hold->count;
+    }
+}
+
 /* No request for a while; each fruitless one doubles the time.  */
 static void
 pause_peer (struct slot_peer *peer, int64_t now)
@@ -83,9 +111,12 @@
 {
   int64_t now = pl_now_us (table->opts.clock);
   GArray *asks = g_array_new (FALSE, FALSE, sizeof (struct slot_hold));
-  for (unsigned i = 0; i < table->domain_peers->len; i++)
+  unsigned n = table->domain_peers->len;
+  unsigned at = n > 0 ? g_rand_int (table->rand) % n : 0;
+  for (unsigned i = 0; i < n; i++)
     {
-      claim_id id = g_array_index (table->domain_peers, claim_id, i);
+      claim_id id
+          = g_array_index (table->domain_peers, claim_id, (at + i) % n);
       struct slot_peer *peer = slot_peer (table, id);
       struct slot_hold ask = { .id = id };
       if (may_ask (table, peer, now))
@@ -135,6 +166,8 @@
         continue;
       slot_hold_add (worker->borrowed, &worker->n_borrowed, id,
                      (int)lots[i].count);
+      set_until (worker->borrowed, id,
+                 pl_now_us (table->opts.clock) + HOLD_US);
       taken += lots[i].count;
       slot_mark_idle (table, worker);
     }
@@ -244,7 +277,7 @@
   int64_t now = pl_now_us (table->opts.clock);
   bool due = worker->idle_us != 0
              && now - worker->idle_us >= table->opts.lend_idle_us;
-  return due ? idle : 0;
+  return due ? idle : MIN (idle, worker->n_expired);
 }
 
 claim_id
@@ -269,6 +302,7 @@
       struct slot_lot lot = { .addr = worker->addr, .count = count };
       g_array_append_val (*lots, lot);
       slot_hold_add (worker->borrowed, &worker->n_borrowed, to, -(int)count);
+      slot_mark_expired (table, worker);
     }
   return to;
 }
@@ -285,6 +319,7 @@
         slot_hold_add (worker->lent, &worker->n_lent, id, -lent);
       if (held > 0)
         slot_hold_add (worker->borrowed, &worker->n_borrowed, id, -held);
+      slot_mark_expired (table, worker);
       slot_mark_idle (table, worker);
     }
   struct slot_peer *peer = slot_peer (table, id);
--- a/lib/slot/slot.h
+++ b/lib/slot/slot.h
@@ -29,6 +29,7 @@
 {
   claim_id id;
   unsigned count;
+  int64_t until_us; /* borrowed: no new task after this time */
 };
 
 enum slot_health
@@ -55,8 +56,9 @@
   GArray *borrowed; /* struct slot_hold: peers whose slots we hold */
   unsigned n_lent;
   unsigned n_borrowed;
-  int64_t idle_us; /* since when a borrowed slot is free; 0: none is */
-  double slowness; /* run time over estimate, smoothed; 1: as estimated */
+  unsigned n_expired; /* of N_BORROWED: held for too long */
+  int64_t idle_us;    /* since when a borrowed slot is free; 0: none is */
+  double slowness;    /* run time over estimate, smoothed; 1: as estimated */
   unsigned samples;
 
   enum slot_health health;
--- a/lib/slot/slot_in.h
+++ b/lib/slot/slot_in.h
@@ -59,6 +59,9 @@
 /* Starts or stops the idle time of borrowed slots.  */
 void
 slot_mark_idle (struct slot_table *table, struct slot_worker *worker);
+/* Counts the borrowed slots that were held for too long.  */
+void
+slot_mark_expired (struct slot_table *table, struct slot_worker *worker);
 void
 slot_health_tick (struct slot_table *table, struct slot_worker *worker);
 void
--- a/lib/slot/table.c
+++ b/lib/slot/table.c
@@ -202,6 +202,7 @@
           worker->raise_us = 0;
         }
       slot_health_tick (table, worker);
+      slot_mark_expired (table, worker);
       slot_mark_idle (table, worker);
       if (!slot_usable (worker))
         continue;
--- /dev/null
+++ b/tests/sched_test.c
@@ -0,0 +1,268 @@
+/* Tests of lib/sched: order, fairness, cost, estimates, admission, retries. */
+#include "plsched.h"
+#include "test.h"
+
+#define MANY 20000
+
+struct fix
+{
+  struct pl_manual_clock clock;
+  struct sched *sched;
+};
+
+struct unit
+{
+  struct sched_job job;
+  struct sched_task task;
+};
+
+static void
+fix_init (struct fix *f, const char *policy)
+{
+  pl_manual_clock_init (&f->clock, 1000000000);
+  struct sched_opts opts = { .clock = &f->clock.base,
+                             .policy = policy,
+                             .queue_tasks = MANY,
+                             .max_wait_us = 2000000,
+                             .retry_percent = 10,
+                             .retry_min_per_s = 3 };
+  f->sched = sched_new (&opts);
+}
+
+/* Queues a job of one task.  */
+static void
+add (struct fix *f, struct unit *unit, const char *team, int64_t size_us)
+{
+  *unit = (struct unit){ .task.size_us = size_us };
+  unit->job.arrival_us = f->clock.now_us;
+  unit->job.ideal_us = size_us;
+  unit->job.work_us = size_us;
+  unit->job.team = sched_team (f->sched, team, 1, 0);
+  struct sched_task *tasks[] = { &unit->task };
+  sched_add (f->sched, &unit->job, tasks, 1);
+  sched_ready (f->sched, &unit->job);
+}
+
+static struct sched_task *
+take (struct fix *f)
+{
+  struct sched_task *task = sched_peek (f->sched);
+  if (task != NULL)
+    sched_take (f->sched, task);
+  return task;
+}
+
+static void
+clean (struct fix *f, struct unit *units, unsigned n)
+{
+  for (unsigned i = 0; i < n; i++)
+    sched_drop (f->sched, &units[i].job);
+  CU_ASSERT_EQUAL (sched_queued (f->sched), 0);
+  CU_ASSERT_EQUAL (sched_runnable (f->sched), 0);
+  sched_free (f->sched);
+}
+
+static void
+test_orders (void)
+{
+  struct fix f;
+  struct unit u[2];
+  fix_init (&f, "fifo");
+  add (&f, &u[0], "a", 900000);
+  add (&f, &u[1], "a", 1000);
+  CU_ASSERT_PTR_EQUAL (take (&f), &u[0].task);
+  clean (&f, u, 2);
+  fix_init (&f, "slowdown");
+  add (&f, &u[0], "a", 900000);
+  add (&f, &u[1], "a", 1000);
+  CU_ASSERT_PTR_EQUAL (take (&f), &u[1].task);
+  clean (&f, u, 2);
+}
+
+/* Guards against a long job that waits for ever behind short ones.  */
+static void
+test_ageing (void)
+{
+  struct fix f;
+  static struct unit u[1001];
+  fix_init (&f, "slowdown");
+  add (&f, &u[1000], "a", 1000000);
+  unsigned served = 0;
+  for (; served < 1000; served++)
+    {
+      add (&f, &u[served], "a", 50000);
+      if (take (&f) == &u[1000].task)
+        break;
+      pl_manual_clock_advance (&f.clock, 50000);
+    }
+  CU_ASSERT (served > 10);
+  CU_ASSERT (served < 100);
+  clean (&f, u, served + 1);
+}
+
+/* Guards against a team that starves under the flood of another.  */
+static void
+test_team_flood (void)
+{
+  struct fix f;
+  static struct unit flood[2000];
+  static struct unit few[20];
+  fix_init (&f, "slowdown");
+  for (unsigned i = 0; i < 2000; i++)
+    add (&f, &flood[i], "flood", 100000);
+  for (unsigned i = 0; i < 1000; i++)
+    take (&f);
+  for (unsigned i = 0; i < 20; i++)
+    add (&f, &few[i], "few", 100000);
+  unsigned mine = 0;
+  for (unsigned i = 0; i < 42; i++)
+    mine += take (&f)->job->team->name[1] == 'e';
+  CU_ASSERT_EQUAL (mine, 20);
+  for (unsigned i = 0; i < 20; i++)
+    sched_drop (f.sched, &few[i].job);
+  clean (&f, flood, 2000);
+}
+
+/* Guards against a cost that grows with the queue: 50 times the tasks must
+   not cost 50 times as much each.  */
+static double
+cost_us (unsigned n)
+{
+  struct fix f;
+  g_autofree struct unit *u = g_new (struct unit, n);
+  char team[8];
+  fix_init (&f, "slowdown");
+  for (unsigned i = 0; i < n; i++)
+    {
+      g_snprintf (team, sizeof team, "t%u", i % 650);
+      add (&f, &u[i], team, 1000 + i % 977);
+    }
+  int64_t start = g_get_monotonic_time ();
+  for (unsigned i = 0; i < n; i++)
+    sched_ended (f.sched, take (&f)->job->team);
+  int64_t spent = g_get_monotonic_time () - start;
+  clean (&f, u, n);
+  return (double)spent / n;
+}
+
+static void
+test_cost (void)
+{
+  double small = MAX (cost_us (400), 0.2);
+  double large = cost_us (MANY);
+  printf ("cost a task: %.2f us at 400, %.2f us at %d queued\n", small, large,
+          MANY);
+  CU_ASSERT (large < 20 * small);
+}
+
+static void
+test_skip_and_again (void)
+{
+  struct fix f;
+  struct unit u[2];
+  fix_init (&f, "fifo");
+  add (&f, &u[0], "a", 1000);
+  add (&f, &u[1], "a", 1000);
+  sched_skip (f.sched, &u[0].task);
+  CU_ASSERT_PTR_EQUAL (take (&f), &u[1].task);
+  sched_unskip (f.sched);
+  CU_ASSERT_PTR_EQUAL (take (&f), &u[0].task);
+  sched_ended (f.sched, u[0].job.team);
+  sched_again (f.sched, &u[0].task);
+  CU_ASSERT_PTR_EQUAL (sched_peek (f.sched), &u[0].task);
+  sched_skip (f.sched, &u[0].task);
+  clean (&f, u, 2);
+}
+
+static void
+test_sizes (void)
+{
+  struct pl_manual_clock clock;
+  pl_manual_clock_init (&clock, 1);
+  struct sched_sizes *sizes = sched_sizes_new (&clock.base);
+  bool sized;
+  CU_ASSERT_EQUAL (sched_sizes_get (sizes, "s", "k", "t", 7000, &sized), 7000);
+  CU_ASSERT_FALSE (sized);
+  for (int i = 0; i < SCHED_SAMPLES; i++)
+    sched_sizes_learn (sizes, "s", "k", "t", 100000);
+  CU_ASSERT_EQUAL (sched_sizes_get (sizes, "s", "k", "t", 7000, &sized),
+                   100000);
+  CU_ASSERT (sized);
+  /* Another team's declaration is bounded by the kind's median.  */
+  CU_ASSERT_EQUAL (sched_sizes_get (sizes, "s", "k", "u", 9000000, &sized),
+                   1000000);
+  CU_ASSERT_FALSE (sized);
+  pl_manual_clock_advance (&clock, 6000000);
+  sched_sizes_get (sizes, "s", "k", "t", 0, &sized);
+  CU_ASSERT_FALSE (sized);
+  sched_sizes_free (sizes);
+}
+
+static enum pl_code
+admit (struct fix *f, const char *team, unsigned quota, int64_t deadline_us,
+       unsigned tasks)
+{
+  struct sched_job job = { .ideal_us = 100000, .work_us = 100000 };
+  job.team = sched_team (f->sched, team, 1, quota);
+  int64_t retry_ms;
+  int64_t wait_us;
+  enum pl_code code
+      = sched_admit (f->sched, &job, tasks, f->clock.now_us + deadline_us, 2,
+                     2, true, &retry_ms, &wait_us);
+  CU_ASSERT ((code == PL_OK) == (retry_ms == 0));
+  return code;
+}
+
+static void
+test_admission (void)
+{
+  struct fix f;
+  struct unit u[50];
+  fix_init (&f, "slowdown");
+  CU_ASSERT_EQUAL (admit (&f, "a", 1, 100000, 1), PL_OK);
+  CU_ASSERT_EQUAL (admit (&f, "a", 1, 99999, 1), PL_DEADLINE_LOST);
+  CU_ASSERT_EQUAL (admit (&f, "a", 1, 100000, MANY + 1), PL_OVERLOADED);
+  for (int i = 0; i < 50; i++)
+    add (&f, &u[i], "a", 100000);
+  CU_ASSERT_EQUAL (admit (&f, "a", 0, 2500000, 1), PL_DEADLINE_LOST);
+  CU_ASSERT_EQUAL (admit (&f, "a", 0, 60000000, 1), PL_OVERLOADED);
+  CU_ASSERT_EQUAL (admit (&f, "b", 0, 200000, 1), PL_OK);
+  sched_drop (f.sched, &u[49].job);
+  add (&f, &u[49], "b", 100000);
+  CU_ASSERT_EQUAL (admit (&f, "a", 10, 60000000, 1), PL_QUOTA);
+  clean (&f, u, 50);
+}
+
+static void
+test_retry_budget (void)
+{
+  struct fix f;
+  fix_init (&f, "fifo");
+  for (int i = 0; i < 3; i++)
+    CU_ASSERT (sched_retry (f.sched));
+  CU_ASSERT_FALSE (sched_retry (f.sched));
+  for (int i = 0; i < 11; i++)
+    sched_count_start (f.sched);
+  CU_ASSERT (sched_retry (f.sched));
+  CU_ASSERT_FALSE (sched_retry (f.sched));
+  pl_manual_clock_advance (&f.clock, 400000);
+  CU_ASSERT (sched_retry (f.sched));
+  sched_free (f.sched);
+}
+
+int
+main (void)
+{
+  static CU_TestInfo tests[] = {
+    { "orders", test_orders },
+    { "ageing", test_ageing },
+    { "flood of a team", test_team_flood },
+    { "cost", test_cost },
+    { "skip and again", test_skip_and_again },
+    { "sizes", test_sizes },
+    { "admission", test_admission },
+    { "retry budget", test_retry_budget },
+    CU_TEST_INFO_NULL,
+  };
+  return test_run ("sched", tests);
+}
