--- a/lib/disp/place.c
+++ b/lib/disp/place.c
@@ -4,16 +4,18 @@
 
 #define SKIPS 32     /* jobs passed over in one round */
 #define LAST_PART 10 /* the last tasks of a job: one in so many */
+#define WAIT_PART 4  /* they wait for this part of their run time */
 
-/* Whether TASK is among the last of its job, which decide when it ends, and
-   has not yet waited for as long as it runs.  */
+/* Whether TASK should wait for a worker that is not slow.  The last tasks of a
+   job decide when it ends; a longer wait would cost more than a worker saves
+   that is just too slow.  */
 static bool
 careful (const struct disp *disp, const struct disp_task *task)
 {
   const struct disp_job *job = (const struct disp_job *)task->base.job;
   if ((job->base.queued->len - 1) * LAST_PART > job->n_tasks)
     return false;
-  return disp_now (disp) - task->queued_us < task->base.size_us;
+  return disp_now (disp) - task->queued_us < task->base.size_us / WAIT_PART;
 }
 
 static struct run_task *
--- a/lib/disp/thread.c
+++ b/lib/disp/thread.c
@@ -206,7 +206,7 @@
   disp->timers = g_sequence_new (NULL);
   disp->delayed = g_ptr_array_new ();
   g_mutex_init (&disp->lock);
-  disp_refresh (disp);
+  disp_tick (disp);
   if (opts->run_ops == NULL)
     disp->run = new_run (disp);
   if (!opts->manual)
