Keep one epoch in the dispatch tests

With the real owner records the key of a repeated submission changed with the epoch, so that the test took two keys for one.

--- a/tests/disp_test.c
+++ b/tests/disp_test.c
@@ -182,6 +182,7 @@
   pl_manual_clock_init (&f->clock, 1000000000);
   CU_ASSERT (conf_init (&f->conf, &err));
   f->conf.share_raise_ms = 0;
+  f->conf.epoch_s = 3600; /* a repeated submission has the same key */
   f->conf.seed = 1;
   f->running = g_ptr_array_new ();
   f->granted = g_array_new (FALSE, FALSE, sizeof (struct disp_lot));
