Give refused grants back to the lender

A grant for an unknown worker or from a dead peer was dropped, while the control thread went on to report it as held, so that the lender never recovered the slots. The lots now go back in one message.

--- a/lib/disp/lend.c
+++ b/lib/disp/lend.c
@@ -75,7 +75,16 @@
 static void
 grant (struct disp *disp, struct disp_msg *msg)
 {
-  unsigned taken = slot_granted (disp->slots, msg->peer, msg->lots, msg->n);
+  struct disp_peer_ops *peers = disp->opts.peers;
+  g_autoptr (GArray) refused
+      = g_array_new (FALSE, FALSE, sizeof (struct slot_lot));
+  unsigned taken
+      = slot_granted (disp->slots, msg->peer, msg->lots, msg->n, refused);
+  if (refused->len > 0)
+    {
+      g_autofree struct disp_lot *copy = copy_out (refused);
+      peers->give_back (peers, msg->peer, copy, refused->len);
+    }
   pl_count (PL_CTR_SLOTS_BORROWED_TOTAL, taken);
   if (taken == 0)
     pl_count (PL_CTR_WASTED_MESSAGES_TOTAL, 1);
--- a/lib/slot/lend.c
+++ b/lib/slot/lend.c
@@ -151,19 +151,21 @@
 
 unsigned
 slot_granted (struct slot_table *table, claim_id id,
-              const struct slot_lot *lots, unsigned n)
+              const struct slot_lot *lots, unsigned n, GArray *refused)
 {
   struct slot_peer *peer = slot_peer (table, id);
   peer->asked_us = 0;
   unsigned taken = 0;
   /* The slots of a dead peer are shared already.  */
-  if (!live (table, id))
-    n = 0;
+  bool usable = live (table, id);
   for (unsigned i = 0; i < n; i++)
     {
       struct slot_worker *worker = slot_find (table, lots[i].addr);
-      if (worker == NULL || lots[i].count > worker->slots)
-        continue;
+      if (!usable || worker == NULL || lots[i].count > worker->slots)
+        {
+          g_array_append_val (refused, lots[i]);
+          continue;
+        }
       slot_hold_add (worker->borrowed, &worker->n_borrowed, id,
                      (int)lots[i].count);
       set_until (worker->borrowed, id,
--- a/lib/slot/slot.h
+++ b/lib/slot/slot.h
@@ -152,10 +152,11 @@
    no slot; marks them as asked.  */
 GArray *
 slot_ask (struct slot_table *table, unsigned wanted);
-/* A grant from PEER; N may be 0.  Returns the slots taken.  */
+/* A grant from PEER; N may be 0.  Returns the slots taken; the lots that are
+   of no use are appended to REFUSED.  */
 unsigned
 slot_granted (struct slot_table *table, claim_id peer,
-              const struct slot_lot *lots, unsigned n);
+              const struct slot_lot *lots, unsigned n, GArray *refused);
 /* Lends PEER up to WANTED free own slots.  */
 GArray *
 slot_lend (struct slot_table *table, claim_id peer, unsigned wanted);
--- a/tests/slot_test.c
+++ b/tests/slot_test.c
@@ -219,7 +219,12 @@
   g_autoptr (GArray) none = slot_ask (f.table, 300);
   CU_ASSERT_EQUAL (none->len, 0);
   struct slot_lot lot = { .addr = f.workers[0].addr, .count = 3 };
-  CU_ASSERT_EQUAL (slot_granted (f.table, PEER, &lot, 1), 3);
+  g_autoptr (GArray) refused
+      = g_array_new (FALSE, FALSE, sizeof (struct slot_lot));
+  CU_ASSERT_EQUAL (slot_granted (f.table, PEER, &lot, 1, refused), 3);
+  CU_ASSERT_EQUAL (refused->len, 0);
+  CU_ASSERT_EQUAL (slot_granted (f.table, PEER + 1, &lot, 1, refused), 0);
+  CU_ASSERT_EQUAL (total (refused), 3);
   CU_ASSERT_EQUAL (slot_free_all (f.table), mine + 3);
   struct slot_worker *worker = slot_find (f.table, lot.addr);
   while (slot_free (worker) > 0)
