Spare failing workers, connections and runners in the placement

A task that did not start was often sent to the same dead worker again, since that one had the fewest tasks; it now avoids that worker, and workers with 2 failures in a row come last.

--- a/lib/disp/disp_in.h
+++ b/lib/disp/disp_in.h
@@ -28,6 +28,7 @@
   int64_t start_us;
   int64_t again_us;
   struct slot_worker *worker;
+  struct slot_worker *failed; /* where the latest try did not start */
   struct run_task *run;
   GBytes *answer;
 };
--- a/lib/disp/place.c
+++ b/lib/disp/place.c
@@ -69,20 +69,32 @@
     disp->opts.run_ops->start (disp->opts.run_ops, task->run);
 }
 
+/* A task without a runner stays queued here, where it certainly has not
+   started and another slot may take it.  */
+static unsigned
+free_runners (const struct disp *disp)
+{
+  if (disp->run == NULL)
+    return UINT_MAX;
+  unsigned threads = (unsigned)disp->opts.conf->runner_threads;
+  return threads > disp->running ? threads - disp->running : 0;
+}
+
 void
 disp_place (struct disp *disp)
 {
   if (sched_runnable (disp->sched) == 0)
     return;
-  unsigned left = slot_free_all (disp->slots);
+  unsigned left = MIN (slot_free_all (disp->slots), free_runners (disp));
   unsigned skips = 0;
   while (left > 0 && skips < SKIPS)
     {
       struct disp_task *task = (struct disp_task *)sched_peek (disp->sched);
       if (task == NULL)
         break;
-      struct slot_worker *worker = slot_choose (
-          disp->slots, task->base.memory_mb, careful (disp, task));
+      struct slot_worker *worker
+          = slot_choose (disp->slots, task->base.memory_mb,
+                         careful (disp, task), task->failed);
       if (worker == NULL)
         {
           sched_skip (disp->sched, &task->base);
--- a/lib/disp/result.c
+++ b/lib/disp/result.c
@@ -159,6 +159,7 @@
   const struct run_result *result = msg->result;
   struct disp_task *task = run->user;
   const struct disp_job *job = (const struct disp_job *)task->base.job;
+  task->failed = task->worker;
   bool late = disp_now (disp) >= job->deadline_us;
   bool unreachable = result->status == RUN_NOT_SENT && !late
                      && g_atomic_int_get (&run->cancelled) == 0;
--- a/lib/slot/choose.c
+++ b/lib/slot/choose.c
@@ -3,6 +3,7 @@
 #define SLOW 1.5       /* slowness, against the mean, that is avoided */
 #define LEARN 0.1      /* weight of a run in a worker's speed */
 #define STEP 8.0       /* steps of slowness that count as one speed */
+#define FAILING 2.0    /* failures in a row after which others are preferred */
 #define RATIO_MAX 10.0 /* bound of one run's ratio */
 
 static unsigned
@@ -11,7 +12,8 @@
   unsigned own
       = worker->own > worker->n_lent ? worker->own - worker->n_lent : 0;
   /* Shares of several views may overlap for a moment.  */
-  return MIN (own + worker->n_borrowed - worker->n_expired, worker->slots);
+  unsigned all = own + worker->n_borrowed - worker->n_expired;
+  return MIN (all, worker->most);
 }
 
 unsigned
@@ -87,6 +89,10 @@
 static bool
 better (const struct slot_worker *a, const struct slot_worker *b)
 {
+  bool failing_a = a->streak >= FAILING;
+  bool failing_b = b->streak >= FAILING;
+  if (failing_a != failing_b)
+    return failing_b;
   int slow_a = (int)(a->slowness * STEP);
   int slow_b = (int)(b->slowness * STEP);
   if (slow_a != slow_b)
@@ -95,7 +101,8 @@
 }
 
 struct slot_worker *
-slot_choose (struct slot_table *table, int64_t memory_mb, bool careful)
+slot_choose (struct slot_table *table, int64_t memory_mb, bool careful,
+             const struct slot_worker *avoid)
 {
   unsigned n = table->workers->len;
   if (n == 0)
@@ -114,7 +121,8 @@
       if (!fits (table, worker, memory_mb, fastest && careful))
         continue;
       found++;
-      if (best == NULL || better (worker, best))
+      if (best == NULL || best == avoid
+          || (worker != avoid && better (worker, best)))
         best = worker;
       if (!fastest)
         at = (unsigned)g_rand_int_range (table->rand, 0, (gint32)n);
--- a/lib/slot/slot.h
+++ b/lib/slot/slot.h
@@ -22,6 +22,7 @@
   uint64_t seed;
   int64_t share_raise_us;
   int64_t lend_idle_us;
+  unsigned connections; /* of all instances to one worker; 0: no limit */
 };
 
 /* Slots of one worker that peer ID holds or has lent.  */
@@ -44,6 +45,7 @@
   struct pl_addr addr;
   unsigned index; /* in the table; stays for the worker's life */
   unsigned slots;
+  unsigned most; /* tasks at once that the connections allow */
   int64_t memory_mb;
   bool listed; /* in the configuration */
   bool leaving;
@@ -106,9 +108,11 @@
 slot_memory (const struct slot_table *table);
 
 /* Chooses a worker with a free slot and MEMORY_MB for a task, or null.
-   CAREFUL avoids slow workers.  */
+   CAREFUL avoids slow workers.  AVOID (may be null) is taken only if there is
+   no other.  */
 struct slot_worker *
-slot_choose (struct slot_table *table, int64_t memory_mb, bool careful);
+slot_choose (struct slot_table *table, int64_t memory_mb, bool careful,
+             const struct slot_worker *avoid);
 void
 slot_take (struct slot_table *table, struct slot_worker *worker,
            int64_t memory_mb);
--- a/lib/slot/table.c
+++ b/lib/slot/table.c
@@ -167,6 +167,17 @@
       g_array_append_val (table->domain_peers, view->sharers[i]);
 }
 
+/* An instance holds as many connections as it had tasks at once; the limit
+   is divided evenly, since every instance may borrow all slots in turn.  */
+static void
+set_most (const struct slot_table *table, struct slot_worker *worker)
+{
+  unsigned sharers = table->domain_peers->len + 1;
+  unsigned part = MAX (table->opts.connections / sharers, 1);
+  bool limited = table->opts.connections > 0 && part < worker->slots;
+  worker->most = limited ? part : worker->slots;
+}
+
 void
 slot_update (struct slot_table *table, const struct note_conf *conf,
              const struct memb_view *view)
@@ -178,6 +189,7 @@
   for (unsigned i = 0; i < table->workers->len; i++)
     {
       struct slot_worker *worker = slot_at (table, i);
+      set_most (table, worker);
       unsigned share = 0;
       if (worker->listed && view != NULL)
         share
--- a/tests/disp_test.c
+++ b/tests/disp_test.c
@@ -598,6 +598,29 @@
   got_clear (&queued);
 }
 
+/* Guards against jobs that fail because the retry budget is empty.  */
+static void
+test_empty_budget_waits (void)
+{
+  struct fix *f = fix_new (2, 1);
+  struct got got = { 0 };
+  send (f, request (f, "k1", "once", 16, 0), &got);
+  while (f->running->len > 0)
+    end_task (f, 0, RUN_NOT_SENT, NULL);
+  disp_turn (f->disp);
+  pass (f, 20);
+  CU_ASSERT (f->running->len > 0);
+  CU_ASSERT (f->running->len < 8);
+  for (unsigned i = 0; i < 100 && got.times == 0; i++)
+    {
+      end_all (f);
+      pass (f, 50);
+    }
+  CU_ASSERT_EQUAL (got.code, PL_OK);
+  got_clear (&got);
+  fix_free (f);
+}
+
 /* Runs tasks at once, for the test of the real thread.  */
 static void
 start_now (struct disp_run_ops *ops, struct run_task *task)
@@ -908,6 +931,7 @@
     { "refusals", test_refusals },
     { "hopeless job is refused early", test_hopeless_job_is_refused_early },
     { "borrow in a handful", test_borrow_in_a_handful },
+    { "empty budget waits", test_empty_budget_waits },
     { "free replies", test_free_replies },
     { "thread", test_thread },
     { "random run", test_random_run },
--- a/tests/slot_test.c
+++ b/tests/slot_test.c
@@ -98,15 +98,35 @@
   slot_tick (f.table);
   for (unsigned i = 0; i < (WORKERS - 1) * SLOTS; i++)
     {
-      struct slot_worker *worker = slot_choose (f.table, 0, false);
+      struct slot_worker *worker = slot_choose (f.table, 0, false, NULL);
       CU_ASSERT_PTR_NOT_EQUAL (worker, slow);
       slot_take (f.table, worker, 0);
       CU_ASSERT (worker->in_use <= SLOTS);
     }
-  CU_ASSERT_PTR_NULL (slot_choose (f.table, 0, true));
-  CU_ASSERT_PTR_EQUAL (slot_choose (f.table, 0, false), slow);
+  CU_ASSERT_PTR_NULL (slot_choose (f.table, 0, true, NULL));
+  CU_ASSERT_PTR_EQUAL (slot_choose (f.table, 0, false, NULL), slow);
   slot_take (f.table, slow, 60);
-  CU_ASSERT_PTR_NULL (slot_choose (f.table, 41, false));
+  CU_ASSERT_PTR_NULL (slot_choose (f.table, 41, false, NULL));
+  slot_table_free (f.table);
+}
+
+/* Guards against a repetition on the worker that has just failed.  */
+static void
+test_avoid (void)
+{
+  struct fix f;
+  fix_init (&f, 1);
+  struct slot_worker *dead = slot_at (f.table, 0);
+  for (unsigned i = 0; i < 100; i++)
+    CU_ASSERT_PTR_NOT_EQUAL (slot_choose (f.table, 0, false, dead), dead);
+  slot_bad (f.table, dead, NULL);
+  slot_bad (f.table, dead, NULL);
+  for (unsigned i = 0; i < 100; i++)
+    CU_ASSERT_PTR_NOT_EQUAL (slot_choose (f.table, 0, false, NULL), dead);
+  for (unsigned i = 1; i < WORKERS; i++)
+    while (slot_free (slot_at (f.table, i)) > 0)
+      slot_take (f.table, slot_at (f.table, i), 0);
+  CU_ASSERT_PTR_EQUAL (slot_choose (f.table, 0, false, dead), dead);
   slot_table_free (f.table);
 }
 
@@ -255,10 +275,15 @@
 {
   pl_log_init ("text", "error");
   static CU_TestInfo tests[] = {
-    { "shares", test_shares },       { "choice", test_choice },
-    { "ejection", test_ejection },   { "bad kind", test_bad_kind },
-    { "leaving", test_leaving },     { "lending", test_lending },
-    { "borrowing", test_borrowing }, CU_TEST_INFO_NULL,
+    { "shares", test_shares },
+    { "choice", test_choice },
+    { "avoid", test_avoid },
+    { "ejection", test_ejection },
+    { "bad kind", test_bad_kind },
+    { "leaving", test_leaving },
+    { "lending", test_lending },
+    { "borrowing", test_borrowing },
+    CU_TEST_INFO_NULL,
   };
   return test_run ("slot", tests);
 }
