--- a/tests/disp_test.c
+++ b/tests/disp_test.c
@@ -34,7 +34,6 @@
   unsigned borrows;
   unsigned permits;
   struct claim_hash permit;
-  GArray *granted; /* struct disp_lot */
   unsigned returned;
 };
 
@@ -46,7 +45,7 @@
   int64_t retry_ms;
   unsigned wanted; /* replies expected */
   unsigned name;
-  char *body;
+  char body[512];
 };
 
 static void
@@ -58,8 +57,7 @@
   got->times++;
   got->code = reply->code;
   got->retry_ms = reply->retry_after_ms;
-  g_free (got->body);
-  got->body = g_strndup (data, len);
+  g_snprintf (got->body, sizeof got->body, "%.*s", (int)len, data);
 }
 
 static void
@@ -105,7 +103,9 @@
           const struct disp_lot *lots, unsigned n)
 {
   (void)peer;
-  g_array_append_vals (of_peers (ops)->granted, lots, n);
+  (void)ops;
+  (void)lots;
+  (void)n;
 }
 
 static void
@@ -169,6 +169,19 @@
   pl_slot_publish (&f->memb, &f->view.base);
 }
 
+static struct disp_opts
+options (struct fix *f, struct pl_clock *clock, bool manual)
+{
+  return (struct disp_opts){ .conf = &f->conf,
+                             .clock = clock,
+                             .self = SELF,
+                             .note_slot = &f->note,
+                             .memb_slot = &f->memb,
+                             .peers = &f->peers,
+                             .run_ops = &f->run,
+                             .manual = manual };
+}
+
 static struct fix *
 fix_new (unsigned workers, unsigned sharers)
 {
@@ -185,17 +198,9 @@
   f->conf.epoch_s = 3600; /* a repeated submission has the same key */
   f->conf.seed = 1;
   f->running = g_ptr_array_new ();
-  f->granted = g_array_new (FALSE, FALSE, sizeof (struct disp_lot));
   set_workers (f, workers);
   set_view (f, sharers);
-  struct disp_opts opts = { .conf = &f->conf,
-                            .clock = &f->clock.base,
-                            .self = SELF,
-                            .note_slot = &f->note,
-                            .memb_slot = &f->memb,
-                            .peers = &f->peers,
-                            .run_ops = &f->run,
-                            .manual = true };
+  struct disp_opts opts = options (f, &f->clock.base, true);
   f->disp = disp_new (&opts);
   disp_turn (f->disp);
   return f;
@@ -222,7 +227,6 @@
     end_task (f, 0, RUN_MAYBE, NULL);
   disp_free (f->disp);
   g_ptr_array_unref (f->running);
-  g_array_unref (f->granted);
   conf_clear (&f->conf);
   g_free (f);
 }
@@ -235,16 +239,11 @@
   disp_get_status (f->disp, &status);
   struct job_req *req = g_new0 (struct job_req, 1);
   g_atomic_ref_count_init (&req->refs);
+  g_autofree char *other
+      = g_strdup_printf ("%016" G_GINT64_MODIFIER "x", witness);
   req->key = g_strdup_printf (
-      "domain-a.%016llx.%llx.%lld.%s", (unsigned long long)SELF,
-      (unsigned long long)witness, (long long)status.epoch, suffix);
-  if (witness != 0)
-    {
-      g_free (req->key);
-      req->key = g_strdup_printf (
-          "domain-a.%016llx.%016llx.%lld.%s", (unsigned long long)SELF,
-          (unsigned long long)witness, (long long)status.epoch, suffix);
-    }
+      "domain-a.%016" G_GINT64_MODIFIER "x.%s.%" G_GINT64_FORMAT ".%s", SELF,
+      witness == 0 ? "0" : other, status.epoch, suffix);
   req->path = g_strdup ("/v1/jobs");
   req->service = g_strdup ("s");
   req->kind = g_strdup (kind);
@@ -290,13 +289,6 @@
   disp_turn (f->disp);
 }
 
-static void
-got_clear (struct got *got)
-{
-  g_free (got->body);
-  *got = (struct got){ 0 };
-}
-
 /* Guards against answers in the order of completion.  */
 static void
 test_answers_in_task_order (void)
@@ -313,8 +305,6 @@
   CU_ASSERT_EQUAL (joined.times, 1);
   CU_ASSERT_EQUAL (got.code, PL_OK);
   CU_ASSERT_PTR_NOT_NULL (strstr (got.body, "[0,1,2,3]"));
-  got_clear (&got);
-  got_clear (&joined);
   fix_free (f);
 }
 
@@ -342,9 +332,6 @@
   CU_ASSERT_EQUAL (f->running->len, 8);
   pass (f, 5000);
   CU_ASSERT_EQUAL (third.code, PL_UNKNOWN_LOST);
-  got_clear (&first);
-  got_clear (&second);
-  got_clear (&third);
   fix_free (f);
 }
 
@@ -366,7 +353,6 @@
   pass (f, 200);
   CU_ASSERT_EQUAL (got.times, 1);
   CU_ASSERT_EQUAL (got.code, PL_FAILED_RAN);
-  got_clear (&got);
   fix_free (f);
 }
 
@@ -403,10 +389,6 @@
   CU_ASSERT_EQUAL (f->running->len, 1);
   end_all (f);
   CU_ASSERT_EQUAL (granted.code, PL_OK);
-  got_clear (&refused);
-  got_clear (&silent);
-  got_clear (&granted);
-  got_clear (&lost);
   fix_free (f);
 }
 
@@ -440,9 +422,6 @@
   CU_ASSERT_EQUAL (maybe.code, PL_UNKNOWN_LOST);
   pass (f, 1000);
   CU_ASSERT_EQUAL (f->running->len, 0);
-  got_clear (&got);
-  got_clear (&once);
-  got_clear (&maybe);
   fix_free (f);
 }
 
@@ -475,10 +454,6 @@
   pass (f, 200);
   CU_ASSERT_EQUAL (got.code, PL_CANCELLED_RAN);
   CU_ASSERT_EQUAL (by.times, 2);
-  got_clear (&got);
-  got_clear (&queued);
-  got_clear (&by);
-  got_clear (&seen);
   fix_free (f);
 }
 
@@ -504,7 +479,6 @@
   end_all (f);
   CU_ASSERT_EQUAL (got.code, PL_ANSWER_TOO_LARGE);
   CU_ASSERT_EQUAL (got.times, 4);
-  got_clear (&got);
   fix_free (f);
 }
 
@@ -537,10 +511,7 @@
   pass (f, 50);
   CU_ASSERT_EQUAL (got.code, PL_DEADLINE_LOST);
   CU_ASSERT (got.retry_ms > 0);
-  /* The last job of FILL is answered at the end.  */
   fix_free (f);
-  got_clear (&fill);
-  got_clear (&got);
 }
 
 /* Guards against a request for slots a task.  */
@@ -577,7 +548,6 @@
   pass (f, 110);
   pass (f, 110);
   CU_ASSERT_EQUAL (f->returned, MAX_WORKERS * SLOTS - own);
-  got_clear (&got);
   fix_free (f);
 }
 
@@ -594,8 +564,6 @@
   CU_ASSERT_EQUAL (started.code, PL_UNKNOWN_LOST);
   CU_ASSERT_EQUAL (queued.times, 1);
   CU_ASSERT_EQUAL (queued.code, PL_STOPPING);
-  got_clear (&started);
-  got_clear (&queued);
 }
 
 /* Guards against jobs that fail because the retry budget is empty.  */
@@ -617,7 +585,6 @@
       pass (f, 50);
     }
   CU_ASSERT_EQUAL (got.code, PL_OK);
-  got_clear (&got);
   fix_free (f);
 }
 
@@ -644,13 +611,7 @@
   struct fix *f = fix_new (2, 1);
   disp_free (f->disp);
   f->run.start = start_now;
-  struct disp_opts opts = { .conf = &f->conf,
-                            .clock = pl_clock_real (),
-                            .self = SELF,
-                            .note_slot = &f->note,
-                            .memb_slot = &f->memb,
-                            .peers = &f->peers,
-                            .run_ops = &f->run };
+  struct disp_opts opts = options (f, pl_clock_real (), false);
   f->disp = disp_new (&opts);
   gint done = 0;
   g_usleep (100000);
@@ -665,12 +626,7 @@
   for (unsigned i = 0; i < 2000 && g_atomic_int_get (&done) < 100; i++)
     g_usleep (1000);
   CU_ASSERT_EQUAL (done, 100);
-  disp_free (f->disp);
-  f->disp = NULL;
-  g_ptr_array_unref (f->running);
-  g_array_unref (f->granted);
-  conf_clear (&f->conf);
-  g_free (f);
+  fix_free (f);
 }
 
 /* The random run: what happened to each task, by its input.  */
@@ -749,10 +705,10 @@
 random_grant (struct disp_peer_ops *ops, claim_id peer,
               const struct disp_lot *lots, unsigned n)
 {
+  (void)ops;
   (void)peer;
   for (unsigned i = 0; i < n; i++)
     model->lent[lots[i].addr.port - 9000U] += (int)lots[i].count;
-  on_grant (ops, peer, lots, n);
 }
 
 static void
@@ -892,7 +848,6 @@
       wrong += gots[i].times != gots[i].wanted;
       untrue += !truthful (gots[i].name, gots[i].code);
       complete += gots[i].code == PL_OK;
-      got_clear (&gots[i]);
     }
   CU_ASSERT_EQUAL (wrong, 0);
   CU_ASSERT_EQUAL (untrue, 0);
