Add notes, the platform client, its stand-in and the command

The whole path needs configuration from the store. Notes are validated as a whole and folded into immutable configurations; a note is applied by one compare-and-swap transaction over the etcd v3 JSON gateway, and a lost answer is resolved by reading the note back.

--- a/Makefile
+++ b/Makefile
@@ -48,6 +48,12 @@
 	@mkdir -p $(@D)
 	$(CC) $(ALL_CFLAGS) $^ -o $@ $(TEST_LIBS) $(ALL_LIBS)
 
+# The platform tests run the stand-in's server in their own process.  The
+# library is named once more because the server's objects use it as well.
+PLAT_SERVER := $(filter-out %/main.c,$(wildcard tests/standin/standin-platform/*.c))
+$(BUILD)/bin/plat_test: $(PLAT_SERVER:%.c=$(BUILD)/%.o)
+$(BUILD)/bin/plat_test: TEST_LIBS += $(LIB)
+
 # Regenerates the committed sources from schema/; needs protoc-c and awk.
 generate:
 	protoc-c --proto_path=schema --c_out=lib/msg schema/peer.proto
--- /dev/null
+++ b/cmd/papayaloft/entry.c
@@ -0,0 +1,76 @@
+#include "cmd.h"
+
+#include <string.h>
+
+#define SHORT_MS 3000
+#define ANSWER_MS 615000 /* the longest deadline and a margin */
+#define ANSWER_MAX (8 * 1024 * 1024)
+
+enum call_end
+entry_call (struct pl_addr entry, const char *method, const char *path,
+            const char *key, struct pl_str body, struct entry_answer *out,
+            struct pl_err *err)
+{
+  const char *headers[] = { "Idempotency-Key", key, NULL };
+  struct call_req req = { .method = method,
+                          .path = path,
+                          .headers = key == NULL ? NULL : headers,
+                          .body = body,
+                          .most = ANSWER_MAX };
+  struct call_answer answer = { 0 };
+  *out = (struct entry_answer){ 0 };
+  ne_session *session
+      = call_session (entry, key == NULL ? SHORT_MS : ANSWER_MS);
+  enum call_end end = call_http (session, &req, &answer, err);
+  ne_session_destroy (session);
+  if (end != CALL_DONE)
+    return end;
+  out->status = answer.status;
+  out->json = json_loadb (answer.body->str, answer.body->len, 0, NULL);
+  out->text = g_string_free (answer.body, FALSE);
+  return end;
+}
+
+void
+entry_answer_clear (struct entry_answer *answer)
+{
+  g_free (answer->text);
+  json_decref (answer->json);
+  *answer = (struct entry_answer){ 0 };
+}
+
+char *
+entry_prefix (struct pl_addr entry, struct pl_err *err)
+{
+  struct entry_answer answer;
+  struct pl_str none = { 0 };
+  if (entry_call (entry, "GET", "/v1/prefix", NULL, none, &answer, err)
+      != CALL_DONE)
+    return NULL;
+  const char *prefix
+      = json_string_value (json_object_get (answer.json, "prefix"));
+  char *copy = answer.status == 200 ? g_strdup (prefix) : NULL;
+  if (copy == NULL)
+    pl_fail (err, PL_NOT_READY, "the entry issues no prefix (HTTP %d)",
+             answer.status);
+  entry_answer_clear (&answer);
+  return copy;
+}
+
+int64_t
+entry_revision (struct pl_addr entry, struct pl_err *err)
+{
+  struct entry_answer answer;
+  struct pl_str none = { 0 };
+  if (entry_call (entry, "GET", "/v1/status", NULL, none, &answer, err)
+      != CALL_DONE)
+    return -1;
+  const json_t *revision = json_object_get (answer.json, "revision");
+  int64_t value
+      = json_is_integer (revision) ? json_integer_value (revision) : -1;
+  if (value < 0)
+    pl_fail (err, PL_SYSTEM, "the entry reports no revision (HTTP %d)",
+             answer.status);
+  entry_answer_clear (&answer);
+  return value;
+}
--- /dev/null
+++ b/cmd/papayaloft/version.c
@@ -0,0 +1,11 @@
+#include "cmd.h"
+
+#include <stdio.h>
+
+int
+cmd_version (const struct cmd *cmd)
+{
+  (void)cmd;
+  puts ("papayaloft " CMD_VERSION);
+  return CMD_DONE;
+}
--- /dev/null
+++ b/lib/note/doc.c
@@ -0,0 +1,85 @@
+#include "item.h"
+
+static const char *const members[]
+    = { "revision", "services", "teams", "workers", NULL };
+
+char *
+note_conf_to_json (const struct note_conf *conf)
+{
+  json_t *root = json_pack ("{s:I}", "revision", (json_int_t)conf->revision);
+  for (int s = 0; s < NOTE_SECTS; s++)
+    {
+      unsigned n;
+      const char *item = note_items (conf, s, &n);
+      json_t *list = json_array ();
+      for (unsigned i = 0; i < n; i++, item += note_sects[s]->size)
+        json_array_append_new (list, note_sects[s]->to_json (item));
+      json_object_set_new (root, note_sects[s]->name, list);
+    }
+  char *text = json_dumps (root, JSON_COMPACT);
+  json_decref (root);
+  return text;
+}
+
+static bool
+check_repeats (const struct note_item_ops *ops, GArray *list,
+               const struct note_at *at, struct pl_err *err)
+{
+  GHashTable *seen = g_hash_table_new (ops->hash, ops->equal);
+  bool ok = true;
+  for (guint i = 0; ok && i < list->len; i++)
+    {
+      struct note_at here = { .up = at, .index = i };
+      if (!g_hash_table_add (seen, list->data + i * ops->size))
+        ok = note_refuse (err, &here, "occurs twice");
+    }
+  g_hash_table_destroy (seen);
+  return ok;
+}
+
+static GArray *
+parse_sect (const json_t *root, enum note_sect sect, struct pl_err *err)
+{
+  const struct note_item_ops *ops = note_sects[sect];
+  struct note_at at = { .member = ops->name };
+  GArray *list = note_list_parse (ops, json_object_get (root, ops->name), &at,
+                                  true, err);
+  if (list != NULL && !check_repeats (ops, list, &at, err))
+    g_clear_pointer (&list, g_array_unref);
+  return list;
+}
+
+static struct note_conf *
+parse_document (const json_t *root, struct pl_err *err)
+{
+  int64_t revision;
+  if (!note_members (root, NULL, members, err)
+      || !note_get_int (root, NULL, "revision", 1, INT64_MAX - 1, &revision,
+                        err))
+    return NULL;
+  GArray *lists[NOTE_SECTS] = { NULL };
+  int s = 0;
+  while (s < NOTE_SECTS)
+    {
+      lists[s] = parse_sect (root, s, err);
+      if (lists[s] == NULL)
+        break;
+      s++;
+    }
+  if (s == NOTE_SECTS)
+    return note_conf_new (revision, lists);
+  while (s-- > 0)
+    g_array_unref (lists[s]);
+  return NULL;
+}
+
+struct note_conf *
+note_conf_from_json (struct pl_str text, struct pl_err *err)
+{
+  json_t *root = note_load (text, err);
+  if (root == NULL)
+    return NULL;
+  struct note_conf *conf = parse_document (root, err);
+  json_decref (root);
+  return conf;
+}
--- /dev/null
+++ b/lib/note/history.c
@@ -0,0 +1,136 @@
+#include "note.h"
+
+#define KEPT_NOTES 64
+
+struct kept
+{
+  int64_t revision;
+  GBytes *note;
+};
+
+struct note_history
+{
+  struct pl_slot *slot;
+  struct note_conf *conf; /* in force; null before the first */
+  struct kept kept[KEPT_NOTES];
+};
+
+struct note_history *
+note_history_new (struct pl_slot *slot)
+{
+  struct note_history *history = g_new0 (struct note_history, 1);
+  history->slot = slot;
+  return history;
+}
+
+void
+note_history_free (struct note_history *history)
+{
+  if (history == NULL)
+    return;
+  for (int i = 0; i < KEPT_NOTES; i++)
+    g_bytes_unref (history->kept[i].note);
+  if (history->conf != NULL)
+    pl_shared_unref (&history->conf->base);
+  g_free (history);
+}
+
+int64_t
+note_history_revision (const struct note_history *history)
+{
+  return history->conf == NULL ? 0 : history->conf->revision;
+}
+
+/* Puts CONF in force and takes over the caller's reference.  */
+static enum note_offer
+put_in_force (struct note_history *history, struct note_conf *conf,
+              const char *source)
+{
+  struct note_conf *former = history->conf;
+  history->conf = conf;
+  g_atomic_ref_count_inc (&conf->base.refs);
+  pl_slot_publish (history->slot, &conf->base);
+  if (former != NULL)
+    pl_shared_unref (&former->base);
+  pl_gauge (PL_CTR_REVISION_IN_FORCE, conf->revision);
+  pl_log (PL_EV_CONF_APPLIED, "revision=%lld source=%s",
+          (long long)conf->revision, source);
+  return NOTE_APPLIED;
+}
+
+static enum note_offer
+stale (const struct note_history *history, int64_t revision,
+       const char *source)
+{
+  pl_log (PL_EV_CONF_STALE, "revision=%lld current=%lld source=%s",
+          (long long)revision, (long long)note_history_revision (history),
+          source);
+  return NOTE_STALE;
+}
+
+static enum note_offer
+bad (int64_t revision, const char *detail)
+{
+  pl_log (PL_EV_CONF_BAD, "revision=%lld detail=\"%s\"", (long long)revision,
+          detail);
+  return NOTE_BAD;
+}
+
+static void
+keep (struct note_history *history, int64_t revision, struct pl_str note)
+{
+  struct kept *kept = &history->kept[revision % KEPT_NOTES];
+  g_bytes_unref (kept->note);
+  kept->revision = revision;
+  kept->note = g_bytes_new (note.data, note.len);
+}
+
+enum note_offer
+note_history_offer (struct note_history *history, int64_t revision,
+                    struct pl_str note, const char *source, struct pl_err *err)
+{
+  int64_t current = note_history_revision (history);
+  if (revision <= current)
+    return stale (history, revision, source);
+  if (revision != current + 1)
+    return NOTE_GAP;
+  struct pl_err why = { 0 };
+  struct note_conf *conf = note_fold (note, history->conf, revision, &why);
+  if (conf == NULL)
+    {
+      if (err != NULL)
+        *err = why;
+      return bad (revision, why.text);
+    }
+  keep (history, revision, note);
+  return put_in_force (history, conf, source);
+}
+
+enum note_offer
+note_history_offer_whole (struct note_history *history, struct pl_str document,
+                          const char *source, struct pl_err *err)
+{
+  struct pl_err why = { 0 };
+  struct note_conf *conf = note_conf_from_json (document, &why);
+  if (conf == NULL)
+    {
+      if (err != NULL)
+        *err = why;
+      return bad (0, why.text);
+    }
+  if (conf->revision > note_history_revision (history))
+    return put_in_force (history, conf, source);
+  enum note_offer offer = stale (history, conf->revision, source);
+  pl_shared_unref (&conf->base);
+  return offer;
+}
+
+GBytes *
+note_history_get (const struct note_history *history, int64_t revision)
+{
+  int64_t current = note_history_revision (history);
+  if (revision < 1 || revision > current || revision <= current - KEPT_NOTES)
+    return NULL;
+  const struct kept *kept = &history->kept[revision % KEPT_NOTES];
+  return kept->revision == revision ? kept->note : NULL;
+}
--- a/lib/note/note.h
+++ b/lib/note/note.h
@@ -50,6 +50,7 @@
   unsigned n_teams;
   struct note_worker *workers; /* of all failure domains */
   unsigned n_workers;
+  GHashTable *index[3]; /* items by key, private; null: searched in order */
 };
 
 /* Null if the configuration lacks it.  */
@@ -61,6 +62,22 @@
 const struct note_worker *
 note_find_worker (const struct note_conf *conf, struct pl_addr addr);
 
+/* Members that identify a note.  */
+#define NOTE_ID_MAX 64
+struct note_head
+{
+  char id[NOTE_ID_MAX + 1];
+  int64_t base; /* the revision that the note was written against */
+};
+/* Reads id and base only; the rest of the note is not validated.  */
+bool
+note_read_head (struct pl_str note, struct note_head *out, struct pl_err *err);
+
+/* A note is an object with "id" (1 to 64 letters, digits or hyphens), "base",
+   optionally "comment", "added", "changed" and "withdrawn".  "added" and
+   "changed" hold whole services, teams and workers; "withdrawn" holds names
+   of services and teams and addresses of workers.  */
+
 /* Validates a note as a whole against BASE (null: the empty configuration).
    ERR names the JSON path and the rule broken.  */
 bool
--- /dev/null
+++ b/lib/plat/call.h
@@ -0,0 +1,43 @@
+/* Bounded HTTP calls over neon; used by lib/plat and the command.  */
+#pragma once
+
+#include "pl.h"
+
+#include <ne_request.h>
+#include <ne_session.h>
+
+struct call_req
+{
+  const char *method;
+  const char *path;
+  const char *const *headers; /* names and values in turn, ends with null */
+  struct pl_str body;         /* JSON; null data for none */
+  size_t most;                /* largest answer in bytes */
+};
+
+struct call_answer
+{
+  int status;
+  GString *body;
+};
+
+enum call_end
+{
+  CALL_DONE,
+  CALL_UNSENT, /* no connection was made */
+  CALL_LOST,   /* the request may have been received */
+};
+
+/* Parses "http://a.b.c.d:port".  */
+bool
+call_parse_url (const char *url, struct pl_addr *out);
+/* A session is used by one thread.  neon counts its time-outs in whole
+   seconds, so TIMEOUT_MS is rounded up.  */
+ne_session *
+call_session (struct pl_addr addr, int timeout_ms);
+/* On CALL_DONE the caller frees OUT's body.  neon sends a request again if a
+   persistent connection turns out to be closed, so that a request must be
+   safe to repeat.  */
+enum call_end
+call_http (ne_session *session, const struct call_req *req,
+           struct call_answer *out, struct pl_err *err);
--- a/lib/plat/plat.h
+++ b/lib/plat/plat.h
@@ -54,7 +54,8 @@
   const struct plat_ops *ops;
 };
 
-/* URL is "http://a.b.c.d:port".  Null with ERR set if it is malformed.  */
+/* A platform is used by one thread.  URL is "http://a.b.c.d:port".  Null with
+ * ERR set if it is malformed.  */
 struct plat *
 plat_etcd_new (const char *url, int timeout_ms, struct pl_err *err);
 
@@ -72,6 +73,12 @@
 GBytes *
 plat_note (struct plat *plat, int64_t revision, struct pl_err *err);
 
+/* The configuration at the head: the snapshot and the notes after it.  CONF is
+   null at revision 0; MOD_REV (may be null) is the head's.  */
+bool
+plat_load (struct plat *plat, struct note_conf **conf, int64_t *revision,
+           int64_t *mod_rev, struct pl_err *err);
+
 /* An entry of the platform's list of instances.  */
 struct plat_instance
 {
--- /dev/null
+++ b/lib/plat/snapshot.h
@@ -0,0 +1,23 @@
+/* The folded document in chunks; private to lib/plat.  */
+#pragma once
+
+#include "plat.h"
+
+#define PLAT_HEAD "papayaloft/head"
+#define SNAPSHOT_EVERY 32  /* revisions */
+#define SNAPSHOT_CHUNKS 32 /* at most; documents up to 16 MiB */
+#define TXN_BYTES                                                             \
+  (900 * 1024) /* values of a transaction; base64 adds a third                \
+                  and etcd's limit is 1.5 MiB */
+
+/* Splits DOCUMENT of REVISION into puts; free with snapshot_puts_free.  */
+GArray *
+snapshot_puts (struct pl_str document, int64_t revision);
+void
+snapshot_puts_free (GArray *puts);
+size_t
+snapshot_puts_bytes (const GArray *puts);
+/* OUT is null if the snapshot is absent or can't be verified (a chunk is
+   missing, of another revision, or the hash differs).  */
+bool
+snapshot_read (struct plat *plat, GBytes **out, struct pl_err *err);
--- /dev/null
+++ b/tests/standin/standin-platform/api.c
@@ -0,0 +1,309 @@
+#include "api.h"
+
+#include <string.h>
+
+static json_t *
+json_int64 (int64_t value)
+{
+  return json_sprintf ("%lld", (long long)value);
+}
+
+static json_t *
+json_base64 (const void *data, size_t len)
+{
+  g_autofree char *text = g_base64_encode (data, len);
+  return json_string (text);
+}
+
+int64_t
+api_int (const json_t *body, const char *name)
+{
+  const json_t *value = json_object_get (body, name);
+  if (json_is_integer (value))
+    return json_integer_value (value);
+  return json_is_string (value)
+             ? g_ascii_strtoll (json_string_value (value), NULL, 10)
+             : 0;
+}
+
+char *
+api_key (const json_t *body, const char *name)
+{
+  const char *text = json_string_value (json_object_get (body, name));
+  if (text == NULL)
+    return NULL;
+  gsize len;
+  g_autofree guchar *data = g_base64_decode (text, &len);
+  char *key = g_strndup ((const char *)data, len);
+  if (strlen (key) == len)
+    return key;
+  /* An end of one null byte means "all keys".  */
+  bool all = len == 1;
+  g_free (key);
+  return all ? g_strdup ("") : NULL;
+}
+
+json_t *
+api_header (const struct store *store)
+{
+  return json_pack ("{s:s, s:s, s:o, s:s}", "cluster_id", "1", "member_id",
+                    "1", "revision", json_int64 (store->revision), "raft_term",
+                    "1");
+}
+
+static json_t *
+pair_json (const struct version *version)
+{
+  json_t *kv = json_object ();
+  gsize len = 0;
+  const void *data = version->value == NULL
+                         ? NULL
+                         : g_bytes_get_data (version->value, &len);
+  json_object_set_new (kv, "key",
+                       json_base64 (version->key, strlen (version->key)));
+  json_object_set_new (kv, "mod_revision", json_int64 (version->mod_rev));
+  if (version->value == NULL)
+    return kv;
+  json_object_set_new (kv, "create_revision",
+                       json_int64 (version->create_rev));
+  json_object_set_new (kv, "version", json_int64 (version->version));
+  if (len > 0)
+    json_object_set_new (kv, "value", json_base64 (data, len));
+  if (version->lease != 0)
+    json_object_set_new (kv, "lease", json_int64 (version->lease));
+  return kv;
+}
+
+json_t *
+api_event (const struct version *version)
+{
+  json_t *event = json_pack ("{s:o}", "kv", pair_json (version));
+  if (version->value == NULL)
+    json_object_set_new (event, "type", json_string ("DELETE"));
+  return event;
+}
+
+static void
+add_pair (const struct version *version, void *user)
+{
+  json_array_append_new (user, pair_json (version));
+}
+
+static json_t *
+range (struct store *store, const json_t *body, int64_t at)
+{
+  g_autofree char *key = api_key (body, "key");
+  g_autofree char *end = api_key (body, "range_end");
+  if (key == NULL)
+    return NULL;
+  int64_t revision = api_int (body, "revision");
+  json_t *kvs = json_array ();
+  store_range (store, key, end,
+               revision > 0 ? revision : (at > 0 ? at : store->revision),
+               add_pair, kvs);
+  size_t n = json_array_size (kvs);
+  json_t *answer = json_pack ("{s:o}", "header", api_header (store));
+  if (n > 0)
+    json_object_set_new (answer, "kvs", kvs);
+  else
+    json_decref (kvs);
+  if (n > 0)
+    json_object_set_new (answer, "count", json_int64 ((int64_t)n));
+  return answer;
+}
+
+static bool
+is_put_valid (const json_t *body)
+{
+  const char *value = json_string_value (json_object_get (body, "value"));
+  g_autofree char *key = api_key (body, "key");
+  return key != NULL && *key != '\0'
+         && (value == NULL || strlen (value) / 4 * 3 <= VALUE_MAX + 2);
+}
+
+static json_t *
+put (struct store *store, const json_t *body)
+{
+  const char *text = json_string_value (json_object_get (body, "value"));
+  gsize len = 0;
+  guchar *data = text == NULL ? NULL : g_base64_decode (text, &len);
+  GBytes *value = g_bytes_new_take (data, len);
+  g_autofree char *key = api_key (body, "key");
+  store_put (store, key, value, api_int (body, "lease"));
+  g_bytes_unref (value);
+  return json_pack ("{s:o}", "header", api_header (store));
+}
+
+static json_t *
+delete_range (struct store *store, const json_t *body)
+{
+  g_autofree char *key = api_key (body, "key");
+  g_autofree char *end = api_key (body, "range_end");
+  int64_t n = key == NULL ? 0 : store_delete (store, key, end);
+  return json_pack ("{s:o, s:o}", "header", api_header (store), "deleted",
+                    json_int64 (n));
+}
+
+static int
+compare_bytes (const struct version *version, const json_t *compare)
+{
+  const char *text = json_string_value (json_object_get (compare, "value"));
+  gsize len = 0;
+  g_autofree guchar *data = text == NULL ? NULL : g_base64_decode (text, &len);
+  GBytes *wanted = g_bytes_new (data, len);
+  int order = g_bytes_compare (version->value, wanted);
+  g_bytes_unref (wanted);
+  return order;
+}
+
+static bool
+compare_holds (struct store *store, const json_t *compare)
+{
+  g_autofree char *key = api_key (compare, "key");
+  const char *target = json_string_value (json_object_get (compare, "target"));
+  const char *result = json_string_value (json_object_get (compare, "result"));
+  const struct version *version
+      = key == NULL ? NULL : store_get (store, key, store->revision);
+  int64_t order;
+  if (g_strcmp0 (target, "MOD") == 0)
+    order = (version == NULL ? 0 : version->mod_rev)
+            - api_int (compare, "mod_revision");
+  else if (g_strcmp0 (target, "CREATE") == 0)
+    order = (version == NULL ? 0 : version->create_rev)
+            - api_int (compare, "create_revision");
+  else if (g_strcmp0 (target, "VALUE") == 0)
+    {
+      if (version == NULL)
+        return false;
+      order = compare_bytes (version, compare);
+    }
+  else
+    order = (version == NULL ? 0 : version->version)
+            - api_int (compare, "version");
+  if (g_strcmp0 (result, "GREATER") == 0)
+    return order > 0;
+  if (g_strcmp0 (result, "LESS") == 0)
+    return order < 0;
+  if (g_strcmp0 (result, "NOT_EQUAL") == 0)
+    return order != 0;
+  return order == 0;
+}
+
+static json_t *
+run_op (struct store *store, const json_t *op)
+{
+  const json_t *body = json_object_get (op, "request_put");
+  if (body != NULL)
+    return json_pack ("{s:o}", "response_put", put (store, body));
+  body = json_object_get (op, "request_delete_range");
+  if (body != NULL)
+    return json_pack ("{s:o}", "response_delete_range",
+                      delete_range (store, body));
+  body = json_object_get (op, "request_range");
+  json_t *answer = range (store, body, 0);
+  return json_pack ("{s:o}", "response_range",
+                    answer == NULL ? json_object () : answer);
+}
+
+static bool
+are_ops_valid (const json_t *ops)
+{
+  size_t n = json_array_size (ops);
+  for (size_t i = 0; i < n; i++)
+    {
+      const json_t *body
+          = json_object_get (json_array_get (ops, i), "request_put");
+      if (body != NULL && !is_put_valid (body))
+        return false;
+    }
+  return n <= 128;
+}
+
+static json_t *
+txn (struct store *store, const json_t *body)
+{
+  const json_t *compares = json_object_get (body, "compare");
+  if (!are_ops_valid (json_object_get (body, "success"))
+      || !are_ops_valid (json_object_get (body, "failure")))
+    return NULL;
+  bool holds = true;
+  for (size_t i = 0; i < json_array_size (compares); i++)
+    holds = compare_holds (store, json_array_get (compares, i)) && holds;
+  const json_t *ops = json_object_get (body, holds ? "success" : "failure");
+  json_t *responses = json_array ();
+  store_begin (store);
+  for (size_t i = 0; i < json_array_size (ops); i++)
+    json_array_append_new (responses, run_op (store, json_array_get (ops, i)));
+  store_end (store);
+  json_t *answer = json_pack ("{s:o}", "header", api_header (store));
+  if (holds)
+    json_object_set_new (answer, "succeeded", json_true ());
+  if (json_array_size (responses) > 0)
+    json_object_set (answer, "responses", responses);
+  json_decref (responses);
+  return answer;
+}
+
+static json_t *
+lease_answer (struct store *store, const struct lease *lease)
+{
+  return json_pack ("{s:o, s:o, s:o}", "header", api_header (store), "ID",
+                    json_int64 (lease->id), "TTL", json_int64 (lease->ttl_s));
+}
+
+static json_t *
+grant (struct store *store, const json_t *body, int64_t now_us)
+{
+  int64_t id = api_int (body, "ID");
+  int64_t ttl = api_int (body, "TTL");
+  if (ttl < 1 || (id != 0 && store_lease (store, id) != NULL))
+    return NULL;
+  return lease_answer (store, store_grant (store, id, ttl, now_us));
+}
+
+/* The gateway wraps a keep-alive's answer, which is a stream, in "result"; a
+   lease that is gone has no TTL.  */
+static json_t *
+keepalive (struct store *store, const json_t *body, int64_t now_us)
+{
+  struct lease *lease = store_lease (store, api_int (body, "ID"));
+  if (lease == NULL)
+    return json_pack ("{s:{s:o, s:o}}", "result", "header", api_header (store),
+                      "ID", json_int64 (api_int (body, "ID")));
+  lease->expires_us = now_us + lease->ttl_s * G_USEC_PER_SEC;
+  return json_pack ("{s:o}", "result", lease_answer (store, lease));
+}
+
+static json_t *
+single (struct store *store, const json_t *body,
+        json_t *(*run) (struct store *store, const json_t *body))
+{
+  store_begin (store);
+  json_t *answer = run (store, body);
+  store_end (store);
+  return answer;
+}
+
+json_t *
+api_call (struct store *store, const char *path, const json_t *body,
+          int64_t at, int64_t now_us, int *status)
+{
+  *status = 400;
+  if (strcmp (path, "/v3/kv/range") == 0)
+    return range (store, body, at);
+  if (strcmp (path, "/v3/kv/txn") == 0)
+    return txn (store, body);
+  if (strcmp (path, "/v3/kv/put") == 0)
+    return is_put_valid (body) ? single (store, body, put) : NULL;
+  if (strcmp (path, "/v3/kv/deleterange") == 0)
+    return single (store, body, delete_range);
+  if (strcmp (path, "/v3/lease/grant") == 0)
+    return grant (store, body, now_us);
+  if (strcmp (path, "/v3/lease/keepalive") == 0)
+    return keepalive (store, body, now_us);
+  *status = 404;
+  if (strcmp (path, "/v3/lease/revoke") == 0
+      && store_revoke (store, api_int (body, "ID")))
+    return json_pack ("{s:o}", "header", api_header (store));
+  return NULL;
+}
--- /dev/null
+++ b/tests/standin/standin-platform/fault.c
@@ -0,0 +1,90 @@
+#include "internal.h"
+
+#include <string.h>
+
+static const char *const fault_names[FAULTS]
+    = { [FAULT_NONE] = "none",      [FAULT_DOWN] = "down",
+        [FAULT_SLOW] = "slow",      [FAULT_LOSE_ANSWER] = "lose_answer",
+        [FAULT_STALE] = "stale",    [FAULT_REWIND] = "rewind",
+        [FAULT_GARBAGE] = "garbage" };
+static const char *const kind_names[KINDS] = { [KIND_RANGE] = "range",
+                                               [KIND_TXN] = "txn",
+                                               [KIND_WATCH] = "watch",
+                                               [KIND_LEASE] = "lease",
+                                               [KIND_OTHER] = "other" };
+
+bool
+standin_fault (struct standin *standin, const char *mode, int ms, int count)
+{
+  int fault = 0;
+  while (fault < FAULTS && strcmp (mode, fault_names[fault]) != 0)
+    fault++;
+  if (fault == FAULTS || ms < 0 || count < 0)
+    return false;
+  g_mutex_lock (&standin->lock);
+  standin->fault = (enum fault)fault;
+  standin->fault_ms = ms;
+  standin->fault_left = count == 0 ? -1 : count;
+  standin->fault_turn++;
+  standin->stale_at = MAX (1, standin->store.revision - 1);
+  g_cond_broadcast (&standin->cond);
+  g_mutex_unlock (&standin->lock);
+  return true;
+}
+
+static bool
+concerns (enum fault fault, enum kind kind)
+{
+  switch (fault)
+    {
+    case FAULT_STALE:
+      return kind == KIND_RANGE;
+    case FAULT_REWIND:
+      return kind == KIND_WATCH;
+    case FAULT_LOSE_ANSWER:
+      return kind != KIND_RANGE && kind != KIND_WATCH;
+    default:
+      return fault != FAULT_NONE;
+    }
+}
+
+enum fault
+fault_take (struct standin *standin, enum kind kind)
+{
+  enum fault fault = standin->fault;
+  if (!concerns (fault, kind))
+    return FAULT_NONE;
+  if (standin->fault_left > 0 && --standin->fault_left == 0)
+    standin->fault = FAULT_NONE;
+  return fault;
+}
+
+json_t *
+stats_json (struct standin *standin)
+{
+  json_t *calls = json_object ();
+  for (int i = 0; i < KINDS; i++)
+    json_object_set_new (calls, kind_names[i],
+                         json_integer (standin->calls[i]));
+  return json_pack ("{s:o, s:I, s:I, s:I, s:s}", "calls", calls, "watches",
+                    (json_int_t)standin->watches, "writes",
+                    (json_int_t)standin->store.writes, "revision",
+                    (json_int_t)standin->store.revision, "fault",
+                    fault_names[standin->fault]);
+}
+
+int64_t
+standin_stat (struct standin *standin, const char *name)
+{
+  g_mutex_lock (&standin->lock);
+  int64_t value = 0;
+  for (int i = 0; i < KINDS; i++)
+    if (strcmp (name, kind_names[i]) == 0)
+      value = standin->calls[i];
+  if (strcmp (name, "watches") == 0)
+    value = standin->watches;
+  if (strcmp (name, "writes") == 0)
+    value = standin->store.writes;
+  g_mutex_unlock (&standin->lock);
+  return value;
+}
