--- a/cmd/papayaloft/entry.c
+++ b/cmd/papayaloft/entry.c
@@ -3,8 +3,8 @@
 #include <string.h>
 
 #define SHORT_MS 3000
-#define ANSWER_MS 615000 /* the longest deadline and a margin */
-#define ANSWER_MAX (8 * 1024 * 1024)
+#define ANSWER_MS 615000   /* the longest deadline and a margin */
+#define ANSWER_MAX 8388608 /* bytes */
 
 enum call_end
 entry_call (struct pl_addr entry, const char *method, const char *path,
--- a/cmd/papayaloft/submit.c
+++ b/cmd/papayaloft/submit.c
@@ -3,8 +3,9 @@
 #include <stdio.h>
 #include <string.h>
 
-#define BODY_MAX (4 * 1024 * 1024) /* upper bound of the setting body-bytes   \
-                                    */
+#define BODY_MAX                                                              \
+  4194304 /* upper bound of the setting body-bytes                            \
+           */
 #define SUFFIX_MAX 64
 #define PAUSE_MS 200
 #define PAUSE_MAX_MS 10000
--- a/lib/note/doc.c
+++ b/lib/note/doc.c
@@ -45,7 +45,10 @@
   GArray *list = note_list_parse (ops, json_object_get (root, ops->name), &at,
                                   true, err);
   if (list != NULL && !check_repeats (ops, list, &at, err))
-    g_clear_pointer (&list, g_array_unref);
+    {
+      g_array_unref (list);
+      return NULL;
+    }
   return list;
 }
 
--- a/lib/note/fold.c
+++ b/lib/note/fold.c
@@ -58,7 +58,7 @@
 check_top (const json_t *root, const struct note_conf *base,
            struct pl_err *err)
 {
-  struct note_head head;
+  struct note_head head = { 0 };
   if (!note_members (root, NULL, note_member_names, err)
       || !read_head (root, &head, err))
     return false;
--- a/lib/note/note.h
+++ b/lib/note/note.h
@@ -3,8 +3,7 @@
 
 #include "pl.h"
 
-#define NOTE_MAX_BYTES                                                        \
-  (1024 * 1024) /* largest value of the platform's store */
+#define NOTE_MAX_BYTES 1048576 /* largest value of the platform's store */
 
 struct note_kind
 {
--- a/lib/note/worker.c
+++ b/lib/note/worker.c
@@ -1,8 +1,8 @@
 #include "item.h"
 
 #define MAX_SLOTS 1024
-#define MAX_MEMORY_MB (16 * 1024 * 1024)
-#define MAX_WORKERS 16384 /* 2.6 times the target scale */
+#define MAX_MEMORY_MB 16777216 /* 16 TiB */
+#define MAX_WORKERS 16384      /* 2.6 times the target scale */
 
 static const char *const members[]
     = { "address", "domain", "rack", "slots", "memory_mb", NULL };
--- a/lib/plat/apply.c
+++ b/lib/plat/apply.c
@@ -124,11 +124,15 @@
         break;
     }
   if (*conf != NULL && (*conf)->revision > *revision)
-    g_clear_pointer (conf, conf_unref);
+    {
+      conf_unref (*conf);
+      *conf = NULL;
+    }
   while ((*conf == NULL ? 0 : (*conf)->revision) < *revision)
     if (!fold_next (plat, conf, err))
       {
-        g_clear_pointer (conf, conf_unref);
+        conf_unref (*conf);
+        *conf = NULL;
         return false;
       }
   return true;
--- a/lib/plat/etcd.c
+++ b/lib/plat/etcd.c
@@ -75,8 +75,10 @@
   if (*key != NULL && *value != NULL
       && etcd_get_int (kv, "mod_revision", mod_rev) && *mod_rev > 0)
     return true;
-  g_clear_pointer (key, g_bytes_unref);
-  g_clear_pointer (value, g_bytes_unref);
+  g_bytes_unref (*key);
+  g_bytes_unref (*value);
+  *key = NULL;
+  *value = NULL;
   return protocol (err, "malformed pair");
 }
 
@@ -108,8 +110,8 @@
                     err);
   if (got != NULL && !bytes_equal (got, key))
     {
-      g_clear_pointer (&out->value, g_bytes_unref);
-      out->mod_rev = 0;
+      g_bytes_unref (out->value);
+      *out = (struct plat_value){ 0 };
       ok = protocol (err, "answer for another key");
     }
   g_bytes_unref (got);
--- a/lib/plat/etcd.h
+++ b/lib/plat/etcd.h
@@ -6,7 +6,7 @@
 
 #include <jansson.h>
 
-#define ETCD_ANSWER_MAX (2 * 1024 * 1024)
+#define ETCD_ANSWER_MAX 2097152 /* bytes */
 
 struct etcd
 {
--- a/lib/plat/feed.c
+++ b/lib/plat/feed.c
@@ -2,8 +2,9 @@
 #include "snapshot.h"
 
 #define CALL_MS 2000
-#define HEAD_POLL_US (10 * G_USEC_PER_SEC)
-#define WATCH_MS 10000 /* a watch is renewed, so that a dead peer is noticed  \
+#define HEAD_POLL_US 10000000
+#define WATCH_MS                                                              \
+  10000                /* a watch is renewed, so that a dead peer is noticed  \
                         */
 #define WHOLE_AFTER 64 /* notes missing */
 #define BACKOFF_MIN_MS 100
--- a/lib/plat/snapshot.c
+++ b/lib/plat/snapshot.c
@@ -4,8 +4,9 @@
 #include <string.h>
 #include <xxhash.h>
 
-#define CHUNK_BYTES (512 * 1024 - 256) /* leaves room for the chunk's header  \
-                                        */
+#define CHUNK_BYTES                                                           \
+  (512 * 1024 - 256) /* leaves room for the chunk's header                    \
+                      */
 
 /* A chunk starts with a line that ties it to its document, so that chunks of
    two documents are never joined.  */
--- a/lib/plat/snapshot.h
+++ b/lib/plat/snapshot.h
@@ -6,9 +6,9 @@
 #define PLAT_HEAD "papayaloft/head"
 #define SNAPSHOT_EVERY 32  /* revisions */
 #define SNAPSHOT_CHUNKS 32 /* at most; documents up to 16 MiB */
-#define TXN_BYTES                                                             \
-  (900 * 1024) /* values of a transaction; base64 adds a third                \
-                  and etcd's limit is 1.5 MiB */
+/* Values of a transaction; base64 adds a third, and etcd's limit for a request
+   is 1.5 MiB.  */
+#define TXN_BYTES 900000U
 
 /* Splits DOCUMENT of REVISION into puts; free with snapshot_puts_free.  */
 GArray *
--- /dev/null
+++ b/tests/plat_test.c
@@ -0,0 +1,493 @@
+/* Tests of lib/plat against the stand-in of the platform in this process.  */
+#include "plat.h"
+#include "standin/standin-platform/server.h"
+#include "test.h"
+
+#include <string.h>
+
+static struct standin *standin;
+static char url[64];
+
+static void
+start (void)
+{
+  struct pl_err err = { 0 };
+  struct pl_addr addr = { .ip = 0x7f280002 }; /* 127.40.0.2 */
+  standin = standin_new (addr, NULL, &err);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (standin);
+  g_snprintf (url, sizeof url, "http://127.40.0.2:%u", standin_port (standin));
+}
+
+static void
+fault (const char *mode, int ms, int count)
+{
+  CU_ASSERT (standin_fault (standin, mode, ms, count));
+}
+
+static struct plat *
+connect_store (void)
+{
+  struct pl_err err = { 0 };
+  struct plat *plat = plat_etcd_new (url, 1000, &err);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (plat);
+  return plat;
+}
+
+static void
+end (struct plat *plat)
+{
+  if (plat != NULL)
+    plat->ops->free (plat);
+  standin_free (standin);
+}
+
+/* A note that adds one team; TAG makes its id and team unique.  */
+static char *
+note_text (int64_t base, const char *tag)
+{
+  return g_strdup_printf ("{\"id\":\"%s-%lld\",\"base\":%lld,\"added\":{"
+                          "\"teams\":[{\"name\":\"%s-%lld\",\"weight\":1}]}}",
+                          tag, (long long)base, (long long)base, tag,
+                          (long long)base);
+}
+
+static enum pl_code
+apply (struct plat *plat, int64_t base, const char *tag, int64_t *revision)
+{
+  struct pl_err err = { 0 };
+  g_autofree char *note = note_text (base, tag);
+  bool ok = plat_apply_note (plat, pl_str (note), revision, &err);
+  return ok ? PL_OK : err.code;
+}
+
+static void
+apply_all (struct plat *plat, int64_t from, int64_t to)
+{
+  int64_t revision;
+  for (int64_t i = from; i < to; i++)
+    CU_ASSERT_EQUAL (apply (plat, i, "t", &revision), PL_OK);
+  CU_ASSERT_EQUAL (revision, to);
+}
+
+static void
+test_apply_and_load (void)
+{
+  start ();
+  struct plat *plat = connect_store ();
+  struct pl_err err = { 0 };
+  struct note_conf *conf;
+  int64_t revision;
+  CU_ASSERT (plat_load (plat, &conf, &revision, NULL, &err));
+  CU_ASSERT_PTR_NULL (conf);
+  apply_all (plat, 0, 70);
+  CU_ASSERT (plat_load (plat, &conf, &revision, NULL, &err));
+  CU_ASSERT_EQUAL (revision, 70);
+  CU_ASSERT_EQUAL (conf->n_teams, 70);
+  pl_shared_unref (&conf->base);
+  GBytes *note = plat_note (plat, 33, &err);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (note);
+  g_bytes_unref (note);
+  CU_ASSERT_PTR_NULL (plat_note (plat, 71, &err));
+  CU_ASSERT_EQUAL (err.code, PL_NOT_FOUND);
+  /* Old base: the loser learns the revision in force.  */
+  CU_ASSERT_EQUAL (apply (plat, 69, "other", &revision), PL_NOTE_CONFLICT);
+  CU_ASSERT_EQUAL (revision, 70);
+  CU_ASSERT_EQUAL (apply (plat, 71, "t", &revision), PL_NOTE_CONFLICT);
+  /* The same note again is the accepted one.  */
+  CU_ASSERT_EQUAL (apply (plat, 50, "t", &revision), PL_OK);
+  CU_ASSERT_EQUAL (revision, 51);
+  CU_ASSERT_FALSE (
+      plat_apply_note (plat,
+                       pl_str ("{\"id\":\"x\",\"base\":70,\"withdrawn\":{"
+                               "\"teams\":[\"nobody\"]}}"),
+                       &revision, &err));
+  CU_ASSERT_EQUAL (err.code, PL_NOTE_INVALID);
+  end (plat);
+}
+
+static char *
+large_note (void)
+{
+  GString *text = g_string_new ("{\"id\":\"large\",\"base\":0,\"added\":{"
+                                "\"workers\":[");
+  for (int i = 0; i < 6300; i++)
+    g_string_append_printf (
+        text,
+        "%s{\"address\":\"10.%d.%d.1:8000\",\"domain\":\"domain-%d\","
+        "\"rack\":\"rack-%d\",\"slots\":8,\"memory_mb\":130000}",
+        i == 0 ? "" : ",", i / 252, i % 252, i / 252, i / 6);
+  g_string_append (text, "]}}");
+  return g_string_free (text, FALSE);
+}
+
+static unsigned
+count_workers (struct plat *plat)
+{
+  struct note_conf *conf = NULL;
+  struct pl_err err = { 0 };
+  int64_t revision;
+  CU_ASSERT (plat_load (plat, &conf, &revision, NULL, &err));
+  unsigned n = conf == NULL ? 0 : conf->n_workers;
+  pl_shared_unref ((struct pl_shared *)conf);
+  return n;
+}
+
+/* A document that does not fit in the note's transaction is written in chunks
+   after it; a torn one must be noticed and the notes read instead.  */
+static void
+test_chunks (void)
+{
+  start ();
+  struct plat *plat = connect_store ();
+  struct pl_err err = { 0 };
+  int64_t revision;
+  g_autofree char *note = large_note ();
+  CU_ASSERT (plat_apply_note (plat, pl_str (note), &revision, &err));
+  CU_ASSERT_EQUAL (standin_stat (standin, "writes"), 3);
+  int64_t calls = standin_stat (standin, "range");
+  CU_ASSERT_EQUAL (count_workers (plat), 6300);
+  /* Head and two chunks, but no note.  */
+  CU_ASSERT_EQUAL (standin_stat (standin, "range") - calls, 3);
+  struct plat_value chunk;
+  CU_ASSERT (plat->ops->get (plat, "papayaloft/snapshot/0", &chunk, &err));
+  CU_ASSERT (g_bytes_get_size (chunk.value) < 512UL * 1024);
+  struct plat_put put
+      = { .key = "papayaloft/snapshot/1", .value = chunk.value };
+  int64_t mod_rev;
+  CU_ASSERT (plat_head (plat, &revision, &mod_rev, &err));
+  CU_ASSERT_EQUAL (
+      plat->ops->txn (plat, "papayaloft/head", mod_rev, &put, 1, &err),
+      PLAT_TXN_DONE);
+  g_bytes_unref (chunk.value);
+  CU_ASSERT_EQUAL (count_workers (plat), 6300);
+  CU_ASSERT_EQUAL (standin_stat (standin, "range") - calls, 9);
+  /* The next note repairs the snapshot.  */
+  apply_all (plat, 1, 2);
+  calls = standin_stat (standin, "range");
+  CU_ASSERT_EQUAL (count_workers (plat), 6300);
+  CU_ASSERT_EQUAL (standin_stat (standin, "range") - calls, 3);
+  end (plat);
+}
+
+struct racer
+{
+  const char *tag;
+  int wins;
+  int losses;
+  int64_t named;
+};
+
+static void *
+race (void *user)
+{
+  struct racer *racer = user;
+  struct plat *plat = connect_store ();
+  for (int64_t base = 0; base < 40;)
+    {
+      int64_t revision;
+      enum pl_code code = apply (plat, base, racer->tag, &revision);
+      racer->wins += code == PL_OK;
+      racer->losses += code == PL_NOTE_CONFLICT;
+      racer->named += code == PL_NOTE_CONFLICT && revision > base;
+      if (code != PL_OK && code != PL_NOTE_CONFLICT)
+        break;
+      /* Both keep to the same base as far as they can.  */
+      base = MAX (base + 1, revision);
+    }
+  plat->ops->free (plat);
+  return NULL;
+}
+
+static void
+test_racing_applies (void)
+{
+  start ();
+  struct racer a = { .tag = "a" };
+  struct racer b = { .tag = "b" };
+  GThread *other = g_thread_new ("racer", race, &b);
+  race (&a);
+  g_thread_join (other);
+  CU_ASSERT_EQUAL (a.wins + b.wins, 40);
+  CU_ASSERT (a.losses + b.losses > 0);
+  CU_ASSERT_EQUAL (a.named + b.named, a.losses + b.losses);
+  struct plat *plat = connect_store ();
+  struct note_conf *conf;
+  struct pl_err err = { 0 };
+  int64_t revision;
+  CU_ASSERT_FATAL (plat_load (plat, &conf, &revision, NULL, &err));
+  CU_ASSERT_EQUAL (revision, 40);
+  CU_ASSERT_EQUAL (conf->n_teams, 40);
+  pl_shared_unref (&conf->base);
+  end (plat);
+}
+
+/* Guards against a note that is reported lost, or applied twice, because the
+   answer of its transaction was lost after the effect.  */
+static void
+test_lost_answers (void)
+{
+  start ();
+  struct plat *plat = connect_store ();
+  int64_t revision;
+  for (int64_t i = 0; i < 10; i++)
+    {
+      fault ("lose_answer", 0, (int)(i % 3) + 1);
+      CU_ASSERT_EQUAL (apply (plat, i, "t", &revision), PL_OK);
+      CU_ASSERT_EQUAL (revision, i + 1);
+      fault ("none", 0, 0);
+    }
+  CU_ASSERT_EQUAL (standin_stat (standin, "writes"), 10);
+  end (plat);
+}
+
+static void
+test_store_faults (void)
+{
+  start ();
+  struct plat *plat = connect_store ();
+  int64_t revision;
+  int64_t mod_rev;
+  struct pl_err err = { 0 };
+  apply_all (plat, 0, 1);
+  fault ("down", 0, 0);
+  CU_ASSERT_EQUAL (apply (plat, 1, "t", &revision), PL_STORE_UNAVAILABLE);
+  fault ("garbage", 0, 0);
+  for (int i = 0; i < 3; i++)
+    {
+      CU_ASSERT_FALSE (plat_head (plat, &revision, &mod_rev, &err));
+      CU_ASSERT_EQUAL (err.code, PL_STORE_PROTOCOL);
+    }
+  fault ("slow", 1500, 1);
+  CU_ASSERT_FALSE (plat_head (plat, &revision, &mod_rev, &err));
+  CU_ASSERT_EQUAL (err.code, PL_STORE_UNAVAILABLE);
+  fault ("slow", 20, 0);
+  apply_all (plat, 1, 2);
+  fault ("none", 0, 0);
+  CU_ASSERT_EQUAL (standin_stat (standin, "writes"), 2);
+  end (plat);
+}
+
+struct sink
+{
+  struct plat_feed_ops ops;
+  GMutex lock;
+  GCond cond;
+  struct plat_feed *feed;
+  struct pl_slot slot;
+  struct note_history *history;
+  int applied;
+  int stale;
+  int bad;
+  int whole;
+  int up;
+  int down;
+  unsigned instances;
+  int leaving;
+};
+
+static void
+count (struct sink *sink, enum note_offer offer)
+{
+  sink->applied += offer == NOTE_APPLIED;
+  sink->stale += offer == NOTE_STALE;
+  sink->bad += offer == NOTE_BAD || offer == NOTE_GAP;
+  if (sink->feed != NULL)
+    plat_feed_seen (sink->feed, note_history_revision (sink->history));
+  g_cond_broadcast (&sink->cond);
+  g_mutex_unlock (&sink->lock);
+}
+
+static void
+take_note (struct plat_feed_ops *ops, int64_t revision, GBytes *note)
+{
+  struct sink *sink = (struct sink *)ops;
+  struct pl_str text;
+  text.data = g_bytes_get_data (note, &text.len);
+  g_mutex_lock (&sink->lock);
+  count (sink,
+         note_history_offer (sink->history, revision, text, "store", NULL));
+}
+
+static void
+take_whole (struct plat_feed_ops *ops, GBytes *document)
+{
+  struct sink *sink = (struct sink *)ops;
+  struct pl_str text;
+  text.data = g_bytes_get_data (document, &text.len);
+  g_mutex_lock (&sink->lock);
+  sink->whole++;
+  count (sink, note_history_offer_whole (sink->history, text, "store", NULL));
+}
+
+static void
+take_instances (struct plat_feed_ops *ops, const struct plat_instance *list,
+                unsigned n)
+{
+  struct sink *sink = (struct sink *)ops;
+  g_mutex_lock (&sink->lock);
+  sink->instances = n;
+  sink->leaving = 0;
+  for (unsigned i = 0; i < n; i++)
+    sink->leaving += list[i].leaving && list[i].worker;
+  g_cond_broadcast (&sink->cond);
+  g_mutex_unlock (&sink->lock);
+}
+
+static void
+take_reachable (struct plat_feed_ops *ops, bool reachable)
+{
+  struct sink *sink = (struct sink *)ops;
+  g_mutex_lock (&sink->lock);
+  sink->up += reachable;
+  sink->down += !reachable;
+  g_cond_broadcast (&sink->cond);
+  g_mutex_unlock (&sink->lock);
+}
+
+static void
+sink_start (struct sink *sink)
+{
+  struct pl_err err = { 0 };
+  *sink = (struct sink){ .ops = { .note = take_note,
+                                  .whole = take_whole,
+                                  .instances = take_instances,
+                                  .reachable = take_reachable } };
+  g_mutex_init (&sink->lock);
+  g_cond_init (&sink->cond);
+  sink->history = note_history_new (&sink->slot);
+  g_mutex_lock (&sink->lock);
+  sink->feed = plat_feed_new (url, 50, &sink->ops, &err);
+  g_mutex_unlock (&sink->lock);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (sink->feed);
+}
+
+static void
+sink_end (struct sink *sink)
+{
+  plat_feed_free (sink->feed);
+  note_history_free (sink->history);
+  pl_shared_unref (sink->slot.value);
+  g_mutex_clear (&sink->lock);
+  g_cond_clear (&sink->cond);
+}
+
+/* Waits until *VALUE is at least WANTED.  */
+static bool
+await (struct sink *sink, const int *value, int wanted, int ms)
+{
+  int64_t until = g_get_monotonic_time () + ms * 1000L;
+  g_mutex_lock (&sink->lock);
+  while (*value < wanted
+         && g_cond_wait_until (&sink->cond, &sink->lock, until))
+    continue;
+  bool reached = *value >= wanted;
+  g_mutex_unlock (&sink->lock);
+  return reached;
+}
+
+static void
+await_watch (void)
+{
+  for (int i = 0; i < 500 && standin_stat (standin, "watches") == 0; i++)
+    g_usleep (2000);
+  CU_ASSERT (standin_stat (standin, "watches") > 0);
+}
+
+static void
+test_feed_follows (void)
+{
+  start ();
+  struct plat *plat = connect_store ();
+  apply_all (plat, 0, 3);
+  struct sink sink;
+  sink_start (&sink);
+  CU_ASSERT (await (&sink, &sink.applied, 3, 2000));
+  plat_feed_watch (sink.feed, true);
+  await_watch ();
+  apply_all (plat, 3, 6);
+  /* Well under the poll period of 10 s.  */
+  CU_ASSERT (await (&sink, &sink.applied, 6, 2000));
+  static const char leaving[] = "{\"address\":\"10.0.0.1:80\",\"domain\":"
+                                "\"d\",\"state\":\"leaving\","
+                                "\"role\":\"worker\"}";
+  struct plat_put put
+      = { .key = "platform/instances/w1",
+          .value = g_bytes_new_static (leaving, sizeof leaving - 1) };
+  struct pl_err err = { 0 };
+  CU_ASSERT_EQUAL (
+      plat->ops->txn (plat, "platform/instances/w1", 0, &put, 1, &err),
+      PLAT_TXN_DONE);
+  CU_ASSERT (await (&sink, &sink.leaving, 1, 2000));
+  g_bytes_unref (put.value);
+  sink_end (&sink);
+  CU_ASSERT_EQUAL (sink.bad + sink.stale + sink.whole, 0);
+  CU_ASSERT_EQUAL (sink.up, 1);
+  end (plat);
+}
+
+/* A fresh feed must not read thousands of notes one by one.  */
+static void
+test_feed_reads_whole (void)
+{
+  start ();
+  struct plat *plat = connect_store ();
+  apply_all (plat, 0, 70);
+  int64_t calls = standin_stat (standin, "range");
+  struct sink sink;
+  sink_start (&sink);
+  CU_ASSERT (await (&sink, &sink.applied, 7, 2000));
+  CU_ASSERT_EQUAL (sink.whole, 1);
+  CU_ASSERT_EQUAL (note_history_revision (sink.history), 70);
+  CU_ASSERT (standin_stat (standin, "range") - calls < 30);
+  sink_end (&sink);
+  CU_ASSERT_EQUAL (sink.bad + sink.stale, 0);
+  end (plat);
+}
+
+/* Guards against a configuration that reverts or is damaged by a store that
+   is down, answers garbage or old states, or repeats events.  */
+static void
+test_feed_survives_faults (void)
+{
+  start ();
+  struct plat *plat = connect_store ();
+  apply_all (plat, 0, 5);
+  struct sink sink;
+  sink_start (&sink);
+  plat_feed_watch (sink.feed, true);
+  CU_ASSERT (await (&sink, &sink.applied, 5, 2000));
+  await_watch ();
+  static const char *const modes[] = { "rewind", "stale", "garbage", "down" };
+  for (int i = 0; i < 4; i++)
+    {
+      fault (modes[i], 0, 0);
+      g_usleep (150000);
+      CU_ASSERT_EQUAL (note_history_revision (sink.history), 5 + i);
+      fault ("none", 0, 0);
+      apply_all (plat, 5 + i, 6 + i);
+      CU_ASSERT (await (&sink, &sink.applied, 6 + i, 3000));
+    }
+  CU_ASSERT (await (&sink, &sink.up, 2, 1000));
+  sink_end (&sink);
+  CU_ASSERT_EQUAL (sink.bad + sink.stale, 0);
+  CU_ASSERT_EQUAL (sink.up, sink.down + 1);
+  end (plat);
+}
+
+int
+main (void)
+{
+  static CU_TestInfo tests[] = {
+    { "apply and load", test_apply_and_load },
+    { "snapshot in chunks", test_chunks },
+    { "racing applies", test_racing_applies },
+    { "lost answers", test_lost_answers },
+    { "store faults", test_store_faults },
+    { "feed follows", test_feed_follows },
+    { "feed reads whole document", test_feed_reads_whole },
+    { "feed survives faults", test_feed_survives_faults },
+    CU_TEST_INFO_NULL,
+  };
+  pl_log_init ("text", "error");
+  return test_run ("plat", tests);
+}
--- a/tests/standin/standin-platform/api.h
+++ b/tests/standin/standin-platform/api.h
@@ -5,7 +5,7 @@
 
 #include <jansson.h>
 
-#define VALUE_MAX (1024 * 1024)
+#define VALUE_MAX 1048576
 
 /* Runs the call at PATH; null with STATUS set if it is unknown or malformed.
    Ranges outside transactions answer as of revision AT (0: now).  */
--- a/tests/standin/standin-platform/server.c
+++ b/tests/standin/standin-platform/server.c
@@ -4,7 +4,7 @@
 #include <netinet/in.h>
 #include <string.h>
 
-#define BODY_MAX (4 * 1024 * 1024)
+#define BODY_MAX 4194304U
 #define EXPIRY_US 100000 /* between tests of the leases */
 
 /* A request whose body is being received.  */
