Resume a watch after the store has compacted its events

A watch that starts before the compacted revision was cancelled for ever. The key is now read and the watch resumed from the compacted revision.

--- a/lib/plat/apply.c
+++ b/lib/plat/apply.c
@@ -172,6 +172,10 @@
 conflict (struct pl_err *err, int64_t base, int64_t winner, int64_t *revision)
 {
   *revision = winner;
+  if (base > winner)
+    return pl_fail (err, PL_NOTE_CONFLICT,
+                    "base %lld is newer than the revision in force, %lld",
+                    (long long)base, (long long)winner);
   return pl_fail (err, PL_NOTE_CONFLICT,
                   "base %lld is not the revision in force; revision %lld "
                   "won",
--- a/lib/plat/watch.c
+++ b/lib/plat/watch.c
@@ -7,9 +7,11 @@
 {
   const char *key;
   int64_t from;
+  int64_t start; /* first revision asked for */
   GString *line;
   bool created;
-  bool changed; /* an event newer than FROM was seen */
+  int64_t compacted; /* the store has dropped the events before this one */
+  bool changed;      /* an event newer than FROM was seen */
 };
 
 static bool
@@ -45,6 +47,10 @@
 {
   if (!json_is_object (result))
     return watch_protocol (err, "message without result");
+  if (json_is_true (json_object_get (result, "canceled"))
+      && etcd_get_int (result, "compact_revision", &watch->compacted)
+      && watch->compacted > watch->start)
+    return true;
   if (json_is_true (json_object_get (result, "canceled")))
     return watch_protocol (err, "cancelled by the store");
   if (json_is_true (json_object_get (result, "created")))
@@ -95,7 +101,8 @@
 {
   struct pl_clock *clock = pl_clock_real ();
   char block[8192];
-  while (!watch->changed && pl_now_us (clock) < deadline_us)
+  while (!watch->changed && watch->compacted == 0
+         && pl_now_us (clock) < deadline_us)
     {
       ssize_t n = ne_read_response_block (req, block, sizeof block);
       if (n <= 0 && watch->created && pl_now_us (clock) >= deadline_us)
@@ -114,11 +121,11 @@
 }
 
 static char *
-create_body (const char *key, int64_t from)
+create_body (const char *key, int64_t start)
 {
   json_t *body = json_pack ("{s:{s:o, s:o}}", "create_request", "key",
                             etcd_bytes (key, strlen (key)), "start_revision",
-                            etcd_int (from + 1));
+                            etcd_int (start));
   char *text = json_dumps (body, JSON_COMPACT);
   json_decref (body);
   return text;
@@ -130,7 +137,7 @@
 {
   int64_t deadline = pl_now_us (pl_clock_real ()) + (int64_t)timeout_ms * 1000;
   ne_request *req = ne_request_create (etcd->stream, "POST", "/v3/watch");
-  g_autofree char *body = create_body (watch->key, watch->from);
+  g_autofree char *body = create_body (watch->key, watch->start);
   ne_add_request_header (req, "Content-Type", "application/json");
   ne_set_request_body_buffer (req, body, strlen (body));
   bool ok;
@@ -147,16 +154,40 @@
   return ok;
 }
 
+/* Events before the compacted revision are gone: reads the key, and watches
+   from the compacted revision if it has not changed up to that reading.  */
+static bool
+resume (struct etcd *etcd, struct watch *watch, int timeout_ms,
+        struct pl_err *err)
+{
+  struct plat_value value;
+  if (!etcd->base.ops->get (&etcd->base, watch->key, &value, err))
+    return false;
+  g_bytes_unref (value.value);
+  if (value.mod_rev > watch->from)
+    return true;
+  watch->start = watch->compacted;
+  watch->compacted = 0;
+  watch->created = false;
+  g_string_truncate (watch->line, 0);
+  pl_count (PL_CTR_STORE_CALLS_TOTAL, 1);
+  return run_watch (etcd, watch, timeout_ms, err)
+         && (watch->compacted == 0 || watch_protocol (err, "compacted again"));
+}
+
 bool
 etcd_wait (struct plat *plat, const char *key, int64_t from, int timeout_ms,
            struct pl_err *err)
 {
   struct etcd *etcd = (struct etcd *)plat;
-  struct watch watch
-      = { .key = key, .from = from, .line = g_string_new (NULL) };
+  struct watch watch = {
+    .key = key, .from = from, .start = from + 1, .line = g_string_new (NULL)
+  };
   ne_set_read_timeout (etcd->stream, MAX (1, (timeout_ms + 999) / 1000));
   pl_count (PL_CTR_STORE_CALLS_TOTAL, 1);
   bool ok = run_watch (etcd, &watch, timeout_ms, err);
+  if (ok && watch.compacted > 0)
+    ok = resume (etcd, &watch, timeout_ms, err);
   if (!ok)
     pl_count (PL_CTR_STORE_ERRORS_TOTAL, 1);
   g_string_free (watch.line, TRUE);
--- a/tests/plat_test.c
+++ b/tests/plat_test.c
@@ -5,6 +5,8 @@
 
 #include <string.h>
 
+#define PLAT_HEAD_KEY "papayaloft/head"
+
 static struct standin *standin;
 static char url[64];
 
@@ -267,6 +269,49 @@
   end (plat);
 }
 
+static void *
+apply_later (void *user)
+{
+  (void)user;
+  for (int i = 0; i < 500 && standin_stat (standin, "watches") == 0; i++)
+    g_usleep (2000);
+  struct plat *plat = connect_store ();
+  apply_all (plat, 1, 2);
+  plat->ops->free (plat);
+  return NULL;
+}
+
+/* Guards against a watch that fails for ever, or misses a change, after the
+   store has compacted its events.  */
+static void
+test_watch_after_compaction (void)
+{
+  start ();
+  struct plat *plat = connect_store ();
+  struct pl_err err = { 0 };
+  int64_t revision;
+  int64_t mod_rev;
+  apply_all (plat, 0, 1);
+  CU_ASSERT (plat_head (plat, &revision, &mod_rev, &err));
+  struct plat_put put
+      = { .key = "other", .value = g_bytes_new_static ("x", 1) };
+  for (int i = 0; i < 3; i++)
+    plat->ops->txn (plat, PLAT_HEAD_KEY, mod_rev, &put, 1, &err);
+  standin_compact (standin);
+  GThread *later = g_thread_new ("later", apply_later, NULL);
+  int64_t before = g_get_monotonic_time ();
+  CU_ASSERT (plat->ops->wait (plat, PLAT_HEAD_KEY, mod_rev, 2000, &err));
+  CU_ASSERT (g_get_monotonic_time () - before < 1500000);
+  g_thread_join (later);
+  standin_compact (standin);
+  /* The change itself is compacted: found by reading the key.  */
+  CU_ASSERT (plat->ops->wait (plat, PLAT_HEAD_KEY, mod_rev, 2000, &err));
+  CU_ASSERT (plat_head (plat, &revision, &mod_rev, &err));
+  CU_ASSERT_EQUAL (revision, 2);
+  g_bytes_unref (put.value);
+  end (plat);
+}
+
 struct sink
 {
   struct plat_feed_ops ops;
@@ -483,6 +528,7 @@
     { "racing applies", test_racing_applies },
     { "lost answers", test_lost_answers },
     { "store faults", test_store_faults },
+    { "watch after compaction", test_watch_after_compaction },
     { "feed follows", test_feed_follows },
     { "feed reads whole document", test_feed_reads_whole },
     { "feed survives faults", test_feed_survives_faults },
--- a/tests/standin/standin-platform/api.c
+++ b/tests/standin/standin-platform/api.c
@@ -2,8 +2,8 @@
 
 #include <string.h>
 
-static json_t *
-json_int64 (int64_t value)
+json_t *
+api_int64 (int64_t value)
 {
   return json_sprintf ("%lld", (long long)value);
 }
@@ -47,7 +47,7 @@
 api_header (const struct store *store)
 {
   return json_pack ("{s:s, s:s, s:o, s:s}", "cluster_id", "1", "member_id",
-                    "1", "revision", json_int64 (store->revision), "raft_term",
+                    "1", "revision", api_int64 (store->revision), "raft_term",
                     "1");
 }
 
@@ -61,16 +61,15 @@
                          : g_bytes_get_data (version->value, &len);
   json_object_set_new (kv, "key",
                        json_base64 (version->key, strlen (version->key)));
-  json_object_set_new (kv, "mod_revision", json_int64 (version->mod_rev));
+  json_object_set_new (kv, "mod_revision", api_int64 (version->mod_rev));
   if (version->value == NULL)
     return kv;
-  json_object_set_new (kv, "create_revision",
-                       json_int64 (version->create_rev));
-  json_object_set_new (kv, "version", json_int64 (version->version));
+  json_object_set_new (kv, "create_revision", api_int64 (version->create_rev));
+  json_object_set_new (kv, "version", api_int64 (version->version));
   if (len > 0)
     json_object_set_new (kv, "value", json_base64 (data, len));
   if (version->lease != 0)
-    json_object_set_new (kv, "lease", json_int64 (version->lease));
+    json_object_set_new (kv, "lease", api_int64 (version->lease));
   return kv;
 }
 
@@ -108,7 +107,7 @@
   else
     json_decref (kvs);
   if (n > 0)
-    json_object_set_new (answer, "count", json_int64 ((int64_t)n));
+    json_object_set_new (answer, "count", api_int64 ((int64_t)n));
   return answer;
 }
 
@@ -141,7 +140,7 @@
   g_autofree char *end = api_key (body, "range_end");
   int64_t n = key == NULL ? 0 : store_delete (store, key, end);
   return json_pack ("{s:o, s:o}", "header", api_header (store), "deleted",
-                    json_int64 (n));
+                    api_int64 (n));
 }
 
 static int
@@ -248,7 +247,7 @@
 lease_answer (struct store *store, const struct lease *lease)
 {
   return json_pack ("{s:o, s:o, s:o}", "header", api_header (store), "ID",
-                    json_int64 (lease->id), "TTL", json_int64 (lease->ttl_s));
+                    api_int64 (lease->id), "TTL", api_int64 (lease->ttl_s));
 }
 
 static json_t *
@@ -269,7 +268,7 @@
   struct lease *lease = store_lease (store, api_int (body, "ID"));
   if (lease == NULL)
     return json_pack ("{s:{s:o, s:o}}", "result", "header", api_header (store),
-                      "ID", json_int64 (api_int (body, "ID")));
+                      "ID", api_int64 (api_int (body, "ID")));
   lease->expires_us = now_us + lease->ttl_s * G_USEC_PER_SEC;
   return json_pack ("{s:o}", "result", lease_answer (store, lease));
 }
@@ -301,6 +300,12 @@
     return grant (store, body, now_us);
   if (strcmp (path, "/v3/lease/keepalive") == 0)
     return keepalive (store, body, now_us);
+  if (strcmp (path, "/v3/kv/compaction") == 0)
+    {
+      store->compacted
+          = CLAMP (api_int (body, "revision"), 0, store->revision);
+      return json_pack ("{s:o}", "header", api_header (store));
+    }
   *status = 404;
   if (strcmp (path, "/v3/lease/revoke") == 0
       && store_revoke (store, api_int (body, "ID")))
--- a/tests/standin/standin-platform/api.h
+++ b/tests/standin/standin-platform/api.h
@@ -20,5 +20,8 @@
 /* The decoded member, or null if it is absent or holds a null byte.  */
 char *
 api_key (const json_t *body, const char *name);
+/* A 64-bit number is a JSON string.  */
+json_t *
+api_int64 (int64_t value);
 int64_t
 api_int (const json_t *body, const char *name);
--- a/tests/standin/standin-platform/fault.c
+++ b/tests/standin/standin-platform/fault.c
@@ -59,6 +59,14 @@
   return fault;
 }
 
+void
+standin_compact (struct standin *standin)
+{
+  g_mutex_lock (&standin->lock);
+  standin->store.compacted = standin->store.revision;
+  g_mutex_unlock (&standin->lock);
+}
+
 json_t *
 stats_json (struct standin *standin)
 {
--- a/tests/standin/standin-platform/server.h
+++ b/tests/standin/standin-platform/server.h
@@ -17,6 +17,10 @@
    leaves ranges alone, since they have no effect to lose.  */
 bool
 standin_fault (struct standin *standin, const char *mode, int ms, int count);
+/* Makes watches from before the present revision fail, as after the store's
+   compaction (POST /v3/kv/compaction).  */
+void
+standin_compact (struct standin *standin);
 /* Calls by kind ("range", "txn", "watch", "lease", "other"), "watches" open
    and "writes".  */
 int64_t
--- a/tests/standin/standin-platform/store.h
+++ b/tests/standin/standin-platform/store.h
@@ -28,6 +28,7 @@
   GHashTable *leases;
   int64_t revision;
   int64_t next_lease;
+  int64_t compacted; /* watches can't start before this revision */
   int64_t writes;
 };
 
--- a/tests/standin/standin-platform/watch.c
+++ b/tests/standin/standin-platform/watch.c
@@ -13,6 +13,7 @@
   char *end;
   int64_t next; /* revision from which events are still to be sent */
   unsigned fault_turn;
+  bool cancelled; /* the stream ends after what is queued */
   GString *out;
   size_t sent;
 };
@@ -96,6 +97,8 @@
 {
   (void)pos;
   struct watch *watch = user;
+  if (watch->sent == watch->out->len && watch->cancelled)
+    return MHD_CONTENT_READER_END_OF_STREAM;
   if (watch->sent == watch->out->len)
     {
       g_string_truncate (watch->out, 0);
@@ -146,6 +149,11 @@
   watch->fault_turn = standin->fault_turn;
   standin->watches++;
   queue_message (watch, json_pack ("{s:b}", "created", 1));
+  watch->cancelled = start > 0 && start < standin->store.compacted;
+  if (watch->cancelled)
+    queue_message (watch,
+                   json_pack ("{s:b, s:o}", "canceled", 1, "compact_revision",
+                              api_int64 (standin->store.compacted)));
   g_mutex_unlock (&standin->lock);
   struct MHD_Response *response = MHD_create_response_from_callback (
       MHD_SIZE_UNKNOWN, 16384, watch_read, watch, watch_free);
