--- a/lib/note/check.c
+++ b/lib/note/check.c
@@ -89,7 +89,9 @@
   if (!json_is_string (value) || !is_name (json_string_value (value)))
     return note_refuse (err, name == NULL ? at : &here,
                         "must be 1 to 64 characters of [a-z0-9-]");
-  *out = g_ref_string_new_intern (json_string_value (value));
+  /* Not interned: GLib's interning races with a release on another thread,
+     which gave freed strings in racing folds.  */
+  *out = g_ref_string_new (json_string_value (value));
   return true;
 }
 
--- a/lib/note/service.c
+++ b/lib/note/service.c
@@ -22,7 +22,7 @@
   const char *text = json_string_value (value);
   if (text == NULL || *text == '\0' || strlen (text) > 64)
     return note_refuse (err, &here, "must be null or 1 to 64 bytes of text");
-  kind->fan_out = g_ref_string_new_intern (text);
+  kind->fan_out = g_ref_string_new (text);
   return true;
 }
 
