--- a/tests/note_test.c
+++ b/tests/note_test.c
@@ -342,6 +342,33 @@
   pl_shared_unref (slot.value);
 }
 
+static void *
+fold_often (void *user)
+{
+  (void)user;
+  for (int i = 0; i < 2000; i++)
+    {
+      struct note_conf *one = note_fold (pl_str (first), NULL, 1, NULL);
+      struct note_conf *two = note_fold (pl_str (second), one, 2, NULL);
+      pl_shared_unref ((struct pl_shared *)one);
+      pl_shared_unref ((struct pl_shared *)two);
+    }
+  return NULL;
+}
+
+/* Guards against strings that are shared between the configurations of two
+   threads (the platform thread checks documents while control folds).  */
+static void
+test_folds_on_threads (void)
+{
+  GThread *other = g_thread_new ("fold", fold_often, NULL);
+  fold_often (NULL);
+  g_thread_join (other);
+  struct note_conf *conf = fold (first, NULL, 1);
+  CU_ASSERT_STRING_EQUAL (conf->workers[0].domain, "brum");
+  pl_shared_unref (&conf->base);
+}
+
 static char *
 full_note (void)
 {
@@ -405,6 +432,7 @@
     { "fold", test_fold },
     { "document round trip", test_document },
     { "mutated notes", test_mutations },
+    { "folds on two threads", test_folds_on_threads },
     { "history never reverts", test_history },
     { "full size", test_full_size },
     CU_TEST_INFO_NULL,
