Add lib/run: task requests over pooled neon connections

Each request is sent at most once: the session cannot open a second connection, and the body provider refuses a second rewind. Not yet tested.

--- /dev/null
+++ b/lib/run/conn.c
@@ -0,0 +1,250 @@
+/* One connection: a neon session that never sends a request twice.
+
+   neon resends a request by itself when a persistent connection turns out to
+   be closed.  Three measures prevent that.  The session's local address is set
+   to one that cannot be bound as soon as it has a connection, so that neon
+   can't open a second one for the same request.  If it did, the notifier would
+   shut the new socket before the first byte.  And the body provider refuses a
+   second rewind.  */
+#include "run_priv.h"
+
+#include <poll.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define POOL_WAIT_US(opts) ((int64_t)(opts)->connect_ms * 1000)
+
+/* An address of the block for documentation (RFC 5737), never a local one.  */
+static const ne_inet_addr *
+unbindable (void)
+{
+  static gsize address;
+  if (g_once_init_enter (&address))
+    {
+      const unsigned char raw[] = { 192, 0, 2, 1 };
+      g_once_init_leave (&address,
+                         (gsize)ne_iaddr_make (ne_iaddr_ipv4, raw));
+    }
+  return (const ne_inet_addr *)address;
+}
+
+const char *
+run_late (struct run *run, struct run_task *task)
+{
+  if (task == NULL)
+    return NULL;
+  if (g_atomic_int_get (&task->cancelled))
+    return "cancelled";
+  if (pl_now_us (run->opts.clock) >= task->deadline_us)
+    return "deadline";
+  return NULL;
+}
+
+/* Shuts the socket before the first byte if the request must not be sent. */
+static void
+check_send (struct run_conn *conn)
+{
+  const char *why = conn->stop_reason;
+  if (why == NULL)
+    why = run_late (conn->run, conn->task);
+  if (why == NULL)
+    return;
+  conn->stop_reason = why;
+  if (conn->fd < 0)
+    {
+      conn->late_sent = true;
+      return;
+    }
+  shutdown (conn->fd, SHUT_RDWR);
+  conn->blocked = true;
+}
+
+static void
+on_connected (struct run_conn *conn)
+{
+  ne_set_localaddr (conn->session, unbindable ());
+  bool second = conn->connected;
+  conn->connected = true;
+  conn->alive = true;
+  run_conn_find_socket (conn->run->pool, conn);
+  if (second)
+    {
+      if (conn->fd >= 0)
+        shutdown (conn->fd, SHUT_RDWR);
+      return;
+    }
+  conn->start_us = pl_now_us (conn->run->opts.clock);
+  check_send (conn);
+}
+
+static void
+on_status (void *user, ne_session_status status,
+           const ne_session_status_info *info)
+{
+  (void)info;
+  struct run_conn *conn = user;
+  if (conn->run == NULL)
+    return;
+  if (status == ne_status_connected)
+    on_connected (conn);
+  else if (status == ne_status_disconnected)
+    conn->alive = false;
+}
+
+/* The last step before the headers are written on an open connection.  */
+static void
+on_pre_send (ne_request *req, void *user, ne_buffer *header)
+{
+  (void)req;
+  (void)header;
+  struct run_conn *conn = user;
+  if (!conn->reused)
+    return;
+  conn->start_us = pl_now_us (conn->run->opts.clock);
+  check_send (conn);
+}
+
+static ssize_t
+provide_body (void *user, char *buffer, size_t len)
+{
+  struct run_conn *conn = user;
+  if (len == 0)
+    {
+      if (conn->body_given || conn->late_sent)
+        {
+          ne_set_error (conn->session, "the request is not sent again");
+          return -1;
+        }
+      conn->body_given = true;
+      return 0;
+    }
+  gsize size = 0;
+  const char *data = g_bytes_get_data (conn->task->input, &size);
+  size_t n = MIN (len, size - conn->body_offset);
+  memcpy (buffer, data + conn->body_offset, n);
+  conn->body_offset += n;
+  return (ssize_t)n;
+}
+
+struct run_conn *
+run_conn_new (struct run_upstream *up, const struct run_opts *opts)
+{
+  struct run_conn *conn = g_new0 (struct run_conn, 1);
+  conn->up = up;
+  conn->fd = -1;
+  uint32_t ip = GUINT32_TO_BE (up->addr.ip);
+  unsigned char raw[4];
+  memcpy (raw, &ip, sizeof raw);
+  conn->addr = ne_iaddr_make (ne_iaddr_ipv4, raw);
+  conn->addrs[0] = conn->addr;
+  char host[PL_ADDR_TEXT];
+  pl_addr_text (up->addr, host);
+  *strchr (host, ':') = '\0';
+  conn->session = ne_session_create ("http", host, up->addr.port);
+  ne_set_addrlist (conn->session, conn->addrs, 1);
+  ne_set_connect_timeout (conn->session, MAX (1, opts->connect_ms / 1000));
+  /* The watchdog is exact; this is for sockets that were not found.  */
+  ne_set_read_timeout (conn->session, opts->silence_ms / 1000 + 1);
+  ne_set_notifier (conn->session, on_status, conn);
+  ne_hook_pre_send (conn->session, on_pre_send, conn);
+  return conn;
+}
+
+void
+run_conn_free (struct run_conn *conn)
+{
+  ne_session_destroy (conn->session);
+  if (conn->fd >= 0)
+    close (conn->fd);
+  ne_iaddr_free (conn->addr);
+  g_free (conn);
+}
+
+static void
+close_conn (struct run_pool *pool, struct run_conn *conn)
+{
+  conn->alive = false;
+  ne_close_connection (conn->session);
+  run_conn_drop_socket (pool, conn);
+}
+
+/* An idle connection has nothing to read; anything else is its end or a
+   surplus of an earlier answer.  */
+static bool
+usable (const struct run_conn *conn)
+{
+  if (!conn->alive)
+    return false;
+  if (conn->fd < 0)
+    return true;
+  struct pollfd p = { .fd = conn->fd, .events = POLLIN | POLLRDHUP };
+  return poll (&p, 1, 0) == 0;
+}
+
+static void
+reset (struct run *run, struct run_conn *conn, struct run_task *task)
+{
+  conn->run = run;
+  conn->task = task;
+  conn->connected = false;
+  conn->blocked = false;
+  conn->late_sent = false;
+  conn->body_given = false;
+  conn->body_offset = 0;
+  conn->stop_reason = NULL;
+  conn->limit_reason = NULL;
+  conn->start_us = 0;
+  conn->cut = false;
+}
+
+int
+run_conn_begin (struct run *run, struct run_conn *conn, struct run_task *task,
+                ne_request *req)
+{
+  reset (run, conn, task);
+  if (task != NULL)
+    ne_set_request_body_provider (
+        req, (ne_off_t)g_bytes_get_size (task->input), provide_body, conn);
+  int64_t now = pl_now_us (run->opts.clock);
+  int64_t limit = now + (int64_t)run->opts.silence_ms * 1000;
+  const char *reason = "silent";
+  if (task == NULL)
+    limit = now + RUN_CANCEL_US;
+  else if (task->deadline_us < limit)
+    {
+      limit = task->deadline_us;
+      reason = "deadline";
+    }
+  conn->reused = usable (conn);
+  if (conn->reused)
+    {
+      conn->connected = true;
+      run_pool_limit (run->pool, conn, limit, reason);
+      return ne_begin_request (req);
+    }
+  close_conn (run->pool, conn);
+  if (!run_pool_begin_connect (run->pool, conn->up, POOL_WAIT_US (&run->opts)))
+    {
+      conn->stop_reason = "connect queue";
+      return NE_CONNECT;
+    }
+  ne_set_localaddr (conn->session, NULL);
+  run_pool_limit (run->pool, conn, limit, reason);
+  int code = ne_begin_request (req);
+  if (!conn->connected)
+    run_pool_end_connect (run->pool, conn->up);
+  return code;
+}
+
+void
+run_conn_end (struct run_conn *conn, bool keep)
+{
+  struct run_pool *pool = conn->run->pool;
+  run_pool_limit (pool, conn, 0, NULL);
+  if (!keep || conn->cut || !conn->alive)
+    close_conn (pool, conn);
+  conn->idle_since_us = pl_now_us (conn->run->opts.clock);
+  conn->run = NULL;
+  conn->task = NULL;
+}
--- /dev/null
+++ b/lib/run/run.c
@@ -0,0 +1,99 @@
+#include "run_priv.h"
+
+#include <ne_socket.h>
+
+/* Marks the end of the queue.  */
+static struct run_task end_mark;
+
+static void
+refuse (struct run_result *result, const char *reason)
+{
+  result->status = RUN_NOT_SENT;
+  result->reason = reason;
+}
+
+static void
+run_one (struct run *run, struct run_task *task)
+{
+  struct run_result *result = g_new0 (struct run_result, 1);
+  const char *late = run_late (run, task);
+  if (late != NULL)
+    refuse (result, late);
+  else
+    {
+      int64_t wait_us = (int64_t)run->opts.connect_ms * 1000;
+      struct run_conn *conn = run_pool_take (run->pool, task->addr, wait_us);
+      if (conn == NULL)
+        refuse (result, "no free connection");
+      else
+        {
+          run_exchange (run, conn, task, result);
+          run_pool_give (run->pool, conn);
+        }
+    }
+  run->opts.done (task, result, run->opts.user);
+}
+
+static gpointer
+loop (gpointer user)
+{
+  struct run *run = user;
+  for (;;)
+    {
+      struct run_task *task = g_async_queue_pop (run->queue);
+      if (task == &end_mark)
+        return NULL;
+      run_one (run, task);
+    }
+}
+
+struct run *
+run_new (const struct run_opts *opts)
+{
+  if (ne_sock_init () != 0)
+    g_error ("neon: no sockets");
+  struct run *run = g_new0 (struct run, 1);
+  run->opts = *opts;
+  run->queue = g_async_queue_new ();
+  run->pool = run_pool_new (&run->opts);
+  run->threads = g_new0 (GThread *, opts->threads);
+  for (unsigned i = 0; i < opts->threads; i++)
+    run->threads[i] = g_thread_new ("run", loop, run);
+  run_cancel_begin (run);
+  return run;
+}
+
+void
+run_start (struct run *run, struct run_task *task)
+{
+  g_async_queue_push (run->queue, task);
+}
+
+void
+run_free (struct run *run)
+{
+  for (unsigned i = 0; i < run->opts.threads; i++)
+    g_async_queue_push (run->queue, &end_mark);
+  for (unsigned i = 0; i < run->opts.threads; i++)
+    g_thread_join (run->threads[i]);
+  run_cancel_end (run);
+  run_pool_free (run->pool);
+  g_async_queue_unref (run->queue);
+  g_free (run->threads);
+  g_free (run);
+}
+
+void
+run_task_free (struct run_task *task)
+{
+  g_free (task->kind);
+  g_clear_pointer (&task->input, g_bytes_unref);
+  g_free (task);
+}
+
+void
+run_result_free (struct run_result *result)
+{
+  g_clear_pointer (&result->answer, g_bytes_unref);
+  g_free (result);
+}
--- /dev/null
+++ b/lib/run/run_priv.h
@@ -0,0 +1,123 @@
+/* Private parts of lib/run: connections, their pool and the watchdog.  */
+#pragma once
+
+#include "run.h"
+
+#include <ne_request.h>
+#include <ne_session.h>
+
+/* Longest wait for the answer to a DELETE.  */
+#define RUN_CANCEL_US (1000 * 1000)
+#define RUN_CANCEL_THREADS 4
+/* Cancellations waiting at most; more are dropped, the tasks then end by
+   themselves.  */
+#define RUN_CANCEL_QUEUE 4096
+
+/* One neon session with at most one TCP connection to one upstream.  */
+struct run_conn
+{
+  struct run_upstream *up;
+  ne_session *session;
+  ne_inet_addr *addr;
+  const ne_inet_addr *addrs[1];
+  int fd; /* duplicate of the connected socket; -1: none or unknown */
+  uint16_t local_port; /* of FD */
+  bool alive;          /* the session has a connection */
+  bool connected;      /* a connection existed during this request */
+  bool reused;         /* this request started on an open connection */
+  bool blocked;        /* this request was stopped before its first byte */
+  bool late_sent;      /* as BLOCKED, but its headers may have been sent */
+  int64_t idle_since_us;
+  /* The request being sent; null while idle.  */
+  struct run *run;
+  struct run_task *task; /* null for a DELETE */
+  const char *stop_reason;
+  int64_t start_us;   /* before the first byte */
+  bool body_given;    /* the body was provided once */
+  size_t body_offset; /* of the next byte */
+  /* Guarded by the pool's lock.  */
+  int64_t limit_us; /* the watchdog cuts the connection then; 0: never */
+  const char *limit_reason;
+  bool cut;
+};
+
+struct run_upstream
+{
+  struct pl_addr addr;
+  GQueue idle;      /* struct run_conn *, the last used first */
+  GPtrArray *conns; /* all of them */
+  bool connecting;  /* one connect at a time, see run_conn_find_socket */
+};
+
+struct run_pool
+{
+  const struct run_opts *opts;
+  GMutex lock;
+  GCond freed;   /* a connection or the right to connect is free */
+  GCond stopped; /* wakes the watchdog for its end */
+  bool stopping;
+  GHashTable *upstreams; /* struct pl_addr: struct run_upstream */
+  GThread *watchdog;
+};
+
+struct run
+{
+  struct run_opts opts;
+  struct run_pool *pool;
+  GAsyncQueue *queue; /* struct run_task, or the end mark */
+  GThread **threads;
+  GAsyncQueue *cancels; /* struct run_cancel_item, or the end mark */
+  GThread *cancel_threads[RUN_CANCEL_THREADS];
+};
+
+struct run_pool *
+run_pool_new (const struct run_opts *opts);
+void
+run_pool_free (struct run_pool *pool);
+/* Takes a connection, open or not.  Waits at most WAIT_US while all are in
+   use; then null.  */
+struct run_conn *
+run_pool_take (struct run_pool *pool, struct pl_addr addr, int64_t wait_us);
+void
+run_pool_give (struct run_pool *pool, struct run_conn *conn);
+/* Waits for the right to connect to an upstream; false after WAIT_US.  */
+bool
+run_pool_begin_connect (struct run_pool *pool, struct run_upstream *up,
+                        int64_t wait_us);
+void
+run_pool_end_connect (struct run_pool *pool, struct run_upstream *up);
+/* Sets the time at which the watchdog cuts CONN; 0: never.  */
+void
+run_pool_limit (struct run_pool *pool, struct run_conn *conn, int64_t limit_us,
+                const char *reason);
+
+struct run_conn *
+run_conn_new (struct run_upstream *up, const struct run_opts *opts);
+void
+run_conn_free (struct run_conn *conn);
+/* Connects if necessary and sends REQ once.  TASK may be null.  An NE_
+   code.  */
+int
+run_conn_begin (struct run *run, struct run_conn *conn, struct run_task *task,
+                ne_request *req);
+/* Ends a request; KEEP if the connection can be used again.  */
+void
+run_conn_end (struct run_conn *conn, bool keep);
+/* Finds the socket that neon has just connected.  */
+void
+run_conn_find_socket (struct run_pool *pool, struct run_conn *conn);
+/* Closes the duplicate that the above made.  */
+void
+run_conn_drop_socket (struct run_pool *pool, struct run_conn *conn);
+/* Why the task must not be sent now, or null.  */
+const char *
+run_late (struct run *run, struct run_task *task);
+
+/* Sends the task of CONN and judges the answer.  */
+void
+run_exchange (struct run *run, struct run_conn *conn, struct run_task *task,
+              struct run_result *result);
+void
+run_cancel_begin (struct run *run);
+void
+run_cancel_end (struct run *run);
