--- a/lib/run/answer.c
+++ b/lib/run/answer.c
@@ -30,8 +30,7 @@
 {
   const char *text = ne_get_response_header (req, "Content-Length");
   int64_t n = -1;
-  if (text == NULL
-      || ne_get_response_header (req, "Transfer-Encoding") != NULL
+  if (text == NULL || ne_get_response_header (req, "Transfer-Encoding") != NULL
       || !pl_str_to_int (pl_str (text), 0, INT32_MAX, &n))
     return -1;
   return n;
@@ -162,8 +161,8 @@
 static void
 limit_body (struct run *run, struct run_conn *conn)
 {
-  int64_t limit = pl_now_us (run->opts.clock)
-                  + (int64_t)run->opts.silence_ms * 1000;
+  int64_t limit
+      = pl_now_us (run->opts.clock) + (int64_t)run->opts.silence_ms * 1000;
   bool by_deadline = conn->task->deadline_us < limit;
   run_pool_limit (run->pool, conn,
                   by_deadline ? conn->task->deadline_us : limit,
--- a/lib/run/conn.c
+++ b/lib/run/conn.c
@@ -23,8 +23,7 @@
   if (g_once_init_enter (&address))
     {
       const unsigned char raw[] = { 192, 0, 2, 1 };
-      g_once_init_leave (&address,
-                         (gsize)ne_iaddr_make (ne_iaddr_ipv4, raw));
+      g_once_init_leave (&address, (gsize)ne_iaddr_make (ne_iaddr_ipv4, raw));
     }
   return (const ne_inet_addr *)address;
 }
