--- /dev/null
+++ b/lib/http/http.c
@@ -0,0 +1,212 @@
+#include "http_priv.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <signal.h>
+#include <string.h>
+#include <unistd.h>
+
+/* Connections beyond the limit of callers, for refusals and operators.  */
+#define SPARE_CONNECTIONS 64
+/* The sweeper answers a stalled body before libmicrohttpd closes it.  */
+#define SPARE_IDLE_S 2
+
+static bool
+headers_too_large (struct MHD_Connection *connection)
+{
+  const union MHD_ConnectionInfo *info = MHD_get_connection_info (
+      connection, MHD_CONNECTION_INFO_REQUEST_HEADER_SIZE);
+  return info != NULL && info->header_size > HTTP_HEADER_BYTES;
+}
+
+static enum MHD_Result
+take_body (struct http_req *req, const char *data, size_t *size)
+{
+  uint64_t limit = (uint64_t)req->http->conf->body_bytes;
+  g_mutex_lock (&req->lock);
+  bool reading = req->state == HTTP_READING;
+  g_mutex_unlock (&req->lock);
+  if (!reading)
+    return MHD_NO;
+  req->body_seen += *size;
+  if (req->body_seen > limit)
+    {
+      req->too_large = true;
+      g_string_truncate (req->body, 0);
+    }
+  else
+    g_string_append_len (req->body, data, (gssize)*size);
+  *size = 0;
+  if (req->body_seen <= limit * HTTP_DRAIN_FACTOR)
+    return MHD_YES;
+  if (req->key != NULL)
+    http_req_start_detached (req);
+  return MHD_NO;
+}
+
+/* Called with the headers, with each part of the body, with its end, and
+   after each resumption.  */
+static enum MHD_Result
+handle (void *user, struct MHD_Connection *connection, const char *path,
+        const char *method, const char *version, const char *data,
+        size_t *size, void **state)
+{
+  (void)version;
+  struct http_req *req = *state;
+  if (req == NULL)
+    {
+      req = http_req_new (user, connection, path, method);
+      *state = req;
+      if (headers_too_large (connection))
+        return http_send_error (req, PL_HEADERS_TOO_LARGE, NULL);
+      return http_route (req, false);
+    }
+  g_mutex_lock (&req->lock);
+  enum http_state now = req->state;
+  g_mutex_unlock (&req->lock);
+  if (now == HTTP_CUT)
+    return MHD_NO;
+  if (now == HTTP_ANSWERED)
+    return http_send_reply (req, req->reply);
+  if (*size > 0)
+    return take_body (req, data, size);
+  return http_route (req, true);
+}
+
+static void
+completed (void *user, struct MHD_Connection *connection, void **state,
+           enum MHD_RequestTerminationCode code)
+{
+  (void)user;
+  (void)connection;
+  (void)code;
+  if (*state != NULL)
+    http_req_finish (*state);
+  *state = NULL;
+}
+
+static struct MHD_Daemon *
+start (struct http *http, struct pl_addr addr)
+{
+  const struct conf *conf = http->conf;
+  struct sockaddr_in sin = { .sin_family = AF_INET,
+                             .sin_port = htons (addr.port),
+                             .sin_addr.s_addr = htonl (addr.ip) };
+  unsigned limit = (unsigned)conf->caller_connections + SPARE_CONNECTIONS;
+  unsigned threads = (unsigned)conf->http_threads;
+  return MHD_start_daemon (
+      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_USE_SUSPEND_RESUME, addr.port, NULL,
+      NULL, handle, http, MHD_OPTION_SOCK_ADDR, &sin,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_LISTEN_BACKLOG_SIZE,
+      limit, MHD_OPTION_THREAD_POOL_SIZE, threads > 1 ? threads : 0U,
+      MHD_OPTION_CONNECTION_LIMIT, MAX (limit, threads),
+      MHD_OPTION_CONNECTION_TIMEOUT,
+      (unsigned)conf->caller_idle_s + SPARE_IDLE_S,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)HTTP_CONNECTION_BYTES,
+      MHD_OPTION_NOTIFY_COMPLETED, completed, http, MHD_OPTION_END);
+}
+
+struct http *
+http_new (const struct conf *conf, struct http_ops *ops, struct pl_err *err)
+{
+  struct pl_addr addr;
+  if (!pl_addr_parse (pl_str (conf->listen), &addr))
+    {
+      pl_fail (err, PL_SETTING_INVALID, "listen: '%s' is not ip:port",
+               conf->listen);
+      return NULL;
+    }
+  struct http *http = g_new0 (struct http, 1);
+  g_atomic_ref_count_init (&http->refs);
+  http->conf = conf;
+  http->ops = ops;
+  g_mutex_init (&http->lock);
+  g_cond_init (&http->changed);
+  http->open = g_hash_table_new (NULL, NULL);
+  /* A caller that goes away must not end the process.  */
+  signal (SIGPIPE, SIG_IGN);
+  http->daemon = start (http, addr);
+  if (http->daemon == NULL)
+    {
+      pl_fail (err, PL_SYSTEM, "cannot listen on %s: %s", conf->listen,
+               g_strerror (errno));
+      http_unref (http);
+      return NULL;
+    }
+  http->sweeper = g_thread_new ("http-sweep", http_sweep, http);
+  return http;
+}
+
+void
+http_unref (struct http *http)
+{
+  if (!g_atomic_ref_count_dec (&http->refs))
+    return;
+  g_hash_table_destroy (http->open);
+  g_mutex_clear (&http->lock);
+  g_cond_clear (&http->changed);
+  g_free (http);
+}
+
+unsigned
+http_open_requests (struct http *http)
+{
+  g_mutex_lock (&http->lock);
+  unsigned n = g_hash_table_size (http->open);
+  g_mutex_unlock (&http->lock);
+  return n;
+}
+
+static void
+wait_open (struct http *http, int limit_ms)
+{
+  int64_t until = g_get_monotonic_time () + (int64_t)limit_ms * 1000;
+  g_mutex_lock (&http->lock);
+  while (g_hash_table_size (http->open) > 0)
+    if (!g_cond_wait_until (&http->changed, &http->lock, until))
+      break;
+  g_mutex_unlock (&http->lock);
+}
+
+static unsigned
+cut_open (struct http *http)
+{
+  GPtrArray *left = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer p;
+  g_mutex_lock (&http->lock);
+  g_hash_table_iter_init (&iter, http->open);
+  while (g_hash_table_iter_next (&iter, &p, NULL))
+    {
+      g_atomic_ref_count_inc (&((struct http_req *)p)->refs);
+      g_ptr_array_add (left, p);
+    }
+  g_mutex_unlock (&http->lock);
+  unsigned n = 0;
+  for (unsigned i = 0; i < left->len; i++)
+    {
+      struct http_req *req = g_ptr_array_index (left, i);
+      n += http_req_cut (req) ? 1 : 0;
+      http_req_unref (req);
+    }
+  g_ptr_array_free (left, TRUE);
+  return n;
+}
+
+unsigned
+http_free (struct http *http, int limit_ms)
+{
+  MHD_socket fd = MHD_quiesce_daemon (http->daemon);
+  if (fd != MHD_INVALID_SOCKET)
+    close (fd);
+  wait_open (http, limit_ms);
+  g_mutex_lock (&http->lock);
+  http->stopping = true;
+  g_cond_broadcast (&http->changed);
+  g_mutex_unlock (&http->lock);
+  g_thread_join (http->sweeper);
+  unsigned cut = cut_open (http);
+  MHD_stop_daemon (http->daemon);
+  http_unref (http);
+  return cut;
+}
--- /dev/null
+++ b/tests/run_test.c
@@ -0,0 +1,689 @@
+/* Tests of lib/run against a raw server whose behaviour is chosen by the
+   task's kind.  */
+#include "run.h"
+#include "test.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+struct server
+{
+  int fd;
+  struct pl_addr addr;
+  GMutex lock;
+  GCond changed;
+  int connections, open, max_open;
+  GHashTable *seen; /* id: how often a first byte of it arrived */
+  GHashTable *cancelled;
+  int oversize;
+};
+
+static struct server server;
+
+struct request
+{
+  char id[64], kind[64], method[8];
+  int body;
+};
+
+static int
+seen (const char *id)
+{
+  g_mutex_lock (&server.lock);
+  int n = GPOINTER_TO_INT (g_hash_table_lookup (server.seen, id));
+  g_mutex_unlock (&server.lock);
+  return n;
+}
+
+static void
+header (const char *text, const char *name, char *out, size_t size)
+{
+  const char *at = strstr (text, name);
+  *out = '\0';
+  if (at == NULL)
+    return;
+  at += strlen (name);
+  g_strlcpy (out, at, MIN (size, strcspn (at, "\r") + 1));
+}
+
+static bool
+read_request (int fd, struct request *r)
+{
+  char buf[8192];
+  size_t n = 0;
+  char *end = NULL;
+  while (end == NULL)
+    {
+      ssize_t got = recv (fd, buf + n, sizeof buf - 1 - n, 0);
+      if (got <= 0)
+        return false;
+      n += (size_t)got;
+      buf[n] = '\0';
+      end = strstr (buf, "\r\n\r\n");
+    }
+  char length[16];
+  header (buf, "Task-Id: ", r->id, sizeof r->id);
+  header (buf, "Task-Kind: ", r->kind, sizeof r->kind);
+  header (buf, "Content-Length: ", length, sizeof length);
+  g_strlcpy (r->method, buf, MIN (sizeof r->method, strcspn (buf, " ") + 1));
+  if (strcmp (r->method, "DELETE") == 0)
+    g_strlcpy (r->id, buf + strlen ("DELETE /task/"),
+               strcspn (buf + strlen ("DELETE /task/"), " ") + 1);
+  else
+    {
+      g_mutex_lock (&server.lock);
+      int count = GPOINTER_TO_INT (g_hash_table_lookup (server.seen, r->id));
+      g_hash_table_replace (server.seen, g_strdup (r->id),
+                            GINT_TO_POINTER (count + 1));
+      g_mutex_unlock (&server.lock);
+    }
+  r->body = (int)strtol (length, NULL, 10);
+  int have = (int)(n - (size_t)(end + 4 - buf));
+  while (have < r->body)
+    {
+      ssize_t got = recv (fd, buf, sizeof buf, 0);
+      if (got <= 0)
+        return false;
+      have += (int)got;
+    }
+  return true;
+}
+
+static void
+say (int fd, const char *fmt, ...) G_GNUC_PRINTF (2, 3);
+
+static void
+say (int fd, const char *fmt, ...)
+{
+  va_list args;
+  va_start (args, fmt);
+  g_autofree char *text = g_strdup_vprintf (fmt, args);
+  va_end (args);
+  ssize_t n = send (fd, text, strlen (text), MSG_NOSIGNAL);
+  (void)n;
+}
+
+static void
+answer (int fd, int status, const char *id, int length, const char *body)
+{
+  say (fd, "HTTP/1.1 %d X\r\nTask-Id: %s\r\nContent-Length: %d\r\n\r\n%s",
+       status, id, length, body);
+}
+
+static void
+dribble (int fd, const char *text)
+{
+  for (; *text != '\0'; text++)
+    {
+      if (send (fd, text, 1, MSG_NOSIGNAL) != 1)
+        return;
+      g_usleep (20000);
+    }
+}
+
+static void
+wait_cancel (int fd, const char *id)
+{
+  int64_t until = g_get_monotonic_time () + 2000000;
+  g_mutex_lock (&server.lock);
+  while (!g_hash_table_contains (server.cancelled, id))
+    if (!g_cond_wait_until (&server.changed, &server.lock, until))
+      break;
+  g_mutex_unlock (&server.lock);
+  answer (fd, 410, id, 2, "{}");
+}
+
+/* Returns false if the connection is to be closed.  */
+static bool
+behave (int fd, struct request *r)
+{
+  const char *k = r->kind;
+  const char *slow = "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n";
+  if (strcmp (k, "ok") == 0)
+    answer (fd, 200, r->id, 4, "true");
+  else if (strcmp (k, "leaving") == 0)
+    say (fd,
+         "HTTP/1.1 200 OK\r\nTask-Id: %s\r\nWorker-Leaving: 1\r\n"
+         "Content-Length: 1\r\n\r\n1",
+         r->id);
+  else if (strcmp (k, "fail") == 0)
+    answer (fd, 500, r->id, 2, "no");
+  else if (strcmp (k, "fail-anonymous") == 0)
+    answer (fd, 500, "other", 2, "no");
+  else if (strcmp (k, "refuse") == 0 || strcmp (k, "refuse-other") == 0)
+    say (fd,
+         "HTTP/1.1 503 No\r\nTask-Not-Started: %s%s\r\n"
+         "Content-Length: 0\r\n\r\n",
+         r->id, strcmp (k, "refuse") == 0 ? "" : "x");
+  else if (strcmp (k, "cross") == 0)
+    answer (fd, 200, "other", 4, "true");
+  else if (strcmp (k, "double") == 0)
+    answer (fd, 200, r->id, 4, "truetrue");
+  else if (strcmp (k, "oversize") == 0)
+    answer (fd, 200, r->id, server.oversize, "true");
+  else if (strcmp (k, "short") == 0)
+    {
+      answer (fd, 200, r->id, 10, "true");
+      return false;
+    }
+  else if (strcmp (k, "no-length") == 0)
+    {
+      say (fd, "HTTP/1.1 200 OK\r\nTask-Id: %s\r\n\r\ntrue", r->id);
+      return false;
+    }
+  else if (strcmp (k, "chunked") == 0)
+    say (fd,
+         "HTTP/1.1 200 OK\r\nTask-Id: %s\r\nTransfer-Encoding: chunked\r\n"
+         "\r\n4\r\ntrue\r\n0\r\n\r\n",
+         r->id);
+  else if (strcmp (k, "garbage") == 0)
+    say (fd, "@@@@\r\n\r\n");
+  else if (strcmp (k, "dribble-headers") == 0)
+    dribble (fd, slow);
+  else if (strcmp (k, "dribble") == 0)
+    {
+      say (fd, "HTTP/1.1 200 OK\r\nTask-Id: %s\r\nContent-Length: 500\r\n\r\n",
+           r->id);
+      g_autofree char *body = g_strnfill (500, 'x');
+      dribble (fd, body);
+    }
+  else if (strcmp (k, "wait-cancel") == 0)
+    wait_cancel (fd, r->id);
+  else if (strcmp (k, "ok-close") == 0)
+    {
+      answer (fd, 200, r->id, 4, "true");
+      return false;
+    }
+  else if (strcmp (k, "reset") == 0)
+    {
+      struct linger linger = { .l_onoff = 1 };
+      setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+      return false;
+    }
+  else
+    return false; /* "close" */
+  return true;
+}
+
+static void
+note_cancel (int fd, const char *id)
+{
+  g_mutex_lock (&server.lock);
+  g_hash_table_add (server.cancelled, g_strdup (id));
+  g_cond_broadcast (&server.changed);
+  g_mutex_unlock (&server.lock);
+  say (fd, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+}
+
+static void
+count_open (int n)
+{
+  g_mutex_lock (&server.lock);
+  server.open += n;
+  server.connections += n > 0 ? n : 0;
+  server.max_open = MAX (server.max_open, server.open);
+  g_mutex_unlock (&server.lock);
+}
+
+static gpointer
+serve (gpointer user)
+{
+  int fd = GPOINTER_TO_INT (user);
+  struct request r;
+  bool keep = true;
+  while (keep && read_request (fd, &r))
+    {
+      if (strcmp (r.method, "DELETE") == 0)
+        note_cancel (fd, r.id);
+      else
+        keep = behave (fd, &r);
+    }
+  count_open (-1);
+  close (fd);
+  return NULL;
+}
+
+static gpointer
+accept_loop (gpointer user)
+{
+  (void)user;
+  for (;;)
+    {
+      int fd = accept (server.fd, NULL, NULL);
+      if (fd < 0)
+        return NULL;
+      count_open (1);
+      g_thread_unref (g_thread_new ("conn", serve, GINT_TO_POINTER (fd)));
+    }
+}
+
+static int
+listen_on (struct pl_addr *addr)
+{
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  struct sockaddr_in sin
+      = { .sin_family = AF_INET, .sin_addr.s_addr = inet_addr ("127.30.0.1") };
+  socklen_t len = sizeof sin;
+  CU_ASSERT_FATAL (bind (fd, (struct sockaddr *)&sin, len) == 0);
+  CU_ASSERT_FATAL (listen (fd, 256) == 0);
+  getsockname (fd, (struct sockaddr *)&sin, &len);
+  *addr = (struct pl_addr){ .ip = ntohl (sin.sin_addr.s_addr),
+                            .port = ntohs (sin.sin_port) };
+  return fd;
+}
+
+static void
+start_server (void)
+{
+  server.seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  server.cancelled
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  server.oversize = 2000;
+  server.fd = listen_on (&server.addr);
+  g_thread_unref (g_thread_new ("accept", accept_loop, NULL));
+}
+
+static GAsyncQueue *results;
+
+struct outcome
+{
+  struct run_task *task;
+  struct run_result *result;
+};
+
+static void
+done (struct run_task *task, struct run_result *result, void *user)
+{
+  (void)user;
+  struct outcome *o = g_new0 (struct outcome, 1);
+  *o = (struct outcome){ .task = task, .result = result };
+  g_async_queue_push (results, o);
+}
+
+static struct run *
+runner (struct pl_clock *clock, unsigned threads, unsigned connections)
+{
+  struct run_opts opts = { .clock = clock,
+                           .threads = threads,
+                           .connections = connections,
+                           .idle_ms = 200,
+                           .connect_ms = 1000,
+                           .silence_ms = 300,
+                           .answer_bytes = 1000,
+                           .done = done };
+  return run_new (&opts);
+}
+
+static struct run_task *
+task_new (const char *id, const char *kind, int64_t deadline_us)
+{
+  struct run_task *t = g_new0 (struct run_task, 1);
+  g_strlcpy (t->id, id, sizeof t->id);
+  t->addr = server.addr;
+  t->kind = g_strdup (kind);
+  t->input = g_bytes_new_static ("{\"a\":1}", 7);
+  t->deadline_us = deadline_us;
+  return t;
+}
+
+static void
+outcome_free (struct outcome *o)
+{
+  run_task_free (o->task);
+  run_result_free (o->result);
+  g_free (o);
+}
+
+/* Runs one task; returns its status.  REASON may be null.  */
+static enum run_status
+once (struct run *run, const char *id, const char *kind, const char **reason)
+{
+  run_start (run, task_new (id, kind, g_get_monotonic_time () + 5000000));
+  struct outcome *o = g_async_queue_pop (results);
+  enum run_status status = o->result->status;
+  if (reason != NULL)
+    *reason = o->result->reason;
+  outcome_free (o);
+  return status;
+}
+
+/* Guards against judging an answer wrongly; each case uses a connection that
+   was used before.  */
+static void
+test_answers (void)
+{
+  static const struct
+  {
+    const char *kind;
+    enum run_status status;
+    int rejected;
+  } cases[] = {
+    { "ok", RUN_OK, 0 },          { "leaving", RUN_OK, 0 },
+    { "fail", RUN_FAILED, 0 },    { "fail-anonymous", RUN_MAYBE, 1 },
+    { "refuse", RUN_REFUSED, 0 }, { "refuse-other", RUN_MAYBE, 1 },
+    { "cross", RUN_MAYBE, 1 },    { "oversize", RUN_MAYBE, 1 },
+    { "short", RUN_MAYBE, 1 },    { "no-length", RUN_MAYBE, 1 },
+    { "chunked", RUN_MAYBE, 1 },  { "garbage", RUN_MAYBE, 0 },
+  };
+  struct run *run = runner (pl_clock_real (), 1, 4);
+  for (unsigned i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      char warm[64];
+      g_snprintf (warm, sizeof warm, "warm-%u", i);
+      CU_ASSERT_EQUAL (once (run, warm, "ok", NULL), RUN_OK);
+      int64_t rejected = pl_counter (PL_CTR_ANSWERS_REJECTED_TOTAL);
+      enum run_status got = once (run, cases[i].kind, cases[i].kind, NULL);
+      CU_ASSERT_EQUAL (got, cases[i].status);
+      CU_ASSERT_EQUAL (pl_counter (PL_CTR_ANSWERS_REJECTED_TOTAL) - rejected,
+                       cases[i].rejected);
+      CU_ASSERT_EQUAL (seen (cases[i].kind), 1);
+    }
+  run_free (run);
+}
+
+static void
+test_result_fields (void)
+{
+  struct run *run = runner (pl_clock_real (), 1, 4);
+  int64_t deadline = g_get_monotonic_time () + 5000000;
+  run_start (run, task_new ("f1", "leaving", deadline));
+  struct outcome *o = g_async_queue_pop (results);
+  CU_ASSERT (o->result->leaving);
+  CU_ASSERT_EQUAL (g_bytes_get_size (o->result->answer), 1);
+  CU_ASSERT (o->result->run_us > 0);
+  outcome_free (o);
+  run_start (run, task_new ("f2", "fail", deadline));
+  o = g_async_queue_pop (results);
+  CU_ASSERT_FALSE (o->result->leaving);
+  CU_ASSERT_EQUAL (g_bytes_get_size (o->result->answer), 2);
+  outcome_free (o);
+  run_free (run);
+}
+
+/* Guards against neon's own resend, on first and on reused connections: the
+   server closes or resets after it has read the request.  */
+static void
+test_never_delivered_twice (void)
+{
+  static const char *const ends[] = { "close", "reset" };
+  for (unsigned i = 0; i < 200; i++)
+    {
+      struct run *run = runner (pl_clock_real (), 1, 2);
+      char id[64];
+      int before = server.connections;
+      g_snprintf (id, sizeof id, "twice-warm-%u", i);
+      if (i & 2)
+        CU_ASSERT_EQUAL (once (run, id, "ok", NULL), RUN_OK);
+      g_snprintf (id, sizeof id, "twice-%u", i);
+      CU_ASSERT_EQUAL (once (run, id, ends[i & 1], NULL), RUN_MAYBE);
+      CU_ASSERT_EQUAL (seen (id), 1);
+      run_free (run);
+      /* Not even a connection for a second try.  */
+      CU_ASSERT_EQUAL (server.connections - before, 1);
+    }
+}
+
+/* Guards against losing a task to a connection that was closed while idle. */
+static void
+test_closed_idle_connection (void)
+{
+  struct run *run = runner (pl_clock_real (), 1, 2);
+  for (unsigned i = 0; i < 20; i++)
+    {
+      char id[64];
+      g_snprintf (id, sizeof id, "idle-%u", i);
+      CU_ASSERT_EQUAL (once (run, id, "ok-close", NULL), RUN_OK);
+      g_usleep (5000);
+      CU_ASSERT_EQUAL (seen (id), 1);
+    }
+  run_free (run);
+}
+
+static void
+test_idle_connections_are_closed (void)
+{
+  struct run *run = runner (pl_clock_real (), 1, 2);
+  CU_ASSERT_EQUAL (once (run, "keep", "ok", NULL), RUN_OK);
+  g_usleep (50000);
+  CU_ASSERT_EQUAL (server.open, 1);
+  g_usleep (300000);
+  CU_ASSERT_EQUAL (server.open, 0);
+  run_free (run);
+}
+
+static void
+test_not_sent (void)
+{
+  struct pl_addr closed;
+  close (listen_on (&closed));
+  struct run *run = runner (pl_clock_real (), 1, 2);
+  int64_t now = g_get_monotonic_time ();
+  int64_t starts = pl_counter (PL_CTR_TASK_STARTS_TOTAL);
+  struct run_task *tasks[] = {
+    task_new ("n-refused", "ok", now + 5000000),
+    task_new ("n-late", "ok", now - 1),
+    task_new ("n-cancelled", "ok", now + 5000000),
+  };
+  static const char *const reasons[]
+      = { "connect refused", "deadline", "cancelled" };
+  tasks[0]->addr = closed;
+  g_atomic_int_set (&tasks[2]->cancelled, 1);
+  for (unsigned i = 0; i < G_N_ELEMENTS (tasks); i++)
+    {
+      run_start (run, tasks[i]);
+      struct outcome *o = g_async_queue_pop (results);
+      CU_ASSERT_EQUAL (o->result->status, RUN_NOT_SENT);
+      CU_ASSERT_STRING_EQUAL (o->result->reason, reasons[i]);
+      CU_ASSERT_EQUAL (seen (o->task->id), 0);
+      outcome_free (o);
+    }
+  CU_ASSERT_EQUAL (pl_counter (PL_CTR_TASK_STARTS_TOTAL), starts);
+  run_free (run);
+}
+
+/* A clock that jumps past every deadline at its Nth reading, as if the process
+   had been stopped and resumed there.  */
+struct jump_clock
+{
+  struct pl_clock base;
+  GThread *only; /* readings of other threads do not count */
+  gint left;
+  gint jumped;
+};
+
+static GPrivate counts_here;
+
+static int64_t
+jump_now (struct pl_clock *clock)
+{
+  struct jump_clock *c = (struct jump_clock *)clock;
+  const char *name = g_private_get (&counts_here);
+  if (name == NULL)
+    {
+      char self[16] = "";
+      pthread_getname_np (pthread_self (), self, sizeof self);
+      g_private_set (&counts_here, strcmp (self, "run") == 0 ? "y" : "n");
+      name = g_private_get (&counts_here);
+    }
+  if (*name == 'y' && g_atomic_int_add (&c->left, -1) <= 1)
+    g_atomic_int_set (&c->jumped, 1);
+  return g_atomic_int_get (&c->jumped) ? INT64_C (1000000000) : 1000;
+}
+
+/* Guards against sending after a pause: whichever reading of the clock shows
+   the passed deadline, either nothing arrives or the result does not claim
+   so.  */
+static void
+test_late_resume_sends_nothing (void)
+{
+  unsigned blocked_after_connect = 0;
+  for (int n = 1; n <= 12; n++)
+    for (int warm = 0; warm <= 1; warm++)
+      {
+        struct jump_clock clock = { .base.now_us = jump_now, .left = 1000 };
+        struct run *run = runner (&clock.base, 1, 2);
+        char id[64];
+        g_snprintf (id, sizeof id, "jump-warm-%d", n);
+        int before = server.connections;
+        run_start (run, task_new (id, "ok", 500000));
+        if (warm)
+          outcome_free (g_async_queue_pop (results));
+        else
+          outcome_free (g_async_queue_pop (results));
+        g_atomic_int_set (&clock.left, n);
+        g_snprintf (id, sizeof id, "jump-%d-%d", n, warm);
+        run_start (run, task_new (id, warm ? "ok" : "ok-close", 500000));
+        struct outcome *o = g_async_queue_pop (results);
+        bool not_sent = o->result->status == RUN_NOT_SENT;
+        CU_ASSERT_EQUAL (seen (id), not_sent ? 0 : 1);
+        if (not_sent && server.connections > before)
+          blocked_after_connect++;
+        outcome_free (o);
+        run_free (run);
+      }
+  CU_ASSERT (blocked_after_connect >= 4);
+}
+
+static void
+check_bounded (const char *id, const char *kind, int64_t deadline_ms,
+               const char *reason)
+{
+  struct run *run = runner (pl_clock_real (), 1, 2);
+  int64_t start = g_get_monotonic_time ();
+  run_start (run, task_new (id, kind, start + deadline_ms * 1000));
+  struct outcome *o = g_async_queue_pop (results);
+  int64_t took = (g_get_monotonic_time () - start) / 1000;
+  CU_ASSERT_EQUAL (o->result->status, RUN_MAYBE);
+  CU_ASSERT_STRING_EQUAL (o->result->reason, reason);
+  CU_ASSERT (took >= MIN (deadline_ms, 300) - 5);
+  CU_ASSERT (took < MIN (deadline_ms, 300) + 150);
+  outcome_free (o);
+  run_free (run);
+}
+
+/* Guards against a thread held by a silent or dribbling upstream.  */
+static void
+test_slow_answers_are_bounded (void)
+{
+  check_bounded ("b1", "wait-cancel", 150, "deadline");
+  check_bounded ("b2", "wait-cancel", 9000, "silent");
+  check_bounded ("b3", "dribble-headers", 150, "deadline");
+  check_bounded ("b4", "dribble-headers", 9000, "silent");
+  check_bounded ("b5", "dribble", 150, "cut at limit");
+  check_bounded ("b6", "dribble", 9000, "cut at limit");
+}
+
+static void
+test_cancel_reaches_upstream (void)
+{
+  struct run *run = runner (pl_clock_real (), 1, 2);
+  run_start (
+      run, task_new ("c1", "wait-cancel", g_get_monotonic_time () + 5000000));
+  while (seen ("c1") == 0)
+    g_usleep (1000);
+  int64_t start = g_get_monotonic_time ();
+  run_cancel (run, server.addr, "c1");
+  CU_ASSERT (g_get_monotonic_time () - start < 5000);
+  struct outcome *o = g_async_queue_pop (results);
+  CU_ASSERT_EQUAL (o->result->status, RUN_FAILED);
+  outcome_free (o);
+  run_free (run);
+}
+
+/* Guards against crossed answers, duplicates and too many connections under
+   load: a seventh of the answers has another identity or surplus bytes.  */
+static void
+test_many_tasks (void)
+{
+  enum
+  {
+    TASKS = 2000,
+    CONNECTIONS = 6
+  };
+  static const char *const kinds[]
+      = { "ok", "ok", "ok", "cross", "ok", "ok", "double" };
+  g_mutex_lock (&server.lock);
+  server.max_open = 0;
+  g_mutex_unlock (&server.lock);
+  struct run *run = runner (pl_clock_real (), 16, CONNECTIONS);
+  int64_t deadline = g_get_monotonic_time () + 5000000;
+  for (unsigned i = 0; i < TASKS; i++)
+    {
+      char id[64];
+      g_snprintf (id, sizeof id, "many-%u", i);
+      run_start (run, task_new (id, kinds[i % 7], deadline));
+    }
+  unsigned wrong = 0;
+  for (unsigned i = 0; i < TASKS; i++)
+    {
+      struct outcome *o = g_async_queue_pop (results);
+      bool ok = o->result->status == RUN_OK;
+      if (strcmp (o->task->kind, "cross") == 0)
+        wrong += o->result->status == RUN_MAYBE ? 0 : 1;
+      else if (strcmp (o->task->kind, "ok") == 0)
+        wrong += ok || o->result->status == RUN_MAYBE ? 0 : 1;
+      if (ok)
+        wrong += g_bytes_get_size (o->result->answer) == 4 ? 0 : 1;
+      wrong += seen (o->task->id) == 1 ? 0 : 1;
+      outcome_free (o);
+    }
+  run_free (run);
+  CU_ASSERT_EQUAL (wrong, 0);
+  /* A closed connection is counted until the server has noticed it, so a few
+     more than the limit may overlap there.  */
+  CU_ASSERT (server.max_open <= 2 * CONNECTIONS);
+}
+
+/* Guards against exceeding the connections of an upstream.  */
+static void
+test_connection_limit (void)
+{
+  while (server.open > 0)
+    g_usleep (1000);
+  server.max_open = 0;
+  struct run *run = runner (pl_clock_real (), 16, 3);
+  int64_t deadline = g_get_monotonic_time () + 5000000;
+  for (unsigned i = 0; i < 500; i++)
+    {
+      char id[64];
+      g_snprintf (id, sizeof id, "limit-%u", i);
+      run_start (run, task_new (id, "ok", deadline));
+    }
+  unsigned ok = 0;
+  for (unsigned i = 0; i < 500; i++)
+    {
+      struct outcome *o = g_async_queue_pop (results);
+      ok += o->result->status == RUN_OK ? 1 : 0;
+      outcome_free (o);
+    }
+  run_free (run);
+  CU_ASSERT_EQUAL (ok, 500);
+  CU_ASSERT (server.max_open <= 3);
+}
+
+int
+main (void)
+{
+  results = g_async_queue_new ();
+  start_server ();
+  pl_log_init ("text", "error");
+  static CU_TestInfo tests[] = {
+    { "answers", test_answers },
+    { "result fields", test_result_fields },
+    { "never delivered twice", test_never_delivered_twice },
+    { "closed idle connection", test_closed_idle_connection },
+    { "idle connections are closed", test_idle_connections_are_closed },
+    { "not sent", test_not_sent },
+    { "late resume sends nothing", test_late_resume_sends_nothing },
+    { "slow answers are bounded", test_slow_answers_are_bounded },
+    { "cancel reaches upstream", test_cancel_reaches_upstream },
+    { "many tasks", test_many_tasks },
+    { "connection limit", test_connection_limit },
+    CU_TEST_INFO_NULL,
+  };
+  return test_run ("run", tests);
+}
