--- a/tests/run_test.c
+++ b/tests/run_test.c
@@ -268,8 +268,8 @@
   struct sockaddr_in sin
       = { .sin_family = AF_INET, .sin_addr.s_addr = inet_addr ("127.30.0.1") };
   socklen_t len = sizeof sin;
-  CU_ASSERT_FATAL (bind (fd, (struct sockaddr *)&sin, len) == 0);
-  CU_ASSERT_FATAL (listen (fd, 256) == 0);
+  if (bind (fd, (struct sockaddr *)&sin, len) != 0 || listen (fd, 256) != 0)
+    abort ();
   getsockname (fd, (struct sockaddr *)&sin, &len);
   *addr = (struct pl_addr){ .ip = ntohl (sin.sin_addr.s_addr),
                             .port = ntohs (sin.sin_port) };
