Keep upstream connections counted until they are closed; bound waits

An idle connection that the watchdog closed was taken off the count first, so that a new one could briefly exceed the limit.

--- a/lib/http/http.c
+++ b/lib/http/http.c
@@ -102,7 +102,7 @@
       MHD_OPTION_CONNECTION_LIMIT, MAX (limit, threads),
       MHD_OPTION_CONNECTION_TIMEOUT,
       (unsigned)conf->caller_idle_s + SPARE_IDLE_S,
-      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)HTTP_CONNECTION_BYTES,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, HTTP_CONNECTION_BYTES,
       MHD_OPTION_NOTIFY_COMPLETED, completed, http, MHD_OPTION_END);
 }
 
--- a/lib/http/http_priv.h
+++ b/lib/http/http_priv.h
@@ -5,9 +5,9 @@
 
 #include <microhttpd.h>
 
-#define HTTP_HEADER_BYTES (16 * 1024)
+#define HTTP_HEADER_BYTES ((size_t)16 * 1024)
 /* Memory of a connection: headers, their index and the body's read buffer.  */
-#define HTTP_CONNECTION_BYTES (40 * 1024)
+#define HTTP_CONNECTION_BYTES ((size_t)40 * 1024)
 /* A chunked body beyond the limit is read and dropped up to this multiple of
    the limit; then the connection is closed.  */
 #define HTTP_DRAIN_FACTOR 4
--- a/lib/run/answer.c
+++ b/lib/run/answer.c
@@ -5,7 +5,7 @@
 
 #define BLOCK_BYTES 8192
 /* Surplus that is read from an answer whose body is of no interest.  */
-#define DISCARD_BYTES (64 * 1024)
+#define DISCARD_BYTES ((size_t)64 * 1024)
 
 static ne_request *
 build (struct run_conn *conn, const struct run_task *task)
--- a/lib/run/conn.c
+++ b/lib/run/conn.c
@@ -13,8 +13,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define POOL_WAIT_US(opts) ((int64_t)(opts)->connect_ms * 1000)
-
 /* An address of the block for documentation (RFC 5737), never a local one.  */
 static const ne_inet_addr *
 unbindable (void)
@@ -40,6 +38,16 @@
   return NULL;
 }
 
+int64_t
+run_wait_us (struct run *run, const struct run_task *task)
+{
+  int64_t wait_us = (int64_t)run->opts.connect_ms * 1000;
+  if (task == NULL)
+    return wait_us;
+  int64_t left_us = task->deadline_us - pl_now_us (run->opts.clock);
+  return CLAMP (left_us, 0, wait_us);
+}
+
 /* Shuts the socket before the first byte if the request must not be sent. */
 static void
 check_send (struct run_conn *conn)
@@ -160,8 +168,8 @@
   g_free (conn);
 }
 
-static void
-close_conn (struct run_pool *pool, struct run_conn *conn)
+void
+run_conn_close (struct run_pool *pool, struct run_conn *conn)
 {
   conn->alive = false;
   ne_close_connection (conn->session);
@@ -222,8 +230,8 @@
       run_pool_limit (run->pool, conn, limit, reason);
       return ne_begin_request (req);
     }
-  close_conn (run->pool, conn);
-  if (!run_pool_begin_connect (run->pool, conn->up, POOL_WAIT_US (&run->opts)))
+  run_conn_close (run->pool, conn);
+  if (!run_pool_begin_connect (run->pool, conn->up, run_wait_us (run, task)))
     {
       conn->stop_reason = "connect queue";
       return NE_CONNECT;
@@ -242,7 +250,7 @@
   struct run_pool *pool = conn->run->pool;
   run_pool_limit (pool, conn, 0, NULL);
   if (!keep || conn->cut || !conn->alive)
-    close_conn (pool, conn);
+    run_conn_close (pool, conn);
   conn->idle_since_us = pl_now_us (conn->run->opts.clock);
   conn->run = NULL;
   conn->task = NULL;
--- a/lib/run/pool.c
+++ b/lib/run/pool.c
@@ -46,7 +46,8 @@
   return up;
 }
 
-/* Moves connections that have been idle too long to OLD.  */
+/* Moves connections that have been idle too long to OLD.  They are counted
+   until they are closed.  */
 static void
 collect_old (struct run_pool *pool, struct run_upstream *up, int64_t now,
              GPtrArray *old)
@@ -58,7 +59,6 @@
           || now - conn->idle_since_us < (int64_t)pool->opts->idle_ms * 1000)
         return;
       g_queue_pop_tail (&up->idle);
-      g_ptr_array_remove_fast (up->conns, conn);
       g_ptr_array_add (old, conn);
     }
 }
@@ -77,6 +77,26 @@
     }
 }
 
+/* Closes without the lock, since a close may block.  */
+static void
+close_old (struct run_pool *pool, GPtrArray *old)
+{
+  if (old->len == 0)
+    return;
+  g_mutex_unlock (&pool->lock);
+  for (unsigned i = 0; i < old->len; i++)
+    run_conn_close (pool, g_ptr_array_index (old, i));
+  g_mutex_lock (&pool->lock);
+  for (unsigned i = 0; i < old->len; i++)
+    {
+      struct run_conn *conn = g_ptr_array_index (old, i);
+      g_ptr_array_remove_fast (conn->up->conns, conn);
+      run_conn_free (conn);
+    }
+  g_ptr_array_set_size (old, 0);
+  g_cond_broadcast (&pool->freed);
+}
+
 static gpointer
 watch (gpointer user)
 {
@@ -94,14 +114,7 @@
           cut_overdue (up, now);
           collect_old (pool, up, now, old);
         }
-      if (old->len > 0)
-        {
-          g_mutex_unlock (&pool->lock);
-          for (unsigned i = 0; i < old->len; i++)
-            run_conn_free (g_ptr_array_index (old, i));
-          g_ptr_array_set_size (old, 0);
-          g_mutex_lock (&pool->lock);
-        }
+      close_old (pool, old);
       g_cond_wait_until (&pool->stopped, &pool->lock,
                          g_get_monotonic_time () + WATCH_US);
     }
--- a/lib/run/run.c
+++ b/lib/run/run.c
@@ -21,8 +21,8 @@
     refuse (result, late);
   else
     {
-      int64_t wait_us = (int64_t)run->opts.connect_ms * 1000;
-      struct run_conn *conn = run_pool_take (run->pool, task->addr, wait_us);
+      struct run_conn *conn
+          = run_pool_take (run->pool, task->addr, run_wait_us (run, task));
       if (conn == NULL)
         refuse (result, "no free connection");
       else
@@ -56,9 +56,9 @@
   run->opts = *opts;
   run->queue = g_async_queue_new ();
   run->pool = run_pool_new (&run->opts);
-  run->threads = g_new0 (GThread *, opts->threads);
+  run->threads = g_ptr_array_new ();
   for (unsigned i = 0; i < opts->threads; i++)
-    run->threads[i] = g_thread_new ("run", loop, run);
+    g_ptr_array_add (run->threads, g_thread_new ("run", loop, run));
   run_cancel_begin (run);
   return run;
 }
@@ -75,11 +75,11 @@
   for (unsigned i = 0; i < run->opts.threads; i++)
     g_async_queue_push (run->queue, &end_mark);
   for (unsigned i = 0; i < run->opts.threads; i++)
-    g_thread_join (run->threads[i]);
+    g_thread_join (g_ptr_array_index (run->threads, i));
   run_cancel_end (run);
   run_pool_free (run->pool);
   g_async_queue_unref (run->queue);
-  g_free (run->threads);
+  g_ptr_array_free (run->threads, TRUE);
   g_free (run);
 }
 
@@ -87,13 +87,15 @@
 run_task_free (struct run_task *task)
 {
   g_free (task->kind);
-  g_clear_pointer (&task->input, g_bytes_unref);
+  if (task->input != NULL)
+    g_bytes_unref (task->input);
   g_free (task);
 }
 
 void
 run_result_free (struct run_result *result)
 {
-  g_clear_pointer (&result->answer, g_bytes_unref);
+  if (result->answer != NULL)
+    g_bytes_unref (result->answer);
   g_free (result);
 }
--- a/lib/run/run_priv.h
+++ b/lib/run/run_priv.h
@@ -64,8 +64,8 @@
 {
   struct run_opts opts;
   struct run_pool *pool;
-  GAsyncQueue *queue; /* struct run_task, or the end mark */
-  GThread **threads;
+  GAsyncQueue *queue;   /* struct run_task, or the end mark */
+  GPtrArray *threads;   /* GThread */
   GAsyncQueue *cancels; /* struct run_cancel_item, or the end mark */
   GThread *cancel_threads[RUN_CANCEL_THREADS];
 };
@@ -95,6 +95,8 @@
 run_conn_new (struct run_upstream *up, const struct run_opts *opts);
 void
 run_conn_free (struct run_conn *conn);
+void
+run_conn_close (struct run_pool *pool, struct run_conn *conn);
 /* Connects if necessary and sends REQ once.  TASK may be null.  An NE_
    code.  */
 int
@@ -113,6 +115,10 @@
 const char *
 run_late (struct run *run, struct run_task *task);
 
+/* How long a task may wait for a connection; TASK may be null.  */
+int64_t
+run_wait_us (struct run *run, const struct run_task *task);
+
 /* Sends the task of CONN and judges the answer.  */
 void
 run_exchange (struct run *run, struct run_conn *conn, struct run_task *task,
--- a/lib/run/socket.c
+++ b/lib/run/socket.c
@@ -17,7 +17,7 @@
 static bool
 has_peer (int fd, struct pl_addr addr)
 {
-  struct sockaddr_in sin;
+  struct sockaddr_in sin = { 0 };
   socklen_t len = sizeof sin;
   return getpeername (fd, (struct sockaddr *)&sin, &len) == 0
          && sin.sin_family == AF_INET && ntohl (sin.sin_addr.s_addr) == addr.ip
@@ -27,7 +27,7 @@
 static uint16_t
 local_port (int fd)
 {
-  struct sockaddr_in sin;
+  struct sockaddr_in sin = { 0 };
   socklen_t len = sizeof sin;
   if (getsockname (fd, (struct sockaddr *)&sin, &len) != 0)
     return 0;
--- a/tests/run_test.c
+++ b/tests/run_test.c
@@ -19,7 +19,7 @@
   gint jumped;
 };
 
-static struct jump_clock *jumping;
+static struct jump_clock *jumping; /* guarded by the server's lock */
 
 struct server
 {
@@ -90,8 +90,7 @@
       int count = GPOINTER_TO_INT (g_hash_table_lookup (server.seen, r->id));
       g_hash_table_replace (server.seen, g_strdup (r->id),
                             GINT_TO_POINTER (count + 1));
-      struct jump_clock *clock = g_atomic_pointer_get (&jumping);
-      if (clock != NULL && g_atomic_int_get (&clock->jumped))
+      if (jumping != NULL && g_atomic_int_get (&jumping->jumped))
         server.late++;
       g_mutex_unlock (&server.lock);
     }
@@ -517,6 +516,14 @@
   return g_atomic_int_get (&c->jumped) ? INT64_C (1000000000) : 1000;
 }
 
+static void
+set_jumping (struct jump_clock *clock)
+{
+  g_mutex_lock (&server.lock);
+  jumping = clock;
+  g_mutex_unlock (&server.lock);
+}
+
 /* Guards against sending after a pause, on new and on reused connections: no
    byte may arrive once the clock has shown a passed deadline.  */
 static void
@@ -538,11 +545,11 @@
             run = runner (&clock.base, 1, 2);
           }
         g_atomic_int_set (&clock.left, n);
-        g_atomic_pointer_set (&jumping, &clock);
+        set_jumping (&clock);
         g_snprintf (id, sizeof id, "jump-%d-%d", n, warm);
         run_start (run, task_new (id, "ok", 500000));
         struct outcome *o = g_async_queue_pop (results);
-        g_atomic_pointer_set (&jumping, NULL);
+        set_jumping (NULL);
         bool not_sent = o->result->status == RUN_NOT_SENT;
         CU_ASSERT_EQUAL (seen (id), not_sent ? 0 : 1);
         sent += not_sent ? 0 : 1;
--- a/tests/standin/standin-upstream/task.c
+++ b/tests/standin/standin-upstream/task.c
@@ -10,7 +10,7 @@
 #define STALL_CHECK_US INT64_C (100000)
 #define DRIBBLE_US INT64_C (1000000)
 /* Larger than any limit of a task's answer.  */
-#define OVERSIZE_BYTES (5 * 1024 * 1024)
+#define OVERSIZE_BYTES ((size_t)5 * 1024 * 1024)
 
 void
 task_log (struct worker *worker, const char *what, const char *id,
