--- a/lib/http/http.c
+++ b/lib/http/http.c
@@ -55,6 +55,7 @@
   struct http_req *req = *state;
   if (req == NULL)
     {
+      http_conn_set_busy (user, connection, true);
       req = http_req_new (user, connection, path, method);
       *state = req;
       if (headers_too_large (connection))
@@ -77,9 +78,8 @@
 completed (void *user, struct MHD_Connection *connection, void **state,
            enum MHD_RequestTerminationCode code)
 {
-  (void)user;
-  (void)connection;
   (void)code;
+  http_conn_set_busy (user, connection, false);
   if (*state != NULL)
     http_req_finish (*state);
   *state = NULL;
@@ -103,7 +103,8 @@
       MHD_OPTION_CONNECTION_TIMEOUT,
       (unsigned)conf->caller_idle_s + SPARE_IDLE_S,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, HTTP_CONNECTION_BYTES,
-      MHD_OPTION_NOTIFY_COMPLETED, completed, http, MHD_OPTION_END);
+      MHD_OPTION_NOTIFY_COMPLETED, completed, http,
+      MHD_OPTION_NOTIFY_CONNECTION, http_conn_changed, http, MHD_OPTION_END);
 }
 
 struct http *
@@ -123,6 +124,7 @@
   g_mutex_init (&http->lock);
   g_cond_init (&http->changed);
   http->open = g_hash_table_new (NULL, NULL);
+  http->conns = g_hash_table_new (NULL, NULL);
   /* A caller that goes away must not end the process.  */
   signal (SIGPIPE, SIG_IGN);
   http->daemon = start (http, addr);
@@ -143,6 +145,7 @@
   if (!g_atomic_ref_count_dec (&http->refs))
     return;
   g_hash_table_destroy (http->open);
+  g_hash_table_destroy (http->conns);
   g_mutex_clear (&http->lock);
   g_cond_clear (&http->changed);
   g_free (http);
--- a/lib/http/http_priv.h
+++ b/lib/http/http_priv.h
@@ -51,8 +51,9 @@
   struct MHD_Daemon *daemon;
   GMutex lock;
   GCond changed;
-  GHashTable *open; /* struct http_req, set */
-  unsigned waiting; /* requests suspended for an operation */
+  GHashTable *open;  /* struct http_req, set */
+  GHashTable *conns; /* struct http_conn, set */
+  unsigned waiting;  /* requests suspended for an operation */
   bool stopping;
   GThread *sweeper;
 };
@@ -92,6 +93,16 @@
 enum MHD_Result
 http_send_text (struct http_req *req, unsigned status, const char *type,
                 GString *text);
+void
+http_conn_changed (void *http, struct MHD_Connection *connection,
+                   void **context, enum MHD_ConnectionNotificationCode code);
+/* Says whether a request's headers have arrived and its answer is not sent. */
+void
+http_conn_set_busy (struct http *http, struct MHD_Connection *connection,
+                    bool busy);
+/* Shuts connections that have not been busy since LIMIT_US; needs the lock. */
+void
+http_conn_sweep (struct http *http, int64_t limit_us);
 gpointer
 http_sweep (gpointer http);
 void
--- a/lib/http/req.c
+++ b/lib/http/req.c
@@ -145,13 +145,16 @@
       struct job_reply *reply = job_reply_error (
           pl_str (req->key == NULL ? "" : req->key), PL_CALLER_STALLED, 0,
           "the body did not arrive in time", NULL, 0);
+      char prefix[CLAIM_PREFIX_TEXT] = "";
+      bool issued = req->http->ops->prefix (req->http->ops, prefix);
       gsize size = 0;
       const char *data = g_bytes_get_data (reply->body, &size);
       g_autofree char *text = g_strdup_printf (
           "HTTP/1.1 %d Request Timeout\r\nContent-Type: application/json\r\n"
-          "Connection: close\r\nContent-Length: %zu\r\n\r\n%.*s",
-          pl_code_info (PL_CALLER_STALLED)->http, (size_t)size, (int)size,
-          data);
+          "Connection: close\r\n%s%s%sContent-Length: %zu\r\n\r\n%.*s",
+          pl_code_info (PL_CALLER_STALLED)->http,
+          issued ? "Idempotency-Prefix: " : "", issued ? prefix : "",
+          issued ? "\r\n" : "", (size_t)size, (int)size, data);
       ssize_t n
           = send (req->fd, text, strlen (text), MSG_NOSIGNAL | MSG_DONTWAIT);
       (void)n;
--- a/lib/http/route.c
+++ b/lib/http/route.c
@@ -123,6 +123,15 @@
   return http_req_start (req);
 }
 
+/* The sweeper may read the key at any time.  */
+static void
+set_key (struct http_req *req, const char *key)
+{
+  g_mutex_lock (&req->lock);
+  req->key = g_strdup (key);
+  g_mutex_unlock (&req->lock);
+}
+
 static int64_t
 declared_length (struct http_req *req)
 {
@@ -144,8 +153,8 @@
       req->connection, MHD_HEADER_KIND, "Idempotency-Key");
   if (key == NULL || *key == '\0')
     return http_send_error (req, PL_KEY_MISSING, NULL);
-  g_free (req->key);
-  req->key = g_strdup (key);
+  if (req->key == NULL)
+    set_key (req, key);
   if (whole)
     return begin (req);
   /* The owner closes the key of a body that is too large; there is no need to
@@ -159,7 +168,7 @@
 {
   if (strcmp (req->method, "GET") != 0 && strcmp (req->method, "DELETE") != 0)
     return http_send_error (req, PL_BAD_METHOD, "use GET or DELETE");
-  req->key = g_strdup (key);
+  set_key (req, key);
   return begin (req);
 }
 
--- a/lib/http/sweep.c
+++ b/lib/http/sweep.c
@@ -1,4 +1,5 @@
-/* Answers and closes requests whose body has not arrived in time.  */
+/* Answers and closes requests whose body has not arrived in time, and closes
+   idle connections.  */
 #include "http_priv.h"
 
 #define SWEEP_US INT64_C (100000)
@@ -8,6 +9,7 @@
 {
   int64_t limit
       = g_get_monotonic_time () - (int64_t)http->conf->caller_idle_s * 1000000;
+  http_conn_sweep (http, limit);
   GPtrArray *late = g_ptr_array_new ();
   GHashTableIter iter;
   gpointer p;
--- a/tests/http_test.c
+++ b/tests/http_test.c
@@ -415,11 +415,33 @@
   close (fd);
   CU_ASSERT (has (got, "HTTP/1.1 408 "));
   CU_ASSERT (has (got, "CALLER_STALLED"));
+  CU_ASSERT (has (got, "Idempotency-Prefix: " PREFIX "\r\n"));
   CU_ASSERT (took_ms >= 950 && took_ms < 1500);
   CU_ASSERT_EQUAL (g_atomic_int_get (&fake.calls), 0);
   CU_ASSERT_EQUAL (http_free (http, 1000), 0);
 }
 
+/* Guards against a connection held by a caller that never ends its headers. */
+static void
+test_slow_headers (void)
+{
+  struct http *http = start ();
+  int fd = dial ();
+  int64_t begin = g_get_monotonic_time ();
+  put (fd, "GET /healthz HTTP/1.1\r\nA: ");
+  for (int i = 0; i < 6; i++)
+    {
+      g_usleep (150000);
+      put (fd, "x");
+    }
+  g_autofree char *got = take (fd);
+  int64_t took_ms = (g_get_monotonic_time () - begin) / 1000;
+  close (fd);
+  CU_ASSERT_STRING_EQUAL (got, "");
+  CU_ASSERT (took_ms >= 950 && took_ms < 1500);
+  CU_ASSERT_EQUAL (http_free (http, 1000), 0);
+}
+
 /* Guards against a reply for a connection that is gone.  */
 static void
 test_vanished_caller (void)
@@ -591,6 +613,7 @@
     { "body limit", test_body_limit },
     { "header limit", test_header_limit },
     { "slow body", test_slow_body },
+    { "slow headers", test_slow_headers },
     { "vanished caller", test_vanished_caller },
     { "too many callers", test_too_many_callers },
     { "many suspended", test_many_suspended },
