--- a/cmd/papayaload/load.h
+++ b/cmd/papayaload/load.h
@@ -24,12 +24,16 @@
   unsigned n_kinds;
 };
 
+/* One request to an entry instance; true if a whole answer came.  KEY and BODY
+   may be null.  The caller frees OUT's body.  */
+bool load_send (ne_session *session, const char *method, const char *path,
+                const char *key, const char *body, struct call_answer *out);
+
 /* Null if there is no such mix.  */
-const struct load_mix *
-load_mix_find (const char *name);
+const struct load_mix *load_mix_find (const char *name);
 /* Mean work of a job of MIX in slot milliseconds, by sampling with SEED.  */
-double
-load_mix_work_ms (const struct load_mix *mix, double scale, guint32 seed);
+double load_mix_work_ms (const struct load_mix *mix, double scale,
+                         guint32 seed);
 
 /* One job as planned; all choices come from the seed.  */
 struct load_job
@@ -65,29 +69,23 @@
   const char *out;
 };
 
-struct load_job *
-load_plan (const struct load_opts *opts, unsigned *n);
-void
-load_plan_free (struct load_job *jobs, unsigned n);
-int64_t
-load_ideal_us (const struct load_job *job);
+struct load_job *load_plan (const struct load_opts *opts, unsigned *n);
+void load_plan_free (struct load_job *jobs, unsigned n);
+int64_t load_ideal_us (const struct load_job *job);
 
 /* Runs all jobs and appends a line an attempt to the history.  */
-bool
-load_run (const struct load_opts *opts, struct load_job *jobs, unsigned n);
+bool load_run (const struct load_opts *opts, struct load_job *jobs,
+               unsigned n);
 /* Sum of the counters of all entries, by metric name without prefix; an entry
    that does not answer is left out.  Free with g_hash_table_unref.  */
-GHashTable *
-load_metrics (const struct load_opts *opts);
+GHashTable *load_metrics (const struct load_opts *opts);
 
 /* Writes the report to standard output and to opts->out.  Returns the number
    of wrong answers.  */
-unsigned
-load_report (const struct load_opts *opts, const struct load_job *jobs,
-             unsigned n, GHashTable *before, GHashTable *after);
+unsigned load_report (const struct load_opts *opts,
+                      const struct load_job *jobs, unsigned n,
+                      GHashTable *before, GHashTable *after);
 /* Compares reports written by load_report; SVG may be null.  */
-int
-load_compare (char *const *files, int n, const char *svg);
+int load_compare (char *const *files, int n, const char *svg);
 /* Checks histories against upstreams' logs.  */
-int
-load_check (char *const *files, int n);
+int load_check (char *const *files, int n);
--- a/cmd/papayaload/main.c
+++ b/cmd/papayaload/main.c
@@ -225,7 +225,6 @@
   };
   argp_parse (&argp, argc, argv, 0, NULL, &args);
   signal (SIGPIPE, SIG_IGN);
-  call_init ();
   const char *word = args.words[0];
   if (strcmp (word, "run") == 0 && args.n_words == 1)
     return run (&args);
--- a/cmd/papayaload/report.c
+++ b/cmd/papayaload/report.c
@@ -47,13 +47,15 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   for (unsigned i = 0; i < opts->n_entries; i++)
     {
-      struct call *call = call_new (opts->entries[i], 2);
-      struct call_reply reply;
-      if (call_do (call, "GET", "/metrics", NULL, NULL, &reply)
-          && reply.status == 200)
-        add_metrics (sums, reply.body->str);
-      call_reply_clear (&reply);
-      call_free (call);
+      ne_session *session = call_session (opts->entries[i], 2000);
+      struct call_answer answer;
+      if (load_send (session, "GET", "/metrics", NULL, NULL, &answer))
+        {
+          if (answer.status == 200)
+            add_metrics (sums, answer.body->str);
+          g_string_free (answer.body, TRUE);
+        }
+      ne_session_destroy (session);
     }
   return sums;
 }
--- a/cmd/papayaload/run.c
+++ b/cmd/papayaload/run.c
@@ -21,31 +21,31 @@
   int64_t start_us;
   FILE *history;
   GMutex lock;
-  char (*prefixes)[96]; /* the latest of each entry */
+  char (*prefixes)[CALL_PREFIX]; /* the latest of each entry */
 };
 
 struct client
 {
   struct run_state *state;
-  struct call **calls; /* one an entry, made on first use */
-  unsigned at;         /* entry of the next request */
+  ne_session **sessions; /* one an entry, made on first use */
+  unsigned at;           /* entry of the next request */
 };
 
-static struct call *
-client_call (struct client *client, unsigned entry)
+static ne_session *
+client_session (struct client *client, unsigned entry)
 {
-  if (client->calls[entry] == NULL)
-    client->calls[entry] = call_new (client->state->opts->entries[entry],
-                                     DEFAULT_DEADLINE_MS / 1000 + 2);
-  return client->calls[entry];
+  if (client->sessions[entry] == NULL)
+    client->sessions[entry] = call_session (
+        client->state->opts->entries[entry], DEFAULT_DEADLINE_MS + 2000);
+  return client->sessions[entry];
 }
 
 static void
-drop_call (struct client *client, unsigned entry)
+drop_session (struct client *client, unsigned entry)
 {
-  if (client->calls[entry] != NULL)
-    call_free (client->calls[entry]);
-  client->calls[entry] = NULL;
+  if (client->sessions[entry] != NULL)
+    ne_session_destroy (client->sessions[entry]);
+  client->sessions[entry] = NULL;
 }
 
 static void
@@ -69,33 +69,35 @@
 }
 
 static bool
-fetch_prefix (struct client *client, unsigned entry, char prefix[96])
+fetch_prefix (struct client *client, unsigned entry, char prefix[CALL_PREFIX])
 {
-  struct call_reply reply;
-  bool ok = call_do (client_call (client, entry), "GET", "/v1/prefix", NULL,
-                     NULL, &reply);
-  ok = ok && reply.status == 200 && reply.prefix[0] != '\0';
-  if (ok)
-    g_strlcpy (prefix, reply.prefix, 96);
-  else
-    drop_call (client, entry);
-  call_reply_clear (&reply);
-  return ok;
+  struct call_answer reply;
+  bool ok = load_send (client_session (client, entry), "GET", "/v1/prefix",
+                       NULL, NULL, &reply);
+  if (!ok)
+    {
+      drop_session (client, entry);
+      return false;
+    }
+  g_string_free (reply.body, TRUE);
+  g_strlcpy (prefix, reply.prefix, CALL_PREFIX);
+  return reply.status == 200 && prefix[0] != '\0';
 }
 
 /* The key prefix for a new submission: of the entry that is called or, as
    behind a balancer, of any one.  */
 static bool
-choose_prefix (struct client *client, unsigned number, char prefix[96])
+choose_prefix (struct client *client, unsigned number,
+               char prefix[CALL_PREFIX])
 {
   struct run_state *state = client->state;
   unsigned n = state->opts->n_entries;
-  unsigned first = state->opts->sticky ? client->at : number % n;
+  unsigned first = state->opts->sticky ? client->at : number / n % n;
   for (unsigned i = 0; i < n; i++)
     {
       unsigned entry = (first + i) % n;
       g_mutex_lock (&state->lock);
-      g_strlcpy (prefix, state->prefixes[entry], 96);
+      g_strlcpy (prefix, state->prefixes[entry], CALL_PREFIX);
       g_mutex_unlock (&state->lock);
       if (prefix[0] != '\0')
         return true;
@@ -174,7 +176,7 @@
 
 /* Reads the result of one answer; PL_SYSTEM if it is not ours to read.  */
 static enum pl_code
-read_code (const struct call_reply *reply, struct load_job *job,
+read_code (const struct call_answer *reply, struct load_job *job,
            unsigned attempt)
 {
   json_t *root = json_loadb (reply->body->str, reply->body->len, 0, NULL);
@@ -198,20 +200,20 @@
   for (unsigned i = 0; i <= MAX_RESENDS; i++)
     {
       unsigned entry = client->at;
-      struct call_reply reply;
-      bool ok = call_do (client_call (client, entry), "POST", "/v1/jobs", key,
-                         body, &reply);
+      struct call_answer reply;
+      bool ok = load_send (client_session (client, entry), "POST", "/v1/jobs",
+                           key, body, &reply);
       if (ok)
         {
           remember_prefix (state, entry, reply.prefix);
           code = read_code (&reply, job, attempt);
+          g_string_free (reply.body, TRUE);
         }
       else
         {
-          drop_call (client, entry);
+          drop_session (client, entry);
           client->at = (client->at + 1) % state->opts->n_entries;
         }
-      call_reply_clear (&reply);
       bool again = !ok || code == PL_SYSTEM || code == PL_TOO_MANY_CALLERS;
       if (!again)
         return code;
@@ -235,7 +237,7 @@
   job->code = PL_SYSTEM;
   for (unsigned attempt = 1; attempt <= state->opts->tries; attempt++)
     {
-      char prefix[96];
+      char prefix[CALL_PREFIX];
       job->attempts = attempt;
       if (!choose_prefix (client, job->number, prefix))
         {
@@ -262,7 +264,7 @@
   struct run_state *state = user;
   unsigned n = state->opts->n_entries;
   struct client client = { .state = state };
-  client.calls = g_new0 (struct call *, n);
+  client.sessions = g_new0 (ne_session *, n);
   for (;;)
     {
       unsigned i = (unsigned)g_atomic_int_add (&state->next, 1);
@@ -277,8 +279,8 @@
       run_job (&client, job);
     }
   for (unsigned i = 0; i < n; i++)
-    drop_call (&client, i);
-  g_free (client.calls);
+    drop_session (&client, i);
+  g_free (client.sessions);
   return NULL;
 }
 
--- /dev/null
+++ b/cmd/papayaload/send.c
@@ -0,0 +1,21 @@
+#include "load.h"
+
+#define ANSWER_MAX 8388608 /* bytes */
+
+bool
+load_send (ne_session *session, const char *method, const char *path,
+           const char *key, const char *body, struct call_answer *out)
+{
+  const char *headers[] = { "Idempotency-Key", key, NULL };
+  struct call_req req = {
+    .method = method,
+    .path = path,
+    .headers = key == NULL ? NULL : headers,
+    .most = ANSWER_MAX,
+  };
+  if (body != NULL)
+    req.body = pl_str (body);
+  *out = (struct call_answer){ 0 };
+  struct pl_err err;
+  return call_http (session, &req, out, &err) == CALL_DONE;
+}
--- a/lib/base/codes.gen.c
+++ b/lib/base/codes.gen.c
@@ -17,7 +17,7 @@
   { .code = PL_KEY_MALFORMED, .name = "KEY_MALFORMED", .http = 400,
     .outcome = PL_OUTCOME_NOT_RUN, .resubmit = "no" },
   { .code = PL_KEY_NOT_ISSUED, .name = "KEY_NOT_ISSUED", .http = 400,
-    .outcome = PL_OUTCOME_NOT_RUN, .resubmit = "new_key" },
+    .outcome = PL_OUTCOME_UNKNOWN, .resubmit = "no" },
   { .code = PL_DEADLINE_PAST, .name = "DEADLINE_PAST", .http = 400,
     .outcome = PL_OUTCOME_NOT_RUN, .resubmit = "no" },
   { .code = PL_UNKNOWN_SERVICE, .name = "UNKNOWN_SERVICE", .http = 404,
--- a/lib/call/call.c
+++ b/lib/call/call.c
@@ -1,88 +1,106 @@
 #include "call.h"
 
-#include <ne_request.h>
-#include <ne_session.h>
 #include <ne_socket.h>
 #include <string.h>
 
-struct call
-{
-  ne_session *session;
-};
-
-void
-call_init (void)
+bool
+call_parse_url (const char *url, struct pl_addr *out)
 {
-  ne_sock_init ();
+  static const char scheme[] = "http://";
+  if (strncmp (url, scheme, sizeof scheme - 1) != 0)
+    return false;
+  struct pl_str rest = pl_str (url + sizeof scheme - 1);
+  if (rest.len > 0 && rest.data[rest.len - 1] == '/')
+    rest.len--;
+  return pl_addr_parse (rest, out);
 }
 
-struct call *
-call_new (struct pl_addr addr, int timeout_s)
+ne_session *
+call_session (struct pl_addr addr, int timeout_ms)
 {
+  static gsize ready = 0;
+  if (g_once_init_enter (&ready))
+    {
+      ne_sock_init ();
+      g_once_init_leave (&ready, 1);
+    }
   char text[PL_ADDR_TEXT];
   pl_addr_text (addr, text);
   *strchr (text, ':') = '\0';
-  struct call *call = g_new0 (struct call, 1);
-  call->session = ne_session_create ("http", text, addr.port);
-  ne_set_connect_timeout (call->session, timeout_s);
-  ne_set_read_timeout (call->session, timeout_s);
-  return call;
+  ne_session *session = ne_session_create ("http", text, addr.port);
+  int seconds = MAX (1, (timeout_ms + 999) / 1000);
+  ne_set_read_timeout (session, seconds);
+  ne_set_connect_timeout (session, seconds);
+  return session;
 }
 
-void
-call_free (struct call *call)
+static enum call_end
+lost (ne_session *session, int status, struct pl_err *err)
 {
-  ne_session_destroy (call->session);
-  g_free (call);
+  pl_fail (err, PL_STORE_UNAVAILABLE, "%s", ne_get_error (session));
+  ne_close_connection (session);
+  return status == NE_CONNECT || status == NE_LOOKUP ? CALL_UNSENT : CALL_LOST;
 }
 
-static int
-read_block (void *user, const char *data, size_t len)
+static bool
+read_body (ne_request *req, GString *body, size_t most)
 {
-  GString *body = user;
-  if (body->len + len > CALL_MAX_BYTES)
-    return 1;
-  g_string_append_len (body, data, (gssize)len);
-  return 0;
+  char block[8192];
+  ssize_t n;
+  while ((n = ne_read_response_block (req, block, sizeof block)) > 0)
+    {
+      if (body->len + (size_t)n > most)
+        {
+          ne_set_error (ne_get_session (req), "answer over %zu bytes", most);
+          return false;
+        }
+      g_string_append_len (body, block, n);
+    }
+  return n == 0;
 }
 
 static void
-copy_prefix (ne_request *req, struct call_reply *reply)
+copy_prefix (ne_request *req, struct call_answer *out)
 {
   const char *prefix = ne_get_response_header (req, "Idempotency-Prefix");
-  if (prefix != NULL)
-    g_strlcpy (reply->prefix, prefix, sizeof reply->prefix);
+  g_strlcpy (out->prefix, prefix == NULL ? "" : prefix, sizeof out->prefix);
 }
 
-bool
-call_do (struct call *call, const char *method, const char *path,
-         const char *key, const char *body, struct call_reply *reply)
+static enum call_end
+dispatch (ne_session *session, ne_request *req, size_t most,
+          struct call_answer *out, struct pl_err *err)
 {
-  *reply = (struct call_reply){ .body = g_string_new (NULL) };
-  ne_request *req = ne_request_create (call->session, method, path);
-  if (key != NULL)
-    ne_add_request_header (req, "Idempotency-Key", key);
-  if (body != NULL)
-    {
-      ne_add_request_header (req, "Content-Type", "application/json");
-      ne_set_request_body_buffer (req, body, strlen (body));
-    }
-  ne_add_response_body_reader (req, ne_accept_always, read_block, reply->body);
-  int result = ne_request_dispatch (req);
-  if (result == NE_OK)
-    {
-      reply->status = ne_get_status (req)->code;
-      copy_prefix (req, reply);
-    }
-  reply->refused = result == NE_CONNECT;
-  ne_request_destroy (req);
-  return result == NE_OK;
+  int status = ne_begin_request (req);
+  if (status != NE_OK)
+    return lost (session, status, err);
+  out->status = ne_get_status (req)->code;
+  copy_prefix (req, out);
+  out->body = g_string_new (NULL);
+  if (read_body (req, out->body, most))
+    status = ne_end_request (req);
+  else
+    status = NE_ERROR;
+  if (status == NE_OK || status == NE_RETRY)
+    return CALL_DONE;
+  g_string_free (out->body, TRUE);
+  out->body = NULL;
+  lost (session, status, err);
+  return CALL_LOST;
 }
 
-void
-call_reply_clear (struct call_reply *reply)
+enum call_end
+call_http (ne_session *session, const struct call_req *req,
+           struct call_answer *out, struct pl_err *err)
 {
-  if (reply->body != NULL)
-    g_string_free (reply->body, TRUE);
-  reply->body = NULL;
+  ne_request *request = ne_request_create (session, req->method, req->path);
+  if (req->body.data != NULL)
+    {
+      ne_add_request_header (request, "Content-Type", "application/json");
+      ne_set_request_body_buffer (request, req->body.data, req->body.len);
+    }
+  for (const char *const *h = req->headers; h != NULL && *h != NULL; h += 2)
+    ne_add_request_header (request, h[0], h[1]);
+  enum call_end end = dispatch (session, request, req->most, out, err);
+  ne_request_destroy (request);
+  return end;
 }
--- a/lib/call/call.h
+++ b/lib/call/call.h
@@ -1,35 +1,43 @@
-/* HTTP client for entry instances, as callers and tools use it.  Blocking; one
-   thread a client.  */
+/* Bounded HTTP calls over neon, to the platform and to entry instances.  */
 #pragma once
 
 #include "pl.h"
 
-#define CALL_MAX_BYTES (8 * 1024 * 1024) /* largest answer that is read */
+#include <ne_request.h>
+#include <ne_session.h>
 
-struct call;
+struct call_req
+{
+  const char *method;
+  const char *path;
+  const char *const *headers; /* names and values in turn, ends with null */
+  struct pl_str body;         /* JSON; null data for none */
+  size_t most;                /* largest answer in bytes */
+};
+
+#define CALL_PREFIX 96 /* bytes of the largest key prefix, with the null */
 
-struct call_reply
+struct call_answer
 {
-  int status;   /* HTTP status; 0: no answer */
-  bool refused; /* no connection could be made, so nothing was sent */
+  int status;
   GString *body;
-  char prefix[96]; /* Idempotency-Prefix of the answer, or "" */
+  char prefix[CALL_PREFIX]; /* header Idempotency-Prefix, or empty */
 };
 
-/* A client with one persistent connection to ADDR.  TIMEOUT_S bounds
-   connecting and each wait for data.  */
-struct call *
-call_new (struct pl_addr addr, int timeout_s);
-void
-call_free (struct call *call);
-/* Makes one request.  KEY (may be null) goes into Idempotency-Key; BODY may be
-   null.  False if no whole answer came.  Clear REPLY with call_reply_clear. */
-bool
-call_do (struct call *call, const char *method, const char *path,
-         const char *key, const char *body, struct call_reply *reply);
-void
-call_reply_clear (struct call_reply *reply);
+enum call_end
+{
+  CALL_DONE,
+  CALL_UNSENT, /* no connection was made */
+  CALL_LOST,   /* the request may have been received */
+};
 
-/* Once a process, before other threads start.  */
-void
-call_init (void);
+/* Parses "http://a.b.c.d:port".  */
+bool call_parse_url (const char *url, struct pl_addr *out);
+/* A session is used by one thread.  neon counts its time-outs in whole
+   seconds, so TIMEOUT_MS is rounded up.  */
+ne_session *call_session (struct pl_addr addr, int timeout_ms);
+/* On CALL_DONE the caller frees OUT's body.  neon sends a request again if a
+   persistent connection turns out to be closed, so that a request must be
+   safe to repeat.  */
+enum call_end call_http (ne_session *session, const struct call_req *req,
+                         struct call_answer *out, struct pl_err *err);
--- a/lib/claim/claim_table.h
+++ b/lib/claim/claim_table.h
@@ -70,29 +70,22 @@
   struct claim_record unseen; /* stands for all keys never received */
 };
 
-struct claim_series *
-claim_series_new (claim_id owner, int64_t floor, int64_t epoch,
-                  int64_t now_us);
-void
-claim_series_free (struct claim_series *series);
+struct claim_series *claim_series_new (claim_id owner, int64_t floor,
+                                       int64_t epoch, int64_t now_us);
+void claim_series_free (struct claim_series *series);
 /* The group of EPOCH; null if it is not above the floor or not begun.  */
-struct claim_group *
-claim_series_group (struct claim_series *series, int64_t epoch);
+struct claim_group *claim_series_group (struct claim_series *series,
+                                        int64_t epoch);
 /* Drops all records of the first group and raises the floor.  */
-void
-claim_series_drop (struct claim_table *table, struct claim_series *series);
-struct claim_series *
-claim_series_find (struct claim_table *table, claim_id owner);
-void
-claim_group_add (struct claim_group *group, struct claim_record *record);
+void claim_series_drop (struct claim_table *table,
+                        struct claim_series *series);
+struct claim_series *claim_series_find (struct claim_table *table,
+                                        claim_id owner);
+void claim_group_add (struct claim_group *group, struct claim_record *record);
 /* Drops epochs beyond the bounds on age and count.  */
-void
-claim_evict (struct claim_table *table);
+void claim_evict (struct claim_table *table);
 /* Stores REPLY within the bounds.  */
-void
-claim_hold (struct claim_table *table, struct claim_record *record,
-            struct job_reply *reply);
-void
-claim_unhold (struct claim_table *table, struct claim_held *held);
-void
-claim_evict_answers (struct claim_table *table);
+void claim_hold (struct claim_table *table, struct claim_record *record,
+                 struct job_reply *reply);
+void claim_unhold (struct claim_table *table, struct claim_held *held);
+void claim_evict_answers (struct claim_table *table);
--- a/lib/conf/conf.h
+++ b/lib/conf/conf.h
@@ -28,18 +28,13 @@
 
 /* Fills CONF with defaults and then with the environment.  On failure ERR
    names the variable, the value and the range.  Free with conf_clear.  */
-bool
-conf_init (struct conf *conf, struct pl_err *err);
+bool conf_init (struct conf *conf, struct pl_err *err);
 /* Sets item INDEX of conf_table; ERR names the flag, the value and the range.
    SOURCE is the flag or variable as the user wrote it.  */
-bool
-conf_set (struct conf *conf, unsigned index, const char *source,
-          const char *value, struct pl_err *err);
+bool conf_set (struct conf *conf, unsigned index, const char *source,
+               const char *value, struct pl_err *err);
 /* Checks what involves several settings (addresses, order of times).  */
-bool
-conf_check (const struct conf *conf, struct pl_err *err);
+bool conf_check (const struct conf *conf, struct pl_err *err);
 /* Appends one "flag=value" line a setting.  */
-void
-conf_print (const struct conf *conf, GString *out);
-void
-conf_clear (struct conf *conf);
+void conf_print (const struct conf *conf, GString *out);
+void conf_clear (struct conf *conf);
--- a/lib/conf/settings.gen.c
+++ b/lib/conf/settings.gen.c
@@ -144,7 +144,7 @@
     .help = "Connections that all instances may hold to a worker.",
     .offset = offsetof (struct conf, worker_connections) },
   { .flag = "runner-threads", .env = "PAPAYALOFT_RUNNER_THREADS", .type = CONF_INT,
-    .def = "128", .min = 1, .max = 4096, .unit = "threads",
+    .def = "512", .min = 1, .max = 4096, .unit = "threads",
     .help = "Threads that carry upstream requests.",
     .offset = offsetof (struct conf, runner_threads) },
   { .flag = "retry-percent", .env = "PAPAYALOFT_RETRY_PERCENT", .type = CONF_INT,
--- a/lib/disp/disp.h
+++ b/lib/disp/disp.h
@@ -62,68 +62,49 @@
 };
 
 struct disp;
-struct disp *
-disp_new (const struct disp_opts *opts);
+struct disp *disp_new (const struct disp_opts *opts);
 /* Stops the thread; every job that is left gets a true reply first.  */
-void
-disp_free (struct disp *disp);
+void disp_free (struct disp *disp);
 
 /* One turn of the dispatch thread: all posted messages, then what is due. Only
    with the option MANUAL.  */
-void
-disp_turn (struct disp *disp);
+void disp_turn (struct disp *disp);
 /* The end of a task; takes over both.  Any thread.  */
-void
-disp_run_done (struct disp *disp, struct run_task *task,
-               struct run_result *result);
+void disp_run_done (struct disp *disp, struct run_task *task,
+                    struct run_result *result);
 
 /* Any thread.  Takes its own reference to REQ.  DONE is called exactly once on
    the dispatch thread; it must not block.  The key's owner must be this
    instance or an inherited one.  */
-void
-disp_submit (struct disp *disp, struct job_req *req, job_done_fn *done,
-             void *user);
+void disp_submit (struct disp *disp, struct job_req *req, job_done_fn *done,
+                  void *user);
 /* Replies with the state of KEY, or its final reply.  */
-void
-disp_lookup (struct disp *disp, struct pl_str key, job_done_fn *done,
-             void *user);
-void
-disp_cancel (struct disp *disp, struct pl_str key, job_done_fn *done,
-             void *user);
+void disp_lookup (struct disp *disp, struct pl_str key, job_done_fn *done,
+                  void *user);
+void disp_cancel (struct disp *disp, struct pl_str key, job_done_fn *done,
+                  void *user);
 
 /* From the control thread; each posts.  */
-void
-disp_permit_result (struct disp *disp, struct claim_hash hash, bool granted);
-void
-disp_peer_lost (struct disp *disp, claim_id peer); /* suspect or left */
-void
-disp_peer_dead (struct disp *disp, claim_id peer);
-void
-disp_borrow (struct disp *disp, claim_id peer, unsigned n);
-void
-disp_grant (struct disp *disp, claim_id peer, const struct disp_lot *lots,
-            unsigned n);
-void
-disp_returned (struct disp *disp, claim_id peer, const struct disp_lot *lots,
-               unsigned n);
+void disp_permit_result (struct disp *disp, struct claim_hash hash,
+                         bool granted);
+void disp_peer_lost (struct disp *disp, claim_id peer); /* suspect or left */
+void disp_peer_dead (struct disp *disp, claim_id peer);
+void disp_borrow (struct disp *disp, claim_id peer, unsigned n);
+void disp_grant (struct disp *disp, claim_id peer, const struct disp_lot *lots,
+                 unsigned n);
+void disp_returned (struct disp *disp, claim_id peer,
+                    const struct disp_lot *lots, unsigned n);
 /* A peer's heartbeat: slots that it holds of ours.  */
-void
-disp_holds (struct disp *disp, claim_id peer, unsigned total);
-void
-disp_leaving (struct disp *disp, struct pl_addr addr, bool leaving);
-void
-disp_view_changed (struct disp *disp);
+void disp_holds (struct disp *disp, claim_id peer, unsigned total);
+void disp_leaving (struct disp *disp, struct pl_addr addr, bool leaving);
+void disp_view_changed (struct disp *disp);
 
 /* Hand-over, from the control thread.  EXPORTED gets the chunks on the
    dispatch thread, then null.  */
-void
-disp_export (struct disp *disp, size_t max_bytes,
-             void (*exported) (GBytes *chunk, void *user), void *user);
-void
-disp_import (struct disp *disp, GBytes *chunk);
-void
-disp_inherit (struct disp *disp, claim_id owner);
+void disp_export (struct disp *disp, size_t max_bytes,
+                  void (*exported) (GBytes *chunk, void *user), void *user);
+void disp_import (struct disp *disp, GBytes *chunk);
+void disp_inherit (struct disp *disp, claim_id owner);
 
 /* Any thread; values may be a tick old.  */
-void
-disp_get_status (struct disp *disp, struct disp_status *out);
+void disp_get_status (struct disp *disp, struct disp_status *out);
--- a/lib/disp/disp_in.h
+++ b/lib/disp/disp_in.h
@@ -123,61 +123,44 @@
   return pl_now_us (disp->opts.clock);
 }
 
-struct disp_msg *
-disp_msg_new (struct disp *disp,
-              void (*run) (struct disp *disp, struct disp_msg *msg));
-void
-disp_post (struct disp *disp, struct disp_msg *msg);
+struct disp_msg *disp_msg_new (struct disp *disp,
+                               void (*run) (struct disp *disp,
+                                            struct disp_msg *msg));
+void disp_post (struct disp *disp, struct disp_msg *msg);
 
 /* submit.c */
-void
-disp_permit_ask (struct disp *disp, struct disp_job *job);
-void
-disp_reply_code (job_done_fn *done, void *user, struct pl_str key,
-                 enum pl_code code, const char *detail);
+void disp_permit_ask (struct disp *disp, struct disp_job *job);
+void disp_reply_code (job_done_fn *done, void *user, struct pl_str key,
+                      enum pl_code code, const char *detail);
 
 /* finish.c */
-enum job_task_state
-disp_known (const struct disp_task *task);
+enum job_task_state disp_known (const struct disp_task *task);
 /* Whether any task may have started.  */
-bool
-disp_started (const struct disp_job *job);
+bool disp_started (const struct disp_job *job);
 /* Ends JOB early for CAUSE; replies when its running tasks have ended, or at
    once if NOW is set.  */
-void
-disp_end (struct disp *disp, struct disp_job *job, enum pl_code cause,
-          const char *detail, bool now);
+void disp_end (struct disp *disp, struct disp_job *job, enum pl_code cause,
+               const char *detail, bool now);
 /* Gives the reply that follows from what is known.  */
-void
-disp_finish (struct disp *disp, struct disp_job *job);
-void
-disp_job_free (struct disp *disp, struct disp_job *job);
+void disp_finish (struct disp *disp, struct disp_job *job);
+void disp_job_free (struct disp *disp, struct disp_job *job);
 
 /* place.c */
-void
-disp_place (struct disp *disp);
+void disp_place (struct disp *disp);
 
 /* result.c */
-void
-disp_result (struct disp *disp, struct disp_msg *msg);
+void disp_result (struct disp *disp, struct disp_msg *msg);
 
 /* lend.c */
-void
-disp_lend_turn (struct disp *disp);
-void
-disp_lend_tick (struct disp *disp);
+void disp_lend_turn (struct disp *disp);
+void disp_lend_tick (struct disp *disp);
 
 /* tick.c */
 /* Sorts JOB in by the time at which it needs attention next.  */
-void
-disp_arm (struct disp *disp, struct disp_job *job);
-void
-disp_disarm (struct disp_job *job);
-void
-disp_refresh (struct disp *disp);
+void disp_arm (struct disp *disp, struct disp_job *job);
+void disp_disarm (struct disp_job *job);
+void disp_refresh (struct disp *disp);
 /* Does what is due.  */
-void
-disp_tick (struct disp *disp);
+void disp_tick (struct disp *disp);
 /* Time until something is due.  */
-int64_t
-disp_wait_us (const struct disp *disp);
+int64_t disp_wait_us (const struct disp *disp);
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -111,20 +111,33 @@
   peer_offer_whole (from_feed (ops)->peer, document);
 }
 
-/* The list lags, so that "live" undoes no sign of leaving; it is only a hint
-   of entry instances to contact.  */
+static gpointer
+addr_key (struct pl_addr addr)
+{
+  return GSIZE_TO_POINTER ((gsize)addr.ip << 16 | addr.port);
+}
+
+/* The list lags, so that "live" undoes no sign of leaving and a sign that is
+   only repeated counts for nothing: the worker may have been added again.  */
 static void
 feed_instances (struct plat_feed_ops *ops, const struct plat_instance *list,
                 unsigned n)
 {
   struct entry *entry = from_feed (ops);
+  GHashTable *now = g_hash_table_new (NULL, NULL);
   for (unsigned i = 0; i < n; i++)
     {
-      if (list[i].worker && list[i].leaving)
-        disp_leaving (entry->disp, list[i].addr, true);
-      else if (!list[i].worker && !list[i].leaving)
+      gpointer key = addr_key (list[i].addr);
+      if (!list[i].leaving && !list[i].worker)
         peer_add_seed (entry->peer, list[i].addr);
+      if (!list[i].leaving || !list[i].worker)
+        continue;
+      g_hash_table_add (now, key);
+      if (!g_hash_table_contains (entry->leaving, key))
+        disp_leaving (entry->disp, list[i].addr, true);
     }
+  g_hash_table_unref (entry->leaving);
+  entry->leaving = now;
 }
 
 static void
@@ -194,6 +207,7 @@
   entry->self = pl_random64 ();
   g_mutex_init (&entry->lock);
   g_cond_init (&entry->drain_asked);
+  entry->leaving = g_hash_table_new (NULL, NULL);
   set_ops (entry);
   struct peer_opts opts = {
     .conf = conf,
@@ -221,10 +235,13 @@
 fail:
   if (entry->feed != NULL)
     plat_feed_free (entry->feed);
+  if (entry->peer != NULL)
+    peer_stop (entry->peer);
   if (entry->disp != NULL)
     disp_free (entry->disp);
   if (entry->peer != NULL)
     peer_free (entry->peer);
+  g_hash_table_unref (entry->leaving);
   g_free (entry);
   return NULL;
 }
--- a/lib/entry/impl.h
+++ b/lib/entry/impl.h
@@ -21,6 +21,8 @@
   struct disp *disp;
   struct http *http;
   struct plat_feed *feed; /* null without a platform */
+  GHashTable *leaving;    /* addresses that the list called leaving when it was
+                             last read; feed's thread */
   GMutex lock;
   GCond drain_asked;
   bool draining;
@@ -28,10 +30,8 @@
 
 /* Routes one request to this instance or to the one that vouches for the
    key.  FORWARDED requests are never forwarded again.  */
-void
-entry_route (struct entry *entry, bool forwarded, const char *method,
-             struct pl_str path, struct pl_str key, const struct pl_str *body,
-             job_done_fn *done, void *user);
+void entry_route (struct entry *entry, bool forwarded, const char *method,
+                  struct pl_str path, struct pl_str key,
+                  const struct pl_str *body, job_done_fn *done, void *user);
 /* Appends the status document of GET /v1/status.  */
-void
-entry_status (struct entry *entry, GString *out);
+void entry_status (struct entry *entry, GString *out);
--- a/lib/entry/stop.c
+++ b/lib/entry/stop.c
@@ -58,8 +58,10 @@
   bool handed = peer_hand_over (entry->peer, left_ms (entry, until_us));
   if (entry->feed != NULL)
     plat_feed_free (entry->feed);
+  peer_stop (entry->peer);
   disp_free (entry->disp);
   peer_free (entry->peer);
+  g_hash_table_unref (entry->leaving);
   pl_slot_publish (&entry->note_slot, NULL);
   pl_slot_publish (&entry->memb_slot, NULL);
   pl_log (PL_EV_STOP, "unfinished=%u cut=%u handed_over=%s", unfinished, cut,
--- a/lib/http/http.h
+++ b/lib/http/http.h
@@ -23,12 +23,10 @@
 };
 
 struct http;
-struct http *
-http_new (const struct conf *conf, struct http_ops *ops, struct pl_err *err);
+struct http *http_new (const struct conf *conf, struct http_ops *ops,
+                       struct pl_err *err);
 /* Requests that have not been answered yet.  */
-unsigned
-http_open_requests (struct http *http);
+unsigned http_open_requests (struct http *http);
 /* Stops listening, waits at most LIMIT_MS for open requests, then closes.
    Returns the number of requests that were cut.  */
-unsigned
-http_free (struct http *http, int limit_ms);
+unsigned http_free (struct http *http, int limit_ms);
--- a/lib/http/http_priv.h
+++ b/lib/http/http_priv.h
@@ -60,50 +60,38 @@
 
 /* The new request is in the set of open ones; the caller holds the
    connection's reference.  */
-struct http_req *
-http_req_new (struct http *http, struct MHD_Connection *connection,
-              const char *path, const char *method);
+struct http_req *http_req_new (struct http *http,
+                               struct MHD_Connection *connection,
+                               const char *path, const char *method);
 /* The connection is done with REQ.  */
-void
-http_req_finish (struct http_req *req);
-void
-http_req_unref (struct http_req *req);
+void http_req_finish (struct http_req *req);
+void http_req_unref (struct http_req *req);
 /* Suspends the connection and starts the operation.  */
-enum MHD_Result
-http_req_start (struct http_req *req);
+enum MHD_Result http_req_start (struct http_req *req);
 /* Starts the operation of a request whose connection is to be closed.  */
-void
-http_req_start_detached (struct http_req *req);
+void http_req_start_detached (struct http_req *req);
 /* Closes a stalled or waiting request's connection; true if it was open.  */
-bool
-http_req_cut (struct http_req *req);
+bool http_req_cut (struct http_req *req);
 /* Answers a request whose body is overdue, and closes its connection.  */
-void
-http_req_stalled (struct http_req *req);
+void http_req_stalled (struct http_req *req);
 
 /* Chooses what to do when the headers have arrived, and when the body has. */
-enum MHD_Result
-http_route (struct http_req *req, bool whole);
+enum MHD_Result http_route (struct http_req *req, bool whole);
 
-enum MHD_Result
-http_send_reply (struct http_req *req, struct job_reply *reply);
-enum MHD_Result
-http_send_error (struct http_req *req, enum pl_code code, const char *detail);
+enum MHD_Result http_send_reply (struct http_req *req,
+                                 struct job_reply *reply);
+enum MHD_Result http_send_error (struct http_req *req, enum pl_code code,
+                                 const char *detail);
 /* Takes over TEXT.  */
-enum MHD_Result
-http_send_text (struct http_req *req, unsigned status, const char *type,
-                GString *text);
-void
-http_conn_changed (void *http, struct MHD_Connection *connection,
-                   void **context, enum MHD_ConnectionNotificationCode code);
+enum MHD_Result http_send_text (struct http_req *req, unsigned status,
+                                const char *type, GString *text);
+void http_conn_changed (void *http, struct MHD_Connection *connection,
+                        void **context,
+                        enum MHD_ConnectionNotificationCode code);
 /* Says whether a request's headers have arrived and its answer is not sent. */
-void
-http_conn_set_busy (struct http *http, struct MHD_Connection *connection,
-                    bool busy);
+void http_conn_set_busy (struct http *http, struct MHD_Connection *connection,
+                         bool busy);
 /* Shuts connections that have not been busy since LIMIT_US; needs the lock. */
-void
-http_conn_sweep (struct http *http, int64_t limit_us);
-gpointer
-http_sweep (gpointer http);
-void
-http_unref (struct http *http);
+void http_conn_sweep (struct http *http, int64_t limit_us);
+gpointer http_sweep (gpointer http);
+void http_unref (struct http *http);
--- a/lib/job/job.h
+++ b/lib/job/job.h
@@ -41,13 +41,12 @@
    whose PARSE says why, so that the owner can close its key.  CONF may be
    null (the request then fails with PL_NOT_READY).  A service, kind or team
    that CONF lacks gives PL_UNKNOWN_SERVICE or PL_UNKNOWN_TEAM.  */
-struct job_req *
-job_req_parse (struct pl_str key, struct pl_str path, struct pl_str body,
-               const struct job_limits *limits, const struct note_conf *conf);
-struct job_req *
-job_req_ref (struct job_req *req);
-void
-job_req_unref (struct job_req *req);
+struct job_req *job_req_parse (struct pl_str key, struct pl_str path,
+                               struct pl_str body,
+                               const struct job_limits *limits,
+                               const struct note_conf *conf);
+struct job_req *job_req_ref (struct job_req *req);
+void job_req_unref (struct job_req *req);
 
 /* What a caller gets; shared by reference count.  */
 struct job_reply
@@ -68,24 +67,20 @@
 
 /* Renders the whole answer.  ANSWERS has N JSON texts in task order; a text
    that is not valid JSON is included as a JSON string.  */
-struct job_reply *
-job_reply_complete (struct pl_str key, int64_t response_us,
-                    GBytes *const *answers, unsigned n);
+struct job_reply *job_reply_complete (struct pl_str key, int64_t response_us,
+                                      GBytes *const *answers, unsigned n);
 /* Renders a failure or refusal.  STATES may be null (N is then 0).  DETAIL may
    be null.  */
-struct job_reply *
-job_reply_error (struct pl_str key, enum pl_code code, int64_t retry_after_ms,
-                 const char *detail, const enum job_task_state *states,
-                 unsigned n);
+struct job_reply *job_reply_error (struct pl_str key, enum pl_code code,
+                                   int64_t retry_after_ms, const char *detail,
+                                   const enum job_task_state *states,
+                                   unsigned n);
 /* Wraps a body that was rendered elsewhere; takes over BODY.  */
-struct job_reply *
-job_reply_wrap (enum pl_code code, int64_t retry_after_ms, GBytes *body);
-struct job_reply *
-job_reply_ref (struct job_reply *reply);
-void
-job_reply_unref (struct job_reply *reply);
+struct job_reply *job_reply_wrap (enum pl_code code, int64_t retry_after_ms,
+                                  GBytes *body);
+struct job_reply *job_reply_ref (struct job_reply *reply);
+void job_reply_unref (struct job_reply *reply);
 
 /* Called exactly once with the reply, on any thread; the callee takes its own
    reference if it keeps REPLY.  */
-typedef void
-job_done_fn (struct job_reply *reply, void *user);
+typedef void job_done_fn (struct job_reply *reply, void *user);
--- a/lib/job/job_parse.h
+++ b/lib/job/job_parse.h
@@ -13,8 +13,6 @@
 };
 
 /* Body of "/v1/jobs".  */
-bool
-job_parse_job (struct job_parse *parse, json_t *root);
+bool job_parse_job (struct job_parse *parse, json_t *root);
 /* Body of "/v1/services/<service>/<kind>"; both names are set in REQ.  */
-bool
-job_parse_call (struct job_parse *parse, json_t *root);
+bool job_parse_call (struct job_parse *parse, json_t *root);
--- a/lib/memb/memb.h
+++ b/lib/memb/memb.h
@@ -47,21 +47,17 @@
 };
 
 /* Null if it is not known.  */
-const struct memb_peer *
-memb_find (const struct memb_view *view, claim_id id);
+const struct memb_peer *memb_find (const struct memb_view *view, claim_id id);
 /* The instance that vouches for OWNER now: OWNER itself if it is known and has
    not left, else its heir, else 0.  */
-claim_id
-memb_authority (const struct memb_view *view, claim_id owner);
+claim_id memb_authority (const struct memb_view *view, claim_id owner);
 /* Writes the key prefix that this instance issues: its own, or a peer's while
    it drains.  */
-char *
-memb_prefix (const struct memb_view *view, char buf[CLAIM_PREFIX_TEXT]);
+char *memb_prefix (const struct memb_view *view, char buf[CLAIM_PREFIX_TEXT]);
 /* The slots out of SLOTS of worker ADDR that belong to instance ID.  The
    shares of all sharers add up to SLOTS.  */
-unsigned
-memb_share (const struct memb_view *view, claim_id id, struct pl_addr addr,
-            unsigned slots);
+unsigned memb_share (const struct memb_view *view, claim_id id,
+                     struct pl_addr addr, unsigned slots);
 
 /* The mutable table behind the views; the control thread owns it.  */
 struct memb_table;
@@ -75,9 +71,9 @@
   MEMB_CHANGE_FORGOT, /* about to be removed from the table */
 };
 
-typedef void
-memb_change_fn (const struct memb_peer *peer, enum memb_change change,
-                int64_t silence_us, void *user);
+typedef void memb_change_fn (const struct memb_peer *peer,
+                             enum memb_change change, int64_t silence_us,
+                             void *user);
 
 struct memb_opts
 {
@@ -98,46 +94,35 @@
 #define MEMB_MAX_PEERS 1024
 #define MEMB_MAX_HEIRS 64
 
-struct memb_table *
-memb_table_new (const struct memb_opts *opts);
-void
-memb_table_free (struct memb_table *table);
+struct memb_table *memb_table_new (const struct memb_opts *opts);
+void memb_table_free (struct memb_table *table);
 /* A heartbeat: SAID->state is ignored.  False if it is stale: from this
    instance, from one that has left, or beyond MEMB_MAX_PEERS.  Another
    incarnation at the same address counts as left.  */
-bool
-memb_heard (struct memb_table *table, const struct memb_peer *said);
-void
-memb_left (struct memb_table *table, claim_id id);
+bool memb_heard (struct memb_table *table, const struct memb_peer *said);
+void memb_left (struct memb_table *table, claim_id id);
 /* OWNER has stopped and HEIR vouches for it.  */
-void
-memb_add_heir (struct memb_table *table, claim_id owner, claim_id heir);
+void memb_add_heir (struct memb_table *table, claim_id owner, claim_id heir);
 /* Writes the owners that HEIR vouches for to OUT, MEMB_MAX_HEIRS at most, and
    returns their number.  */
-unsigned
-memb_inherited (const struct memb_table *table, claim_id heir, claim_id *out);
+unsigned memb_inherited (const struct memb_table *table, claim_id heir,
+                         claim_id *out);
 /* Applies the timings and chooses the witness.  */
-void
-memb_tick (struct memb_table *table);
-void
-memb_set_self (struct memb_table *table, int64_t epoch, int64_t revision,
-               bool draining);
+void memb_tick (struct memb_table *table);
+void memb_set_self (struct memb_table *table, int64_t epoch, int64_t revision,
+                    bool draining);
 /* Null if it is not known.  Valid until the next change of the table.  */
-const struct memb_peer *
-memb_table_find (const struct memb_table *table, claim_id id);
+const struct memb_peer *memb_table_find (const struct memb_table *table,
+                                         claim_id id);
 /* The peer at ADDR that has not left, or null.  */
-const struct memb_peer *
-memb_table_at (const struct memb_table *table, struct pl_addr addr);
-unsigned
-memb_table_count (const struct memb_table *table);
-const struct memb_peer *
-memb_table_peer (const struct memb_table *table, unsigned index);
-const struct memb_peer *
-memb_table_self (const struct memb_table *table);
+const struct memb_peer *memb_table_at (const struct memb_table *table,
+                                       struct pl_addr addr);
+unsigned memb_table_count (const struct memb_table *table);
+const struct memb_peer *memb_table_peer (const struct memb_table *table,
+                                         unsigned index);
+const struct memb_peer *memb_table_self (const struct memb_table *table);
 /* The best peer to take over this instance's records: the witness, else
    another live one of the domain, else of another domain; null if none.  */
-const struct memb_peer *
-memb_choose_heir (const struct memb_table *table);
+const struct memb_peer *memb_choose_heir (const struct memb_table *table);
 /* A new view if anything has changed since the last one, else null.  */
-struct memb_view *
-memb_view_next (struct memb_table *table);
+struct memb_view *memb_view_next (struct memb_table *table);
--- a/lib/memb/table.h
+++ b/lib/memb/table.h
@@ -26,7 +26,6 @@
   bool dirty;
 };
 
-struct memb_entry *
-memb_entry_at (const struct memb_table *table, unsigned index);
-void
-memb_heirs_tick (struct memb_table *table, int64_t now);
+struct memb_entry *memb_entry_at (const struct memb_table *table,
+                                  unsigned index);
+void memb_heirs_tick (struct memb_table *table, int64_t now);
--- a/lib/msg/msg.h
+++ b/lib/msg/msg.h
@@ -23,19 +23,14 @@
 };
 
 /* Largest message of CHANNEL in bytes.  */
-size_t
-msg_max_bytes (enum msg_channel channel);
+size_t msg_max_bytes (enum msg_channel channel);
 /* Encodes ENVELOPE and sets its version; null if it is too large.  */
-GBytes *
-msg_pack (Msg__Envelope *envelope, enum msg_channel channel);
+GBytes *msg_pack (Msg__Envelope *envelope, enum msg_channel channel);
 /* Decodes and checks one message: size, version, kind, counts and ranges.
    Null with PL_MESSAGE_INVALID in ERR.  Free with msg_free.  */
-Msg__Envelope *
-msg_unpack (const void *data, size_t len, enum msg_channel channel,
-            struct pl_err *err);
-void
-msg_free (Msg__Envelope *envelope);
+Msg__Envelope *msg_unpack (const void *data, size_t len,
+                           enum msg_channel channel, struct pl_err *err);
+void msg_free (Msg__Envelope *envelope);
 /* Checks counts, lengths and enum ranges of a decoded message.  */
-bool
-msg_check (const Msg__Envelope *envelope, enum msg_channel channel,
-           struct pl_err *err);
+bool msg_check (const Msg__Envelope *envelope, enum msg_channel channel,
+                struct pl_err *err);
--- a/lib/note/item.h
+++ b/lib/note/item.h
@@ -16,25 +16,21 @@
 };
 
 /* Sets ERR to NOTE_INVALID with "$.path: rule" and returns false.  */
-bool
-note_refuse (struct pl_err *err, const struct note_at *at, const char *fmt,
-             ...) G_GNUC_PRINTF (3, 4);
+bool note_refuse (struct pl_err *err, const struct note_at *at,
+                  const char *fmt, ...) G_GNUC_PRINTF (3, 4);
 
 /* Checked readers of members.  ALLOWED ends with null; a member that is not
    in it is refused.  */
-bool
-note_members (const json_t *object, const struct note_at *at,
-              const char *const *allowed, struct pl_err *err);
-bool
-note_get_int (const json_t *object, const struct note_at *at, const char *name,
-              int64_t min, int64_t max, int64_t *out, struct pl_err *err);
+bool note_members (const json_t *object, const struct note_at *at,
+                   const char *const *allowed, struct pl_err *err);
+bool note_get_int (const json_t *object, const struct note_at *at,
+                   const char *name, int64_t min, int64_t max, int64_t *out,
+                   struct pl_err *err);
 /* A name is 1 to 64 characters of [a-z0-9-].  OUT is a GRefString.  */
-bool
-note_get_name (const json_t *object, const struct note_at *at,
-               const char *name, char **out, struct pl_err *err);
+bool note_get_name (const json_t *object, const struct note_at *at,
+                    const char *name, char **out, struct pl_err *err);
 /* Parses TEXT as JSON; duplicate members are refused.  */
-json_t *
-note_load (struct pl_str text, struct pl_err *err);
+json_t *note_load (struct pl_str text, struct pl_err *err);
 
 enum note_sect
 {
@@ -70,19 +66,16 @@
 extern const struct note_item_ops *const note_sects[NOTE_SECTS];
 
 /* Items of section SECT of CONF.  */
-const void *
-note_items (const struct note_conf *conf, enum note_sect sect, unsigned *n);
+const void *note_items (const struct note_conf *conf, enum note_sect sect,
+                        unsigned *n);
 /* The item of CONF (may be null) with the key of PROBE, or null.  */
-const void *
-note_lookup (const struct note_conf *conf, enum note_sect sect,
-             const void *probe);
+const void *note_lookup (const struct note_conf *conf, enum note_sect sect,
+                         const void *probe);
 /* Takes over the items of LISTS and builds the index.  */
-struct note_conf *
-note_conf_new (int64_t revision, GArray *lists[NOTE_SECTS]);
+struct note_conf *note_conf_new (int64_t revision, GArray *lists[NOTE_SECTS]);
 /* An empty list that clears its items.  */
-GArray *
-note_list_new (const struct note_item_ops *ops, unsigned reserve);
+GArray *note_list_new (const struct note_item_ops *ops, unsigned reserve);
 /* Parses a JSON array of items into a new list; null on failure.  */
-GArray *
-note_list_parse (const struct note_item_ops *ops, const json_t *array,
-                 const struct note_at *at, bool whole, struct pl_err *err);
+GArray *note_list_parse (const struct note_item_ops *ops, const json_t *array,
+                         const struct note_at *at, bool whole,
+                         struct pl_err *err);
--- a/lib/note/note.h
+++ b/lib/note/note.h
@@ -53,13 +53,12 @@
 };
 
 /* Null if the configuration lacks it.  */
-const struct note_kind *
-note_find_kind (const struct note_conf *conf, const char *service,
-                const char *kind);
-const struct note_team *
-note_find_team (const struct note_conf *conf, const char *team);
-const struct note_worker *
-note_find_worker (const struct note_conf *conf, struct pl_addr addr);
+const struct note_kind *note_find_kind (const struct note_conf *conf,
+                                        const char *service, const char *kind);
+const struct note_team *note_find_team (const struct note_conf *conf,
+                                        const char *team);
+const struct note_worker *note_find_worker (const struct note_conf *conf,
+                                            struct pl_addr addr);
 
 /* Members that identify a note.  */
 #define NOTE_ID_MAX 64
@@ -69,8 +68,8 @@
   int64_t base; /* the revision that the note was written against */
 };
 /* Reads id and base only; the rest of the note is not validated.  */
-bool
-note_read_head (struct pl_str note, struct note_head *out, struct pl_err *err);
+bool note_read_head (struct pl_str note, struct note_head *out,
+                     struct pl_err *err);
 
 /* A note is an object with "id" (1 to 64 letters, digits or hyphens), "base",
    optionally "comment", "added", "changed" and "withdrawn".  "added" and
@@ -79,18 +78,14 @@
 
 /* Validates a note as a whole against BASE (null: the empty configuration).
    ERR names the JSON path and the rule broken.  */
-bool
-note_validate (struct pl_str note, const struct note_conf *base,
-               struct pl_err *err);
+bool note_validate (struct pl_str note, const struct note_conf *base,
+                    struct pl_err *err);
 /* Returns the configuration that NOTE makes of BASE at REVISION, or null.  */
-struct note_conf *
-note_fold (struct pl_str note, const struct note_conf *base, int64_t revision,
-           struct pl_err *err);
+struct note_conf *note_fold (struct pl_str note, const struct note_conf *base,
+                             int64_t revision, struct pl_err *err);
 /* The whole configuration as a JSON document, and back.  */
-char *
-note_conf_to_json (const struct note_conf *conf);
-struct note_conf *
-note_conf_from_json (struct pl_str text, struct pl_err *err);
+char *note_conf_to_json (const struct note_conf *conf);
+struct note_conf *note_conf_from_json (struct pl_str text, struct pl_err *err);
 
 /* History: what an instance knows of accepted notes.  Owned by one thread
    (control); publishes each new configuration to SLOT.  */
@@ -104,23 +99,20 @@
   NOTE_BAD,     /* invalid; the revision in force stays */
 };
 
-struct note_history *
-note_history_new (struct pl_slot *slot);
-void
-note_history_free (struct note_history *history);
-int64_t
-note_history_revision (const struct note_history *history);
+struct note_history *note_history_new (struct pl_slot *slot);
+void note_history_free (struct note_history *history);
+int64_t note_history_revision (const struct note_history *history);
 /* Offers one accepted note.  SOURCE is "store" or "peer", for the log.  */
-enum note_offer
-note_history_offer (struct note_history *history, int64_t revision,
-                    struct pl_str note, const char *source,
-                    struct pl_err *err);
+enum note_offer note_history_offer (struct note_history *history,
+                                    int64_t revision, struct pl_str note,
+                                    const char *source, struct pl_err *err);
 /* Offers a whole document (note_conf_to_json); applied only if its revision is
    higher than the one in force.  */
-enum note_offer
-note_history_offer_whole (struct note_history *history, struct pl_str document,
-                          const char *source, struct pl_err *err);
+enum note_offer note_history_offer_whole (struct note_history *history,
+                                          struct pl_str document,
+                                          const char *source,
+                                          struct pl_err *err);
 /* The accepted note of REVISION if it is among the last 64, else null; not
    owned by the caller.  */
-GBytes *
-note_history_get (const struct note_history *history, int64_t revision);
+GBytes *note_history_get (const struct note_history *history,
+                          int64_t revision);
--- a/lib/peer/heir.c
+++ b/lib/peer/heir.c
@@ -2,6 +2,10 @@
 
 #include <string.h>
 
+/* Wait for an instance that could be the heir; the last instance of an
+   installation would otherwise wait for the whole stop limit.  */
+#define HEIR_WAIT_US 2000000
+
 /* A hand-over of this instance's records, from the export to the last
    acknowledgement.  The waiting thread and the control thread hold it.  */
 struct hand_over
@@ -18,6 +22,7 @@
   claim_id heir; /* 0: to be chosen */
   uint32_t next; /* chunks->len: the last message */
   int64_t sent_us;
+  int64_t alone_us; /* when no heir was left to try */
   int64_t deadline_us;
 };
 
@@ -109,7 +114,9 @@
   if (hand == NULL)
     return;
   int64_t now = ctl_now (peer);
-  if (now >= hand->deadline_us)
+  bool nobody = hand->heir == 0 && hand->exported
+                && now - hand->alone_us >= HEIR_WAIT_US;
+  if (now >= hand->deadline_us || nobody)
     {
       end (peer, false);
       return;
@@ -125,8 +132,11 @@
 void
 heir_lost (struct peer *peer, claim_id id)
 {
-  if (peer->hand_over != NULL && peer->hand_over->heir == id)
-    peer->hand_over->heir = 0;
+  struct hand_over *hand = peer->hand_over;
+  if (hand == NULL || hand->heir != id)
+    return;
+  hand->heir = 0;
+  hand->alone_us = ctl_now (peer);
 }
 
 static void
@@ -246,7 +256,10 @@
   if (chunk != NULL)
     g_ptr_array_add (hand->chunks, chunk);
   else
-    hand->exported = true;
+    {
+      hand->exported = true;
+      hand->alone_us = ctl_now (peer);
+    }
   heir_tick (peer);
 }
 
--- a/lib/peer/impl.h
+++ b/lib/peer/impl.h
@@ -78,102 +78,69 @@
   void (*fn) (struct peer *peer, struct ctl_item *item);
 };
 
-void
-ctl_post (struct peer *peer, struct ctl_item *item,
-          void (*fn) (struct peer *peer, struct ctl_item *item));
-gpointer
-ctl_run (gpointer user);
-int64_t
-ctl_now (const struct peer *peer);
-struct remote *
-ctl_remote (struct peer *peer, claim_id id); /* made if it does not exist */
+void ctl_post (struct peer *peer, struct ctl_item *item,
+               void (*fn) (struct peer *peer, struct ctl_item *item));
+gpointer ctl_run (gpointer user);
+int64_t ctl_now (const struct peer *peer);
+struct remote *ctl_remote (struct peer *peer,
+                           claim_id id); /* made if it does not exist */
 /* Sends to a known peer that has not left; false if it was not queued.  */
-bool
-ctl_send (struct peer *peer, claim_id to, Msg__Envelope *envelope);
-void
-ctl_message (struct peer *peer, Msg__Envelope *e);
+bool ctl_send (struct peer *peer, claim_id to, Msg__Envelope *envelope);
+void ctl_message (struct peer *peer, Msg__Envelope *e);
 
 /* beat.c: links and heartbeats */
 /* The link to ADDR, made if it does not exist; null if there are too many.
    It is closed at EXPIRES_US (0: never) unless a known peer has the address.
  */
-struct link *
-beat_link (struct peer *peer, struct pl_addr addr, int64_t expires_us);
+struct link *beat_link (struct peer *peer, struct pl_addr addr,
+                        int64_t expires_us);
 /* The time at which a link made or used now may be closed.  */
-int64_t
-beat_expiry (const struct peer *peer);
-void
-beat_seeds (struct peer *peer);
-void
-beat_tick (struct peer *peer);
-bool
-beat_heard (struct peer *peer, const Msg__Envelope *e);
-void
-beat_leave (struct peer *peer);
-void
-beat_broadcast (struct peer *peer, Msg__Envelope *envelope);
+int64_t beat_expiry (const struct peer *peer);
+void beat_seeds (struct peer *peer);
+void beat_tick (struct peer *peer);
+bool beat_heard (struct peer *peer, const Msg__Envelope *e);
+void beat_leave (struct peer *peer);
+void beat_broadcast (struct peer *peer, Msg__Envelope *envelope);
 
 /* permit.c and revoke.c */
-void
-permit_init (struct peer *peer);
-void
-permit_free (struct peer *peer);
-void
-permit_flush (struct peer *peer);
-void
-permit_retry (struct peer *peer);
-void
-permit_lost (struct peer *peer, claim_id witness);
-void
-permit_request (struct peer *peer, claim_id from, const Msg__PermitRequest *m);
-void
-permit_reply (struct peer *peer, claim_id from, const Msg__PermitReply *m);
-void
-revoke_init (struct peer *peer);
-void
-revoke_end (struct peer *peer);
-void
-revoke_retry (struct peer *peer);
-void
-revoke_request (struct peer *peer, claim_id from, const Msg__RevokeRequest *m);
-void
-revoke_reply (struct peer *peer, claim_id from, const Msg__RevokeReply *m);
+void permit_init (struct peer *peer);
+void permit_free (struct peer *peer);
+void permit_flush (struct peer *peer);
+void permit_retry (struct peer *peer);
+void permit_lost (struct peer *peer, claim_id witness);
+void permit_request (struct peer *peer, claim_id from,
+                     const Msg__PermitRequest *m);
+void permit_reply (struct peer *peer, claim_id from,
+                   const Msg__PermitReply *m);
+void revoke_init (struct peer *peer);
+void revoke_end (struct peer *peer);
+void revoke_retry (struct peer *peer);
+void revoke_request (struct peer *peer, claim_id from,
+                     const Msg__RevokeRequest *m);
+void revoke_reply (struct peer *peer, claim_id from,
+                   const Msg__RevokeReply *m);
 
 /* lend.c */
-void
-lend_init (struct peer *peer);
-void
-lend_message (struct peer *peer, const Msg__Envelope *e);
+void lend_init (struct peer *peer);
+void lend_message (struct peer *peer, const Msg__Envelope *e);
 
 /* notes.c */
-void
-notes_free (struct peer *peer);
-void
-notes_heard (struct peer *peer, claim_id from, int64_t revision);
-void
-notes_request (struct peer *peer, claim_id from, const Msg__NoteRequest *m);
-void
-notes_reply (struct peer *peer, claim_id from, const Msg__NoteReply *m);
+void notes_free (struct peer *peer);
+void notes_heard (struct peer *peer, claim_id from, int64_t revision);
+void notes_request (struct peer *peer, claim_id from,
+                    const Msg__NoteRequest *m);
+void notes_reply (struct peer *peer, claim_id from, const Msg__NoteReply *m);
 
 /* heir.c */
-void
-heir_tick (struct peer *peer);
-void
-heir_lost (struct peer *peer, claim_id id);
-void
-heir_message (struct peer *peer, const Msg__Envelope *e);
-void
-heir_end (struct peer *peer);
+void heir_tick (struct peer *peer);
+void heir_lost (struct peer *peer, claim_id id);
+void heir_message (struct peer *peer, const Msg__Envelope *e);
+void heir_end (struct peer *peer);
 
 /* relay.c: runs on its own thread; these may be called from any.  */
-struct relay *
-relay_new (struct peer *peer, struct pl_err *err);
-void
-relay_start (struct relay *relay);
+struct relay *relay_new (struct peer *peer, struct pl_err *err);
+void relay_start (struct relay *relay);
 /* Joins the thread and ends all forwards.  */
-void
-relay_stop (struct relay *relay);
-void
-relay_free (struct relay *relay);
-void
-relay_view_changed (struct relay *relay);
+void relay_stop (struct relay *relay);
+void relay_free (struct relay *relay);
+void relay_view_changed (struct relay *relay);
--- a/lib/peer/link.h
+++ b/lib/peer/link.h
@@ -15,21 +15,16 @@
 };
 
 /* Binds a ROUTER to ADDR; null with ERR set on failure.  */
-void *
-link_bind (void *ctx, struct pl_addr addr, enum msg_channel channel,
-           struct pl_err *err);
+void *link_bind (void *ctx, struct pl_addr addr, enum msg_channel channel,
+                 struct pl_err *err);
 /* Null if no socket is left.  IMMEDIATE: send only while connected.  */
-struct link *
-link_new (void *ctx, struct pl_addr addr, bool immediate);
-void
-link_free (struct link *link);
+struct link *link_new (void *ctx, struct pl_addr addr, bool immediate);
+void link_free (struct link *link);
 /* Keeps unsent messages for MS after link_free.  */
-void
-link_linger (struct link *link, int ms);
+void link_linger (struct link *link, int ms);
 /* Packs and sends without waiting; false if it was not queued.  */
-bool
-link_send (struct link *link, Msg__Envelope *envelope,
-           enum msg_channel channel);
+bool link_send (struct link *link, Msg__Envelope *envelope,
+                enum msg_channel channel);
 
 enum link_got
 {
@@ -39,8 +34,7 @@
 };
 
 /* Takes one message from a ROUTER without waiting.  */
-enum link_got
-link_recv (void *sock, enum msg_channel channel, Msg__Envelope **out);
+enum link_got link_recv (void *sock, enum msg_channel channel,
+                         Msg__Envelope **out);
 /* Counts a dropped message and logs it unless too many were logged.  */
-void
-link_drop (uint64_t from, const char *reason, size_t bytes);
+void link_drop (uint64_t from, const char *reason, size_t bytes);
--- a/lib/plat/etcd.h
+++ b/lib/plat/etcd.h
@@ -17,15 +17,10 @@
 };
 
 /* 64-bit numbers are JSON strings; an omitted one is 0.  */
-bool
-etcd_get_int (const json_t *object, const char *name, int64_t *out);
-json_t *
-etcd_int (int64_t value);
-json_t *
-etcd_bytes (const void *data, size_t len);
+bool etcd_get_int (const json_t *object, const char *name, int64_t *out);
+json_t *etcd_int (int64_t value);
+json_t *etcd_bytes (const void *data, size_t len);
 /* Strict base64; an omitted member is empty.  Null if malformed.  */
-GBytes *
-etcd_get_bytes (const json_t *object, const char *name);
-bool
-etcd_wait (struct plat *plat, const char *key, int64_t from, int timeout_ms,
-           struct pl_err *err);
+GBytes *etcd_get_bytes (const json_t *object, const char *name);
+bool etcd_wait (struct plat *plat, const char *key, int64_t from,
+                int timeout_ms, struct pl_err *err);
--- a/lib/plat/list.h
+++ b/lib/plat/list.h
@@ -6,5 +6,4 @@
 #include "plat.h"
 
 /* A list of struct plat_instance; null on failure.  */
-GArray *
-plat_list_read (struct plat *plat, struct pl_err *err);
+GArray *plat_list_read (struct plat *plat, struct pl_err *err);
--- a/lib/plat/plat.h
+++ b/lib/plat/plat.h
@@ -56,28 +56,24 @@
 
 /* A platform is used by one thread.  URL is "http://a.b.c.d:port".  Null with
  * ERR set if it is malformed.  */
-struct plat *
-plat_etcd_new (const char *url, int timeout_ms, struct pl_err *err);
+struct plat *plat_etcd_new (const char *url, int timeout_ms,
+                            struct pl_err *err);
 
 /* Applies a release note by one compare-and-swap.  On success REVISION is the
    note's; on PL_NOTE_CONFLICT it is the winning one.  ERR says PL_NOTE_UNKNOWN
    only if the fate could not be read back.  */
-bool
-plat_apply_note (struct plat *plat, struct pl_str note, int64_t *revision,
-                 struct pl_err *err);
+bool plat_apply_note (struct plat *plat, struct pl_str note, int64_t *revision,
+                      struct pl_err *err);
 /* The accepted revision (0: none yet).  */
-bool
-plat_head (struct plat *plat, int64_t *revision, int64_t *mod_rev,
-           struct pl_err *err);
+bool plat_head (struct plat *plat, int64_t *revision, int64_t *mod_rev,
+                struct pl_err *err);
 /* The note of REVISION; the caller unrefs it.  */
-GBytes *
-plat_note (struct plat *plat, int64_t revision, struct pl_err *err);
+GBytes *plat_note (struct plat *plat, int64_t revision, struct pl_err *err);
 
 /* The configuration at the head: the snapshot and the notes after it.  CONF is
    null at revision 0; MOD_REV (may be null) is the head's.  */
-bool
-plat_load (struct plat *plat, struct note_conf **conf, int64_t *revision,
-           int64_t *mod_rev, struct pl_err *err);
+bool plat_load (struct plat *plat, struct note_conf **conf, int64_t *revision,
+                int64_t *mod_rev, struct pl_err *err);
 
 /* An entry of the platform's list of instances.  */
 struct plat_instance
@@ -102,15 +98,12 @@
    feed reads once at its start; after that it waits for changes only while it
    watches, and polls the head every 10 s otherwise.  */
 struct plat_feed;
-struct plat_feed *
-plat_feed_new (const char *url, int list_poll_ms, struct plat_feed_ops *ops,
-               struct pl_err *err);
+struct plat_feed *plat_feed_new (const char *url, int list_poll_ms,
+                                 struct plat_feed_ops *ops,
+                                 struct pl_err *err);
 /* Any thread.  */
-void
-plat_feed_watch (struct plat_feed *feed, bool on);
+void plat_feed_watch (struct plat_feed *feed, bool on);
 /* Tells the revision in force, so that only newer notes are read; any
    thread.  */
-void
-plat_feed_seen (struct plat_feed *feed, int64_t revision);
-void
-plat_feed_free (struct plat_feed *feed);
+void plat_feed_seen (struct plat_feed *feed, int64_t revision);
+void plat_feed_free (struct plat_feed *feed);
--- a/lib/plat/snapshot.h
+++ b/lib/plat/snapshot.h
@@ -11,13 +11,9 @@
 #define TXN_BYTES 900000U
 
 /* Splits DOCUMENT of REVISION into puts; free with snapshot_puts_free.  */
-GArray *
-snapshot_puts (struct pl_str document, int64_t revision);
-void
-snapshot_puts_free (GArray *puts);
-size_t
-snapshot_puts_bytes (const GArray *puts);
+GArray *snapshot_puts (struct pl_str document, int64_t revision);
+void snapshot_puts_free (GArray *puts);
+size_t snapshot_puts_bytes (const GArray *puts);
 /* OUT is null if the snapshot is absent or can't be verified (a chunk is
    missing, of another revision, or the hash differs).  */
-bool
-snapshot_read (struct plat *plat, GBytes **out, struct pl_err *err);
+bool snapshot_read (struct plat *plat, GBytes **out, struct pl_err *err);
--- a/lib/run/run.h
+++ b/lib/run/run.h
@@ -49,18 +49,12 @@
 };
 
 struct run;
-struct run *
-run_new (const struct run_opts *opts);
+struct run *run_new (const struct run_opts *opts);
 /* Never blocks: queues when all threads are busy.  */
-void
-run_start (struct run *run, struct run_task *task);
+void run_start (struct run *run, struct run_task *task);
 /* Asks the upstream to stop a running task; the result still arrives.  */
-void
-run_cancel (struct run *run, struct pl_addr addr, const char *id);
+void run_cancel (struct run *run, struct pl_addr addr, const char *id);
 /* Waits for all tasks to end.  */
-void
-run_free (struct run *run);
-void
-run_task_free (struct run_task *task);
-void
-run_result_free (struct run_result *result);
+void run_free (struct run *run);
+void run_task_free (struct run_task *task);
+void run_result_free (struct run_result *result);
--- a/lib/run/run_priv.h
+++ b/lib/run/run_priv.h
@@ -72,68 +72,48 @@
   GThread *cancel_threads[RUN_CANCEL_THREADS];
 };
 
-struct run_pool *
-run_pool_new (const struct run_opts *opts);
-void
-run_pool_free (struct run_pool *pool);
+struct run_pool *run_pool_new (const struct run_opts *opts);
+void run_pool_free (struct run_pool *pool);
 /* Takes a connection, open or not.  Waits at most WAIT_US while all are in
    use; then null.  */
-struct run_conn *
-run_pool_take (struct run_pool *pool, struct pl_addr addr, int64_t wait_us);
-void
-run_pool_give (struct run_pool *pool, struct run_conn *conn);
+struct run_conn *run_pool_take (struct run_pool *pool, struct pl_addr addr,
+                                int64_t wait_us);
+void run_pool_give (struct run_pool *pool, struct run_conn *conn);
 /* Waits for the right to connect to an upstream; false after WAIT_US.  */
-bool
-run_pool_begin_connect (struct run_pool *pool, struct run_upstream *up,
-                        int64_t wait_us);
-void
-run_pool_end_connect (struct run_pool *pool, struct run_upstream *up);
+bool run_pool_begin_connect (struct run_pool *pool, struct run_upstream *up,
+                             int64_t wait_us);
+void run_pool_end_connect (struct run_pool *pool, struct run_upstream *up);
 /* Sets the time at which the watchdog cuts CONN; 0: never.  */
-void
-run_pool_limit (struct run_pool *pool, struct run_conn *conn, int64_t limit_us,
-                const char *reason);
+void run_pool_limit (struct run_pool *pool, struct run_conn *conn,
+                     int64_t limit_us, const char *reason);
 
-struct run_conn *
-run_conn_new (struct run_upstream *up, const struct run_opts *opts);
-void
-run_conn_free (struct run_conn *conn);
-void
-run_conn_close (struct run_pool *pool, struct run_conn *conn);
+struct run_conn *run_conn_new (struct run_upstream *up,
+                               const struct run_opts *opts);
+void run_conn_free (struct run_conn *conn);
+void run_conn_close (struct run_pool *pool, struct run_conn *conn);
 /* Connects if necessary and sends REQ once.  TASK may be null.  An NE_
    code.  */
-int
-run_conn_begin (struct run *run, struct run_conn *conn, struct run_task *task,
-                ne_request *req);
+int run_conn_begin (struct run *run, struct run_conn *conn,
+                    struct run_task *task, ne_request *req);
 /* Ends a request; KEEP if the connection can be used again.  */
-void
-run_conn_end (struct run_conn *conn, bool keep);
+void run_conn_end (struct run_conn *conn, bool keep);
 /* Finds the socket that neon has just connected.  */
-void
-run_conn_find_socket (struct run_pool *pool, struct run_conn *conn);
+void run_conn_find_socket (struct run_pool *pool, struct run_conn *conn);
 /* Closes the duplicate that the above made.  */
-void
-run_conn_drop_socket (struct run_pool *pool, struct run_conn *conn);
-void
-run_surplus_begin (struct run_conn *conn);
+void run_conn_drop_socket (struct run_pool *pool, struct run_conn *conn);
+void run_surplus_begin (struct run_conn *conn);
 /* Waits for the answer and takes the size of its headers.  */
-void
-run_surplus_peek (struct run_conn *conn, int wait_ms);
+void run_surplus_peek (struct run_conn *conn, int wait_ms);
 /* Whether more than the headers and LENGTH bytes have come.  */
-bool
-run_surplus_found (const struct run_conn *conn, int64_t length);
+bool run_surplus_found (const struct run_conn *conn, int64_t length);
 /* Why the task must not be sent now, or null.  */
-const char *
-run_late (struct run *run, struct run_task *task);
+const char *run_late (struct run *run, struct run_task *task);
 
 /* How long a task may wait for a connection; TASK may be null.  */
-int64_t
-run_wait_us (struct run *run, const struct run_task *task);
+int64_t run_wait_us (struct run *run, const struct run_task *task);
 
 /* Sends the task of CONN and judges the answer.  */
-void
-run_exchange (struct run *run, struct run_conn *conn, struct run_task *task,
-              struct run_result *result);
-void
-run_cancel_begin (struct run *run);
-void
-run_cancel_end (struct run *run);
+void run_exchange (struct run *run, struct run_conn *conn,
+                   struct run_task *task, struct run_result *result);
+void run_cancel_begin (struct run *run);
+void run_cancel_end (struct run *run);
--- a/lib/sched/plsched.h
+++ b/lib/sched/plsched.h
@@ -61,10 +61,8 @@
   void (*free) (struct sched_order *order);
 };
 
-struct sched_order *
-sched_order_fifo (void);
-struct sched_order *
-sched_order_slowdown (void);
+struct sched_order *sched_order_fifo (void);
+struct sched_order *sched_order_slowdown (void);
 
 struct sched_opts
 {
@@ -77,77 +75,56 @@
 };
 
 struct sched;
-struct sched *
-sched_new (const struct sched_opts *opts);
-void
-sched_free (struct sched *sched);
+struct sched *sched_new (const struct sched_opts *opts);
+void sched_free (struct sched *sched);
 
 /* The team NAME with the given limits from now on.  */
-struct sched_team *
-sched_team (struct sched *sched, const char *name, unsigned weight,
-            unsigned quota);
+struct sched_team *sched_team (struct sched *sched, const char *name,
+                               unsigned weight, unsigned quota);
 
 /* Queues N tasks of JOB; they are offered after sched_ready.  */
-void
-sched_add (struct sched *sched, struct sched_job *job,
-           struct sched_task **tasks, unsigned n);
-void
-sched_ready (struct sched *sched, struct sched_job *job);
+void sched_add (struct sched *sched, struct sched_job *job,
+                struct sched_task **tasks, unsigned n);
+void sched_ready (struct sched *sched, struct sched_job *job);
 /* Removes all queued tasks of JOB and forgets it; returns their number.  */
-unsigned
-sched_drop (struct sched *sched, struct sched_job *job);
+unsigned sched_drop (struct sched *sched, struct sched_job *job);
 /* The next task in order, or null.  It stays queued.  */
-struct sched_task *
-sched_peek (struct sched *sched);
+struct sched_task *sched_peek (struct sched *sched);
 /* Takes TASK, which sched_peek gave, to a slot.  */
-void
-sched_take (struct sched *sched, struct sched_task *task);
+void sched_take (struct sched *sched, struct sched_task *task);
 /* Passes over the job of TASK until sched_unskip.  */
-void
-sched_skip (struct sched *sched, struct sched_task *task);
-void
-sched_unskip (struct sched *sched);
+void sched_skip (struct sched *sched, struct sched_task *task);
+void sched_unskip (struct sched *sched);
 /* The slot of a task of TEAM is free again.  */
-void
-sched_ended (struct sched *sched, struct sched_team *team);
+void sched_ended (struct sched *sched, struct sched_team *team);
 /* Queues a taken task again, in front of its job.  */
-void
-sched_again (struct sched *sched, struct sched_task *task);
-unsigned
-sched_queued (const struct sched *sched);
+void sched_again (struct sched *sched, struct sched_task *task);
+unsigned sched_queued (const struct sched *sched);
 /* Queued tasks of jobs that are ready.  */
-unsigned
-sched_runnable (const struct sched *sched);
+unsigned sched_runnable (const struct sched *sched);
 
 /* Admission.  SLOTS are those this instance has, WIDE those of the domain;
    SIZED says whether the sizes may be relied on.  Gives PL_OK or the code of
    the refusal with the time to come back.  */
-enum pl_code
-sched_admit (struct sched *sched, const struct sched_job *job, unsigned tasks,
-             int64_t deadline_us, unsigned slots, unsigned wide, bool sized,
-             int64_t *retry_after_ms, int64_t *wait_us);
-int64_t
-sched_wait_us (const struct sched *sched, const struct sched_team *team,
-               unsigned slots);
+enum pl_code sched_admit (struct sched *sched, const struct sched_job *job,
+                          unsigned tasks, int64_t deadline_us, unsigned slots,
+                          unsigned wide, bool sized, int64_t *retry_after_ms,
+                          int64_t *wait_us);
+int64_t sched_wait_us (const struct sched *sched,
+                       const struct sched_team *team, unsigned slots);
 
 /* The retry budget: a share of the starts, and a least rate.  */
-void
-sched_count_start (struct sched *sched);
-bool
-sched_retry (struct sched *sched);
+void sched_count_start (struct sched *sched);
+bool sched_retry (struct sched *sched);
 
 /* Size estimates by (service, kind, team).  */
 struct sched_sizes;
-struct sched_sizes *
-sched_sizes_new (struct pl_clock *clock);
-void
-sched_sizes_free (struct sched_sizes *sizes);
-void
-sched_sizes_learn (struct sched_sizes *sizes, const char *service,
-                   const char *kind, const char *team, int64_t run_us);
+struct sched_sizes *sched_sizes_new (struct pl_clock *clock);
+void sched_sizes_free (struct sched_sizes *sizes);
+void sched_sizes_learn (struct sched_sizes *sizes, const char *service,
+                        const char *kind, const char *team, int64_t run_us);
 /* DECLARED_US is 0 if nothing was declared.  SIZED (may be null) is set if
    the estimate is fresh enough to refuse a job for it.  */
-int64_t
-sched_sizes_get (struct sched_sizes *sizes, const char *service,
-                 const char *kind, const char *team, int64_t declared_us,
-                 bool *sized);
+int64_t sched_sizes_get (struct sched_sizes *sizes, const char *service,
+                         const char *kind, const char *team,
+                         int64_t declared_us, bool *sized);
--- a/lib/slot/slot.h
+++ b/lib/slot/slot.h
@@ -72,78 +72,60 @@
 };
 
 struct slot_table;
-struct slot_table *
-slot_table_new (const struct slot_opts *opts);
-void
-slot_table_free (struct slot_table *table);
+struct slot_table *slot_table_new (const struct slot_opts *opts);
+void slot_table_free (struct slot_table *table);
 
 /* Takes the workers of CONF and the shares of VIEW; either may be null.  */
-void
-slot_update (struct slot_table *table, const struct note_conf *conf,
-             const struct memb_view *view);
+void slot_update (struct slot_table *table, const struct note_conf *conf,
+                  const struct memb_view *view);
 /* Raises shares and ends ejections that are due.  */
-void
-slot_tick (struct slot_table *table);
+void slot_tick (struct slot_table *table);
 /* Null if it is not known.  */
-struct slot_worker *
-slot_find (const struct slot_table *table, struct pl_addr addr);
-unsigned
-slot_count (const struct slot_table *table);
-struct slot_worker *
-slot_at (const struct slot_table *table, unsigned index);
+struct slot_worker *slot_find (const struct slot_table *table,
+                               struct pl_addr addr);
+unsigned slot_count (const struct slot_table *table);
+struct slot_worker *slot_at (const struct slot_table *table, unsigned index);
 
 /* Slots that a task may take now.  */
-unsigned
-slot_free (const struct slot_worker *worker);
-unsigned
-slot_free_all (const struct slot_table *table);
+unsigned slot_free (const struct slot_worker *worker);
+unsigned slot_free_all (const struct slot_table *table);
 /* Slots of this instance on usable workers, in use or not.  */
-unsigned
-slot_mine (const struct slot_table *table);
+unsigned slot_mine (const struct slot_table *table);
 /* Slots of all usable workers of the domain.  */
-unsigned
-slot_domain (const struct slot_table *table);
+unsigned slot_domain (const struct slot_table *table);
 /* Largest memory of a worker of the domain; 0: not known.  */
-int64_t
-slot_memory (const struct slot_table *table);
+int64_t slot_memory (const struct slot_table *table);
 
 /* Chooses a worker with a free slot and MEMORY_MB for a task, or null.
    CAREFUL avoids slow workers.  AVOID (may be null) is taken only if there is
    no other.  */
-struct slot_worker *
-slot_choose (struct slot_table *table, int64_t memory_mb, bool careful,
-             const struct slot_worker *avoid);
-void
-slot_take (struct slot_table *table, struct slot_worker *worker,
-           int64_t memory_mb);
-void
-slot_release (struct slot_table *table, struct slot_worker *worker,
-              int64_t memory_mb);
+struct slot_worker *slot_choose (struct slot_table *table, int64_t memory_mb,
+                                 bool careful,
+                                 const struct slot_worker *avoid);
+void slot_take (struct slot_table *table, struct slot_worker *worker,
+                int64_t memory_mb);
+void slot_release (struct slot_table *table, struct slot_worker *worker,
+                   int64_t memory_mb);
 /* Whether the tasks on WORKER use a borrowed slot.  */
-bool
-slot_uses_borrowed (const struct slot_worker *worker);
+bool slot_uses_borrowed (const struct slot_worker *worker);
 
 /* Learns the speed of a worker from a run of RUN_US for an estimate.  */
-void
-slot_learn (struct slot_table *table, struct slot_worker *worker,
-            int64_t run_us, int64_t estimate_us);
+void slot_learn (struct slot_table *table, struct slot_worker *worker,
+                 int64_t run_us, int64_t estimate_us);
 
 /* Health.  KIND is "<service>/<kind>", or null for a failure that has nothing
    to do with the kind.  */
-void
-slot_good (struct slot_table *table, struct slot_worker *worker,
-           const char *kind);
-void
-slot_bad (struct slot_table *table, struct slot_worker *worker,
-          const char *kind);
-unsigned
-slot_ejected (const struct slot_table *table);
+void slot_good (struct slot_table *table, struct slot_worker *worker,
+                const char *kind);
+void slot_bad (struct slot_table *table, struct slot_worker *worker,
+               const char *kind);
+unsigned slot_ejected (const struct slot_table *table);
 
 /* A sign that the worker leaves.  It is undone only by a configuration newer
    than the one in force now that adds the worker again.  SIGN is for the
    log.  */
-void
-slot_leaving (struct slot_table *table, struct pl_addr addr, const char *sign);
+void slot_leaving (struct slot_table *table, struct pl_addr addr,
+                   const char *sign);
 
 /* Lending.  Lots are arrays of struct slot_lot.  */
 struct slot_lot
@@ -154,30 +136,23 @@
 
 /* Slots to ask of each peer, as struct slot_hold, for WANTED tasks that have
    no slot; marks them as asked.  */
-GArray *
-slot_ask (struct slot_table *table, unsigned wanted);
+GArray *slot_ask (struct slot_table *table, unsigned wanted);
 /* A grant from PEER; N may be 0.  Returns the slots taken; the lots that are
    of no use are appended to REFUSED.  */
-unsigned
-slot_granted (struct slot_table *table, claim_id peer,
-              const struct slot_lot *lots, unsigned n, GArray *refused);
+unsigned slot_granted (struct slot_table *table, claim_id peer,
+                       const struct slot_lot *lots, unsigned n,
+                       GArray *refused);
 /* Lends PEER up to WANTED free own slots.  */
-GArray *
-slot_lend (struct slot_table *table, claim_id peer, unsigned wanted);
+GArray *slot_lend (struct slot_table *table, claim_id peer, unsigned wanted);
 /* PEER returns slots.  */
-void
-slot_returned (struct slot_table *table, claim_id peer,
-               const struct slot_lot *lots, unsigned n);
+void slot_returned (struct slot_table *table, claim_id peer,
+                    const struct slot_lot *lots, unsigned n);
 /* PEER says that it holds TOTAL slots of ours.  */
-void
-slot_holds (struct slot_table *table, claim_id peer, unsigned total);
+void slot_holds (struct slot_table *table, claim_id peer, unsigned total);
 /* A peer from which idle slots are due back, with LOTS, or 0.  They are no
    longer held.  */
-claim_id
-slot_give_back (struct slot_table *table, GArray **lots);
+claim_id slot_give_back (struct slot_table *table, GArray **lots);
 /* Ends all lending with a dead peer, in both directions.  */
-void
-slot_peer_dead (struct slot_table *table, claim_id peer);
+void slot_peer_dead (struct slot_table *table, claim_id peer);
 /* Requests that were not answered in time since the last call.  */
-unsigned
-slot_lost_requests (struct slot_table *table);
+unsigned slot_lost_requests (struct slot_table *table);
--- a/lib/slot/slot_in.h
+++ b/lib/slot/slot_in.h
@@ -47,22 +47,14 @@
   return worker->listed && !worker->leaving && worker->health != SLOT_EJECTED;
 }
 
-uint64_t
-slot_addr_key (struct pl_addr addr);
-struct slot_peer *
-slot_peer (struct slot_table *table, claim_id id);
+uint64_t slot_addr_key (struct pl_addr addr);
+struct slot_peer *slot_peer (struct slot_table *table, claim_id id);
 /* Changes the count of ID in HOLDS (and SUM) by N, down to 0 at least.  */
-void
-slot_hold_add (GArray *holds, unsigned *sum, claim_id id, int n);
-unsigned
-slot_hold_get (const GArray *holds, claim_id id);
+void slot_hold_add (GArray *holds, unsigned *sum, claim_id id, int n);
+unsigned slot_hold_get (const GArray *holds, claim_id id);
 /* Starts or stops the idle time of borrowed slots.  */
-void
-slot_mark_idle (struct slot_table *table, struct slot_worker *worker);
+void slot_mark_idle (struct slot_table *table, struct slot_worker *worker);
 /* Counts the borrowed slots that were held for too long.  */
-void
-slot_mark_expired (struct slot_table *table, struct slot_worker *worker);
-void
-slot_health_tick (struct slot_table *table, struct slot_worker *worker);
-void
-slot_kind_free (void *data);
+void slot_mark_expired (struct slot_table *table, struct slot_worker *worker);
+void slot_health_tick (struct slot_table *table, struct slot_worker *worker);
+void slot_kind_free (void *data);
--- a/tests/disp_test.c
+++ b/tests/disp_test.c
@@ -1,7 +1,6 @@
 /* Tests of lib/disp: one reply a job, at most one start a task, true
    outcomes.  Runners and peers are replaced by the test; time is manual.  */
 #include "disp.h"
-#include "disp_fakes.h"
 #include "test.h"
 
 #include <stdio.h>
--- a/tests/job_test.c
+++ b/tests/job_test.c
@@ -20,25 +20,6 @@
                                        .n_teams = 1 };
 static const struct job_limits limits = { .body_bytes = 65536, .tasks = 8 };
 
-/* Weak, so that lib/note replaces them where it is linked in.  */
-__attribute__ ((weak)) const struct note_kind *
-note_find_kind (const struct note_conf *c, const char *service,
-                const char *kind)
-{
-  if (strcmp (c->services[0].name, service) != 0)
-    return NULL;
-  for (unsigned i = 0; i < c->services[0].n_kinds; i++)
-    if (strcmp (c->services[0].kinds[i].name, kind) == 0)
-      return &c->services[0].kinds[i];
-  return NULL;
-}
-
-__attribute__ ((weak)) const struct note_team *
-note_find_team (const struct note_conf *c, const char *team)
-{
-  return strcmp (c->teams[0].name, team) == 0 ? c->teams : NULL;
-}
-
 #define JOBS "/v1/jobs"
 #define CHECK "/v1/services/agenda/check"
 #define HEAD "{\"service\":\"agenda\",\"kind\":\"plan\",\"team\":\"blue\","
--- a/tests/memb_test.c
+++ b/tests/memb_test.c
@@ -6,17 +6,6 @@
 
 #define SECOND 1000000L
 
-__attribute__ ((weak)) char *
-claim_prefix_text (const char *domain, claim_id owner, claim_id witness,
-                   int64_t epoch, char buf[CLAIM_PREFIX_TEXT])
-{
-  g_snprintf (buf, CLAIM_PREFIX_TEXT,
-              "%s.%016" G_GINT64_MODIFIER "x.%016" G_GINT64_MODIFIER
-              "x.%" G_GINT64_FORMAT,
-              domain, owner, witness, epoch);
-  return buf;
-}
-
 static struct pl_manual_clock time_now;
 static unsigned changes[MEMB_CHANGE_FORGOT + 1];
 
--- a/tests/peer_test.c
+++ b/tests/peer_test.c
@@ -201,27 +201,54 @@
   node_stop (&nodes[0]);
 }
 
+/* A document with N workers, large enough for several chunks.  */
 static GBytes *
-text_of (unsigned revision, size_t len)
+document_of (unsigned revision, unsigned n)
 {
-  GString *text = g_string_sized_new (len);
-  g_string_printf (text, "%u ", revision);
-  while (text->len < len)
-    g_string_append_printf (text, "%zu,", text->len);
+  GString *text = g_string_new (NULL);
+  g_string_printf (text, "{\"revision\":%u,\"services\":[],\"teams\":[],",
+                   revision);
+  g_string_append (text, "\"workers\":[");
+  for (unsigned i = 0; i < n; i++)
+    g_string_append_printf (text,
+                            "%s{\"address\":\"10.0.%u.%u:9000\",\"domain\":"
+                            "\"brum\",\"rack\":\"r%u\",\"slots\":8,"
+                            "\"memory_mb\":2600,\"added_revision\":%u}",
+                            i > 0 ? "," : "", i / 250, i % 250, i / 6,
+                            revision);
+  g_string_append (text, "]}");
   return g_string_free_to_bytes (text);
 }
 
+/* A note that adds N teams.  */
+static GBytes *
+note_of (unsigned revision, unsigned n)
+{
+  GString *text = g_string_new (NULL);
+  g_string_printf (text, "{\"id\":\"note-%u\",\"base\":%u,\"added\":{",
+                   revision, revision - 1);
+  g_string_append (text, "\"teams\":[");
+  for (unsigned i = 0; i < n; i++)
+    g_string_append_printf (text, "%s{\"name\":\"team-%u-%u\",\"weight\":1}",
+                            i > 0 ? "," : "", revision, i);
+  g_string_append (text, "]}}");
+  return g_string_free_to_bytes (text);
+}
+
+/* Whether both instances have the same configuration in force.  */
 static bool
-has_text (struct node *node, GBytes *text)
+same_conf (struct node *a, struct node *b)
 {
-  struct pl_shared *shared = pl_slot_get (&node->notes);
-  const struct fake_conf *conf = (struct fake_conf *)shared;
-  size_t len;
-  const char *data = g_bytes_get_data (text, &len);
-  bool equal = conf != NULL && strlen (conf->text) == len
-               && memcmp (conf->text, data, len) == 0;
-  pl_shared_unref (shared);
-  return equal;
+  struct pl_shared *x = pl_slot_get (&a->notes);
+  struct pl_shared *y = pl_slot_get (&b->notes);
+  char *left = note_conf_to_json ((struct note_conf *)x);
+  char *right = note_conf_to_json ((struct note_conf *)y);
+  bool same = strcmp (left, right) == 0;
+  free (left);
+  free (right);
+  pl_shared_unref (x);
+  pl_shared_unref (y);
+  return same;
 }
 
 /* Guards against a revision that stays with the instance that got it, and
@@ -230,17 +257,17 @@
 test_notes_are_relayed (void)
 {
   struct node nodes[2];
-  g_autoptr (GBytes) whole = text_of (70, 4000000); /* two windows */
-  g_autoptr (GBytes) small = text_of (71, 20);
-  g_autoptr (GBytes) large = text_of (72, 200000);
+  g_autoptr (GBytes) whole = document_of (70, 16000); /* two windows */
+  g_autoptr (GBytes) small = note_of (71, 1);
+  g_autoptr (GBytes) large = note_of (72, 4000);
   start_pair (nodes);
   peer_offer_whole (nodes[0].peer, whole);
   CU_ASSERT (WAIT_FOR (g_atomic_int_get (&nodes[1].revision) == 70));
-  CU_ASSERT (has_text (&nodes[1], whole));
+  CU_ASSERT (same_conf (&nodes[0], &nodes[1]));
   peer_offer_note (nodes[0].peer, 71, small);
   peer_offer_note (nodes[0].peer, 72, large);
   CU_ASSERT (WAIT_FOR (g_atomic_int_get (&nodes[1].revision) == 72));
-  CU_ASSERT (has_text (&nodes[1], large));
+  CU_ASSERT (same_conf (&nodes[0], &nodes[1]));
   node_stop (&nodes[1]);
   node_stop (&nodes[0]);
 }
--- a/tests/run_test.c
+++ b/tests/run_test.c
@@ -106,8 +106,7 @@
   return true;
 }
 
-static void
-say (int fd, const char *fmt, ...) G_GNUC_PRINTF (2, 3);
+static void say (int fd, const char *fmt, ...) G_GNUC_PRINTF (2, 3);
 
 static void
 say (int fd, const char *fmt, ...)
--- a/tests/slot_test.c
+++ b/tests/slot_test.c
@@ -17,15 +17,6 @@
   claim_id sharers[2];
 };
 
-__attribute__ ((weak)) unsigned
-memb_share (const struct memb_view *view, claim_id id, struct pl_addr addr,
-            unsigned slots)
-{
-  (void)id;
-  (void)addr;
-  return slots / view->n_sharers;
-}
-
 static void
 share (struct fix *f, unsigned sharers)
 {
--- a/tests/standin/standin-forwarder/forwarder.h
+++ b/tests/standin/standin-forwarder/forwarder.h
@@ -36,12 +36,10 @@
   unsigned n;
 };
 
-enum filter_mode
-filters_mode (const struct filters *filters, uint32_t source,
-              struct pl_addr listen);
+enum filter_mode filters_mode (const struct filters *filters, uint32_t source,
+                               struct pl_addr listen);
 /* Runs "pass|stall|cut <ip|*> <ip:port|*>"; false if LINE is malformed.  */
-bool
-filters_command (struct filters *filters, const char *line);
+bool filters_command (struct filters *filters, const char *line);
 
 /* One direction of a connection.  */
 struct pipe
@@ -60,13 +58,9 @@
 };
 
 /* Null if the target can't be connected to.  Takes over FD.  */
-struct link *
-link_open (int fd, uint32_t source, const struct rule *rule);
-void
-link_close (struct link *link, bool reset);
+struct link *link_open (int fd, uint32_t source, const struct rule *rule);
+void link_close (struct link *link, bool reset);
 /* Events to poll for on side SIDE.  */
-short
-link_events (const struct link *link, int side);
+short link_events (const struct link *link, int side);
 /* Moves what can be moved; false when the connection is done.  */
-bool
-link_move (struct link *link, int side, short revents);
+bool link_move (struct link *link, int side, short revents);
--- a/tests/standin/standin-forwarder/main.c
+++ b/tests/standin/standin-forwarder/main.c
@@ -73,7 +73,7 @@
 static void
 accept_link (struct forwarder *f, const struct rule *rule)
 {
-  struct sockaddr_in from;
+  struct sockaddr_in from = { 0 };
   socklen_t len = sizeof from;
   int fd = accept4 (rule->fd, (struct sockaddr *)&from, &len, SOCK_CLOEXEC);
   if (fd < 0)
--- a/tests/standin/standin-platform/internal.h
+++ b/tests/standin/standin-platform/internal.h
@@ -48,11 +48,9 @@
 };
 
 /* Takes one call's share of the fault in force; the lock is held.  */
-enum fault
-fault_take (struct standin *standin, enum kind kind);
-json_t *
-stats_json (struct standin *standin);
+enum fault fault_take (struct standin *standin, enum kind kind);
+json_t *stats_json (struct standin *standin);
 /* Answers a watch request with a stream.  */
-enum MHD_Result
-watch_start (struct standin *standin, struct MHD_Connection *connection,
-             const json_t *body, enum fault fault);
+enum MHD_Result watch_start (struct standin *standin,
+                             struct MHD_Connection *connection,
+                             const json_t *body, enum fault fault);
--- a/tests/standin/standin-platform/store.h
+++ b/tests/standin/standin-platform/store.h
@@ -32,34 +32,26 @@
   int64_t writes;
 };
 
-void
-store_init (struct store *store);
-void
-store_clear (struct store *store);
+void store_init (struct store *store);
+void store_clear (struct store *store);
 /* The version of KEY at revision AT, or null.  */
-const struct version *
-store_get (const struct store *store, const char *key, int64_t at);
+const struct version *store_get (const struct store *store, const char *key,
+                                 int64_t at);
 /* Calls EACH for the pairs with KEY <= key < END (null: KEY only; "": no
    end) at revision AT.  */
-void
-store_range (const struct store *store, const char *key, const char *end,
-             int64_t at, void (*each) (const struct version *v, void *user),
-             void *user);
+void store_range (const struct store *store, const char *key, const char *end,
+                  int64_t at,
+                  void (*each) (const struct version *v, void *user),
+                  void *user);
 /* A transaction takes one revision: begin, any number of put and delete,
    end.  */
-void
-store_begin (struct store *store);
-void
-store_put (struct store *store, const char *key, GBytes *value, int64_t lease);
-int64_t
-store_delete (struct store *store, const char *key, const char *end);
-void
-store_end (struct store *store);
-struct lease *
-store_lease (struct store *store, int64_t id);
-struct lease *
-store_grant (struct store *store, int64_t id, int64_t ttl_s, int64_t now_us);
-bool
-store_revoke (struct store *store, int64_t id);
-void
-store_expire (struct store *store, int64_t now_us);
+void store_begin (struct store *store);
+void store_put (struct store *store, const char *key, GBytes *value,
+                int64_t lease);
+int64_t store_delete (struct store *store, const char *key, const char *end);
+void store_end (struct store *store);
+struct lease *store_lease (struct store *store, int64_t id);
+struct lease *store_grant (struct store *store, int64_t id, int64_t ttl_s,
+                           int64_t now_us);
+bool store_revoke (struct store *store, int64_t id);
+void store_expire (struct store *store, int64_t now_us);
--- a/tests/standin/standin-upstream/standin.h
+++ b/tests/standin/standin-upstream/standin.h
@@ -82,41 +82,29 @@
 };
 
 /* Parses a fault order; false on an unknown mode.  */
-bool
-fault_parse (const char *text, size_t len, int64_t now_us, struct fault *out);
-const char *
-fault_name (enum fault_mode mode);
+bool fault_parse (const char *text, size_t len, int64_t now_us,
+                  struct fault *out);
+const char *fault_name (enum fault_mode mode);
 /* Draws the fault of a new task.  */
-enum fault_mode
-fault_draw (struct worker *worker);
+enum fault_mode fault_draw (struct worker *worker);
 
 /* The functions below need the lock.  */
-void
-task_log (struct worker *worker, const char *what, const char *id,
-          const char *kind);
-void
-timer_add (struct req *req, int64_t due_us);
-void
-timer_remove (struct req *req);
+/* Logs "<unix us> <worker> <what> <task id> <kind> <echo>".  */
+void task_log (const struct req *req, const char *what);
+void timer_add (struct req *req, int64_t due_us);
+void timer_remove (struct req *req);
 /* Ends the work of REQ and lets its connection answer.  */
-void
-task_end (struct req *req);
-gpointer
-timer_loop (gpointer standin);
+void task_end (struct req *req);
+gpointer timer_loop (gpointer standin);
 
 /* Starts a task whose request is complete; may answer at once.  */
-enum MHD_Result
-task_begin (struct req *req);
-enum MHD_Result
-task_answer (struct req *req);
-enum MHD_Result
-task_delete (struct req *req, const char *id);
+enum MHD_Result task_begin (struct req *req);
+enum MHD_Result task_answer (struct req *req);
+enum MHD_Result task_delete (struct req *req, const char *id);
 /* One more byte of a slow answer, or the end of a stalled task.  */
-void
-task_tick (struct req *req);
-enum MHD_Result
-reply_text (struct MHD_Connection *connection, unsigned status,
-            const char *name, const char *value, bool leaving, char *text);
+void task_tick (struct req *req);
+enum MHD_Result reply_text (struct MHD_Connection *connection, unsigned status,
+                            const char *name, const char *value, bool leaving,
+                            char *text);
 /* Serves WORKER; null on failure.  */
-struct MHD_Daemon *
-serve (struct worker *worker, struct pl_addr addr);
+struct MHD_Daemon *serve (struct worker *worker, struct pl_addr addr);
--- a/tests/standin/standin-upstream/task.c
+++ b/tests/standin/standin-upstream/task.c
@@ -13,16 +13,21 @@
 #define OVERSIZE_BYTES ((size_t)5 * 1024 * 1024)
 
 void
-task_log (struct worker *worker, const char *what, const char *id,
-          const char *kind)
+task_log (const struct req *req, const char *what)
 {
-  char line[384];
-  int n
-      = snprintf (line, sizeof line, "%lld %s %s %s %s\n",
-                  (long long)g_get_real_time (), worker->text, what, id, kind);
-  if (worker->standin->log_fd < 0)
+  const struct standin *standin = req->worker->standin;
+  if (standin->log_fd < 0)
     return;
-  if (write (worker->standin->log_fd, line, (size_t)n) < 0)
+  /* A text is logged without its quotes.  */
+  const char *echo = req->echo == NULL ? "-" : req->echo;
+  size_t len = strlen (echo);
+  bool text = len >= 2 && echo[0] == '"';
+  char line[512];
+  int n = snprintf (line, sizeof line, "%lld %s %s %s %s %.*s\n",
+                    (long long)g_get_real_time (), req->worker->text, what,
+                    req->id, req->kind, (int)MIN (len - 2 * text, 100),
+                    echo + text);
+  if (write (standin->log_fd, line, (size_t)n) < 0)
     perror ("standin-upstream: log");
 }
 
@@ -78,7 +83,7 @@
   g_hash_table_replace (w->running, req->id, req);
   w->stats.max_running
       = MAX (w->stats.max_running, g_hash_table_size (w->running));
-  task_log (w, "start", req->id, req->kind);
+  task_log (req, "start");
 }
 
 static void
@@ -88,14 +93,14 @@
   w->stats.ends++;
   if (g_hash_table_lookup (w->running, req->id) == req)
     g_hash_table_remove (w->running, req->id);
-  task_log (w, req->cancelled ? "cancel" : "end", req->id, req->kind);
+  task_log (req, req->cancelled ? "cancel" : "end");
 }
 
 static enum MHD_Result
 refuse (struct req *req)
 {
   req->worker->stats.refused++;
-  task_log (req->worker, "refuse", req->id, req->kind);
+  task_log (req, "refuse");
   return reply_text (req->connection, 503, "Task-Not-Started", req->id, false,
                      (char[]){ "{}" });
 }
@@ -103,7 +108,7 @@
 static enum MHD_Result
 cut_before (struct req *req)
 {
-  task_log (req->worker, "cut", req->id, req->kind);
+  task_log (req, "cut");
   return MHD_NO;
 }
 
