--- a/lib/disp/place.c
+++ b/lib/disp/place.c
@@ -61,7 +61,6 @@
   task->run = new_run_task (disp, job, task);
   job->running++;
   disp->running++;
-  pl_count (PL_CTR_TASK_STARTS_TOTAL, 1);
   log_place (disp, task);
   if (disp->run != NULL)
     run_start (disp->run, task->run);
--- a/lib/disp/result.c
+++ b/lib/disp/result.c
@@ -47,28 +47,13 @@
     }
 }
 
+/* lib/run counts what became of each request.  */
 static void
 count (enum run_status status, bool unreachable)
 {
-  switch (status)
-    {
-    case RUN_NOT_SENT:
-      pl_count (PL_CTR_TASK_UNREACHABLE_TOTAL, unreachable);
-      pl_count (PL_CTR_WASTED_MESSAGES_TOTAL, unreachable);
-      break;
-    case RUN_REFUSED:
-      pl_count (PL_CTR_TASK_REFUSED_TOTAL, 1);
-      pl_count (PL_CTR_WASTED_MESSAGES_TOTAL, 1);
-      break;
-    case RUN_FAILED:
-      pl_count (PL_CTR_TASK_FAILED_TOTAL, 1);
-      break;
-    case RUN_MAYBE:
-      pl_count (PL_CTR_TASK_MAYBE_TOTAL, 1);
-      break;
-    default:
-      break;
-    }
+  bool wasted
+      = status == RUN_REFUSED || (status == RUN_NOT_SENT && unreachable);
+  pl_count (PL_CTR_WASTED_MESSAGES_TOTAL, wasted);
 }
 
 /* Gives the slot of TASK back.  */
