Parse decimal numbers without GLib

g_ascii_string_to_signed fails in a thread that waits while another one sets it up, since that wait leaves errno set; the runner then rejected a valid Content-Length.

--- a/lib/base/str.c
+++ b/lib/base/str.c
@@ -17,16 +17,27 @@
   return a.len == b.len && (a.len == 0 || memcmp (a.data, b.data, a.len) == 0);
 }
 
+/* GLib's parser is not used: it failed in a thread that waited while another
+   one set it up, because that wait left errno set.  */
 bool
 pl_str_to_int (struct pl_str s, int64_t min, int64_t max, int64_t *out)
 {
-  char buf[24];
-  if (s.len == 0 || s.len >= sizeof buf)
+  bool negative = s.len > 0 && s.data[0] == '-';
+  size_t first = negative ? 1 : 0;
+  if (s.len == first)
     return false;
-  memcpy (buf, s.data, s.len);
-  buf[s.len] = '\0';
-  gint64 value;
-  if (!g_ascii_string_to_signed (buf, 10, min, max, &value, NULL))
+  int64_t value = 0;
+  for (size_t i = first; i < s.len; i++)
+    {
+      if (!g_ascii_isdigit (s.data[i])
+          || __builtin_mul_overflow (value, 10, &value)
+          || __builtin_sub_overflow (value, s.data[i] - '0', &value))
+        return false;
+    }
+  /* Counted down, since the least value has no positive counterpart.  */
+  if (!negative && __builtin_sub_overflow (0, value, &value))
+    return false;
+  if (value < min || value > max)
     return false;
   *out = value;
   return true;
--- a/tests/base_test.c
+++ b/tests/base_test.c
@@ -24,6 +24,15 @@
   CU_ASSERT_FALSE (pl_str_to_int (pl_str ("43"), 1, 42, &v));
   CU_ASSERT_FALSE (pl_str_to_int (pl_str ("4x"), 1, 42, &v));
   CU_ASSERT_FALSE (pl_str_to_int (pl_str (""), 1, 42, &v));
+  CU_ASSERT_FALSE (pl_str_to_int (pl_str ("-"), -9, 42, &v));
+  CU_ASSERT (pl_str_to_int (pl_str ("-9223372036854775808"), INT64_MIN,
+                            INT64_MAX, &v));
+  CU_ASSERT_EQUAL (v, INT64_MIN);
+  CU_ASSERT (pl_str_to_int (pl_str ("9223372036854775807"), INT64_MIN,
+                            INT64_MAX, &v));
+  CU_ASSERT_EQUAL (v, INT64_MAX);
+  CU_ASSERT_FALSE (pl_str_to_int (pl_str ("9223372036854775808"), INT64_MIN,
+                                  INT64_MAX, &v));
 }
 
 static void
