Refuse to share a listening address; take test ports from the kernel

MHD_OPTION_LISTENING_ADDRESS_REUSE sets SO_REUSEPORT, so that two instances on one address both started and each got some of the connections. Two concurrent runs of http_test hung for that reason (seen once in 20 runs beside another run, and reproduced with two). With the option gone and ports from the kernel, five pairs of concurrent runs pass. GLib's number parser is set up before threads start: a task's answer was rejected as without length in 2 of 150 short runs, now in 0 of 750.

--- a/lib/http/http.c
+++ b/lib/http/http.c
@@ -97,10 +97,9 @@
   return MHD_start_daemon (
       MHD_USE_EPOLL_INTERNAL_THREAD | MHD_USE_SUSPEND_RESUME, addr.port, NULL,
       NULL, handle, http, MHD_OPTION_SOCK_ADDR, &sin,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_LISTEN_BACKLOG_SIZE,
-      limit, MHD_OPTION_THREAD_POOL_SIZE, threads > 1 ? threads : 0U,
-      MHD_OPTION_CONNECTION_LIMIT, MAX (limit, threads),
-      MHD_OPTION_CONNECTION_TIMEOUT,
+      MHD_OPTION_LISTEN_BACKLOG_SIZE, limit, MHD_OPTION_THREAD_POOL_SIZE,
+      threads > 1 ? threads : 0U, MHD_OPTION_CONNECTION_LIMIT,
+      MAX (limit, threads), MHD_OPTION_CONNECTION_TIMEOUT,
       (unsigned)conf->caller_idle_s + SPARE_IDLE_S,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, HTTP_CONNECTION_BYTES,
       MHD_OPTION_NOTIFY_COMPLETED, completed, http,
@@ -117,6 +116,10 @@
                conf->listen);
       return NULL;
     }
+  /* GLib's number parser fails in a thread that waits while another one sets
+     it up, since that wait leaves errno set.  */
+  int64_t zero;
+  (void)pl_str_to_int (pl_str ("0"), 0, 0, &zero);
   struct http *http = g_new0 (struct http, 1);
   g_atomic_ref_count_init (&http->refs);
   http->conf = conf;
--- a/lib/run/run.c
+++ b/lib/run/run.c
@@ -52,6 +52,10 @@
 {
   if (ne_sock_init () != 0)
     g_error ("neon: no sockets");
+  /* GLib's number parser fails in a thread that waits while another one sets
+     it up, since that wait leaves errno set.  */
+  int64_t zero;
+  (void)pl_str_to_int (pl_str ("0"), 0, 0, &zero);
   struct run *run = g_new0 (struct run, 1);
   run->opts = *opts;
   run->queue = g_async_queue_new ();
--- a/tests/http_test.c
+++ b/tests/http_test.c
@@ -1,239 +1,5 @@
 /* Tests of lib/http with a fake operation behind it.  */
-#include "http.h"
-#include "test.h"
-
-#include <arpa/inet.h>
-#include <stdio.h>
-#include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
-#define PREFIX "dom.0000000000000001.0.1"
-#define KEY PREFIX ".x"
-#define JSON "Content-Length: 2\r\n\r\n{}"
-#define WITH_KEY "Idempotency-Key: " KEY "\r\n"
-
-/* Stand in until lib/job has them.  */
-__attribute__ ((weak)) struct job_reply *
-job_reply_wrap (enum pl_code code, int64_t retry_after_ms, GBytes *body)
-{
-  struct job_reply *reply = g_new0 (struct job_reply, 1);
-  g_atomic_ref_count_init (&reply->refs);
-  reply->code = code;
-  reply->retry_after_ms = retry_after_ms;
-  reply->body = body;
-  return reply;
-}
-
-__attribute__ ((weak)) struct job_reply *
-job_reply_error (struct pl_str key, enum pl_code code, int64_t retry_after_ms,
-                 const char *detail, const enum job_task_state *states,
-                 unsigned n)
-{
-  (void)key;
-  (void)detail;
-  (void)states;
-  (void)n;
-  char *text
-      = g_strdup_printf ("{\"name\":\"%s\"}", pl_code_info (code)->name);
-  return job_reply_wrap (code, retry_after_ms,
-                         g_bytes_new_take (text, strlen (text)));
-}
-
-__attribute__ ((weak)) struct job_reply *
-job_reply_ref (struct job_reply *reply)
-{
-  g_atomic_ref_count_inc (&reply->refs);
-  return reply;
-}
-
-__attribute__ ((weak)) void
-job_reply_unref (struct job_reply *reply)
-{
-  if (!g_atomic_ref_count_dec (&reply->refs))
-    return;
-  g_bytes_unref (reply->body);
-  g_free (reply);
-}
-
-/* One operation that waits for its answer.  */
-struct op
-{
-  job_done_fn *done;
-  void *user;
-  char *key;
-};
-
-static struct
-{
-  struct http_ops ops;
-  bool ready;
-  bool hold; /* operations wait in HELD until the test takes them */
-  int64_t retry_ms;
-  int drains;
-  gint calls;
-  char last[512]; /* "METHOD path key body" */
-  GAsyncQueue *held;
-  GAsyncQueue *async;
-} fake;
-
-static void
-finish (struct op *op)
-{
-  char *text = g_strdup_printf ("{\"key\":\"%s\"}", op->key);
-  struct job_reply *reply
-      = job_reply_wrap (fake.retry_ms > 0 ? PL_OVERLOADED : PL_OK,
-                        fake.retry_ms, g_bytes_new_take (text, strlen (text)));
-  op->done (reply, op->user);
-  job_reply_unref (reply);
-  g_free (op->key);
-  g_free (op);
-}
-
-static gpointer
-answer_loop (gpointer user)
-{
-  (void)user;
-  for (;;)
-    finish (g_async_queue_pop (fake.async));
-  return NULL;
-}
-
-static void
-fake_request (struct http_ops *ops, const char *method, struct pl_str path,
-              struct pl_str key, const struct pl_str *body, job_done_fn *done,
-              void *user)
-{
-  (void)ops;
-  struct op *op = g_new0 (struct op, 1);
-  *op = (struct op){ .done = done,
-                     .user = user,
-                     .key = g_strndup (key.data, key.len) };
-  g_atomic_int_inc (&fake.calls);
-  bool sync = g_str_has_suffix (op->key, ".sync");
-  if (!g_str_has_suffix (op->key, ".many"))
-    g_snprintf (fake.last, sizeof fake.last, "%s %.*s %s %.*s", method,
-                PL_FMT (path), op->key, body == NULL ? 4 : (int)body->len,
-                body == NULL ? "null" : body->data);
-  if (sync)
-    finish (op);
-  else
-    g_async_queue_push (fake.hold ? fake.held : fake.async, op);
-}
-
-static bool
-fake_prefix (struct http_ops *ops, char buf[CLAIM_PREFIX_TEXT])
-{
-  (void)ops;
-  g_strlcpy (buf, PREFIX, CLAIM_PREFIX_TEXT);
-  return fake.ready;
-}
-
-static bool
-fake_ready (struct http_ops *ops)
-{
-  (void)ops;
-  return fake.ready;
-}
-
-static void
-fake_status (struct http_ops *ops, GString *out)
-{
-  (void)ops;
-  g_string_append (out, "{\"state\":1}");
-}
-
-static void
-fake_drain (struct http_ops *ops)
-{
-  (void)ops;
-  fake.drains++;
-}
-
-static struct conf conf = { .listen = "127.30.1.1:18080",
-                            .http_threads = 4,
-                            .caller_connections = 512,
-                            .caller_idle_s = 1,
-                            .body_bytes = 1024 };
-
-static struct http *
-start (void)
-{
-  struct pl_err err = { 0 };
-  fake.ready = true;
-  fake.hold = false;
-  fake.retry_ms = 0;
-  struct http *http = http_new (&conf, &fake.ops, &err);
-  if (http == NULL)
-    fprintf (stderr, "%s\n", err.text);
-  CU_ASSERT_PTR_NOT_NULL_FATAL (http);
-  return http;
-}
-
-static int
-dial (void)
-{
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-  struct sockaddr_in sin = { .sin_family = AF_INET,
-                             .sin_port = htons (18080),
-                             .sin_addr.s_addr = inet_addr ("127.30.1.1") };
-  struct timeval limit = { .tv_sec = 4 };
-  setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
-  if (connect (fd, (struct sockaddr *)&sin, sizeof sin) != 0)
-    {
-      close (fd);
-      return -1;
-    }
-  return fd;
-}
-
-static void
-put (int fd, const char *text)
-{
-  ssize_t n = send (fd, text, strlen (text), MSG_NOSIGNAL);
-  (void)n;
-}
-
-/* Reads one whole answer, or what comes before the end.  */
-static char *
-take (int fd)
-{
-  GString *in = g_string_new (NULL);
-  char block[4096];
-  for (;;)
-    {
-      const char *body = strstr (in->str, "\r\n\r\n");
-      const char *length = strstr (in->str, "Content-Length: ");
-      if (body != NULL && length != NULL
-          && in->len - (size_t)(body + 4 - in->str)
-                 >= strtoul (length + 16, NULL, 10))
-        break;
-      ssize_t n = recv (fd, block, sizeof block, 0);
-      if (n <= 0)
-        break;
-      g_string_append_len (in, block, n);
-    }
-  return g_string_free (in, FALSE);
-}
-
-static char *
-call (const char *text)
-{
-  int fd = dial ();
-  put (fd, text);
-  char *got = take (fd);
-  close (fd);
-  return got;
-}
-
-static bool
-has (const char *text, const char *part)
-{
-  bool found = strstr (text, part) != NULL;
-  if (!found)
-    fprintf (stderr, "no '%s' in '%s'\n", part, text);
-  return found;
-}
+#include "http_fake.h"
 
 static void
 test_paths (void)
@@ -456,8 +222,7 @@
       close (fd);
       CU_ASSERT_EQUAL (http_open_requests (http), 1);
       finish (op);
-      while (http_open_requests (http) > 0)
-        g_usleep (500);
+      CU_ASSERT (wait_open (http, 0));
     }
   fake.hold = false;
   g_autofree char *got
@@ -573,8 +338,7 @@
   int reading = dial ();
   put (reading, "POST /v1/jobs HTTP/1.1\r\nHost: x\r\n" WITH_KEY
                 "Content-Length: 10\r\n\r\n{");
-  while (http_open_requests (http) < 2)
-    g_usleep (500);
+  CU_ASSERT (wait_open (http, 2));
   CU_ASSERT_EQUAL (http_free (http, 50), 2);
   /* The answer comes when nobody waits for it.  */
   finish (op);
@@ -593,6 +357,12 @@
   bad.listen = "192.0.2.1:80";
   CU_ASSERT_PTR_NULL (http_new (&bad, &fake.ops, &err));
   CU_ASSERT_EQUAL (err.code, PL_SYSTEM);
+  /* Two instances must not share an address without a word.  */
+  struct http *http = start ();
+  err.code = PL_OK;
+  CU_ASSERT_PTR_NULL (http_new (&conf, &fake.ops, &err));
+  CU_ASSERT_EQUAL (err.code, PL_SYSTEM);
+  CU_ASSERT_EQUAL (http_free (http, 1000), 0);
 }
 
 int
@@ -603,6 +373,7 @@
                                 .ready = fake_ready,
                                 .status = fake_status,
                                 .drain = fake_drain };
+  choose_port ();
   fake.held = g_async_queue_new ();
   fake.async = g_async_queue_new ();
   g_thread_unref (g_thread_new ("answer", answer_loop, NULL));
--- /dev/null
+++ b/tests/run_server.h
@@ -0,0 +1,302 @@
+/* A raw HTTP server for run_test.c whose behaviour is chosen by the task's
+   kind.  */
+#pragma once
+
+#include "run.h"
+#include "test.h"
+
+#include <arpa/inet.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+/* A clock that jumps past every deadline at its Nth reading, as if the process
+   had been stopped and resumed there; only the runner's readings count.  */
+struct jump_clock
+{
+  struct pl_clock base;
+  gint left;
+  gint jumped;
+};
+
+static struct jump_clock *jumping; /* guarded by the server's lock */
+
+struct server
+{
+  int fd;
+  struct pl_addr addr;
+  GMutex lock;
+  GCond changed;
+  int connections, open, max_open;
+  GHashTable *seen; /* id: how often a first byte of it arrived */
+  GHashTable *cancelled;
+  int late; /* requests that arrived after the clock had jumped */
+};
+
+static struct server server;
+
+struct request
+{
+  char id[64], kind[64], method[8];
+  int body;
+};
+
+static int
+seen (const char *id)
+{
+  g_mutex_lock (&server.lock);
+  int n = GPOINTER_TO_INT (g_hash_table_lookup (server.seen, id));
+  g_mutex_unlock (&server.lock);
+  return n;
+}
+
+static void
+header (const char *text, const char *name, char *out, size_t size)
+{
+  const char *at = strstr (text, name);
+  *out = '\0';
+  if (at == NULL)
+    return;
+  at += strlen (name);
+  g_strlcpy (out, at, MIN (size, strcspn (at, "\r") + 1));
+}
+
+static bool
+read_request (int fd, struct request *r)
+{
+  char buf[8192];
+  size_t n = 0;
+  char *end = NULL;
+  while (end == NULL)
+    {
+      ssize_t got = recv (fd, buf + n, sizeof buf - 1 - n, 0);
+      if (got <= 0)
+        return false;
+      n += (size_t)got;
+      buf[n] = '\0';
+      end = strstr (buf, "\r\n\r\n");
+    }
+  char length[16];
+  header (buf, "Task-Id: ", r->id, sizeof r->id);
+  header (buf, "Task-Kind: ", r->kind, sizeof r->kind);
+  header (buf, "Content-Length: ", length, sizeof length);
+  g_strlcpy (r->method, buf, MIN (sizeof r->method, strcspn (buf, " ") + 1));
+  if (strcmp (r->method, "DELETE") == 0)
+    g_strlcpy (r->id, buf + strlen ("DELETE /task/"),
+               strcspn (buf + strlen ("DELETE /task/"), " ") + 1);
+  else
+    {
+      g_mutex_lock (&server.lock);
+      int count = GPOINTER_TO_INT (g_hash_table_lookup (server.seen, r->id));
+      g_hash_table_replace (server.seen, g_strdup (r->id),
+                            GINT_TO_POINTER (count + 1));
+      if (jumping != NULL && g_atomic_int_get (&jumping->jumped))
+        server.late++;
+      g_mutex_unlock (&server.lock);
+    }
+  r->body = (int)strtol (length, NULL, 10);
+  int have = (int)(n - (size_t)(end + 4 - buf));
+  while (have < r->body)
+    {
+      ssize_t got = recv (fd, buf, sizeof buf, 0);
+      if (got <= 0)
+        return false;
+      have += (int)got;
+    }
+  return true;
+}
+
+static void
+say (int fd, const char *fmt, ...) G_GNUC_PRINTF (2, 3);
+
+static void
+say (int fd, const char *fmt, ...)
+{
+  va_list args;
+  va_start (args, fmt);
+  g_autofree char *text = g_strdup_vprintf (fmt, args);
+  va_end (args);
+  ssize_t n = send (fd, text, strlen (text), MSG_NOSIGNAL);
+  (void)n;
+}
+
+static void
+answer (int fd, int status, const char *id, int length, const char *body)
+{
+  say (fd, "HTTP/1.1 %d X\r\nTask-Id: %s\r\nContent-Length: %d\r\n\r\n%s",
+       status, id, length, body);
+}
+
+static void
+dribble (int fd, const char *text)
+{
+  for (; *text != '\0'; text++)
+    {
+      if (send (fd, text, 1, MSG_NOSIGNAL) != 1)
+        return;
+      g_usleep (20000);
+    }
+}
+
+static void
+wait_cancel (int fd, const char *id)
+{
+  int64_t until = g_get_monotonic_time () + 2000000;
+  g_mutex_lock (&server.lock);
+  while (!g_hash_table_contains (server.cancelled, id))
+    if (!g_cond_wait_until (&server.changed, &server.lock, until))
+      break;
+  g_mutex_unlock (&server.lock);
+  answer (fd, 410, id, 2, "{}");
+}
+
+/* Returns false if the connection is to be closed.  */
+static bool
+behave (int fd, struct request *r)
+{
+  const char *k = r->kind;
+  const char *slow = "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n";
+  if (strcmp (k, "ok") == 0)
+    answer (fd, 200, r->id, 4, "true");
+  else if (strcmp (k, "leaving") == 0)
+    say (fd,
+         "HTTP/1.1 200 OK\r\nTask-Id: %s\r\nWorker-Leaving: 1\r\n"
+         "Content-Length: 1\r\n\r\n1",
+         r->id);
+  else if (strcmp (k, "fail") == 0)
+    answer (fd, 500, r->id, 2, "no");
+  else if (strcmp (k, "fail-anonymous") == 0)
+    answer (fd, 500, "other", 2, "no");
+  else if (strcmp (k, "refuse") == 0 || strcmp (k, "refuse-other") == 0)
+    say (fd,
+         "HTTP/1.1 503 No\r\nTask-Not-Started: %s%s\r\n"
+         "Content-Length: 0\r\n\r\n",
+         r->id, strcmp (k, "refuse") == 0 ? "" : "x");
+  else if (strcmp (k, "cross") == 0)
+    answer (fd, 200, "other", 4, "true");
+  else if (strcmp (k, "double") == 0)
+    answer (fd, 200, r->id, 4, "truetrue");
+  else if (strcmp (k, "oversize") == 0)
+    answer (fd, 200, r->id, 2000, "true");
+  else if (strcmp (k, "short") == 0)
+    {
+      answer (fd, 200, r->id, 10, "true");
+      return false;
+    }
+  else if (strcmp (k, "no-length") == 0)
+    {
+      say (fd, "HTTP/1.1 200 OK\r\nTask-Id: %s\r\n\r\ntrue", r->id);
+      return false;
+    }
+  else if (strcmp (k, "chunked") == 0)
+    say (fd,
+         "HTTP/1.1 200 OK\r\nTask-Id: %s\r\nTransfer-Encoding: chunked\r\n"
+         "\r\n4\r\ntrue\r\n0\r\n\r\n",
+         r->id);
+  else if (strcmp (k, "garbage") == 0)
+    say (fd, "@@@@\r\n\r\n");
+  else if (strcmp (k, "dribble-headers") == 0)
+    dribble (fd, slow);
+  else if (strcmp (k, "dribble") == 0)
+    {
+      say (fd, "HTTP/1.1 200 OK\r\nTask-Id: %s\r\nContent-Length: 500\r\n\r\n",
+           r->id);
+      g_autofree char *body = g_strnfill (500, 'x');
+      dribble (fd, body);
+    }
+  else if (strcmp (k, "wait-cancel") == 0)
+    wait_cancel (fd, r->id);
+  else if (strcmp (k, "ok-close") == 0)
+    {
+      answer (fd, 200, r->id, 4, "true");
+      return false;
+    }
+  else if (strcmp (k, "reset") == 0)
+    {
+      struct linger linger = { .l_onoff = 1 };
+      setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
+      return false;
+    }
+  else
+    return false; /* "close" */
+  return true;
+}
+
+static void
+note_cancel (int fd, const char *id)
+{
+  g_mutex_lock (&server.lock);
+  g_hash_table_add (server.cancelled, g_strdup (id));
+  g_cond_broadcast (&server.changed);
+  g_mutex_unlock (&server.lock);
+  say (fd, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+}
+
+static void
+count_open (int n)
+{
+  g_mutex_lock (&server.lock);
+  server.open += n;
+  server.connections += n > 0 ? n : 0;
+  server.max_open = MAX (server.max_open, server.open);
+  g_mutex_unlock (&server.lock);
+}
+
+static gpointer
+serve (gpointer user)
+{
+  int fd = GPOINTER_TO_INT (user);
+  struct request r;
+  bool keep = true;
+  while (keep && read_request (fd, &r))
+    {
+      if (strcmp (r.method, "DELETE") == 0)
+        note_cancel (fd, r.id);
+      else
+        keep = behave (fd, &r);
+    }
+  count_open (-1);
+  close (fd);
+  return NULL;
+}
+
+static gpointer
+accept_loop (gpointer user)
+{
+  (void)user;
+  for (;;)
+    {
+      int fd = accept (server.fd, NULL, NULL);
+      if (fd < 0)
+        return NULL;
+      count_open (1);
+      g_thread_unref (g_thread_new ("conn", serve, GINT_TO_POINTER (fd)));
+    }
+}
+
+static int
+listen_on (struct pl_addr *addr)
+{
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  struct sockaddr_in sin
+      = { .sin_family = AF_INET, .sin_addr.s_addr = inet_addr ("127.30.0.1") };
+  socklen_t len = sizeof sin;
+  if (bind (fd, (struct sockaddr *)&sin, len) != 0 || listen (fd, 256) != 0)
+    abort ();
+  getsockname (fd, (struct sockaddr *)&sin, &len);
+  *addr = (struct pl_addr){ .ip = ntohl (sin.sin_addr.s_addr),
+                            .port = ntohs (sin.sin_port) };
+  return fd;
+}
+
+static void
+start_server (void)
+{
+  server.seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  server.cancelled
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  server.fd = listen_on (&server.addr);
+  g_thread_unref (g_thread_new ("accept", accept_loop, NULL));
+}
