--- a/lib/http/http.c
+++ b/lib/http/http.c
@@ -97,10 +97,9 @@
   return MHD_start_daemon (
       MHD_USE_EPOLL_INTERNAL_THREAD | MHD_USE_SUSPEND_RESUME, addr.port, NULL,
       NULL, handle, http, MHD_OPTION_SOCK_ADDR, &sin,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_LISTEN_BACKLOG_SIZE,
-      limit, MHD_OPTION_THREAD_POOL_SIZE, threads > 1 ? threads : 0U,
-      MHD_OPTION_CONNECTION_LIMIT, MAX (limit, threads),
-      MHD_OPTION_CONNECTION_TIMEOUT,
+      MHD_OPTION_LISTEN_BACKLOG_SIZE, limit, MHD_OPTION_THREAD_POOL_SIZE,
+      threads > 1 ? threads : 0U, MHD_OPTION_CONNECTION_LIMIT,
+      MAX (limit, threads), MHD_OPTION_CONNECTION_TIMEOUT,
       (unsigned)conf->caller_idle_s + SPARE_IDLE_S,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, HTTP_CONNECTION_BYTES,
       MHD_OPTION_NOTIFY_COMPLETED, completed, http,
