--- a/tests/standin/standin-forwarder/main.c
+++ b/tests/standin/standin-forwarder/main.c
@@ -146,7 +146,9 @@
                      == FILTER_STALL;
       for (int side = 0; side < 2; side++)
         {
-          short events = stalled ? 0 : link_events (link, side);
+          short events = 0;
+          if (!stalled)
+            events = link_events (link, side);
           /* A negative descriptor is ignored, so that a hang-up of a stalled
              link is not seen either.  */
           fds[n++] = (struct pollfd){ .fd = events ? link->fds[side] : -1,
