Start no job once the records are exported

The heir answers "not run" for keys that it was not told about. A submission forwarded to the stopping instance after the export could still start, which made that answer false. disp tests pass.

--- a/lib/disp/control.c
+++ b/lib/disp/control.c
@@ -33,6 +33,9 @@
 
 static void export(struct disp *disp, struct disp_msg *msg)
 {
+  /* The heir says "not run" of keys that it was not told about, so that none
+     may start from here on.  */
+  disp->stopping = true;
   claim_export (disp->claims, msg->max_bytes, msg->exported, msg->user);
   msg->exported (NULL, msg->user);
 }
