Refuse to revoke epochs that the owner has not reached

A caller can write any epoch into a key. Once such a revocation had aged out, the witness's floor lay above the epochs in use, and the owner got no more permits. Test: a key of epoch 99 with an owner at epoch 3 gives unknown; it gave revoked before. peer tests pass three times.

--- a/lib/peer/revoke.c
+++ b/lib/peer/revoke.c
@@ -47,6 +47,17 @@
   ctl_send (peer, revoke->witness, &e);
 }
 
+/* Whether the owner may have issued EPOCH, as far as its heartbeats tell.  A
+   caller can write any epoch into a key; recording one far ahead would later
+   raise the floor above epochs that are still in use, and so refuse the owner
+   all permits.  */
+static bool
+may_be_issued (struct peer *peer, claim_id owner, int64_t epoch)
+{
+  const struct memb_peer *found = memb_table_find (peer->memb, owner);
+  return found == NULL || epoch <= found->epoch + 1;
+}
+
 static enum claim_revoked
 revoke_here (struct peer *peer, claim_id owner, struct claim_hash hash,
              int64_t epoch)
@@ -54,7 +65,9 @@
   static const char *const names[] = { [CLAIM_REVOKED] = "revoked",
                                        [CLAIM_PERMITTED] = "permitted",
                                        [CLAIM_UNKNOWN] = "unknown" };
-  enum claim_revoked result = claim_revoke (peer->witness, owner, hash, epoch);
+  enum claim_revoked result = CLAIM_UNKNOWN;
+  if (may_be_issued (peer, owner, epoch))
+    result = claim_revoke (peer->witness, owner, hash, epoch);
   if (result == CLAIM_REVOKED)
     pl_count (PL_CTR_REVOCATIONS_TOTAL, 1);
   pl_log (PL_EV_REVOKE, "owner=" HEX64 " result=%s", owner, names[result]);
--- a/tests/peer_test.c
+++ b/tests/peer_test.c
@@ -58,6 +58,7 @@
 
 #define KEY_A "brum.0000000000000011.0000000000000022.1.a"
 #define KEY_B "brum.0000000000000011.0000000000000022.1.b"
+#define KEY_FAR "brum.0000000000000011.0000000000000022.99.f"
 #define KEY_GONE "brum.0000000000000011.0000000000000099.1.c"
 
 /* Guards against a start after a revocation, and a revocation that is reported
@@ -75,6 +76,8 @@
   CU_ASSERT_EQUAL (ask_revoke (&nodes[1], KEY_B), CLAIM_REVOKED);
   ops->permit (ops, 0x22, claim_hash_of (pl_str (KEY_B)), 1);
   CU_ASSERT (WAIT_FOR (g_atomic_int_get (&nodes[0].disp.refused) == 1));
+  /* An epoch that the owner has not reached must not be recorded.  */
+  CU_ASSERT_EQUAL (ask_revoke (&nodes[1], KEY_FAR), CLAIM_UNKNOWN);
   CU_ASSERT_EQUAL (ask_revoke (&nodes[0], KEY_GONE), CLAIM_UNKNOWN);
   CU_ASSERT_EQUAL (ask_revoke (&nodes[0], "not a key"), CLAIM_UNKNOWN);
   ops->permit (ops, 0x99, claim_hash_of (pl_str (KEY_GONE)), 1);
