--- a/lib/run/answer.c
+++ b/lib/run/answer.c
@@ -55,9 +55,9 @@
         g_atomic_int_set (&conn->cut, 1);
       n = ne_read_response_block (req, block, sizeof block);
     }
-  *why = g_atomic_int_get (&conn->cut) ? "cut at limit" : "short";
-  if (n == 0 && !g_atomic_int_get (&conn->cut)
-      && body->len == (uint64_t)length)
+  bool cut = g_atomic_int_get (&conn->cut);
+  *why = cut ? "cut at limit" : "short";
+  if (n == 0 && !cut && body->len == (uint64_t)length)
     return g_byte_array_free_to_bytes (body);
   g_byte_array_unref (body);
   return NULL;
@@ -189,7 +189,10 @@
   else
     {
       limit_body (run, conn);
-      keep = judge_answer (run, conn, req, result);
+      /* A surplus that was not noticed would be taken for the start of the
+         next answer.  */
+      keep = judge_answer (run, conn, req, result)
+             && run_surplus_checked (conn);
       /* Sets the session's state for the next request.  */
       if (keep && ne_end_request (req) != NE_OK)
         keep = false;
