papayaload: model a balancer and count lost answers

The report counts requests that were sent and got no whole answer (lost), which are cut requests for a caller that would otherwise only show as resends.

--- a/cmd/papayaload/load.h
+++ b/cmd/papayaload/load.h
@@ -24,10 +24,11 @@
   unsigned n_kinds;
 };
 
-/* One request to an entry instance; true if a whole answer came.  KEY and BODY
-   may be null.  The caller frees OUT's body.  */
-bool load_send (ne_session *session, const char *method, const char *path,
-                const char *key, const char *body, struct call_answer *out);
+/* One request to an entry instance.  KEY and BODY may be null.  The caller
+   frees OUT's body.  */
+enum call_end load_send (ne_session *session, const char *method,
+                         const char *path, const char *key, const char *body,
+                         struct call_answer *out);
 
 /* Null if there is no such mix.  */
 const struct load_mix *load_mix_find (const char *name);
@@ -48,6 +49,7 @@
   enum pl_code code;   /* of the last answer; PL_SYSTEM: none came */
   unsigned attempts;   /* keys used */
   unsigned resends;    /* repeated submissions of a key */
+  unsigned lost;       /* requests sent without a whole answer */
   bool wrong;          /* an answer that is not the job's own or not whole */
 };
 
@@ -64,6 +66,7 @@
   unsigned tries;  /* keys a job may use */
   int deadline_ms; /* 0: by the kind */
   bool sticky;     /* use the prefix of the entry that is called */
+  int notice_ms;   /* -1: no balancer */
   unsigned first;  /* number of the first job */
   const char *history;
   const char *out;
@@ -76,6 +79,13 @@
 /* Runs all jobs and appends a line an attempt to the history.  */
 bool load_run (const struct load_opts *opts, struct load_job *jobs,
                unsigned n);
+/* A balancer in front of the entries: it asks each for /readyz and goes on
+   sending to one that is not ready for opts->notice_ms.  */
+struct load_balancer;
+/* Null without a balancer.  */
+struct load_balancer *load_balancer_new (const struct load_opts *opts);
+void load_balancer_free (struct load_balancer *balancer);
+bool load_balancer_uses (struct load_balancer *balancer, unsigned entry);
 /* Sum of the counters of all entries, by metric name without prefix; an entry
    that does not answer is left out.  Free with g_hash_table_unref.  */
 GHashTable *load_metrics (const struct load_opts *opts);
--- a/cmd/papayaload/main.c
+++ b/cmd/papayaload/main.c
@@ -29,6 +29,7 @@
   OPT_SLOTS,
   OPT_SVG,
   OPT_FIRST,
+  OPT_NOTICE,
 };
 
 static const struct argp_option options[] = {
@@ -51,6 +52,10 @@
   { "sticky", OPT_STICKY, NULL, 0,
     "Use key prefixes of the entry that is called", 0 },
   { "first", OPT_FIRST, "N", 0, "Number of the first job (default 0)", 0 },
+  { "notice-ms", OPT_NOTICE, "N", 0,
+    "Send as a balancer does that leaves out an instance whose /readyz has "
+    "failed for N ms",
+    0 },
   { "history", OPT_HISTORY, "FILE", 0, "Append a line an attempt", 0 },
   { "out", OPT_OUT, "FILE", 0, "Write the report as JSON", 0 },
   { "svg", OPT_SVG, "FILE", 0, "Plot for compare", 0 },
@@ -144,6 +149,9 @@
     case OPT_FIRST:
       opts->first = (unsigned)parse_number (state, "first", arg, 0, 1e9);
       return 0;
+    case OPT_NOTICE:
+      opts->notice_ms = (int)parse_number (state, "notice-ms", arg, 0, 600000);
+      return 0;
     case OPT_STICKY:
       opts->sticky = true;
       return 0;
@@ -214,6 +222,7 @@
       .scale = 1,
       .threads = 128,
       .tries = 1,
+      .notice_ms = -1,
     },
   };
   struct argp argp = {
--- a/cmd/papayaload/report.c
+++ b/cmd/papayaload/report.c
@@ -11,6 +11,7 @@
 
 struct summary
 {
+  unsigned lost;
   unsigned jobs;
   unsigned outcomes[PL_OUTCOME_UNKNOWN + 1];
   unsigned no_answer;
@@ -49,7 +50,8 @@
     {
       ne_session *session = call_session (opts->entries[i], 2000);
       struct call_answer answer;
-      if (load_send (session, "GET", "/metrics", NULL, NULL, &answer))
+      if (load_send (session, "GET", "/metrics", NULL, NULL, &answer)
+          == CALL_DONE)
         {
           if (answer.status == 200)
             add_metrics (sums, answer.body->str);
@@ -73,6 +75,7 @@
 {
   s->jobs++;
   s->wrong += job->wrong;
+  s->lost += job->lost;
   if (job->code == PL_SYSTEM)
     {
       s->no_answer++;
@@ -118,15 +121,15 @@
   for (int q = 0; q <= 100; q++)
     json_array_append_new (quantiles,
                            json_real (quantile (s->ratios, q / 100.0)));
-  return json_pack ("{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:f, s:f, s:f, s:o}",
-                    "jobs", (int)s->jobs, "complete",
-                    (int)s->outcomes[PL_OUTCOME_COMPLETE], "not_run",
-                    (int)s->outcomes[PL_OUTCOME_NOT_RUN], "failed",
-                    (int)s->outcomes[PL_OUTCOME_FAILED], "unknown",
-                    (int)s->outcomes[PL_OUTCOME_UNKNOWN], "no_answer",
-                    (int)s->no_answer, "wrong", (int)s->wrong, "mean",
-                    mean (s->ratios), "p50", quantile (s->ratios, 0.5), "p99",
-                    quantile (s->ratios, 0.99), "quantiles", quantiles);
+  return json_pack (
+      "{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:f, s:f, s:f, s:o}", "jobs",
+      (int)s->jobs, "complete", (int)s->outcomes[PL_OUTCOME_COMPLETE],
+      "not_run", (int)s->outcomes[PL_OUTCOME_NOT_RUN], "failed",
+      (int)s->outcomes[PL_OUTCOME_FAILED], "unknown",
+      (int)s->outcomes[PL_OUTCOME_UNKNOWN], "no_answer", (int)s->no_answer,
+      "wrong", (int)s->wrong, "lost", (int)s->lost, "mean", mean (s->ratios),
+      "p50", quantile (s->ratios, 0.5), "p99", quantile (s->ratios, 0.99),
+      "quantiles", quantiles);
 }
 
 static void
--- a/cmd/papayaload/run.c
+++ b/cmd/papayaload/run.c
@@ -20,6 +20,7 @@
   gint next;
   int64_t start_us;
   FILE *history;
+  struct load_balancer *balancer;
   GMutex lock;
   char (*prefixes)[CALL_PREFIX]; /* the latest of each entry */
 };
@@ -31,6 +32,20 @@
   unsigned at;           /* entry of the next request */
 };
 
+/* Moves to the first entry from FIRST on that the balancer uses.  */
+static void
+go_to (struct client *client, unsigned first)
+{
+  unsigned n = client->state->opts->n_entries;
+  client->at = first % n;
+  for (unsigned i = 0; i < n; i++)
+    if (load_balancer_uses (client->state->balancer, (first + i) % n))
+      {
+        client->at = (first + i) % n;
+        return;
+      }
+}
+
 static ne_session *
 client_session (struct client *client, unsigned entry)
 {
@@ -48,13 +63,15 @@
   client->sessions[entry] = NULL;
 }
 
+/* A null PREFIX forgets the one of ENTRY.  */
 static void
 remember_prefix (struct run_state *state, unsigned entry, const char *prefix)
 {
-  if (prefix[0] == '\0')
+  if (prefix != NULL && prefix[0] == '\0')
     return;
   g_mutex_lock (&state->lock);
-  g_strlcpy (state->prefixes[entry], prefix, sizeof state->prefixes[entry]);
+  g_strlcpy (state->prefixes[entry], prefix == NULL ? "" : prefix,
+             sizeof state->prefixes[entry]);
   g_mutex_unlock (&state->lock);
 }
 
@@ -73,7 +90,8 @@
 {
   struct call_answer reply;
   bool ok = load_send (client_session (client, entry), "GET", "/v1/prefix",
-                       NULL, NULL, &reply);
+                       NULL, NULL, &reply)
+            == CALL_DONE;
   if (!ok)
     {
       drop_session (client, entry);
@@ -96,6 +114,11 @@
   for (unsigned i = 0; i < n; i++)
     {
       unsigned entry = (first + i) % n;
+      if (!load_balancer_uses (state->balancer, entry))
+        {
+          remember_prefix (state, entry, NULL);
+          continue;
+        }
       g_mutex_lock (&state->lock);
       g_strlcpy (prefix, state->prefixes[entry], CALL_PREFIX);
       g_mutex_unlock (&state->lock);
@@ -201,8 +224,10 @@
     {
       unsigned entry = client->at;
       struct call_answer reply;
-      bool ok = load_send (client_session (client, entry), "POST", "/v1/jobs",
-                           key, body, &reply);
+      enum call_end end = load_send (client_session (client, entry), "POST",
+                                     "/v1/jobs", key, body, &reply);
+      bool ok = end == CALL_DONE;
+      job->lost += end == CALL_LOST;
       if (ok)
         {
           remember_prefix (state, entry, reply.prefix);
@@ -212,7 +237,7 @@
       else
         {
           drop_session (client, entry);
-          client->at = (client->at + 1) % state->opts->n_entries;
+          go_to (client, entry + 1);
         }
       bool again = !ok || code == PL_SYSTEM || code == PL_TOO_MANY_CALLERS;
       if (!again)
@@ -275,7 +300,7 @@
           = state->start_us + job->arrival_us - g_get_monotonic_time ();
       if (wait > 0)
         g_usleep ((gulong)wait);
-      client.at = job->number % n;
+      go_to (&client, job->number);
       run_job (&client, job);
     }
   for (unsigned i = 0; i < n; i++)
@@ -296,6 +321,7 @@
     }
   g_mutex_init (&state.lock);
   state.prefixes = g_malloc0 (sizeof *state.prefixes * opts->n_entries);
+  state.balancer = load_balancer_new (opts);
   state.start_us = g_get_monotonic_time ();
   GThread **threads = g_new (GThread *, opts->threads);
   for (unsigned i = 0; i < opts->threads; i++)
@@ -303,6 +329,7 @@
   for (unsigned i = 0; i < opts->threads; i++)
     g_thread_join (threads[i]);
   g_free (threads);
+  load_balancer_free (state.balancer);
   g_free (state.prefixes);
   g_mutex_clear (&state.lock);
   if (state.history != NULL)
--- a/cmd/papayaload/send.c
+++ b/cmd/papayaload/send.c
@@ -2,7 +2,7 @@
 
 #define ANSWER_MAX 8388608 /* bytes */
 
-bool
+enum call_end
 load_send (ne_session *session, const char *method, const char *path,
            const char *key, const char *body, struct call_answer *out)
 {
@@ -17,5 +17,5 @@
     req.body = pl_str (body);
   *out = (struct call_answer){ 0 };
   struct pl_err err;
-  return call_http (session, &req, out, &err) == CALL_DONE;
+  return call_http (session, &req, out, &err);
 }
