Close the owner records before they are handed over

Cause: the HTTP server is closed at a planned stop, but peers still forward submissions. A key that came after the export of the records was started, while the heir answers "never received, not run" for it, and a job that came between the last look at the number of unfinished jobs and the export was cut. Change: one step of the dispatch thread ends the acceptance of new keys if no job is unfinished; a later new key gets HANDED_OVER_UNSEEN, as from the heir.

--- a/lib/disp/control.c
+++ b/lib/disp/control.c
@@ -31,6 +31,26 @@
   disp_post (disp, disp_msg_new (disp, view_changed));
 }
 
+static void
+close_keys (struct disp *disp, struct disp_msg *msg)
+{
+  if (disp->unfinished > 0 && !msg->flag)
+    return;
+  disp->closed = true;
+  g_mutex_lock (&disp->lock);
+  disp->status.closed = true;
+  disp->status.unfinished_jobs = disp->unfinished;
+  g_mutex_unlock (&disp->lock);
+}
+
+void
+disp_close (struct disp *disp, bool force)
+{
+  struct disp_msg *msg = disp_msg_new (disp, close_keys);
+  msg->flag = force;
+  disp_post (disp, msg);
+}
+
 static void export(struct disp *disp, struct disp_msg *msg)
 {
   claim_export (disp->claims, msg->max_bytes, msg->exported, msg->user);
--- a/lib/disp/disp.h
+++ b/lib/disp/disp.h
@@ -59,6 +59,7 @@
   unsigned records;
   unsigned free_slots;
   int64_t epoch;
+  bool closed;
 };
 
 struct disp;
@@ -99,6 +100,10 @@
 void disp_leaving (struct disp *disp, struct pl_addr addr, bool leaving);
 void disp_view_changed (struct disp *disp);
 
+/* Ends the acceptance of keys that are not recorded, if no job is unfinished
+   or FORCE is set; the status then says closed.  Any thread; posts.  A key
+   that started after the export would be "never received" at the heir.  */
+void disp_close (struct disp *disp, bool force);
 /* Hand-over, from the control thread.  EXPORTED gets the chunks on the
    dispatch thread, then null.  */
 void disp_export (struct disp *disp, size_t max_bytes,
--- a/lib/disp/disp_in.h
+++ b/lib/disp/disp_in.h
@@ -72,6 +72,7 @@
 struct disp
 {
   struct disp_opts opts;
+  bool closed; /* no new key is accepted */
   struct pl_mbox *mbox;
   GThread *thread;
   struct run *run;
--- a/lib/disp/submit.c
+++ b/lib/disp/submit.c
@@ -233,6 +233,18 @@
          || claim_inherits (disp->claims, key->owner);
 }
 
+/* Whether KEY came after the records were closed for the hand-over.  The heir
+   gives the same reply from then on.  */
+static bool
+too_late (struct disp *disp, const struct claim_key *key, struct pl_str text)
+{
+  enum claim_found found = CLAIM_NEW;
+  struct claim_record *record = NULL;
+  return disp->closed
+         && !claim_lookup (disp->claims, key, text, &found, &record)
+         && found == CLAIM_NEW;
+}
+
 static void
 submit (struct disp *disp, struct disp_msg *msg)
 {
@@ -249,6 +261,12 @@
       disp_reply_code (msg->done, msg->user, text, PL_UNKNOWN_OWNER, NULL);
       return;
     }
+  if (too_late (disp, &key, text))
+    {
+      disp_reply_code (msg->done, msg->user, text, PL_HANDED_OVER_UNSEEN,
+                       "the instance stops");
+      return;
+    }
   struct claim_record *record = NULL;
   switch (claim_begin (disp->claims, &key, text, msg->req->hash, &record))
     {
--- a/lib/disp/tick.c
+++ b/lib/disp/tick.c
@@ -131,6 +131,7 @@
 publish_status (struct disp *disp)
 {
   struct disp_status status = {
+    .closed = disp->closed,
     .queued_tasks = sched_queued (disp->sched),
     .running_tasks = disp->running,
     .unfinished_jobs = disp->unfinished,
