Do not serve before the peers are known

Change: /readyz fails and no prefix is issued until all seeds are heard, or suspect-ms after the start; until then no key is revoked.

--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -40,7 +40,7 @@
 http_prefix (struct http_ops *ops, char buf[CLAIM_PREFIX_TEXT])
 {
   struct entry *entry = from_http (ops);
-  if (!has_conf (entry))
+  if (!has_conf (entry) || !entry_settled (entry))
     return false;
   struct pl_shared *shared = pl_slot_get (&entry->memb_slot);
   if (shared == NULL)
@@ -57,7 +57,7 @@
   g_mutex_lock (&entry->lock);
   bool draining = entry->draining;
   g_mutex_unlock (&entry->lock);
-  return !draining && has_conf (entry);
+  return !draining && has_conf (entry) && entry_settled (entry);
 }
 
 static void
@@ -205,6 +205,8 @@
   entry->conf = conf;
   entry->clock = pl_clock_real ();
   entry->self = pl_random64 ();
+  entry->started_us = pl_now_us (entry->clock);
+  entry_read_seeds (entry);
   g_mutex_init (&entry->lock);
   g_cond_init (&entry->drain_asked);
   entry->leaving = g_hash_table_new (NULL, NULL);
@@ -242,6 +244,7 @@
   if (entry->peer != NULL)
     peer_free (entry->peer);
   g_hash_table_unref (entry->leaving);
+  g_array_unref (entry->seeds);
   g_free (entry);
   return NULL;
 }
--- a/lib/entry/impl.h
+++ b/lib/entry/impl.h
@@ -26,6 +26,9 @@
   GMutex lock;
   GCond drain_asked;
   bool draining;
+  GArray *seeds; /* struct pl_addr, of the setting peers */
+  int64_t started_us;
+  gint settled;
 };
 
 /* Routes one request to this instance or to the one that vouches for the
@@ -33,5 +36,9 @@
 void entry_route (struct entry *entry, bool forwarded, const char *method,
                   struct pl_str path, struct pl_str key,
                   const struct pl_str *body, job_done_fn *done, void *user);
+/* Whether this instance knows its peers: all seeds have been heard, or the
+   time after which silence means suspicion has passed since the start.  */
+bool entry_settled (struct entry *entry);
+void entry_read_seeds (struct entry *entry);
 /* Appends the status document of GET /v1/status.  */
 void entry_status (struct entry *entry, GString *out);
--- a/lib/entry/route.c
+++ b/lib/entry/route.c
@@ -84,9 +84,12 @@
 {
   pl_log (PL_EV_FORWARD_LOST, "key=%s owner=%016" G_GINT64_MODIFIER "x",
           hop->key->str, hop->owner);
-  if (!hop->submits)
+  bool settled = entry_settled (hop->entry);
+  if (!hop->submits || !settled)
     {
-      refuse (hop_key (hop), PL_UNKNOWN_OWNER, "the owner is unreachable",
+      refuse (hop_key (hop), PL_UNKNOWN_OWNER,
+              settled ? "the owner is unreachable"
+                      : "this instance does not know its peers yet",
               hop->done, hop->user);
       hop_free (hop);
       return;
--- /dev/null
+++ b/lib/entry/settle.c
@@ -0,0 +1,52 @@
+/* The first moments of an instance, in which it knows no peer.  It would take
+   every owner for unreachable, and its own keys would be unknown to others. */
+#include "impl.h"
+
+void
+entry_read_seeds (struct entry *entry)
+{
+  entry->seeds = g_array_new (FALSE, FALSE, sizeof (struct pl_addr));
+  g_auto (GStrv) parts = g_strsplit (entry->conf->peers, ",", 0);
+  for (char **part = parts; *part != NULL; part++)
+    {
+      struct pl_addr addr;
+      if (pl_addr_parse (pl_str (*part), &addr))
+        g_array_append_val (entry->seeds, addr);
+    }
+}
+
+static bool
+is_alive (const struct memb_view *view, struct pl_addr control)
+{
+  for (unsigned i = 0; i < view->n_peers; i++)
+    if (pl_addr_eq (view->peers[i].control, control)
+        && view->peers[i].state == MEMB_ALIVE)
+      return true;
+  return false;
+}
+
+static bool
+seeds_heard (struct entry *entry)
+{
+  if (entry->seeds->len == 0)
+    return entry->feed == NULL;
+  struct pl_shared *shared = pl_slot_get (&entry->memb_slot);
+  bool heard = shared != NULL;
+  for (guint i = 0; heard && i < entry->seeds->len; i++)
+    heard = is_alive ((struct memb_view *)shared,
+                      g_array_index (entry->seeds, struct pl_addr, i));
+  pl_shared_unref (shared);
+  return heard;
+}
+
+bool
+entry_settled (struct entry *entry)
+{
+  if (g_atomic_int_get (&entry->settled))
+    return true;
+  int64_t age_us = pl_now_us (entry->clock) - entry->started_us;
+  if (age_us < entry->conf->suspect_ms * 1000 && !seeds_heard (entry))
+    return false;
+  g_atomic_int_set (&entry->settled, 1);
+  return true;
+}
--- a/lib/entry/stop.c
+++ b/lib/entry/stop.c
@@ -25,16 +25,19 @@
   g_mutex_unlock (&entry->lock);
 }
 
+/* Peers may still forward submissions, so that the end of the last job and
+   the end of acceptance have to be one step of the dispatch thread.  */
 static unsigned
-wait_unfinished (struct entry *entry, int64_t until_us)
+close_records (struct entry *entry, int64_t until_us)
 {
   struct disp_status status;
   for (;;)
     {
+      disp_close (entry->disp, pl_now_us (entry->clock) >= until_us);
+      g_usleep (STOP_POLL_US);
       disp_get_status (entry->disp, &status);
-      if (status.unfinished_jobs == 0 || pl_now_us (entry->clock) >= until_us)
+      if (status.closed)
         return status.unfinished_jobs;
-      g_usleep (STOP_POLL_US);
     }
 }
 
@@ -54,7 +57,7 @@
   /* The balancer still sends submissions until it has seen /readyz fail.  */
   g_usleep ((gulong)conf->drain_linger_ms * 1000);
   unsigned cut = http_free (entry->http, left_ms (entry, until_us));
-  unsigned unfinished = wait_unfinished (entry, until_us);
+  unsigned unfinished = close_records (entry, until_us);
   bool handed = peer_hand_over (entry->peer, left_ms (entry, until_us));
   if (entry->feed != NULL)
     plat_feed_free (entry->feed);
@@ -62,6 +65,7 @@
   disp_free (entry->disp);
   peer_free (entry->peer);
   g_hash_table_unref (entry->leaving);
+  g_array_unref (entry->seeds);
   pl_slot_publish (&entry->note_slot, NULL);
   pl_slot_publish (&entry->memb_slot, NULL);
   pl_log (PL_EV_STOP, "unfinished=%u cut=%u handed_over=%s", unfinished, cut,
