Tell the peers of a domain that a worker leaves

Cause: the header Worker-Leaving reaches only the instance whose task it answers. Another instance of the domain that had not used the worker since placed a task on it 3.3 s after the sign (tests/faults/leaving.sh: OK instead of NO_WORKER). Change: a message Leaving with address and revision at the sign, sent at once and repeated every second while the configuration has the worker unchanged. A sign older than the revision that added the worker counts for nothing. disp_test covers the closing of the records before a hand-over.

--- a/lib/disp/control.c
+++ b/lib/disp/control.c
@@ -1,12 +1,37 @@
 /* Membership, signs of leaving workers and hand-over.  */
 #include "disp_in.h"
 
+/* The peers are told, since the header of an answer reaches one instance only
+   and the platform's list may reach only some.  */
+void
+disp_sign (struct disp *disp, struct pl_addr addr, const char *sign)
+{
+  struct disp_peer_ops *peers = disp->opts.peers;
+  if (slot_leaving (disp->slots, addr, sign) && peers->leaving != NULL)
+    peers->leaving (peers, addr, slot_revision (disp->slots));
+}
+
+static void
+peer_leaving (struct disp *disp, struct disp_msg *msg)
+{
+  slot_peer_leaving (disp->slots, msg->addr, msg->revision);
+}
+
+void
+disp_peer_leaving (struct disp *disp, struct pl_addr addr, int64_t revision)
+{
+  struct disp_msg *msg = disp_msg_new (disp, peer_leaving);
+  msg->addr = addr;
+  msg->revision = revision;
+  disp_post (disp, msg);
+}
+
 static void
 leaving (struct disp *disp, struct disp_msg *msg)
 {
   /* Only a newer configuration undoes a sign.  */
   if (msg->flag)
-    slot_leaving (disp->slots, msg->addr, "platform");
+    disp_sign (disp, msg->addr, "platform");
 }
 
 void
--- a/lib/disp/disp.h
+++ b/lib/disp/disp.h
@@ -27,6 +27,9 @@
   /* Answers a peer's request, and returns borrowed slots.  */
   void (*grant) (struct disp_peer_ops *ops, claim_id peer,
                  const struct disp_lot *lots, unsigned n);
+  /* Tells the peers of the domain that a worker leaves; may be null.  */
+  void (*leaving) (struct disp_peer_ops *ops, struct pl_addr addr,
+                   int64_t revision);
   void (*give_back) (struct disp_peer_ops *ops, claim_id peer,
                      const struct disp_lot *lots, unsigned n);
 };
@@ -98,6 +101,9 @@
 /* A peer's heartbeat: slots that it holds of ours.  */
 void disp_holds (struct disp *disp, claim_id peer, unsigned total);
 void disp_leaving (struct disp *disp, struct pl_addr addr, bool leaving);
+/* A peer's sign, seen under REVISION of the configuration.  */
+void disp_peer_leaving (struct disp *disp, struct pl_addr addr,
+                        int64_t revision);
 void disp_view_changed (struct disp *disp);
 
 /* Ends the acceptance of keys that are not recorded, if no job is unfinished
--- a/lib/disp/disp_in.h
+++ b/lib/disp/disp_in.h
@@ -109,6 +109,7 @@
   claim_id peer;
   struct pl_addr addr;
   bool flag;
+  int64_t revision;
   unsigned n;
   struct slot_lot *lots;
   GBytes *chunk;
@@ -129,6 +130,10 @@
                                             struct disp_msg *msg));
 void disp_post (struct disp *disp, struct disp_msg *msg);
 
+/* control.c */
+/* A sign that this instance has seen itself.  */
+void disp_sign (struct disp *disp, struct pl_addr addr, const char *sign);
+
 /* submit.c */
 void disp_permit_ask (struct disp *disp, struct disp_job *job);
 void disp_reply_code (job_done_fn *done, void *user, struct pl_str key,
--- a/lib/disp/result.c
+++ b/lib/disp/result.c
@@ -155,7 +155,7 @@
   count (result->status, unreachable);
   judge (disp, task, result, unreachable);
   if (result->leaving)
-    slot_leaving (disp->slots, run->addr, "upstream");
+    disp_sign (disp, run->addr, "upstream");
   release (disp, task);
   settle (disp, task, result);
   run_task_free (run);
--- a/lib/msg/check.c
+++ b/lib/msg/check.c
@@ -103,6 +103,18 @@
   return false;
 }
 
+static bool
+leaving_ok (const Msg__Leaving *m)
+{
+  if (m->n_ip == 0 || m->n_ip > MSG_LOTS || m->n_port != m->n_ip
+      || m->n_revision != m->n_ip)
+    return false;
+  for (size_t i = 0; i < m->n_ip; i++)
+    if (m->port[i] == 0 || m->port[i] > G_MAXUINT16 || m->revision[i] < 0)
+      return false;
+  return true;
+}
+
 static bool
 control_ok (const Msg__Envelope *e)
 {
@@ -141,6 +153,8 @@
       return hand_over_ok (e->hand_over);
     case MSG__ENVELOPE__BODY_HEIR:
       return e->heir->heir != 0 && e->heir->n_owners <= MSG_HEIRS;
+    case MSG__ENVELOPE__BODY_LEAVING:
+      return leaving_ok (e->leaving);
     default:
       return false;
     }
--- a/lib/msg/peer.pb-c.c
+++ b/lib/msg/peer.pb-c.c
@@ -502,6 +502,51 @@
   assert(message->base.descriptor == &msg__return__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   msg__leaving__init
+                     (Msg__Leaving         *message)
+{
+  static const Msg__Leaving init_value = MSG__LEAVING__INIT;
+  *message = init_value;
+}
+size_t msg__leaving__get_packed_size
+                     (const Msg__Leaving *message)
+{
+  assert(message->base.descriptor == &msg__leaving__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t msg__leaving__pack
+                     (const Msg__Leaving *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &msg__leaving__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t msg__leaving__pack_to_buffer
+                     (const Msg__Leaving *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &msg__leaving__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Msg__Leaving *
+       msg__leaving__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Msg__Leaving *)
+     protobuf_c_message_unpack (&msg__leaving__descriptor,
+                                allocator, len, data);
+}
+void   msg__leaving__free_unpacked
+                     (Msg__Leaving *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &msg__leaving__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   msg__hand_over__init
                      (Msg__HandOver         *message)
 {
@@ -1599,6 +1644,70 @@
   (ProtobufCMessageInit) msg__return__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor msg__leaving__field_descriptors[3] =
+{
+  {
+    "ip",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Msg__Leaving, n_ip),
+    offsetof(Msg__Leaving, ip),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "port",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Msg__Leaving, n_port),
+    offsetof(Msg__Leaving, port),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Msg__Leaving, n_revision),
+    offsetof(Msg__Leaving, revision),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned msg__leaving__field_indices_by_name[] = {
+  0,   /* field[0] = ip */
+  1,   /* field[1] = port */
+  2,   /* field[2] = revision */
+};
+static const ProtobufCIntRange msg__leaving__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor msg__leaving__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "msg.Leaving",
+  "Leaving",
+  "Msg__Leaving",
+  "msg",
+  sizeof(Msg__Leaving),
+  3,
+  msg__leaving__field_descriptors,
+  msg__leaving__field_indices_by_name,
+  1,  msg__leaving__number_ranges,
+  (ProtobufCMessageInit) msg__leaving__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor msg__hand_over__field_descriptors[5] =
 {
   {
@@ -1958,7 +2067,7 @@
   (ProtobufCMessageInit) msg__forward_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor msg__envelope__field_descriptors[19] =
+static const ProtobufCFieldDescriptor msg__envelope__field_descriptors[20] =
 {
   {
     "version",
@@ -2164,6 +2273,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Msg__Envelope, body_case),
+    offsetof(Msg__Envelope, leaving),
+    &msg__leaving__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "forward",
     30,
@@ -2191,8 +2312,8 @@
 };
 static const unsigned msg__envelope__field_indices_by_name[] = {
   11,   /* field[11] = borrow */
-  17,   /* field[17] = forward */
-  18,   /* field[18] = forward_reply */
+  18,   /* field[18] = forward */
+  19,   /* field[19] = forward_reply */
   1,   /* field[1] = from */
   13,   /* field[13] = give_back */
   12,   /* field[12] = grant */
@@ -2201,6 +2322,7 @@
   3,   /* field[3] = heartbeat */
   16,   /* field[16] = heir */
   4,   /* field[4] = leave */
+  17,   /* field[17] = leaving */
   10,   /* field[10] = note_reply */
   9,   /* field[9] = note_request */
   6,   /* field[6] = permit_reply */
@@ -2214,8 +2336,8 @@
 {
   { 1, 0 },
   { 10, 3 },
-  { 30, 17 },
-  { 0, 19 }
+  { 30, 18 },
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor msg__envelope__descriptor =
 {
@@ -2225,7 +2347,7 @@
   "Msg__Envelope",
   "msg",
   sizeof(Msg__Envelope),
-  19,
+  20,
   msg__envelope__field_descriptors,
   msg__envelope__field_indices_by_name,
   3,  msg__envelope__number_ranges,
--- a/lib/msg/peer.pb-c.h
+++ b/lib/msg/peer.pb-c.h
@@ -26,6 +26,7 @@
 typedef struct Msg__Borrow Msg__Borrow;
 typedef struct Msg__Grant Msg__Grant;
 typedef struct Msg__Return Msg__Return;
+typedef struct Msg__Leaving Msg__Leaving;
 typedef struct Msg__HandOver Msg__HandOver;
 typedef struct Msg__HandOverAck Msg__HandOverAck;
 typedef struct Msg__Heir Msg__Heir;
@@ -249,6 +250,27 @@
     , 0,NULL, 0,NULL, 0,NULL }
 
 
+/*
+ * Signs of leaving workers that the sender knows, in parallel lists.
+ */
+struct  Msg__Leaving
+{
+  ProtobufCMessage base;
+  size_t n_ip;
+  uint32_t *ip;
+  size_t n_port;
+  uint32_t *port;
+  /*
+   * in force at the sender when it saw the sign
+   */
+  size_t n_revision;
+  int64_t *revision;
+};
+#define MSG__LEAVING__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&msg__leaving__descriptor) \
+    , 0,NULL, 0,NULL, 0,NULL }
+
+
 struct  Msg__HandOver
 {
   ProtobufCMessage base;
@@ -339,6 +361,7 @@
   MSG__ENVELOPE__BODY_HAND_OVER = 21,
   MSG__ENVELOPE__BODY_HAND_OVER_ACK = 22,
   MSG__ENVELOPE__BODY_HEIR = 23,
+  MSG__ENVELOPE__BODY_LEAVING = 24,
   MSG__ENVELOPE__BODY_FORWARD = 30,
   MSG__ENVELOPE__BODY_FORWARD_REPLY = 31
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MSG__ENVELOPE__BODY__CASE)
@@ -369,6 +392,7 @@
     Msg__HandOver *hand_over;
     Msg__HandOverAck *hand_over_ack;
     Msg__Heir *heir;
+    Msg__Leaving *leaving;
     Msg__Forward *forward;
     Msg__ForwardReply *forward_reply;
   };
@@ -587,6 +611,25 @@
 void   msg__return__free_unpacked
                      (Msg__Return *message,
                       ProtobufCAllocator *allocator);
+/* Msg__Leaving methods */
+void   msg__leaving__init
+                     (Msg__Leaving         *message);
+size_t msg__leaving__get_packed_size
+                     (const Msg__Leaving   *message);
+size_t msg__leaving__pack
+                     (const Msg__Leaving   *message,
+                      uint8_t             *out);
+size_t msg__leaving__pack_to_buffer
+                     (const Msg__Leaving   *message,
+                      ProtobufCBuffer     *buffer);
+Msg__Leaving *
+       msg__leaving__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   msg__leaving__free_unpacked
+                     (Msg__Leaving *message,
+                      ProtobufCAllocator *allocator);
 /* Msg__HandOver methods */
 void   msg__hand_over__init
                      (Msg__HandOver         *message);
@@ -736,6 +779,9 @@
 typedef void (*Msg__Return_Closure)
                  (const Msg__Return *message,
                   void *closure_data);
+typedef void (*Msg__Leaving_Closure)
+                 (const Msg__Leaving *message,
+                  void *closure_data);
 typedef void (*Msg__HandOver_Closure)
                  (const Msg__HandOver *message,
                   void *closure_data);
@@ -773,6 +819,7 @@
 extern const ProtobufCMessageDescriptor msg__borrow__descriptor;
 extern const ProtobufCMessageDescriptor msg__grant__descriptor;
 extern const ProtobufCMessageDescriptor msg__return__descriptor;
+extern const ProtobufCMessageDescriptor msg__leaving__descriptor;
 extern const ProtobufCMessageDescriptor msg__hand_over__descriptor;
 extern const ProtobufCMessageDescriptor msg__hand_over_ack__descriptor;
 extern const ProtobufCMessageDescriptor msg__heir__descriptor;
--- a/lib/peer/ctl.c
+++ b/lib/peer/ctl.c
@@ -102,6 +102,9 @@
     case MSG__ENVELOPE__BODY_NOTE_REPLY:
       notes_reply (peer, e->from, e->note_reply);
       return;
+    case MSG__ENVELOPE__BODY_LEAVING:
+      signs_message (peer, e->leaving);
+      return;
     case MSG__ENVELOPE__BODY_HAND_OVER:
     case MSG__ENVELOPE__BODY_HAND_OVER_ACK:
     case MSG__ENVELOPE__BODY_HEIR:
@@ -194,6 +197,7 @@
       peer->tick_us = now + TICK_US;
       memb_tick (peer->memb);
       beat_tick (peer);
+      signs_tick (peer);
     }
   if (now >= peer->second_us)
     {
--- a/lib/peer/impl.h
+++ b/lib/peer/impl.h
@@ -66,6 +66,8 @@
   int64_t asked_us; /* time of the last NoteRequest or chunk */
   GBytes *document; /* the whole configuration at document_revision */
   int64_t document_revision;
+  GArray *signs;    /* of leaving workers, seen by this instance */
+  int64_t signs_us; /* time of the last repetition */
   struct hand_over *hand_over;
   struct relay *relay;
 };
@@ -124,6 +126,11 @@
 void lend_init (struct peer *peer);
 void lend_message (struct peer *peer, const Msg__Envelope *e);
 
+/* signs.c */
+void signs_init (struct peer *peer);
+void signs_tick (struct peer *peer);
+void signs_message (struct peer *peer, const Msg__Leaving *m);
+
 /* notes.c */
 void notes_free (struct peer *peer);
 void notes_heard (struct peer *peer, claim_id from, int64_t revision);
--- a/lib/peer/peer.c
+++ b/lib/peer/peer.c
@@ -141,6 +141,7 @@
   permit_init (peer);
   revoke_init (peer);
   lend_init (peer);
+  signs_init (peer);
   return peer;
 }
 
@@ -186,6 +187,7 @@
     item->run (item, NULL);
   relay_free (peer->relay);
   notes_free (peer);
+  g_array_unref (peer->signs);
   permit_free (peer);
   g_hash_table_unref (peer->revokes);
   g_ptr_array_unref (peer->links);
--- a/lib/slot/slot.h
+++ b/lib/slot/slot.h
@@ -49,6 +49,7 @@
   int64_t memory_mb;
   bool listed; /* in the configuration */
   bool leaving;
+  int64_t added_revision; /* of the configuration in force */
   unsigned own;
   unsigned share; /* what OWN becomes at RAISE_US */
   int64_t raise_us;
@@ -123,9 +124,14 @@
 
 /* A sign that the worker leaves.  It is undone only by a configuration newer
    than the one in force now that adds the worker again.  SIGN is for the
-   log.  */
-void slot_leaving (struct slot_table *table, struct pl_addr addr,
+   log.  True if the worker was not known to leave.  */
+bool slot_leaving (struct slot_table *table, struct pl_addr addr,
                    const char *sign);
+/* A peer's sign, seen under REVISION.  It counts for nothing if a later
+   revision has added the worker again.  */
+void slot_peer_leaving (struct slot_table *table, struct pl_addr addr,
+                        int64_t revision);
+int64_t slot_revision (const struct slot_table *table);
 
 /* Lending.  Lots are arrays of struct slot_lot.  */
 struct slot_lot
--- a/lib/slot/table.c
+++ b/lib/slot/table.c
@@ -92,6 +92,7 @@
 {
   uint64_t key = slot_addr_key (worker->addr);
   const int64_t *sign = g_hash_table_lookup (table->signs, &key);
+  worker->added_revision = note->added_revision;
   if (sign == NULL)
     return;
   worker->leaving = note->added_revision <= *sign;
@@ -99,21 +100,50 @@
     g_hash_table_remove (table->signs, &key);
 }
 
-void
-slot_leaving (struct slot_table *table, struct pl_addr addr, const char *sign)
+static bool
+add_sign (struct slot_table *table, struct pl_addr addr, int64_t revision,
+          const char *sign)
 {
   uint64_t key = slot_addr_key (addr);
   struct slot_worker *worker = slot_find (table, addr);
-  if (worker == NULL || !worker->leaving)
+  bool news = worker == NULL || !worker->leaving;
+  if (news)
     {
       char text[PL_ADDR_TEXT];
       pl_log (PL_EV_LEAVING, "worker=%s sign=%s", pl_addr_text (addr, text),
               sign);
     }
   g_hash_table_replace (table->signs, g_memdup2 (&key, sizeof key),
-                        g_memdup2 (&table->revision, sizeof table->revision));
+                        g_memdup2 (&revision, sizeof revision));
   if (worker != NULL)
     worker->leaving = true;
+  return news;
+}
+
+bool
+slot_leaving (struct slot_table *table, struct pl_addr addr, const char *sign)
+{
+  return add_sign (table, addr, table->revision, sign);
+}
+
+void
+slot_peer_leaving (struct slot_table *table, struct pl_addr addr,
+                   int64_t revision)
+{
+  uint64_t key = slot_addr_key (addr);
+  const int64_t *known = g_hash_table_lookup (table->signs, &key);
+  const struct slot_worker *worker = slot_find (table, addr);
+  if (known != NULL && *known >= revision)
+    return;
+  if (worker != NULL && worker->added_revision > revision)
+    return;
+  add_sign (table, addr, revision, "peer");
+}
+
+int64_t
+slot_revision (const struct slot_table *table)
+{
+  return table->revision;
 }
 
 /* A larger share takes effect later, so that the former holder of the slots
--- a/tests/disp_test.c
+++ b/tests/disp_test.c
@@ -604,6 +604,34 @@
 }
 
 /* Guards against lost wake-ups of the dispatch thread.  */
+/* A key that starts after the export of the records would be "never
+   received" at the heir.  */
+static void
+test_close_before_hand_over (void)
+{
+  struct fix *f = fix_new (1, 1);
+  struct got first = { 0 };
+  struct got late = { 0 };
+  send (f, request (f, "first", "once", 1, 0), &first);
+  struct disp_status status;
+  disp_close (f->disp, false);
+  disp_turn (f->disp);
+  disp_get_status (f->disp, &status);
+  CU_ASSERT_FALSE (status.closed);
+  end_task (f, 0, RUN_OK, "1");
+  disp_turn (f->disp);
+  disp_close (f->disp, false);
+  send (f, request (f, "late", "once", 1, 0), &late);
+  send (f, request (f, "first", "once", 1, 0), &first);
+  disp_get_status (f->disp, &status);
+  CU_ASSERT (status.closed);
+  CU_ASSERT_EQUAL (late.code, PL_HANDED_OVER_UNSEEN);
+  CU_ASSERT_EQUAL (first.code, PL_OK);
+  CU_ASSERT_EQUAL (first.times, 2);
+  CU_ASSERT_EQUAL (f->running->len, 0);
+  fix_free (f);
+}
+
 static void
 test_thread (void)
 {
@@ -887,6 +915,7 @@
     { "borrow in a handful", test_borrow_in_a_handful },
     { "empty budget waits", test_empty_budget_waits },
     { "free replies", test_free_replies },
+    { "close before hand-over", test_close_before_hand_over },
     { "thread", test_thread },
     { "random run", test_random_run },
     CU_TEST_INFO_NULL,
--- a/tests/peer_fakes.h
+++ b/tests/peer_fakes.h
@@ -84,6 +84,14 @@
   g_atomic_int_set (&disp->held, (gint)total);
 }
 
+void
+disp_peer_leaving (struct disp *disp, struct pl_addr addr, int64_t revision)
+{
+  (void)disp;
+  (void)addr;
+  (void)revision;
+}
+
 void
 disp_view_changed (struct disp *disp)
 {
