--- /dev/null
+++ b/tests/faults/operators.sh
@@ -0,0 +1,139 @@
+#!/bin/bash
+# P8: operators who race, answers of the platform that are lost, old or
+# repeated, and a failure domain that is cut from the platform.
+cd "$(dirname "$0")/../.." || exit 2
+. scripts/cluster.sh
+. tests/faults/conf-lib.sh
+trap cleanup EXIT
+ARGS=(--log-level notice)
+ROUNDS=12
+
+start_platform || die "platform"
+start_upstreams 1 || die "upstreams"
+write_note "$DIR/note.json" 0 brum=1
+apply_note "$DIR/note.json" >/dev/null || die "first note"
+start_entry brum-1 brum 1 1 "${ARGS[@]}"
+start_entry brum-2 brum 1 2 "${ARGS[@]}"
+# The domain potteries is cut from the platform: nobody answers there.
+REAL=$PLATFORM
+PLATFORM=$NET.251.1:7100
+start_entry potteries-1 potteries 2 1 "${ARGS[@]}"
+start_entry potteries-2 potteries 2 2 "${ARGS[@]}"
+PLATFORM=$REAL
+for name in "${ENTRIES[@]}"; do
+  entry_ready "$name" || die "$name is not ready"
+done
+REVISION=1
+
+# Samples the revision in force of all instances until the script ends.
+sample() {
+  local name
+  while :; do
+    for name in "${ENTRIES[@]}"; do
+      echo "$name $(revision_of "$name")"
+    done
+    sleep 0.02
+  done
+}
+sample >"$DIR/samples" &
+PID[sampler]=$!
+
+# try NAME FILE: papayaloft apply with its output and status in DIR.
+try() {
+  apply_note "$2" >"$DIR/$1.said" 2>&1
+  echo $? >"$DIR/$1.status"
+}
+
+head_of_store() {
+  "$BIN/papayaloft" --platform "http://$PLATFORM" show | jq .revision
+}
+
+# is_stored REVISION FILE: whether the store has this note at that revision.
+is_stored() {
+  "$BIN/papayaloft" --platform "http://$PLATFORM" show "$1" 2>/dev/null \
+    | cmp -s - <(cat "$2" && echo)
+}
+
+# race TEXT: two notes of the same base at once.
+race() {
+  local next=$((REVISION + 1)) a b winner=left loser=right
+  team_note "$DIR/left.json" $REVISION "left-$next" 1
+  team_note "$DIR/right.json" $REVISION "right-$next" 1
+  try left "$DIR/left.json" &
+  a=$!
+  try right "$DIR/right.json" &
+  b=$!
+  wait $a $b
+  [ "$(<"$DIR/left.status")" = 0 ] || { winner=right; loser=left; }
+  equal "$1: the winner is told" "accepted revision $next" \
+    "$(<"$DIR/$winner.said")"
+  equal "$1: exit status of the loser" 1 "$(<"$DIR/$loser.status")"
+  check "$1: the loser gets the winner's revision: $(<"$DIR/$loser.said")" \
+    grep -q "NOTE_CONFLICT: .*revision $next won" "$DIR/$loser.said"
+  check "$1: the winner's note is stored" is_stored $next "$DIR/$winner.json"
+  REVISION=$next
+}
+
+for _ in $(seq $ROUNDS); do race "race"; done
+platform_fault '{"mode":"lose_answer"}'
+for _ in 1 2 3; do race "race with lost answers"; done
+platform_fault '{"mode":"none"}'
+team_note "$DIR/single.json" $REVISION single 1
+platform_fault '{"mode":"lose_answer","count":1}'
+try single "$DIR/single.json"
+REVISION=$((REVISION + 1))
+equal "one lost answer" "accepted revision $REVISION" "$(<"$DIR/single.said")"
+check "one lost answer: stored" is_stored $REVISION "$DIR/single.json"
+platform_fault '{"mode":"none"}'
+check "in force everywhere after the races" \
+  [ "$(wait_in_force 12000 $REVISION "${ENTRIES[@]}")" != timeout ]
+
+# Old and repeated answers while notes are applied: what is said is true.
+for mode in stale rewind stale; do
+  platform_fault '{"mode":"'$mode'"}'
+  team_note "$DIR/$mode.json" $REVISION "$mode-$REVISION" 1
+  try $mode "$DIR/$mode.json"
+  sleep 1.2
+  platform_fault '{"mode":"none"}'
+  if [ "$(<"$DIR/$mode.status")" = 0 ]; then
+    REVISION=$((REVISION + 1))
+    check "$mode: accepted and stored" is_stored $REVISION "$DIR/$mode.json"
+  else
+    check "$mode: not accepted and not stored" \
+      eval '! is_stored $((REVISION + 1)) "$DIR/$mode.json"'
+  fi
+  equal "$mode: revision of the store" $REVISION "$(head_of_store)"
+done
+check "in force everywhere after old answers" \
+  [ "$(wait_in_force 12000 $REVISION "${ENTRIES[@]}")" != timeout ]
+
+# From accepted to in force everywhere, the cut domain included.
+times=()
+for i in 1 2 3 4; do
+  team_note "$DIR/timed.json" $REVISION "timed-$i" 1
+  try timed "$DIR/timed.json"
+  REVISION=$((REVISION + 1))
+  equal "timed note" 0 "$(<"$DIR/timed.status")"
+  took=$(wait_in_force 12000 $REVISION "${ENTRIES[@]}")
+  check "in force within 12 s, domain cut from the platform" \
+    [ "$took" != timeout ]
+  times+=("$took")
+done
+echo "accepted to in force everywhere (ms): ${times[*]}"
+
+equal "history without a gap" "$(seq $REVISION | tail -n 50 | tr '\n' ' ')" \
+  "$("$BIN/papayaloft" --platform "http://$PLATFORM" history \
+    | cut -d ' ' -f 1 | tr '\n' ' ')"
+# Each round adds one team; a merge of two notes would add two.
+equal "teams of the configuration" $((5 + REVISION - 1)) \
+  "$("$BIN/papayaloft" --platform "http://$PLATFORM" show \
+    | jq '.teams | length')"
+kill "${PID[sampler]}"
+wait "${PID[sampler]}" 2>/dev/null
+unset "PID[sampler]"
+reverted=$(awk 'NF == 2 { if ($2 < seen[$1]) n++; seen[$1] = $2 }
+  END { print n + 0 }' "$DIR/samples")
+equal "revisions that went back in $(wc -l <"$DIR/samples") samples" 0 \
+  "$reverted"
+check "samples were taken" [ "$(wc -l <"$DIR/samples")" -gt 100 ]
+finish
