--- a/lib/disp/control.c
+++ b/lib/disp/control.c
@@ -1,12 +1,37 @@
 /* Membership, signs of leaving workers and hand-over.  */
 #include "disp_in.h"
 
+/* The peers are told, since the header of an answer reaches one instance only
+   and the platform's list may reach only some.  */
+void
+disp_sign (struct disp *disp, struct pl_addr addr, const char *sign)
+{
+  struct disp_peer_ops *peers = disp->opts.peers;
+  if (slot_leaving (disp->slots, addr, sign) && peers->leaving != NULL)
+    peers->leaving (peers, addr, slot_revision (disp->slots));
+}
+
+static void
+peer_leaving (struct disp *disp, struct disp_msg *msg)
+{
+  slot_peer_leaving (disp->slots, msg->addr, msg->revision);
+}
+
+void
+disp_peer_leaving (struct disp *disp, struct pl_addr addr, int64_t revision)
+{
+  struct disp_msg *msg = disp_msg_new (disp, peer_leaving);
+  msg->addr = addr;
+  msg->revision = revision;
+  disp_post (disp, msg);
+}
+
 static void
 leaving (struct disp *disp, struct disp_msg *msg)
 {
   /* Only a newer configuration undoes a sign.  */
   if (msg->flag)
-    slot_leaving (disp->slots, msg->addr, "platform");
+    disp_sign (disp, msg->addr, "platform");
 }
 
 void
@@ -31,6 +56,26 @@
   disp_post (disp, disp_msg_new (disp, view_changed));
 }
 
+static void
+close_keys (struct disp *disp, struct disp_msg *msg)
+{
+  if (disp->unfinished > 0 && !msg->flag)
+    return;
+  disp->closed = true;
+  g_mutex_lock (&disp->lock);
+  disp->status.closed = true;
+  disp->status.unfinished_jobs = disp->unfinished;
+  g_mutex_unlock (&disp->lock);
+}
+
+void
+disp_close (struct disp *disp, bool force)
+{
+  struct disp_msg *msg = disp_msg_new (disp, close_keys);
+  msg->flag = force;
+  disp_post (disp, msg);
+}
+
 static void export(struct disp *disp, struct disp_msg *msg)
 {
   /* The heir says "not run" of keys that it was not told about, so that none
