Close the key of a cancellation that overtakes its submission

A cancellation of a key that its owner had not seen yet got NOT_RECORDED and left no trace, so that the submission ran when it arrived later. The owner now records the key as cancelled for whatever body follows (claim_close).

--- a/lib/claim/claim.h
+++ b/lib/claim/claim.h
@@ -85,6 +85,10 @@
    code and retry_after_ms are kept.  */
 void claim_finish (struct claim_table *table, struct claim_record *record,
                    struct job_reply *reply);
+/* Records an unrecorded key, which must be CLAIM_NEW, as finished with REPLY,
+   whatever body comes later: the key can never be new again.  */
+void claim_close (struct claim_table *table, const struct claim_key *key,
+                  struct pl_str text, struct job_reply *reply);
 void claim_record_set_user (struct claim_record *record, void *user);
 void *claim_record_user (struct claim_record *record);
 /* A new reference to the final reply; a dropped answer gives PL_ANSWER_GONE,
--- a/lib/claim/table.c
+++ b/lib/claim/table.c
@@ -6,6 +6,9 @@
    the bound on the count can be kept by dropping older epochs.  */
 #define EPOCH_PART 8
 
+/* Stands for every body; no SHA-256 in practice.  */
+static const uint8_t any_body[CLAIM_BODY_BYTES];
+
 static guint
 hash_record (const void *key)
 {
@@ -87,6 +90,14 @@
   return record;
 }
 
+/* A key that was closed before its body was seen has no body hash.  */
+static bool
+same_body (const struct claim_record *record, const uint8_t *body_hash)
+{
+  return memcmp (record->body, any_body, CLAIM_BODY_BYTES) == 0
+         || memcmp (record->body, body_hash, CLAIM_BODY_BYTES) == 0;
+}
+
 enum claim_found
 claim_begin (struct claim_table *table, const struct claim_key *key,
              struct pl_str text, const uint8_t *body_hash,
@@ -96,7 +107,7 @@
   *record = g_hash_table_lookup (table->records, &hash);
   if (*record != NULL)
     {
-      if (memcmp ((*record)->body, body_hash, CLAIM_BODY_BYTES) != 0)
+      if (!same_body (*record, body_hash))
         return CLAIM_REUSED;
       return (*record)->done ? CLAIM_DONE : CLAIM_RUNNING;
     }
@@ -174,6 +185,15 @@
     claim_evict (table);
 }
 
+void
+claim_close (struct claim_table *table, const struct claim_key *key,
+             struct pl_str text, struct job_reply *reply)
+{
+  struct claim_record *record
+      = add_record (table, claim_hash_of (text), key->epoch, any_body);
+  claim_finish (table, record, reply);
+}
+
 void
 claim_record_set_user (struct claim_record *record, void *user)
 {
--- a/lib/disp/submit.c
+++ b/lib/disp/submit.c
@@ -305,7 +305,23 @@
   job_reply_unref (reply);
 }
 
-/* Finds the unfinished job of MSG's key; null if the reply was given.  */
+/* A cancellation that overtakes its submission closes the key, so that the
+   submission is not run when it arrives.  */
+static void
+close_unrecorded (struct disp *disp, const struct claim_key *key,
+                  struct disp_msg *msg)
+{
+  struct pl_str text = pl_str (msg->key);
+  struct job_reply *reply = job_reply_error (
+      text, PL_CANCELLED, 0, "cancelled before it arrived", NULL, 0);
+  pl_log (PL_EV_CANCEL, "key=%s queued=0 running=0", msg->key);
+  claim_close (disp->claims, key, text, reply);
+  msg->done (reply, msg->user);
+  job_reply_unref (reply);
+}
+
+/* Finds the unfinished job of MSG's key; null if the reply was given.  The
+   flag of MSG tells a cancellation from a lookup.  */
 static struct disp_job *
 find_job (struct disp *disp, struct disp_msg *msg)
 {
@@ -321,6 +337,11 @@
     code = PL_UNKNOWN_OWNER;
   else if (!claim_lookup (disp->claims, &key, text, &found, &record))
     code = found == CLAIM_FORGOTTEN ? PL_UNKNOWN_FORGOTTEN : PL_NOT_RECORDED;
+  if (code == PL_NOT_RECORDED && found == CLAIM_NEW && msg->flag)
+    {
+      close_unrecorded (disp, &key, msg);
+      return NULL;
+    }
   if (code != PL_OK)
     {
       disp_reply_code (msg->done, msg->user, text, code, NULL);
@@ -355,12 +376,13 @@
 
 static void
 post_key (struct disp *disp, struct pl_str key, job_done_fn *done, void *user,
-          void (*run) (struct disp *disp, struct disp_msg *msg))
+          void (*run) (struct disp *disp, struct disp_msg *msg), bool cancels)
 {
   struct disp_msg *msg = disp_msg_new (disp, run);
   msg->key = g_strndup (key.data, key.len);
   msg->done = done;
   msg->user = user;
+  msg->flag = cancels;
   disp_post (disp, msg);
 }
 
@@ -368,12 +390,12 @@
 disp_lookup (struct disp *disp, struct pl_str key, job_done_fn *done,
              void *user)
 {
-  post_key (disp, key, done, user, lookup);
+  post_key (disp, key, done, user, lookup, false);
 }
 
 void
 disp_cancel (struct disp *disp, struct pl_str key, job_done_fn *done,
              void *user)
 {
-  post_key (disp, key, done, user, cancel);
+  post_key (disp, key, done, user, cancel, true);
 }
--- a/tests/disp_test.c
+++ b/tests/disp_test.c
@@ -456,6 +456,26 @@
   fix_free (f);
 }
 
+/* Guards against a submission that runs after its cancellation, because the
+   cancellation arrived first.  */
+static void
+test_cancel_first (void)
+{
+  struct fix *f = fix_new (1, 1);
+  struct got by = { 0 };
+  struct got late = { 0 };
+  struct job_req *req = request (f, "k1", "once", 1, 0);
+  g_autofree char *key = g_strdup (req->key);
+  disp_cancel (f->disp, pl_str (key), on_done, &by);
+  disp_turn (f->disp);
+  CU_ASSERT_EQUAL (by.code, PL_CANCELLED);
+  send (f, req, &late);
+  disp_turn (f->disp);
+  CU_ASSERT_EQUAL (late.code, PL_CANCELLED);
+  CU_ASSERT_EQUAL (f->running->len, 0);
+  fix_free (f);
+}
+
 /* Guards against jobs that wait although their end is known.  */
 static void
 test_refusals (void)
@@ -882,6 +902,7 @@
     { "repeats only certain non-starts",
       test_repeats_only_certain_non_starts },
     { "cancel", test_cancel },
+    { "cancel before the submission", test_cancel_first },
     { "refusals", test_refusals },
     { "hopeless job is refused early", test_hopeless_job_is_refused_early },
     { "borrow in a handful", test_borrow_in_a_handful },
