Avoid a witness that gives no permit until it answers again

After a permit was given up the owner went on naming the same witness in its prefixes until suspicion, or for ever if the witness was heard but could not be reached. Each new job was then refused after 300 ms. A witness that lets a permit time out is now marked mute: it is not chosen, permits that name it are refused at once, and an empty permit request every heartbeat-ms clears the mark.

--- a/lib/memb/memb.h
+++ b/lib/memb/memb.h
@@ -121,6 +121,10 @@
 const struct memb_peer *memb_table_peer (const struct memb_table *table,
                                          unsigned index);
 const struct memb_peer *memb_table_self (const struct memb_table *table);
+/* A mute peer is heard but does not answer as a witness, as when messages pass
+   in one direction only; it is not chosen until it is marked as answering.  */
+void memb_set_mute (struct memb_table *table, claim_id id, bool mute);
+bool memb_is_mute (const struct memb_table *table, claim_id id);
 /* The best peer to take over this instance's records: the witness, else
    another live one of the domain, else of another domain; null if none.  */
 const struct memb_peer *memb_choose_heir (const struct memb_table *table);
--- a/lib/memb/table.c
+++ b/lib/memb/table.c
@@ -143,9 +143,11 @@
 }
 
 static bool
-can_witness (const struct memb_table *table, const struct memb_peer *peer)
+can_witness (const struct memb_table *table, const struct memb_entry *entry)
 {
-  return peer->state == MEMB_ALIVE && !peer->draining && near (table, peer);
+  const struct memb_peer *peer = &entry->peer;
+  return peer->state == MEMB_ALIVE && !peer->draining && !entry->mute
+         && near (table, peer);
 }
 
 static uint64_t
@@ -156,17 +158,18 @@
 }
 
 /* The best ranked live peer that is not draining; NEAR_ONLY restricts the
-   choice to the own domain.  */
+   choice to possible witnesses.  */
 static const struct memb_peer *
 best_peer (const struct memb_table *table, bool near_only)
 {
   const struct memb_peer *best = NULL;
   for (unsigned i = 0; i < table->peers->len; i++)
     {
-      const struct memb_peer *peer = &memb_entry_at (table, i)->peer;
+      const struct memb_entry *entry = memb_entry_at (table, i);
+      const struct memb_peer *peer = &entry->peer;
       if (peer->state != MEMB_ALIVE || peer->draining)
         continue;
-      if (near_only && !near (table, peer))
+      if (near_only && !can_witness (table, entry))
         continue;
       if (best == NULL
           || rank_of (table, peer->id) > rank_of (table, best->id))
@@ -181,7 +184,7 @@
 choose_witness (struct memb_table *table)
 {
   const struct memb_entry *current = find (table, table->self.witness);
-  if (current != NULL && can_witness (table, &current->peer))
+  if (current != NULL && can_witness (table, current))
     return;
   const struct memb_peer *best = best_peer (table, true);
   claim_id witness = best == NULL ? 0 : best->id;
@@ -192,11 +195,28 @@
   pl_log (PL_EV_WITNESS, "witness=%016" G_GINT64_MODIFIER "x", witness);
 }
 
+void
+memb_set_mute (struct memb_table *table, claim_id id, bool mute)
+{
+  struct memb_entry *entry = find (table, id);
+  if (entry == NULL || entry->mute == mute)
+    return;
+  entry->mute = mute;
+  choose_witness (table);
+}
+
+bool
+memb_is_mute (const struct memb_table *table, claim_id id)
+{
+  const struct memb_entry *entry = find (table, id);
+  return entry != NULL && entry->mute;
+}
+
 const struct memb_peer *
 memb_choose_heir (const struct memb_table *table)
 {
   const struct memb_entry *current = find (table, table->self.witness);
-  if (current != NULL && can_witness (table, &current->peer))
+  if (current != NULL && can_witness (table, current))
     return &current->peer;
   const struct memb_peer *best = best_peer (table, true);
   return best != NULL ? best : best_peer (table, false);
--- a/lib/memb/table.h
+++ b/lib/memb/table.h
@@ -7,6 +7,7 @@
 {
   struct memb_peer peer;
   int64_t heard_us;
+  bool mute; /* gave no permit in time; not chosen as witness */
 };
 
 struct memb_table_heir
--- a/lib/msg/check.c
+++ b/lib/msg/check.c
@@ -31,10 +31,11 @@
   return m->n_inherited <= MSG_HEIRS;
 }
 
+/* A request without keys is a probe.  */
 static bool
 permit_request_ok (const Msg__PermitRequest *m)
 {
-  if (m->n_hi == 0 || m->n_hi > MSG_CLAIMS)
+  if (m->n_hi > MSG_CLAIMS)
     return false;
   if (m->n_lo != m->n_hi || m->n_epoch != m->n_hi)
     return false;
@@ -47,7 +48,7 @@
 static bool
 permit_reply_ok (const Msg__PermitReply *m)
 {
-  return m->n_hi > 0 && m->n_hi <= MSG_CLAIMS && m->n_lo == m->n_hi
+  return m->n_hi <= MSG_CLAIMS && m->n_lo == m->n_hi
          && m->n_granted == m->n_hi;
 }
 
--- a/lib/peer/ctl.c
+++ b/lib/peer/ctl.c
@@ -194,6 +194,7 @@
       peer->tick_us = now + TICK_US;
       memb_tick (peer->memb);
       beat_tick (peer);
+      permit_probe (peer);
     }
   if (now >= peer->second_us)
     {
--- a/lib/peer/impl.h
+++ b/lib/peer/impl.h
@@ -20,6 +20,7 @@
   int64_t granted_us;         /* time of the last grant sent */
   claim_id transfer;          /* hand-over that arrives from the peer */
   uint32_t transfer_next;     /* next index of it */
+  int64_t probed_us;          /* time of the last probe of a mute witness */
   GPtrArray *permit_requests; /* struct permit to send in this turn */
 };
 
@@ -107,6 +108,7 @@
 void permit_free (struct peer *peer);
 void permit_flush (struct peer *peer);
 void permit_retry (struct peer *peer);
+void permit_probe (struct peer *peer);
 void permit_lost (struct peer *peer, claim_id witness);
 void permit_request (struct peer *peer, claim_id from,
                      const Msg__PermitRequest *m);
--- a/lib/peer/permit.c
+++ b/lib/peer/permit.c
@@ -37,7 +37,8 @@
 reachable (struct peer *peer, claim_id witness)
 {
   const struct memb_peer *known = memb_table_find (peer->memb, witness);
-  return known != NULL && known->state == MEMB_ALIVE;
+  return known != NULL && known->state == MEMB_ALIVE
+         && !memb_is_mute (peer->memb, witness);
 }
 
 static void
@@ -146,6 +147,7 @@
     {
       if (now - permit->first_us >= conf->permit_give_up_ms * 1000)
         {
+          memb_set_mute (peer->memb, permit->witness, true);
           disp_permit_result (peer->disp, permit->hash, false);
           g_hash_table_iter_remove (&iter);
         }
@@ -159,6 +161,29 @@
   permit_flush (peer);
 }
 
+/* A request without keys; its reply shows that the witness answers again.  */
+void
+permit_probe (struct peer *peer)
+{
+  int64_t now = ctl_now (peer);
+  int64_t interval_us = peer->opts.conf->heartbeat_ms * 1000;
+  for (unsigned i = 0; i < memb_table_count (peer->memb); i++)
+    {
+      const struct memb_peer *known = memb_table_peer (peer->memb, i);
+      if (known->state != MEMB_ALIVE || !memb_is_mute (peer->memb, known->id))
+        continue;
+      struct remote *remote = ctl_remote (peer, known->id);
+      if (now - remote->probed_us < interval_us)
+        continue;
+      remote->probed_us = now;
+      Msg__PermitRequest m = MSG__PERMIT_REQUEST__INIT;
+      Msg__Envelope e = MSG__ENVELOPE__INIT;
+      e.body_case = MSG__ENVELOPE__BODY_PERMIT_REQUEST;
+      e.permit_request = &m;
+      ctl_send (peer, known->id, &e);
+    }
+}
+
 void
 permit_lost (struct peer *peer, claim_id witness)
 {
@@ -201,6 +226,7 @@
 void
 permit_reply (struct peer *peer, claim_id from, const Msg__PermitReply *m)
 {
+  memb_set_mute (peer->memb, from, false);
   for (size_t i = 0; i < m->n_hi; i++)
     {
       struct claim_hash hash = { .hi = m->hi[i], .lo = m->lo[i] };
--- a/tests/memb_test.c
+++ b/tests/memb_test.c
@@ -166,6 +166,25 @@
   memb_table_free (table);
 }
 
+/* Guards against new prefixes that name a witness which gives no permits.  */
+static void
+test_mute_witness (void)
+{
+  struct memb_table *table = new_table ();
+  hear (table, 10, 3000, "brum", false);
+  memb_tick (table);
+  CU_ASSERT_EQUAL (memb_table_self (table)->witness, 10);
+  memb_set_mute (table, 10, true);
+  CU_ASSERT_EQUAL (memb_table_self (table)->witness, 0);
+  hear (table, 10, 3000, "brum", false);
+  memb_tick (table);
+  CU_ASSERT_EQUAL (memb_table_self (table)->witness, 0);
+  CU_ASSERT (memb_is_mute (table, 10));
+  memb_set_mute (table, 10, false);
+  CU_ASSERT_EQUAL (memb_table_self (table)->witness, 10);
+  memb_table_free (table);
+}
+
 /* Guards against answers in the name of a stopped owner by the wrong one.  */
 static void
 test_heirs (void)
@@ -240,6 +259,7 @@
     { "own pause", test_own_pause },
     { "replaced incarnation", test_replaced_incarnation },
     { "witness", test_witness },
+    { "mute witness", test_mute_witness },
     { "heirs", test_heirs },
     { "shares", test_shares },
     CU_TEST_INFO_NULL,
