Add the setting advertise; connect from the listening address

Partition tests cut connections by source and target. Peers are now told the address of the setting advertise (default peer-listen), and connections to peers and workers are made from the address of peer-listen. 127.0.0.1 and 0.0.0.0 are excepted: no other machine can be reached from the first.

--- a/lib/conf/conf.c
+++ b/lib/conf/conf.c
@@ -1,5 +1,6 @@
 #include "conf.h"
 
+#include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -115,6 +116,16 @@
                   b);
 }
 
+uint32_t
+conf_source_ip (const struct conf *conf)
+{
+  struct pl_addr addr = { 0 };
+  if (!pl_addr_parse (pl_str (conf->peer_listen), &addr)
+      || addr.ip == INADDR_LOOPBACK)
+    return 0;
+  return addr.ip;
+}
+
 bool
 conf_check (const struct conf *conf, struct pl_err *err)
 {
@@ -127,6 +138,8 @@
          && one_of ("policy", conf->policy, policies, err)
          && check_addr ("listen", conf->listen, err)
          && check_addr ("peer-listen", conf->peer_listen, err)
+         && (conf->advertise[0] == '\0'
+             || check_addr ("advertise", conf->advertise, err))
          && check_peers (conf->peers, err) && check_domain (conf->domain, err)
          && check_order ("heartbeat-ms", conf->heartbeat_ms, "suspect-ms",
                          conf->suspect_ms, err)
--- a/lib/conf/conf.h
+++ b/lib/conf/conf.h
@@ -35,6 +35,10 @@
                const char *value, struct pl_err *err);
 /* Checks what involves several settings (addresses, order of times).  */
 bool conf_check (const struct conf *conf, struct pl_err *err);
+/* The address that connections to peers and workers are made from, so that a
+   network can tell instances apart: the one of peer-listen.  0 (any) if that
+   is unspecified or 127.0.0.1, from which no other machine can be reached.  */
+uint32_t conf_source_ip (const struct conf *conf);
 /* Appends one "flag=value" line a setting.  */
 void conf_print (const struct conf *conf, GString *out);
 void conf_clear (struct conf *conf);
--- a/lib/conf/settings.gen.h
+++ b/lib/conf/settings.gen.h
@@ -7,6 +7,7 @@
 {
   char *listen;
   char *peer_listen;
+  char *advertise;
   char *domain;
   char *peers;
   char *platform;
--- a/lib/disp/thread.c
+++ b/lib/disp/thread.c
@@ -181,6 +181,7 @@
   const struct conf *conf = disp->opts.conf;
   struct run_opts run = {
     .clock = disp->opts.clock,
+    .source_ip = conf_source_ip (conf),
     .threads = (unsigned)conf->runner_threads,
     .connections = (unsigned)conf->worker_connections,
     .idle_ms = (int)conf->upstream_idle_ms,
--- a/lib/peer/beat.c
+++ b/lib/peer/beat.c
@@ -39,7 +39,7 @@
     }
   if (peer->links->len >= MAX_LINKS || pl_addr_eq (addr, peer->control))
     return NULL;
-  struct link *link = link_new (peer->ctx, addr, true);
+  struct link *link = link_new (peer->ctx, peer->source, addr, true);
   if (link == NULL)
     return NULL;
   link->expires_us = expires_us;
--- a/lib/peer/impl.h
+++ b/lib/peer/impl.h
@@ -41,7 +41,9 @@
   struct disp_peer_ops disp_ops; /* first: peer_disp_ops */
   struct peer_opts opts;
   struct disp *disp;
-  struct pl_addr control;
+  struct pl_addr listen;
+  struct pl_addr control; /* told to peers; differs behind a forwarder */
+  uint32_t source;        /* of outgoing connections; 0: any */
   void *ctx;
   void *router;
   struct pl_mbox *mbox;
--- a/lib/peer/link.c
+++ b/lib/peer/link.c
@@ -57,11 +57,27 @@
   return NULL;
 }
 
+/* ZeroMQ takes "source;target" and the port 0 for any.  */
+static void
+endpoint_from (uint32_t source, struct pl_addr addr, char *out, size_t size)
+{
+  char from[PL_ADDR_TEXT];
+  char to[PL_ADDR_TEXT];
+  if (source == 0)
+    {
+      endpoint (addr, out, size);
+      return;
+    }
+  g_snprintf (out, size, "tcp://%s;%s",
+              pl_addr_text ((struct pl_addr){ .ip = source }, from),
+              pl_addr_text (addr, to));
+}
+
 struct link *
-link_new (void *ctx, struct pl_addr addr, bool immediate)
+link_new (void *ctx, uint32_t source, struct pl_addr addr, bool immediate)
 {
   char text[64];
-  endpoint (addr, text, sizeof text);
+  endpoint_from (source, addr, text, sizeof text);
   void *sock = zmq_socket (ctx, ZMQ_DEALER);
   if (sock == NULL)
     return NULL;
--- a/lib/peer/link.h
+++ b/lib/peer/link.h
@@ -17,8 +17,10 @@
 /* Binds a ROUTER to ADDR; null with ERR set on failure.  */
 void *link_bind (void *ctx, struct pl_addr addr, enum msg_channel channel,
                  struct pl_err *err);
-/* Null if no socket is left.  IMMEDIATE: send only while connected.  */
-struct link *link_new (void *ctx, struct pl_addr addr, bool immediate);
+/* Connects from SOURCE (0: any).  Null if no socket is left.  IMMEDIATE: send
+   only while connected.  */
+struct link *link_new (void *ctx, uint32_t source, struct pl_addr addr,
+                       bool immediate);
 void link_free (struct link *link);
 /* Keeps unsent messages for MS after link_free.  */
 void link_linger (struct link *link, int ms);
--- a/lib/peer/peer.c
+++ b/lib/peer/peer.c
@@ -97,12 +97,19 @@
 static bool
 open_sockets (struct peer *peer, struct pl_err *err)
 {
-  if (!pl_addr_parse (pl_str (peer->opts.conf->peer_listen), &peer->control))
+  const struct conf *conf = peer->opts.conf;
+  if (!pl_addr_parse (pl_str (conf->peer_listen), &peer->listen))
     return pl_fail (err, PL_SETTING_INVALID,
                     "peer-listen is not an address with a port");
+  peer->control = peer->listen;
+  if (conf->advertise != NULL && conf->advertise[0] != '\0'
+      && !pl_addr_parse (pl_str (conf->advertise), &peer->control))
+    return pl_fail (err, PL_SETTING_INVALID,
+                    "advertise is not an address with a port");
+  peer->source = conf_source_ip (conf);
   peer->ctx = zmq_ctx_new ();
   zmq_ctx_set (peer->ctx, ZMQ_MAX_SOCKETS, MAX_SOCKETS);
-  peer->router = link_bind (peer->ctx, peer->control, MSG_CONTROL, err);
+  peer->router = link_bind (peer->ctx, peer->listen, MSG_CONTROL, err);
   if (peer->router == NULL)
     return false;
   peer->relay = relay_new (peer, err);
--- a/lib/peer/relay.c
+++ b/lib/peer/relay.c
@@ -107,7 +107,8 @@
     }
   if (relay->links->len >= MAX_LINKS)
     return NULL;
-  struct link *link = link_new (relay->peer->ctx, addr, false);
+  struct link *link
+      = link_new (relay->peer->ctx, relay->peer->source, addr, false);
   if (link != NULL)
     g_ptr_array_add (relay->links, link);
   return link;
@@ -385,7 +386,7 @@
 relay_new (struct peer *peer, struct pl_err *err)
 {
   void *router
-      = link_bind (peer->ctx, relay_addr (peer->control), MSG_RELAY, err);
+      = link_bind (peer->ctx, relay_addr (peer->listen), MSG_RELAY, err);
   if (router == NULL)
     return NULL;
   struct relay *relay = g_new0 (struct relay, 1);
--- a/lib/run/conn.c
+++ b/lib/run/conn.c
@@ -138,16 +138,24 @@
   return (ssize_t)n;
 }
 
+static ne_inet_addr *
+make_addr (uint32_t host_ip)
+{
+  uint32_t ip = GUINT32_TO_BE (host_ip);
+  unsigned char raw[4];
+  memcpy (raw, &ip, sizeof raw);
+  return ne_iaddr_make (ne_iaddr_ipv4, raw);
+}
+
 struct run_conn *
 run_conn_new (struct run_upstream *up, const struct run_opts *opts)
 {
   struct run_conn *conn = g_new0 (struct run_conn, 1);
   conn->up = up;
   conn->fd = -1;
-  uint32_t ip = GUINT32_TO_BE (up->addr.ip);
-  unsigned char raw[4];
-  memcpy (raw, &ip, sizeof raw);
-  conn->addr = ne_iaddr_make (ne_iaddr_ipv4, raw);
+  conn->addr = make_addr (up->addr.ip);
+  if (opts->source_ip != 0)
+    conn->source = make_addr (opts->source_ip);
   conn->addrs[0] = conn->addr;
   char host[PL_ADDR_TEXT];
   pl_addr_text (up->addr, host);
@@ -169,6 +177,8 @@
   if (conn->fd >= 0)
     close (conn->fd);
   ne_iaddr_free (conn->addr);
+  if (conn->source != NULL)
+    ne_iaddr_free (conn->source);
   g_free (conn);
 }
 
@@ -240,7 +250,7 @@
       conn->stop_reason = "connect queue";
       return NE_CONNECT;
     }
-  ne_set_localaddr (conn->session, NULL);
+  ne_set_localaddr (conn->session, conn->source);
   run_pool_limit (run->pool, conn, limit, reason);
   int code = ne_begin_request (req);
   if (!conn->connected)
--- a/lib/run/run.h
+++ b/lib/run/run.h
@@ -37,6 +37,7 @@
 struct run_opts
 {
   struct pl_clock *clock;
+  uint32_t source_ip; /* connections are made from it; 0: any */
   unsigned threads;
   unsigned connections; /* held to one upstream at most */
   int idle_ms;
--- a/lib/run/run_priv.h
+++ b/lib/run/run_priv.h
@@ -20,6 +20,7 @@
   ne_session *session;
   ne_inet_addr *addr;
   const ne_inet_addr *addrs[1];
+  ne_inet_addr *source; /* null: any */
   int fd; /* duplicate of the connected socket; -1: none or unknown */
   uint16_t local_port; /* of FD */
   bool alive;          /* the session has a connection */
--- a/tests/conf_test.c
+++ b/tests/conf_test.c
@@ -60,6 +60,25 @@
   conf_clear (&conf);
 }
 
+/* Guards against connections to other machines from 127.0.0.1.  */
+static void
+test_source_address (void)
+{
+  struct conf conf;
+  struct pl_err err = { 0 };
+  unsigned listen = index_of ("peer-listen");
+  unsigned advertise = index_of ("advertise");
+  CU_ASSERT_FATAL (conf_init (&conf, &err));
+  CU_ASSERT_EQUAL (conf_source_ip (&conf), 0);
+  CU_ASSERT (conf_set (&conf, listen, "--x", "127.9.8.7:70", &err));
+  CU_ASSERT_EQUAL (conf_source_ip (&conf), 0x7f090807);
+  CU_ASSERT (conf_set (&conf, advertise, "--x", "10.0.0.1:70", &err));
+  CU_ASSERT (conf_check (&conf, &err));
+  CU_ASSERT (conf_set (&conf, advertise, "--x", "nowhere", &err));
+  CU_ASSERT_FALSE (conf_check (&conf, &err));
+  conf_clear (&conf);
+}
+
 int
 main (void)
 {
@@ -67,6 +86,7 @@
     { "defaults are valid", test_defaults_are_valid },
     { "environment sets value", test_environment_sets_value },
     { "bad values are named", test_bad_values_are_named },
+    { "source address", test_source_address },
     CU_TEST_INFO_NULL,
   };
   return test_run ("conf", tests);
