--- a/lib/disp/control.c
+++ b/lib/disp/control.c
@@ -79,8 +79,8 @@
 static void export(struct disp *disp, struct disp_msg *msg)
 {
   /* The heir says "not run" of keys that it was not told about, so that none
-     may start from here on.  */
-  disp->stopping = true;
+     may be recorded from here on.  */
+  disp->closed = true;
   claim_export (disp->claims, msg->max_bytes, msg->exported, msg->user);
   msg->exported (NULL, msg->user);
 }
--- a/lib/peer/ctl.c
+++ b/lib/peer/ctl.c
@@ -198,6 +198,7 @@
       memb_tick (peer->memb);
       beat_tick (peer);
       signs_tick (peer);
+      permit_probe (peer);
     }
   if (now >= peer->second_us)
     {
--- a/lib/peer/impl.h
+++ b/lib/peer/impl.h
@@ -20,6 +20,7 @@
   int64_t granted_us;         /* time of the last grant sent */
   claim_id transfer;          /* hand-over that arrives from the peer */
   uint32_t transfer_next;     /* next index of it */
+  int64_t probed_us;          /* time of the last probe of a mute witness */
   GPtrArray *permit_requests; /* struct permit to send in this turn */
 };
 
@@ -40,7 +41,9 @@
   struct disp_peer_ops disp_ops; /* first: peer_disp_ops */
   struct peer_opts opts;
   struct disp *disp;
-  struct pl_addr control;
+  struct pl_addr listen;
+  struct pl_addr control; /* told to peers; differs behind a forwarder */
+  uint32_t source;        /* of outgoing connections; 0: any */
   void *ctx;
   void *router;
   struct pl_mbox *mbox;
@@ -109,6 +112,7 @@
 void permit_free (struct peer *peer);
 void permit_flush (struct peer *peer);
 void permit_retry (struct peer *peer);
+void permit_probe (struct peer *peer);
 void permit_lost (struct peer *peer, claim_id witness);
 void permit_request (struct peer *peer, claim_id from,
                      const Msg__PermitRequest *m);
