Skip address ranges of runs that are going on in cluster.sh

Two runs whose process ids were equal modulo 128 shared a platform: the second note was refused and callers of the first run lost 149 of 239 answers when the second one ended. The range is now probed first.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -1,14 +1,18 @@
 # Shell functions that start and stop a small installation on loopback for the
 # demo, the fault tests and the benchmarks. Source it; do not run it.
 #
-# Each run uses its own second octet, so that two runs at once rarely meet.
+# Each run uses its own second octet; one at which a platform answers is taken.
 # Variables: DIR (logs and state), NET (address prefix), BIN (programs),
 # WORKERS (a failure domain), SLOTS (a worker).
 
 BIN=${BIN:-build/bin}
 WORKERS=${WORKERS:-6}
 SLOTS=${SLOTS:-8}
-NET=127.$((64 + $$ % 128))
+OCTET=$((64 + $$ % 128))
+while curl -s -m 1 -o /dev/null "http://127.$OCTET.250.1:7100/standin/stats"; do
+  OCTET=$((64 + (OCTET - 63) % 128))
+done
+NET=127.$OCTET
 DIR=$(mktemp -d)
 PLATFORM=$NET.250.1:7100
 declare -A PID   # name -> process id
