Spread load over domains in papayaload; add scripts/bench

Cause: papayaload used the prefix of one entry for as many jobs in a row as there were entries, so that bursts of jobs had one owner. Change: jobs take the domains in turn; the entry called and the owner are drawn inside the domain. The report adds jobs that fit in the free slots (by the plan), goodput, time to a refusal, teams and messages by kind; runs can burst, misdeclare, cancel and ask for the impossible. scripts/bench compares policies on the adopters' shapes and prints the targets.

--- a/cmd/papayaload/load.h
+++ b/cmd/papayaload/load.h
@@ -43,6 +43,11 @@
   unsigned n_tasks;
   unsigned *run_ms;
   int64_t arrival_us; /* from the start of the run */
+  unsigned domain;    /* failure domain */
+  unsigned entry;     /* that is called */
+  unsigned owner;     /* whose key prefix is used */
+  bool fits;          /* in the free slots on arrival, by the plan */
+  bool impossible;    /* asks for more memory than any worker has */
   /* Filled by the run.  */
   int64_t response_us; /* from the arrival to the last answer */
   enum pl_code code;   /* of the last answer; PL_SYSTEM: none came */
@@ -64,7 +69,14 @@
   unsigned tries;  /* keys a job may use */
   int deadline_ms; /* 0: by the kind */
   bool sticky;     /* use the prefix of the entry that is called */
-  unsigned first;  /* number of the first job */
+  double slots;    /* of all workers; 0: not known */
+  double burst; /* factor on the rate for one second at half time; 0: none */
+  double declared;   /* factor, or its inverse in turn, on declared sizes */
+  double cancel;     /* part of the open jobs cancelled at half time */
+  double impossible; /* part of the jobs that can never run */
+  unsigned *domain;  /* of each entry */
+  unsigned n_domains;
+  unsigned first; /* number of the first job */
   const char *history;
   const char *out;
 };
@@ -73,6 +85,26 @@
 void load_plan_free (struct load_job *jobs, unsigned n);
 int64_t load_ideal_us (const struct load_job *job);
 
+/* Groups the entries by failure domain.  */
+void load_domains (struct load_opts *opts);
+/* Chooses the entries of all jobs.  */
+void load_spread (const struct load_opts *opts, struct load_job *jobs,
+                  unsigned n);
+/* Estimates from the plan which jobs fit in the free slots on arrival: each
+   domain runs its jobs in order of arrival, the longest task first, without
+   any overhead.  */
+void load_fits (const struct load_opts *opts, struct load_job *jobs,
+                unsigned n);
+
+/* A wave of cancellations; all functions accept null.  Any thread.  */
+struct load_cancel;
+struct load_cancel *load_cancel_start (const struct load_opts *opts);
+void load_cancel_open (struct load_cancel *cancel, const struct load_job *job,
+                       const char *key);
+void load_cancel_close (struct load_cancel *cancel,
+                        const struct load_job *job);
+void load_cancel_end (struct load_cancel *cancel);
+
 /* Runs all jobs and appends a line an attempt to the history.  */
 bool load_run (const struct load_opts *opts, struct load_job *jobs,
                unsigned n);
--- a/cmd/papayaload/main.c
+++ b/cmd/papayaload/main.c
@@ -29,6 +29,10 @@
   OPT_SLOTS,
   OPT_SVG,
   OPT_FIRST,
+  OPT_BURST,
+  OPT_DECLARED,
+  OPT_CANCEL,
+  OPT_IMPOSSIBLE,
 };
 
 static const struct argp_option options[] = {
@@ -49,7 +53,17 @@
     0 },
   { "deadline-ms", OPT_DEADLINE, "N", 0, "Deadline (default 30,000)", 0 },
   { "sticky", OPT_STICKY, NULL, 0,
-    "Use key prefixes of the entry that is called", 0 },
+    "Use the key prefix of the entry that is called, instead of that of "
+    "another one of the same failure domain",
+    0 },
+  { "burst", OPT_BURST, "X", 0,
+    "Factor on the rate for one second at half time", 0 },
+  { "declared", OPT_DECLARED, "X", 0,
+    "Declare sizes too large and too small by this factor, in turn", 0 },
+  { "cancel", OPT_CANCEL, "X", 0,
+    "Part of the open jobs that is cancelled at half time", 0 },
+  { "impossible", OPT_IMPOSSIBLE, "X", 0,
+    "Part of the jobs that can never run", 0 },
   { "first", OPT_FIRST, "N", 0, "Number of the first job (default 0)", 0 },
   { "history", OPT_HISTORY, "FILE", 0, "Append a line an attempt", 0 },
   { "out", OPT_OUT, "FILE", 0, "Write the report as JSON", 0 },
@@ -61,7 +75,6 @@
 {
   struct load_opts opts;
   double load;
-  double slots;
   const char *svg;
   char **words;
   int n_words;
@@ -123,7 +136,7 @@
       args->load = parse_number (state, "load", arg, 0.01, 20);
       return 0;
     case OPT_SLOTS:
-      args->slots = parse_number (state, "slots", arg, 1, 1e6);
+      opts->slots = parse_number (state, "slots", arg, 1, 1e6);
       return 0;
     case OPT_SECONDS:
       opts->seconds = parse_number (state, "seconds", arg, 0.1, 600);
@@ -144,6 +157,18 @@
     case OPT_FIRST:
       opts->first = (unsigned)parse_number (state, "first", arg, 0, 1e9);
       return 0;
+    case OPT_BURST:
+      opts->burst = parse_number (state, "burst", arg, 1, 100);
+      return 0;
+    case OPT_DECLARED:
+      opts->declared = parse_number (state, "declared", arg, 1, 1000);
+      return 0;
+    case OPT_CANCEL:
+      opts->cancel = parse_number (state, "cancel", arg, 0, 1);
+      return 0;
+    case OPT_IMPOSSIBLE:
+      opts->impossible = parse_number (state, "impossible", arg, 0, 1);
+      return 0;
     case OPT_STICKY:
       opts->sticky = true;
       return 0;
@@ -177,16 +202,19 @@
       fprintf (stderr, "papayaload: run needs --entry\n");
       return EXIT_USAGE;
     }
-  if (args->load > 0 && args->slots <= 0)
+  if (args->load > 0 && opts->slots <= 0)
     {
       fprintf (stderr, "papayaload: --load needs --slots\n");
       return EXIT_USAGE;
     }
   if (args->load > 0)
-    opts->rate = args->load * args->slots * 1000.0
+    opts->rate = args->load * opts->slots * 1000.0
                  / load_mix_work_ms (opts->mix, opts->scale, opts->seed);
   unsigned n;
   struct load_job *jobs = load_plan (opts, &n);
+  load_domains (opts);
+  load_spread (opts, jobs, n);
+  load_fits (opts, jobs, n);
   GHashTable *before = load_metrics (opts);
   printf ("%u jobs, %.2f a second, seed %u\n", n, opts->rate, opts->seed);
   if (!load_run (opts, jobs, n))
@@ -199,6 +227,7 @@
   g_hash_table_unref (before);
   g_hash_table_unref (after);
   load_plan_free (jobs, n);
+  g_free (opts->domain);
   return wrong == 0 ? 0 : 1;
 }
 
--- a/cmd/papayaload/mix.c
+++ b/cmd/papayaload/mix.c
@@ -115,6 +115,15 @@
   return sum / SAMPLE_JOBS;
 }
 
+/* Jobs a second at a time of the run.  */
+static double
+rate_at (const struct load_opts *opts, double at)
+{
+  double half = opts->seconds / 2;
+  bool burst = opts->burst > 0 && at >= half && at < half + 1;
+  return burst ? opts->rate * opts->burst : opts->rate;
+}
+
 struct load_job *
 load_plan (const struct load_opts *opts, unsigned *n)
 {
@@ -123,12 +132,14 @@
   double at = 0;
   for (;;)
     {
-      at += -log (1.0 - g_rand_double (rand)) / opts->rate;
+      at += -log (1.0 - g_rand_double (rand)) / rate_at (opts, at);
       if (at >= opts->seconds)
         break;
       struct load_job job = { .number = opts->first + jobs->len,
                               .arrival_us = (int64_t)(at * 1e6) };
       draw_job (&job, opts->mix, opts->scale, rand);
+      if (opts->impossible > 0)
+        job.impossible = g_rand_double (rand) < opts->impossible;
       g_array_append_val (jobs, job);
     }
   g_rand_free (rand);
--- a/cmd/papayaload/report.c
+++ b/cmd/papayaload/report.c
@@ -15,7 +15,11 @@
   unsigned outcomes[PL_OUTCOME_UNKNOWN + 1];
   unsigned no_answer;
   unsigned wrong;
-  GArray *ratios; /* double: response against the ideal, complete jobs */
+  double offered_s; /* work of all jobs, in slot seconds */
+  double goodput_s; /* work of the complete jobs */
+  GArray *ratios;   /* double: response against the ideal, complete jobs */
+  GArray *fitting;  /* the same of jobs that fit in the free slots */
+  GArray *refusals; /* double: ms from arrival to a refusal */
 };
 
 static void
@@ -68,21 +72,38 @@
   return (a == NULL ? 0 : *a) - (b == NULL ? 0 : *b);
 }
 
+static double
+work_s (const struct load_job *job)
+{
+  double ms = 0;
+  for (unsigned i = 0; i < job->n_tasks; i++)
+    ms += job->run_ms[i];
+  return ms / 1000;
+}
+
 static void
 add_job (struct summary *s, const struct load_job *job)
 {
   s->jobs++;
   s->wrong += job->wrong;
+  s->offered_s += work_s (job);
   if (job->code == PL_SYSTEM)
     {
       s->no_answer++;
       return;
     }
-  s->outcomes[pl_code_info (job->code)->outcome]++;
+  enum pl_outcome outcome = pl_code_info (job->code)->outcome;
+  s->outcomes[outcome]++;
+  double ms = (double)job->response_us / 1000;
+  if (outcome == PL_OUTCOME_NOT_RUN)
+    g_array_append_val (s->refusals, ms);
   if (job->code != PL_OK)
     return;
+  s->goodput_s += work_s (job);
   double ratio = (double)job->response_us / (double)load_ideal_us (job);
   g_array_append_val (s->ratios, ratio);
+  if (job->fits)
+    g_array_append_val (s->fitting, ratio);
 }
 
 static int
@@ -112,94 +133,168 @@
 }
 
 static json_t *
-summary_json (struct summary *s)
+summary_json (const struct summary *s)
 {
   json_t *quantiles = json_array ();
   for (int q = 0; q <= 100; q++)
     json_array_append_new (quantiles,
                            json_real (quantile (s->ratios, q / 100.0)));
-  return json_pack ("{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:f, s:f, s:f, s:o}",
-                    "jobs", (int)s->jobs, "complete",
-                    (int)s->outcomes[PL_OUTCOME_COMPLETE], "not_run",
-                    (int)s->outcomes[PL_OUTCOME_NOT_RUN], "failed",
-                    (int)s->outcomes[PL_OUTCOME_FAILED], "unknown",
-                    (int)s->outcomes[PL_OUTCOME_UNKNOWN], "no_answer",
-                    (int)s->no_answer, "wrong", (int)s->wrong, "mean",
-                    mean (s->ratios), "p50", quantile (s->ratios, 0.5), "p99",
-                    quantile (s->ratios, 0.99), "quantiles", quantiles);
+  json_t *json = json_pack (
+      "{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:f, s:f, s:f, s:o}", "jobs",
+      (int)s->jobs, "complete", (int)s->outcomes[PL_OUTCOME_COMPLETE],
+      "not_run", (int)s->outcomes[PL_OUTCOME_NOT_RUN], "failed",
+      (int)s->outcomes[PL_OUTCOME_FAILED], "unknown",
+      (int)s->outcomes[PL_OUTCOME_UNKNOWN], "no_answer", (int)s->no_answer,
+      "wrong", (int)s->wrong, "mean", mean (s->ratios), "p50",
+      quantile (s->ratios, 0.5), "p99", quantile (s->ratios, 0.99),
+      "quantiles", quantiles);
+  json_t *more = json_pack (
+      "{s:i, s:f, s:f, s:f, s:f, s:f, s:f}", "fit_jobs", (int)s->fitting->len,
+      "fit_mean", mean (s->fitting), "fit_p99", quantile (s->fitting, 0.99),
+      "offered_slot_s", s->offered_s, "goodput_slot_s", s->goodput_s,
+      "refusal_ms_p50", quantile (s->refusals, 0.5), "refusal_ms_p99",
+      quantile (s->refusals, 0.99));
+  json_object_update (json, more);
+  json_decref (more);
+  return json;
 }
 
 static void
-print_summary (const char *name, struct summary *s)
+print_summary (const char *name, const struct summary *s)
 {
-  printf ("%-28s %6u %8u %7u %6u %7u %6u %5u %7.3f %7.3f %7.3f\n", name,
-          s->jobs, s->outcomes[PL_OUTCOME_COMPLETE],
+  printf ("%-28s %6u %8u %7u %6u %7u %6u %5u %7.3f %7.3f %7.3f %6u %7.3f "
+          "%7.3f %8.1f %8.1f %7.1f\n",
+          name, s->jobs, s->outcomes[PL_OUTCOME_COMPLETE],
           s->outcomes[PL_OUTCOME_NOT_RUN], s->outcomes[PL_OUTCOME_FAILED],
           s->outcomes[PL_OUTCOME_UNKNOWN], s->no_answer, s->wrong,
           mean (s->ratios), quantile (s->ratios, 0.5),
-          quantile (s->ratios, 0.99));
+          quantile (s->ratios, 0.99), s->fitting->len, mean (s->fitting),
+          quantile (s->fitting, 0.99), s->offered_s, s->goodput_s,
+          quantile (s->refusals, 0.99));
+}
+
+static GArray *
+new_values (void)
+{
+  return g_array_new (FALSE, FALSE, sizeof (double));
+}
+
+static void
+sort_values (GArray *values)
+{
+  qsort (values->data, values->len, sizeof (double), compare_double);
 }
 
-/* Summarises the jobs of KIND, or of all kinds if it is null.  */
+/* Summarises the jobs of KIND and TEAM; null for all.  */
 static json_t *
-report_kind (const struct load_job *jobs, unsigned n,
-             const struct load_kind *kind, unsigned *wrong)
+report_part (const char *name, const struct load_job *jobs, unsigned n,
+             const struct load_kind *kind, const char *team)
 {
-  struct summary s = { .ratios = g_array_new (FALSE, FALSE, sizeof (double)) };
+  struct summary s = { .ratios = new_values (),
+                       .fitting = new_values (),
+                       .refusals = new_values () };
   for (unsigned i = 0; i < n; i++)
-    if (kind == NULL || jobs[i].kind == kind)
+    if ((kind == NULL || jobs[i].kind == kind)
+        && (team == NULL || strcmp (jobs[i].kind->team, team) == 0))
       add_job (&s, &jobs[i]);
-  qsort (s.ratios->data, s.ratios->len, sizeof (double), compare_double);
-  g_autofree char *name
-      = kind == NULL ? g_strdup ("total")
-                     : g_strdup_printf ("%s/%s", kind->service, kind->kind);
+  sort_values (s.ratios);
+  sort_values (s.fitting);
+  sort_values (s.refusals);
   print_summary (name, &s);
   json_t *json = summary_json (&s);
   json_object_set_new (json, "name", json_string (name));
   g_array_free (s.ratios, TRUE);
-  *wrong = s.wrong;
+  g_array_free (s.fitting, TRUE);
+  g_array_free (s.refusals, TRUE);
   return json;
 }
 
+static json_t *
+report_kinds (const struct load_opts *opts, const struct load_job *jobs,
+              unsigned n)
+{
+  json_t *kinds = json_array ();
+  for (unsigned k = 0; k < opts->mix->n_kinds; k++)
+    {
+      const struct load_kind *kind = &opts->mix->kinds[k];
+      g_autofree char *name
+          = g_strdup_printf ("%s/%s", kind->service, kind->kind);
+      json_array_append_new (kinds, report_part (name, jobs, n, kind, NULL));
+    }
+  return kinds;
+}
+
+static json_t *
+report_teams (const struct load_opts *opts, const struct load_job *jobs,
+              unsigned n)
+{
+  json_t *teams = json_array ();
+  for (unsigned k = 0; k < opts->mix->n_kinds; k++)
+    {
+      const char *team = opts->mix->kinds[k].team;
+      bool seen = false;
+      for (unsigned i = 0; i < k; i++)
+        seen = seen || strcmp (opts->mix->kinds[i].team, team) == 0;
+      if (seen)
+        continue;
+      g_autofree char *name = g_strdup_printf ("team %s", team);
+      json_array_append_new (teams, report_part (name, jobs, n, NULL, team));
+    }
+  return teams;
+}
+
+static const char *const message_counters[] = {
+  "task_starts_total",     "wasted_messages_total",
+  "task_refused_total",    "task_unreachable_total",
+  "task_replaced_total",   "task_maybe_total",
+  "jobs_forwarded_total",  "peer_messages_sent_total",
+  "permits_granted_total", "permits_refused_total",
+  "borrow_requests_total", "slots_borrowed_total",
+  "slots_lent_total",
+};
+
 static json_t *
 report_messages (GHashTable *before, GHashTable *after)
 {
   int64_t starts = grown (before, after, "task_starts_total");
   int64_t wasted = grown (before, after, "wasted_messages_total");
-  int64_t control = grown (before, after, "peer_messages_sent_total");
   double per_start = starts == 0 ? 0 : (double)wasted / (double)starts;
-  printf ("task starts %lld, wasted messages %lld (%.4f a start), refused "
-          "%lld, unreachable %lld, placed again %lld, forwarded jobs %lld, "
-          "control messages %lld\n",
-          (long long)starts, (long long)wasted, per_start,
-          (long long)grown (before, after, "task_refused_total"),
-          (long long)grown (before, after, "task_unreachable_total"),
-          (long long)grown (before, after, "task_replaced_total"),
-          (long long)grown (before, after, "jobs_forwarded_total"),
-          (long long)control);
-  return json_pack ("{s:I, s:I, s:f, s:I}", "starts", (json_int_t)starts,
-                    "wasted", (json_int_t)wasted, "wasted_per_start",
-                    per_start, "control_messages", (json_int_t)control);
+  json_t *json = json_pack (
+      "{s:I, s:I, s:f, s:I}", "starts", (json_int_t)starts, "wasted",
+      (json_int_t)wasted, "wasted_per_start", per_start, "control_messages",
+      (json_int_t)grown (before, after, "peer_messages_sent_total"));
+  printf ("wasted messages a start %.4f", per_start);
+  for (unsigned i = 0; i < G_N_ELEMENTS (message_counters); i++)
+    {
+      const char *name = message_counters[i];
+      int64_t value = grown (before, after, name);
+      json_object_set_new (json, name, json_integer (value));
+      printf (", %s %lld", name, (long long)value);
+    }
+  printf ("\n");
+  return json;
 }
 
 unsigned
 load_report (const struct load_opts *opts, const struct load_job *jobs,
              unsigned n, GHashTable *before, GHashTable *after)
 {
-  printf ("%-28s %6s %8s %7s %6s %7s %6s %5s %7s %7s %7s\n", "kind", "jobs",
-          "complete", "not run", "failed", "unknown", "silent", "wrong",
-          "mean", "p50", "p99");
-  json_t *kinds = json_array ();
-  unsigned wrong = 0;
-  for (unsigned k = 0; k < opts->mix->n_kinds; k++)
-    json_array_append_new (
-        kinds, report_kind (jobs, n, &opts->mix->kinds[k], &wrong));
-  json_t *total = report_kind (jobs, n, NULL, &wrong);
-  json_t *root = json_pack ("{s:s, s:i, s:f, s:f, s:f, s:o, s:o, s:o}", "mix",
-                            opts->mix->name, "seed", (int)opts->seed, "rate",
-                            opts->rate, "seconds", opts->seconds, "scale",
-                            opts->scale, "kinds", kinds, "total", total,
-                            "messages", report_messages (before, after));
+  printf ("%-28s %6s %8s %7s %6s %7s %6s %5s %7s %7s %7s %6s %7s %7s %8s %8s "
+          "%7s\n",
+          "kind", "jobs", "complete", "not run", "failed", "unknown", "silent",
+          "wrong", "mean", "p50", "p99", "fit", "fitmean", "fitp99", "offered",
+          "goodput", "refp99");
+  json_t *kinds = report_kinds (opts, jobs, n);
+  json_t *teams = report_teams (opts, jobs, n);
+  json_t *total = report_part ("total", jobs, n, NULL, NULL);
+  unsigned wrong
+      = (unsigned)json_integer_value (json_object_get (total, "wrong"));
+  json_t *root = json_pack (
+      "{s:s, s:i, s:f, s:f, s:f, s:f, s:o, s:o, s:o, s:o}", "mix",
+      opts->mix->name, "seed", (int)opts->seed, "rate", opts->rate, "seconds",
+      opts->seconds, "scale", opts->scale, "slots", opts->slots, "kinds",
+      kinds, "teams", teams, "total", total, "messages",
+      report_messages (before, after));
   if (opts->out != NULL && json_dump_file (root, opts->out, JSON_INDENT (1)))
     fprintf (stderr, "papayaload: can't write %s\n", opts->out);
   json_decref (root);
--- a/cmd/papayaload/run.c
+++ b/cmd/papayaload/run.c
@@ -11,6 +11,7 @@
    between, before it gives up.  */
 #define MAX_RESENDS 20
 #define RESEND_PAUSE_US 300000
+#define IMPOSSIBLE_MB 1000000 /* more memory than any worker has */
 
 struct run_state
 {
@@ -22,6 +23,7 @@
   FILE *history;
   GMutex lock;
   char (*prefixes)[CALL_PREFIX]; /* the latest of each entry */
+  struct load_cancel *cancel;
 };
 
 struct client
@@ -84,15 +86,13 @@
   return reply.status == 200 && prefix[0] != '\0';
 }
 
-/* The key prefix for a new submission: of the entry that is called or, as
-   behind a balancer, of any one.  */
+/* The key prefix for a new submission: of the job's owner or, if that does not
+   answer, of the next entry.  */
 static bool
-choose_prefix (struct client *client, unsigned number,
-               char prefix[CALL_PREFIX])
+choose_prefix (struct client *client, unsigned first, char prefix[CALL_PREFIX])
 {
   struct run_state *state = client->state;
   unsigned n = state->opts->n_entries;
-  unsigned first = state->opts->sticky ? client->at : number / n % n;
   for (unsigned i = 0; i < n; i++)
     {
       unsigned entry = (first + i) % n;
@@ -110,6 +110,17 @@
   return false;
 }
 
+/* Wrong declarations are too large and too small in turn.  */
+static int
+declared_ms (const struct load_opts *opts, const struct load_job *job,
+             unsigned task)
+{
+  double ms = job->run_ms[task];
+  if (opts->declared > 0)
+    ms = job->number % 2 == 0 ? ms * opts->declared : ms / opts->declared;
+  return MAX ((int)ms, 1);
+}
+
 static char *
 job_body (const struct load_opts *opts, const struct load_job *job,
           unsigned attempt)
@@ -118,10 +129,12 @@
   for (unsigned i = 0; i < job->n_tasks; i++)
     {
       json_t *echo = json_sprintf ("%u.%u.%u", job->number, attempt, i);
-      json_array_append_new (tasks,
-                             json_pack ("{s:i, s:{s:i, s:o}}", "size_ms",
-                                        (int)job->run_ms[i], "input", "run_ms",
-                                        (int)job->run_ms[i], "echo", echo));
+      json_array_append_new (
+          tasks,
+          json_pack ("{s:i, s:I, s:{s:i, s:o}}", "size_ms",
+                     declared_ms (opts, job, i), "memory_mb",
+                     (json_int_t)(job->impossible ? IMPOSSIBLE_MB : 0),
+                     "input", "run_ms", (int)job->run_ms[i], "echo", echo));
     }
   int deadline
       = opts->deadline_ms > 0 ? opts->deadline_ms : DEFAULT_DEADLINE_MS;
@@ -239,7 +252,7 @@
     {
       char prefix[CALL_PREFIX];
       job->attempts = attempt;
-      if (!choose_prefix (client, job->number, prefix))
+      if (!choose_prefix (client, job->owner, prefix))
         {
           g_usleep (RESEND_PAUSE_US);
           continue;
@@ -247,7 +260,9 @@
       g_autofree char *key
           = g_strdup_printf ("%s.j%u-%u", prefix, job->number, attempt);
       char *body = job_body (state->opts, job, attempt);
+      load_cancel_open (state->cancel, job, key);
       job->code = submit_key (client, job, key, body, attempt);
+      load_cancel_close (state->cancel, job);
       free (body);
       write_history (state, job, key, attempt, job->code);
       if (!may_use_new_key (job->code))
@@ -275,7 +290,7 @@
           = state->start_us + job->arrival_us - g_get_monotonic_time ();
       if (wait > 0)
         g_usleep ((gulong)wait);
-      client.at = job->number % n;
+      client.at = job->entry;
       run_job (&client, job);
     }
   for (unsigned i = 0; i < n; i++)
@@ -297,12 +312,14 @@
   g_mutex_init (&state.lock);
   state.prefixes = g_malloc0 (sizeof *state.prefixes * opts->n_entries);
   state.start_us = g_get_monotonic_time ();
+  state.cancel = load_cancel_start (opts);
   GThread **threads = g_new (GThread *, opts->threads);
   for (unsigned i = 0; i < opts->threads; i++)
     threads[i] = g_thread_new ("client", client_main, &state);
   for (unsigned i = 0; i < opts->threads; i++)
     g_thread_join (threads[i]);
   g_free (threads);
+  load_cancel_end (state.cancel);
   g_free (state.prefixes);
   g_mutex_clear (&state.lock);
   if (state.history != NULL)
--- /dev/null
+++ b/scripts/bench-lib.sh
@@ -0,0 +1,142 @@
+# Deployments of the adopters' shape for scripts/bench, on scripts/cluster.sh.
+# Source it after that.
+
+# bench_workers DEPLOYMENT: platform, workers and configuration. About 50
+# workers of 8 slots in one stand-in process a failure domain.
+bench_workers() {
+  case $1 in
+    midlands) DOMAINS=(brum potteries black-country east-mids) WORKERS=13 ;;
+    guatemala) DOMAINS=(zona antigua mixco) WORKERS=17 ;;
+    demo) DOMAINS=(brum potteries) WORKERS=6 ;;
+    *) echo "unknown deployment $1" && return 1 ;;
+  esac
+  local i pairs=()
+  SLOTS_ALL=$((${#DOMAINS[@]} * WORKERS * SLOTS))
+  start_platform || return 1
+  for i in "${!DOMAINS[@]}"; do
+    start_upstreams $((i + 1)) || return 1
+    pairs+=("${DOMAINS[i]}=$((i + 1))")
+  done
+  write_note "$DIR/note.json" 0 "${pairs[@]}"
+  apply_note "$DIR/note.json" >/dev/null
+}
+
+# bench_entries POLICY ARG...: two entry instances a failure domain, until the
+# shares of all slots are in force.
+bench_entries() {
+  local policy=$1 i n name
+  shift
+  ENTRIES=()
+  for i in "${!DOMAINS[@]}"; do
+    for n in 1 2; do
+      start_entry "${DOMAINS[i]}-$n" "${DOMAINS[i]}" $((i + 1)) "$n" \
+        --policy "$policy" --seed 1 --log-level "${LOG_LEVEL:-notice}" \
+        --drain-linger-ms 0 "$@"
+    done
+  done
+  for name in "${ENTRIES[@]}"; do
+    entry_ready "$name" || { echo "$name is not ready"; return 1; }
+  done
+  sleep 2.5 # heartbeats, then share-raise-ms
+}
+
+bench_stop_entries() {
+  local name
+  for name in "${ENTRIES[@]}"; do
+    kill_entry "$name"
+  done
+}
+
+# Ends the platform and the workers, so that another deployment can start.
+cleanup_workers() {
+  local name
+  for name in "${!PID[@]}"; do
+    kill_entry "$name"
+  done
+}
+
+# busy_share FILE...: part of the slots that ran tasks of complete jobs, from
+# 1 s after the start of the run to its end. Arguments: the history, then the
+# workers' logs from the run on.
+busy_share() {
+  awk -v length_us="$((SECONDS_RUN * 1000000))" -v slots="$SLOTS_ALL" '
+    FNR == 1 { file++ }
+    file == 1 { if ($3 == "complete") good[$1 "." $2] = 1; next }
+    $3 != "start" && $3 != "end" { next }
+    { job = $6; sub(/\.[0-9]*$/, "", job)
+      if (first == "" || $1 < first) first = $1 }
+    $3 == "start" { at[$6] = $1; next }
+    ($6 in at) && (job in good) { from[++n] = at[$6]; to[n] = $1 }
+    END {
+      a = first + 1000000; b = first + length_us
+      for (i = 1; i <= n; i++) {
+        x = from[i] > a ? from[i] : a; y = to[i] < b ? to[i] : b
+        if (y > x) sum += y - x
+      }
+      printf "%.3f", sum / (b - a) / slots
+    }' "$@"
+}
+
+# bench_run NAME MIX LOAD ARG...: one run; its report is OUT/NAME.json. Adds
+# the share of slots that did useful work to the report as goodput_share.
+bench_run() {
+  local name=$1 mix=$2 load=$3 i logs=() share
+  shift 3
+  : >"$DIR/$name.history"
+  [ "$mix" = demo ] && mix=all
+  for i in "${!DOMAINS[@]}"; do
+    : >"$DIR/starts-$((i + 1)).log"
+    logs+=("$DIR/starts-$((i + 1)).log")
+  done
+  "$BIN/papayaload" run --entry "$(entry_list)" --mix "$mix" --seed "$SEED" \
+    --load "$load" --slots "$SLOTS_ALL" --seconds "$SECONDS_RUN" \
+    --scale "$SCALE" --threads 1500 --history "$DIR/$name.history" \
+    --out "$OUT/$name.json" ${LOAD_ARGS:-} "$@" >"$OUT/$name.log" || {
+    echo "$name: papayaload failed"
+    tail -n 3 "$OUT/$name.log"
+  }
+  share=$(busy_share "$DIR/$name.history" "${logs[@]}")
+  jq --argjson s "${share:-0}" --argjson m "$(max_running)" \
+    --argjson c "$(max_connections)" \
+    '.goodput_share = $s | .max_running = $m | .max_connections = $c' \
+    "$OUT/$name.json" >"$OUT/$name.tmp" && mv "$OUT/$name.tmp" "$OUT/$name.json"
+}
+
+# Largest value of a statistic of any worker.
+worker_max() {
+  local i w
+  for i in "${!DOMAINS[@]}"; do
+    for w in $(seq 1 "$WORKERS"); do
+      curl -sf -m 2 "http://$NET.$((i + 1)).$w:9000/standin/stats"
+      echo
+    done
+  done | jq -s "map(.$1) | max"
+}
+max_running() { worker_max max_running; }
+max_connections() { worker_max max_connections; }
+
+# bench_targets REPORT LOAD: each target of section 1.2 of docs/design.md with
+# the measured value and the gap to it.
+bench_targets() {
+  jq -r --arg f "$(basename "$1" .json)" --argjson load "$2" '
+    def row($what; $value; $most):
+      "\($f)\t\($what)\t\($value * 10000 | round / 10000)\ttarget <= \($most)\t" +
+      (if $value <= $most then "met" else
+        "NOT met, gap \(($value - $most) * 10000 | round / 10000)" end);
+    .total as $t |
+    (if $load <= 1 then
+      row("mean/ideal, fitting jobs (\($t.fit_jobs))"; $t.fit_mean; 1.10),
+      row("p99/ideal, fitting jobs"; $t.fit_p99; 2),
+      row("jobs not complete"; $t.jobs - $t.complete; 0)
+    else
+      row("lost goodput, share of the slots"; 1 - .goodput_share; 0.05),
+      row("ms to a refusal, p99"; $t.refusal_ms_p99; 50),
+      row("jobs failed or unknown"; $t.failed + $t.unknown + $t.no_answer; 0),
+      (.teams[] | row("\(.name): least share of its work lost";
+        (if .offered_slot_s > 0 then 1 - .goodput_slot_s / .offered_slot_s
+         else 0 end); 0.95))
+    end),
+    row("wasted messages a start"; .messages.wasted_per_start; 0.01),
+    row("tasks at once on a worker"; .max_running; 8),
+    row("connections to a worker"; .max_connections; 60)' "$1"
+}
