Keep requests for slots open at the lender; recall lent slots

Cause: a lender answered a request once. If it had nothing to spare, the borrower asked again after pauses of up to 2 s, with free slots at the peer in between; and it went on using lent slots for its own queue while the lender had queued tasks. Change: a request stays open for 1 s and is served when slots become free, at most one grant in 5 ms. A request by the lender ends the use of its lent slots. A grant that finds no queued task counts as wasted.

--- a/cmd/papayaload/spread.c
+++ b/cmd/papayaload/spread.c
@@ -115,7 +115,7 @@
   unsigned slots = (unsigned)opts->slots / MAX (opts->n_domains, 1);
   if (slots == 0)
     return;
-  g_autofree int64_t *ends = g_new0 (int64_t, (gsize)slots * opts->n_domains);
+  int64_t *ends = g_new0 (int64_t, (gsize)slots * opts->n_domains);
   for (unsigned i = 0; i < n; i++)
     {
       struct load_job *job = &jobs[i];
@@ -126,4 +126,5 @@
       job->fits = idle >= job->n_tasks;
       occupy (job, own, slots);
     }
+  g_free (ends);
 }
--- a/lib/disp/lend.c
+++ b/lib/disp/lend.c
@@ -22,12 +22,40 @@
   return copy;
 }
 
-/* Asks peers for slots for the tasks that found none.  */
+/* Grants free slots for the open requests of peers.  */
+static void
+serve (struct disp *disp)
+{
+  struct disp_peer_ops *peers = disp->opts.peers;
+  GArray *lots;
+  claim_id to = slot_serve (disp->slots, &lots);
+  while (to != 0)
+    {
+      unsigned granted = 0;
+      for (unsigned i = 0; i < lots->len; i++)
+        granted += g_array_index (lots, struct slot_lot, i).count;
+      pl_count (PL_CTR_SLOTS_LENT_TOTAL, granted);
+      pl_log (PL_EV_LEND, "peer=%016llx granted=%u", (unsigned long long)to,
+              granted);
+      g_autofree struct disp_lot *copy = copy_out (lots);
+      peers->grant (peers, to, copy, lots->len);
+      g_array_unref (lots);
+      to = slot_serve (disp->slots, &lots);
+    }
+}
+
+/* Asks peers for slots for the tasks that found none.  Own queued tasks come
+   before the requests of peers.  */
 void
 disp_lend_turn (struct disp *disp)
 {
   unsigned wanted = sched_runnable (disp->sched);
-  if (wanted == 0 || slot_free_all (disp->slots) > 0)
+  if (wanted == 0)
+    {
+      serve (disp);
+      return;
+    }
+  if (slot_free_all (disp->slots) > 0)
     return;
   g_autoptr (GArray) asks = slot_ask (disp->slots, wanted);
   struct disp_peer_ops *peers = disp->opts.peers;
@@ -58,18 +86,8 @@
 static void
 borrow (struct disp *disp, struct disp_msg *msg)
 {
-  struct disp_peer_ops *peers = disp->opts.peers;
-  /* Own queued tasks come first.  */
-  unsigned wanted = sched_runnable (disp->sched) > 0 ? 0 : msg->n;
-  g_autoptr (GArray) lots = slot_lend (disp->slots, msg->peer, wanted);
-  unsigned granted = 0;
-  for (unsigned i = 0; i < lots->len; i++)
-    granted += g_array_index (lots, struct slot_lot, i).count;
-  pl_count (PL_CTR_SLOTS_LENT_TOTAL, granted);
-  pl_log (PL_EV_LEND, "peer=%016llx granted=%u", (unsigned long long)msg->peer,
-          granted);
-  g_autofree struct disp_lot *copy = copy_out (lots);
-  peers->grant (peers, msg->peer, copy, lots->len);
+  /* Answered by SERVE, now or when slots become free.  */
+  slot_want (disp->slots, msg->peer, msg->n);
 }
 
 static void
@@ -86,7 +104,8 @@
       peers->give_back (peers, msg->peer, copy, refused->len);
     }
   pl_count (PL_CTR_SLOTS_BORROWED_TOTAL, taken);
-  if (taken == 0)
+  /* A grant that comes when nothing is queued any more is of no use.  */
+  if (taken == 0 || sched_runnable (disp->sched) == 0)
     pl_count (PL_CTR_WASTED_MESSAGES_TOTAL, 1);
   pl_log (PL_EV_BORROW, "peer=%016llx wanted=%u granted=%u",
           (unsigned long long)msg->peer, sched_runnable (disp->sched), taken);
--- a/lib/disp/tick.c
+++ b/lib/disp/tick.c
@@ -167,6 +167,8 @@
 {
   int64_t now = disp_now (disp);
   bool busy = disp->unfinished > 0;
+  if (!busy && slot_wanted (disp->slots))
+    return DISP_TICK_US;
   int64_t until = busy ? MAX (disp->tick_us, now) : now + IDLE_WAIT_US;
   GSequenceIter *it = g_sequence_get_begin_iter (disp->timers);
   if (!g_sequence_iter_is_end (it))
--- a/lib/slot/lend.c
+++ b/lib/slot/lend.c
@@ -1,6 +1,11 @@
 #include "slot_in.h"
 
-#define ANSWER_US 500000     /* a request without answer is given up */
+/* A request stays open for this time, so that the lender grants slots when
+   they become free and nobody has to ask again.  */
+#define OPEN_US 1000000
+/* Time between two grants for one request.  One grant for each slot that
+   becomes free would double the messages of a task.  */
+#define SERVE_US 5000
 #define FIRST_PAUSE_US 50000 /* after a request that moved nothing */
 #define LONGEST_PAUSE_US 2000000
 #define KEPT_PART 8       /* one free slot in so many is not lent */
@@ -97,11 +102,14 @@
 static bool
 may_ask (struct slot_table *table, struct slot_peer *peer, int64_t now)
 {
-  if (peer->asked_us != 0 && now - peer->asked_us >= ANSWER_US)
+  if (peer->asked_us != 0 && now - peer->asked_us >= OPEN_US)
     {
       peer->asked_us = 0;
-      table->lost++;
-      pause_peer (peer, now);
+      if (!peer->moved)
+        {
+          table->lost++;
+          pause_peer (peer, now);
+        }
     }
   return peer->asked_us == 0 && now >= peer->again_us;
 }
@@ -135,11 +143,27 @@
           g_array_set_size (asks, i);
           break;
         }
-      slot_peer (table, ask->id)->asked_us = now;
+      struct slot_peer *peer = slot_peer (table, ask->id);
+      peer->asked_us = now;
+      peer->asked = ask->count;
+      peer->moved = false;
     }
   return asks;
 }
 
+/* N slots have come from PEER.  */
+static void
+answered (struct slot_peer *peer, unsigned n)
+{
+  if (n == 0 || peer->asked_us == 0)
+    return;
+  peer->moved = true;
+  peer->pause_us = 0;
+  peer->asked -= MIN (peer->asked, n);
+  if (peer->asked == 0)
+    peer->asked_us = 0;
+}
+
 static bool
 live (const struct slot_table *table, claim_id id)
 {
@@ -153,8 +177,6 @@
 slot_granted (struct slot_table *table, claim_id id,
               const struct slot_lot *lots, unsigned n, GArray *refused)
 {
-  struct slot_peer *peer = slot_peer (table, id);
-  peer->asked_us = 0;
   unsigned taken = 0;
   /* The slots of a dead peer are shared already.  */
   bool usable = live (table, id);
@@ -173,11 +195,13 @@
       taken += lots[i].count;
       slot_mark_idle (table, worker);
     }
-  if (taken == 0)
-    pause_peer (peer, pl_now_us (table->opts.clock));
-  else
-    peer->pause_us = 0;
-  return taken;
+  struct slot_peer *peer = slot_peer (table, id);
+  answered (peer, taken);
+  if (taken > 0)
+    return taken;
+  peer->asked_us = 0;
+  pause_peer (peer, pl_now_us (table->opts.clock));
+  return 0;
 }
 
 /* Own slots of WORKER that nobody uses.  */
@@ -218,10 +242,82 @@
   return lots;
 }
 
+/* Ends the use of up to N slots of peer ID as their tasks end.  */
+static void
+recall (struct slot_table *table, claim_id id, unsigned n)
+{
+  int64_t now = pl_now_us (table->opts.clock);
+  for (unsigned i = 0; i < table->workers->len && n > 0; i++)
+    {
+      struct slot_worker *worker = slot_at (table, i);
+      for (unsigned h = 0; h < worker->borrowed->len; h++)
+        {
+          struct slot_hold *hold
+              = &g_array_index (worker->borrowed, struct slot_hold, h);
+          if (hold->id != id)
+            continue;
+          hold->until_us = MIN (hold->until_us, now);
+          n -= MIN (n, hold->count);
+        }
+      slot_mark_expired (table, worker);
+    }
+}
+
+void
+slot_want (struct slot_table *table, claim_id id, unsigned n)
+{
+  struct slot_peer *peer = slot_peer (table, id);
+  peer->wants = n;
+  peer->wants_until_us = pl_now_us (table->opts.clock) + OPEN_US;
+  recall (table, id, n);
+}
+
+bool
+slot_wanted (const struct slot_table *table)
+{
+  int64_t now = pl_now_us (table->opts.clock);
+  for (unsigned i = 0; i < table->peers->len; i++)
+    {
+      const struct slot_peer *peer
+          = &g_array_index (table->peers, struct slot_peer, i);
+      if (peer->wants > 0 && now < peer->wants_until_us)
+        return true;
+    }
+  return false;
+}
+
+claim_id
+slot_serve (struct slot_table *table, GArray **lots)
+{
+  int64_t now = pl_now_us (table->opts.clock);
+  *lots = NULL;
+  for (unsigned i = 0; i < table->peers->len; i++)
+    {
+      struct slot_peer *peer
+          = &g_array_index (table->peers, struct slot_peer, i);
+      bool due = peer->served_us == 0 || now - peer->served_us >= SERVE_US;
+      if (peer->wants == 0 || now >= peer->wants_until_us || !due)
+        continue;
+      GArray *found = slot_lend (table, peer->id, peer->wants);
+      if (found->len == 0)
+        {
+          g_array_unref (found);
+          continue;
+        }
+      for (unsigned k = 0; k < found->len; k++)
+        peer->wants -= g_array_index (found, struct slot_lot, k).count;
+      peer->served_us = now;
+      *lots = found;
+      return peer->id;
+    }
+  return 0;
+}
+
 void
 slot_returned (struct slot_table *table, claim_id id,
                const struct slot_lot *lots, unsigned n)
 {
+  unsigned back = 0;
   for (unsigned i = 0; i < n; i++)
     {
       struct slot_worker *worker = slot_find (table, lots[i].addr);
@@ -230,8 +326,11 @@
       unsigned had = slot_hold_get (worker->lent, id);
       slot_hold_add (worker->lent, &worker->n_lent, id,
                      -(int)MIN (had, lots[i].count));
+      back += MIN (had, lots[i].count);
     }
-  slot_peer (table, id)->lent_us = pl_now_us (table->opts.clock);
+  struct slot_peer *peer = slot_peer (table, id);
+  peer->lent_us = pl_now_us (table->opts.clock);
+  answered (peer, back);
 }
 
 static void
@@ -327,6 +426,7 @@
   struct slot_peer *peer = slot_peer (table, id);
   peer->asked_us = 0;
   peer->again_us = 0;
+  peer->wants = 0;
 }
 
 unsigned
--- a/lib/slot/slot.h
+++ b/lib/slot/slot.h
@@ -144,6 +144,13 @@
                        GArray *refused);
 /* Lends PEER up to WANTED free own slots.  */
 GArray *slot_lend (struct slot_table *table, claim_id peer, unsigned wanted);
+/* PEER asks for N slots.  The request stays open until it is served in full
+   or lapses.  Slots of PEER's that are held here take no new task.  */
+void slot_want (struct slot_table *table, claim_id peer, unsigned n);
+/* Whether a peer's request is open.  */
+bool slot_wanted (const struct slot_table *table);
+/* A peer whose open request can be served now, with LOTS for it, or 0.  */
+claim_id slot_serve (struct slot_table *table, GArray **lots);
 /* PEER returns slots.  */
 void slot_returned (struct slot_table *table, claim_id peer,
                     const struct slot_lot *lots, unsigned n);
--- a/lib/slot/slot_in.h
+++ b/lib/slot/slot_in.h
@@ -8,10 +8,15 @@
 {
   claim_id id;
   int64_t asked_us; /* time of the open request; 0: none is open */
+  unsigned asked;   /* slots it still asks for */
+  bool moved;       /* it has brought slots */
   int64_t again_us; /* no request before this time */
   int64_t pause_us; /* length of the latest pause */
   int64_t lent_us;  /* time of the latest grant or return */
-  unsigned excess;  /* reports in a row that it holds less than recorded */
+  unsigned wants;   /* slots that the peer's open request asks for */
+  int64_t wants_until_us;
+  int64_t served_us; /* time of the latest grant for it */
+  unsigned excess;   /* reports in a row that it holds less than recorded */
 };
 
 struct slot_table
