Halve what a borrower still wants, end requests with useless grants

Cause: most wasted messages were grants for a request that the borrower's own slots had served in the meantime. Change: what the first grant can't serve is halved on both sides, a useless grant goes back at once and ends the request, a request lapses after 300 ms and may be repeated at once if it moved slots.

--- a/lib/disp/lend.c
+++ b/lib/disp/lend.c
@@ -51,11 +51,9 @@
 {
   unsigned wanted = sched_runnable (disp->sched);
   if (wanted == 0)
-    {
-      serve (disp);
-      return;
-    }
-  if (slot_free_all (disp->slots) > 0)
+    serve (disp);
+  slot_wants_wait (disp->slots);
+  if (wanted == 0 || slot_free_all (disp->slots) > 0)
     return;
   g_autoptr (GArray) asks = slot_ask (disp->slots, wanted);
   struct disp_peer_ops *peers = disp->opts.peers;
@@ -96,17 +94,25 @@
   struct disp_peer_ops *peers = disp->opts.peers;
   g_autoptr (GArray) refused
       = g_array_new (FALSE, FALSE, sizeof (struct slot_lot));
-  unsigned taken
-      = slot_granted (disp->slots, msg->peer, msg->lots, msg->n, refused);
+  /* A grant that comes when nothing is queued any more goes back at once,
+     which also ends the request.  */
+  bool useful = sched_runnable (disp->sched) > 0;
+  unsigned taken = 0;
+  if (useful)
+    taken = slot_granted (disp->slots, msg->peer, msg->lots, msg->n, refused);
+  else
+    {
+      slot_ask_over (disp->slots, msg->peer);
+      g_array_append_vals (refused, msg->lots, msg->n);
+    }
   if (refused->len > 0)
     {
       g_autofree struct disp_lot *copy = copy_out (refused);
       peers->give_back (peers, msg->peer, copy, refused->len);
     }
   pl_count (PL_CTR_SLOTS_BORROWED_TOTAL, taken);
-  /* A grant that comes when nothing is queued any more is of no use.  */
-  if (taken == 0 || sched_runnable (disp->sched) == 0)
-    pl_count (PL_CTR_WASTED_MESSAGES_TOTAL, 1);
+  if (taken == 0 || !useful)
+    pl_count (PL_CTR_WASTED_MESSAGES_TOTAL, 1 + (refused->len > 0));
   pl_log (PL_EV_BORROW, "peer=%016llx wanted=%u granted=%u",
           (unsigned long long)msg->peer, sched_runnable (disp->sched), taken);
 }
--- a/lib/slot/lend.c
+++ b/lib/slot/lend.c
@@ -2,10 +2,13 @@
 
 /* A request stays open for this time, so that the lender grants slots when
    they become free and nobody has to ask again.  */
-#define OPEN_US 1000000
+#define OPEN_US 300000
 /* Time between two grants for one request.  One grant for each slot that
    becomes free would double the messages of a task.  */
 #define SERVE_US 5000
+/* Of what a first grant can't serve, the borrower's own slots take a part
+   before slots become free here.  */
+#define LATER_PART 2
 #define FIRST_PAUSE_US 50000 /* after a request that moved nothing */
 #define LONGEST_PAUSE_US 2000000
 #define KEPT_PART 8       /* one free slot in so many is not lent */
@@ -151,15 +154,20 @@
   return asks;
 }
 
-/* N slots have come from PEER.  */
+/* N slots have come from PEER, which reduces the rest as SLOT_SERVE does.  */
 static void
-answered (struct slot_peer *peer, unsigned n)
+answered (struct slot_peer *peer, unsigned n, int64_t now)
 {
   if (n == 0 || peer->asked_us == 0)
     return;
+  bool late = now - peer->asked_us > SERVE_US;
+  if (!peer->moved && late)
+    peer->asked /= LATER_PART;
+  peer->asked -= MIN (peer->asked, n);
+  if (!peer->moved && !late)
+    peer->asked /= LATER_PART;
   peer->moved = true;
   peer->pause_us = 0;
-  peer->asked -= MIN (peer->asked, n);
   if (peer->asked == 0)
     peer->asked_us = 0;
 }
@@ -196,7 +204,7 @@
       slot_mark_idle (table, worker);
     }
   struct slot_peer *peer = slot_peer (table, id);
-  answered (peer, taken);
+  answered (peer, taken, pl_now_us (table->opts.clock));
   if (taken > 0)
     return taken;
   peer->asked_us = 0;
@@ -268,6 +276,7 @@
 {
   struct slot_peer *peer = slot_peer (table, id);
   peer->wants = n;
+  peer->fresh = true;
   peer->wants_until_us = pl_now_us (table->opts.clock) + OPEN_US;
   recall (table, id, n);
 }
@@ -286,6 +295,25 @@
   return false;
 }
 
+void
+slot_ask_over (struct slot_table *table, claim_id id)
+{
+  slot_peer (table, id)->asked_us = 0;
+}
+
+void
+slot_wants_wait (struct slot_table *table)
+{
+  for (unsigned i = 0; i < table->peers->len; i++)
+    {
+      struct slot_peer *peer
+          = &g_array_index (table->peers, struct slot_peer, i);
+      if (peer->fresh)
+        peer->wants /= LATER_PART;
+      peer->fresh = false;
+    }
+}
+
 claim_id
 slot_serve (struct slot_table *table, GArray **lots)
 {
@@ -330,7 +358,10 @@
     }
   struct slot_peer *peer = slot_peer (table, id);
   peer->lent_us = pl_now_us (table->opts.clock);
-  answered (peer, back);
+  /* A peer that returns slots unasked has no use for more.  */
+  if (peer->asked_us == 0)
+    peer->wants = 0;
+  answered (peer, back, peer->lent_us);
 }
 
 static void
--- a/lib/slot/slot.h
+++ b/lib/slot/slot.h
@@ -149,6 +149,10 @@
 void slot_want (struct slot_table *table, claim_id peer, unsigned n);
 /* Whether a peer's request is open.  */
 bool slot_wanted (const struct slot_table *table);
+/* The open requests that were not served yet have to wait for slots.  */
+void slot_wants_wait (struct slot_table *table);
+/* The own request to PEER is of no use any more.  */
+void slot_ask_over (struct slot_table *table, claim_id peer);
 /* A peer whose open request can be served now, with LOTS for it, or 0.  */
 claim_id slot_serve (struct slot_table *table, GArray **lots);
 /* PEER returns slots.  */
--- a/lib/slot/slot_in.h
+++ b/lib/slot/slot_in.h
@@ -15,6 +15,7 @@
   int64_t lent_us;  /* time of the latest grant or return */
   unsigned wants;   /* slots that the peer's open request asks for */
   int64_t wants_until_us;
+  bool fresh;        /* nothing was granted for it yet */
   int64_t served_us; /* time of the latest grant for it */
   unsigned excess;   /* reports in a row that it holds less than recorded */
 };
