--- a/lib/sched/admit.c
+++ b/lib/sched/admit.c
@@ -1,7 +1,10 @@
 #include "sched_in.h"
 
 #define LEAST_RETRY_MS 20 /* below this a caller would only poll */
-#define RETRY_BURST_S 2   /* seconds of the least rate that may be saved up */
+/* A job may wait for longer by so many times its own ideal time.  With a bound
+   for all, two of the largest jobs at half load had a third one refused.  */
+#define WAIT_SPANS 2
+#define RETRY_BURST_S 2 /* seconds of the least rate that may be saved up */
 
 /* Expected wait of a new job: the work ahead over the slots.  A team with a
    small queue waits only for its own share.  */
@@ -54,7 +57,7 @@
     return PL_QUOTA;
   if (now + wait + (sized ? span : 0) > deadline_us)
     return PL_DEADLINE_LOST;
-  if (wait > sched->opts.max_wait_us)
+  if (wait > sched->opts.max_wait_us + WAIT_SPANS * span)
     return PL_OVERLOADED;
   *retry_after_ms = 0;
   return PL_OK;
