--- a/lib/disp/lend.c
+++ b/lib/disp/lend.c
@@ -22,11 +22,37 @@
   return copy;
 }
 
-/* Asks peers for slots for the tasks that found none.  */
+/* Grants free slots for the open requests of peers.  */
+static void
+serve (struct disp *disp)
+{
+  struct disp_peer_ops *peers = disp->opts.peers;
+  GArray *lots;
+  claim_id to = slot_serve (disp->slots, &lots);
+  while (to != 0)
+    {
+      unsigned granted = 0;
+      for (unsigned i = 0; i < lots->len; i++)
+        granted += g_array_index (lots, struct slot_lot, i).count;
+      pl_count (PL_CTR_SLOTS_LENT_TOTAL, granted);
+      pl_log (PL_EV_LEND, "peer=%016llx granted=%u", (unsigned long long)to,
+              granted);
+      g_autofree struct disp_lot *copy = copy_out (lots);
+      peers->grant (peers, to, copy, lots->len);
+      g_array_unref (lots);
+      to = slot_serve (disp->slots, &lots);
+    }
+}
+
+/* Asks peers for slots for the tasks that found none.  Own queued tasks come
+   before the requests of peers.  */
 void
 disp_lend_turn (struct disp *disp)
 {
   unsigned wanted = sched_runnable (disp->sched);
+  if (wanted == 0)
+    serve (disp);
+  slot_wants_wait (disp->slots);
   if (wanted == 0 || slot_free_all (disp->slots) > 0)
     return;
   g_autoptr (GArray) asks = slot_ask (disp->slots, wanted);
@@ -58,18 +84,8 @@
 static void
 borrow (struct disp *disp, struct disp_msg *msg)
 {
-  struct disp_peer_ops *peers = disp->opts.peers;
-  /* Own queued tasks come first.  */
-  unsigned wanted = sched_runnable (disp->sched) > 0 ? 0 : msg->n;
-  g_autoptr (GArray) lots = slot_lend (disp->slots, msg->peer, wanted);
-  unsigned granted = 0;
-  for (unsigned i = 0; i < lots->len; i++)
-    granted += g_array_index (lots, struct slot_lot, i).count;
-  pl_count (PL_CTR_SLOTS_LENT_TOTAL, granted);
-  pl_log (PL_EV_LEND, "peer=%016llx granted=%u", (unsigned long long)msg->peer,
-          granted);
-  g_autofree struct disp_lot *copy = copy_out (lots);
-  peers->grant (peers, msg->peer, copy, lots->len);
+  /* Answered by SERVE, now or when slots become free.  */
+  slot_want (disp->slots, msg->peer, msg->n);
 }
 
 static void
@@ -78,16 +94,25 @@
   struct disp_peer_ops *peers = disp->opts.peers;
   g_autoptr (GArray) refused
       = g_array_new (FALSE, FALSE, sizeof (struct slot_lot));
-  unsigned taken
-      = slot_granted (disp->slots, msg->peer, msg->lots, msg->n, refused);
+  /* A grant that comes when nothing is queued any more goes back at once,
+     which also ends the request.  */
+  bool useful = sched_runnable (disp->sched) > 0;
+  unsigned taken = 0;
+  if (useful)
+    taken = slot_granted (disp->slots, msg->peer, msg->lots, msg->n, refused);
+  else
+    {
+      slot_ask_over (disp->slots, msg->peer);
+      g_array_append_vals (refused, msg->lots, msg->n);
+    }
   if (refused->len > 0)
     {
       g_autofree struct disp_lot *copy = copy_out (refused);
       peers->give_back (peers, msg->peer, copy, refused->len);
     }
   pl_count (PL_CTR_SLOTS_BORROWED_TOTAL, taken);
-  if (taken == 0)
-    pl_count (PL_CTR_WASTED_MESSAGES_TOTAL, 1);
+  if (taken == 0 || !useful)
+    pl_count (PL_CTR_WASTED_MESSAGES_TOTAL, 1 + (refused->len > 0));
   pl_log (PL_EV_BORROW, "peer=%016llx wanted=%u granted=%u",
           (unsigned long long)msg->peer, sched_runnable (disp->sched), taken);
 }
