Reach other failure domains through relays and digests

Every pair of instances exchanged heartbeats: at 25 domains of 8 instances each sent about 110 messages a second. Now the two lowest live incarnations of a domain send its digest (ids, addresses, ages, epochs, heirs) to the two of each other domain and pass those of other domains on to their own. Both rates are bounded, so that the bytes don't grow with the number of domains; the silence that leads to suspicion across domains grows instead. A change is passed on at once, and an instance that its own domain's digest lacks is suspected without waiting. Other pairs are linked only while something is sent between them.

--- a/lib/memb/memb.h
+++ b/lib/memb/memb.h
@@ -91,6 +91,18 @@
   void *user;
 };
 
+/* Instances of a domain that exchange digests with other domains.  */
+#define MEMB_RELAYS 2
+
+/* One instance in a digest of its domain.  */
+struct memb_member
+{
+  claim_id id;
+  struct pl_addr control;
+  int64_t age_us; /* since the last sign of life */
+  int64_t epoch;
+};
+
 #define MEMB_MAX_PEERS 1024
 #define MEMB_MAX_HEIRS 64
 
@@ -101,6 +113,20 @@
    incarnation at the same address counts as left.  */
 bool memb_heard (struct memb_table *table, const struct memb_peer *said);
 void memb_left (struct memb_table *table, claim_id id);
+/* A digest of the live instances of another DOMAIN.  An instance that is not
+   in it counts as suspect after the suspicion time of heartbeats.  */
+void memb_digest (struct memb_table *table, const char *domain,
+                  const struct memb_member *members, unsigned n);
+/* Writes the live instances of DOMAIN, self included, to OUT, at most MAX, and
+   returns their number.  */
+unsigned memb_members (const struct memb_table *table, const char *domain,
+                       struct memb_member *out, unsigned max);
+/* The live instances of DOMAIN with the lowest ids, self included.  */
+unsigned memb_relays (const struct memb_table *table, const char *domain,
+                      claim_id out[MEMB_RELAYS]);
+/* Silence after which an instance that is known by digests is suspected, if it
+   is longer than that for heartbeats.  */
+void memb_set_digest_silence (struct memb_table *table, int64_t silence_us);
 /* OWNER has stopped and HEIR vouches for it.  */
 void memb_add_heir (struct memb_table *table, claim_id owner, claim_id heir);
 /* Writes the owners that HEIR vouches for to OUT, MEMB_MAX_HEIRS at most, and
--- a/lib/memb/table.c
+++ b/lib/memb/table.c
@@ -33,8 +33,8 @@
   return g_ptr_array_index (table->peers, index);
 }
 
-static struct memb_entry *
-find (const struct memb_table *table, claim_id id)
+struct memb_entry *
+memb_entry_find (const struct memb_table *table, claim_id id)
 {
   for (unsigned i = 0; i < table->peers->len; i++)
     if (memb_entry_at (table, i)->peer.id == id)
@@ -42,9 +42,9 @@
   return NULL;
 }
 
-static void
-change (struct memb_table *table, struct memb_entry *entry,
-        enum memb_state state, enum memb_change what)
+void
+memb_change (struct memb_table *table, struct memb_entry *entry,
+             enum memb_state state, enum memb_change what)
 {
   entry->peer.state = state;
   table->dirty = true;
@@ -58,7 +58,7 @@
 leave (struct memb_table *table, struct memb_entry *entry)
 {
   if (entry->peer.state != MEMB_LEFT)
-    change (table, entry, MEMB_LEFT, MEMB_CHANGE_LEFT);
+    memb_change (table, entry, MEMB_LEFT, MEMB_CHANGE_LEFT);
 }
 
 static void
@@ -84,7 +84,7 @@
 bool
 memb_heard (struct memb_table *table, const struct memb_peer *said)
 {
-  struct memb_entry *entry = find (table, said->id);
+  struct memb_entry *entry = memb_entry_find (table, said->id);
   if (said->id == table->self.id
       || pl_addr_eq (said->control, table->self.control))
     return false;
@@ -104,21 +104,22 @@
   entry->peer = *said;
   entry->peer.state = MEMB_ALIVE;
   entry->heard_us = pl_now_us (table->opts.clock);
+  entry->digested = false;
   if (up)
-    change (table, entry, MEMB_ALIVE, MEMB_CHANGE_UP);
+    memb_change (table, entry, MEMB_ALIVE, MEMB_CHANGE_UP);
   return true;
 }
 
 void
 memb_left (struct memb_table *table, claim_id id)
 {
-  struct memb_entry *entry = find (table, id);
+  struct memb_entry *entry = memb_entry_find (table, id);
   if (entry != NULL)
     leave (table, entry);
 }
 
-static bool
-near (const struct memb_table *table, const struct memb_peer *peer)
+bool
+memb_near (const struct memb_table *table, const struct memb_peer *peer)
 {
   return strcmp (peer->domain, table->self.domain) == 0;
 }
@@ -129,23 +130,32 @@
 {
   const struct memb_opts *opts = &table->opts;
   int64_t silence = now - entry->heard_us;
-  int64_t factor = near (table, &entry->peer) ? 1 : opts->far_factor;
-  if (silence >= opts->forget_us)
+  int64_t factor = memb_near (table, &entry->peer) ? 1 : opts->far_factor;
+  int64_t suspect_us = opts->suspect_us * factor;
+  int64_t dead_us = opts->dead_us * factor;
+  int64_t forget_us = opts->forget_us;
+  if (factor > 1 && entry->peer.state == MEMB_ALIVE)
+    {
+      suspect_us = MAX (suspect_us, table->digest_silence_us);
+      forget_us = MAX (forget_us, 2 * table->digest_silence_us);
+    }
+  if (silence >= forget_us)
     {
-      change (table, entry, entry->peer.state, MEMB_CHANGE_FORGOT);
+      memb_change (table, entry, entry->peer.state, MEMB_CHANGE_FORGOT);
       return true;
     }
-  if (entry->peer.state == MEMB_ALIVE && silence >= opts->suspect_us * factor)
-    change (table, entry, MEMB_SUSPECT, MEMB_CHANGE_SUSPECT);
-  if (entry->peer.state == MEMB_SUSPECT && silence >= opts->dead_us * factor)
-    change (table, entry, MEMB_DEAD, MEMB_CHANGE_DEAD);
+  if (entry->peer.state == MEMB_ALIVE && silence >= suspect_us)
+    memb_change (table, entry, MEMB_SUSPECT, MEMB_CHANGE_SUSPECT);
+  if (entry->peer.state == MEMB_SUSPECT && silence >= dead_us)
+    memb_change (table, entry, MEMB_DEAD, MEMB_CHANGE_DEAD);
   return false;
 }
 
 static bool
 can_witness (const struct memb_table *table, const struct memb_peer *peer)
 {
-  return peer->state == MEMB_ALIVE && !peer->draining && near (table, peer);
+  return peer->state == MEMB_ALIVE && !peer->draining
+         && memb_near (table, peer);
 }
 
 static uint64_t
@@ -166,7 +176,7 @@
       const struct memb_peer *peer = &memb_entry_at (table, i)->peer;
       if (peer->state != MEMB_ALIVE || peer->draining)
         continue;
-      if (near_only && !near (table, peer))
+      if (near_only && !memb_near (table, peer))
         continue;
       if (best == NULL
           || rank_of (table, peer->id) > rank_of (table, best->id))
@@ -180,7 +190,8 @@
 static void
 choose_witness (struct memb_table *table)
 {
-  const struct memb_entry *current = find (table, table->self.witness);
+  const struct memb_entry *current
+      = memb_entry_find (table, table->self.witness);
   if (current != NULL && can_witness (table, &current->peer))
     return;
   const struct memb_peer *best = best_peer (table, true);
@@ -195,7 +206,8 @@
 const struct memb_peer *
 memb_choose_heir (const struct memb_table *table)
 {
-  const struct memb_entry *current = find (table, table->self.witness);
+  const struct memb_entry *current
+      = memb_entry_find (table, table->self.witness);
   if (current != NULL && can_witness (table, &current->peer))
     return &current->peer;
   const struct memb_peer *best = best_peer (table, true);
@@ -247,7 +259,7 @@
 const struct memb_peer *
 memb_table_find (const struct memb_table *table, claim_id id)
 {
-  const struct memb_entry *entry = find (table, id);
+  const struct memb_entry *entry = memb_entry_find (table, id);
   return entry == NULL ? NULL : &entry->peer;
 }
 
--- a/lib/msg/check.c
+++ b/lib/msg/check.c
@@ -10,15 +10,37 @@
 #define MAX_CODE 999
 
 static bool
-heartbeat_ok (const Msg__Heartbeat *m)
+domain_ok (const char *domain)
 {
-  size_t domain = strlen (m->domain);
-  if (domain == 0 || domain > MAX_DOMAIN)
+  size_t len = strlen (domain);
+  if (len == 0 || len > MAX_DOMAIN)
     return false;
-  for (size_t i = 0; i < domain; i++)
-    if (!g_ascii_isalnum (m->domain[i]) && m->domain[i] != '-'
-        && m->domain[i] != '_')
+  for (size_t i = 0; i < len; i++)
+    if (!g_ascii_isalnum (domain[i]) && domain[i] != '-' && domain[i] != '_')
       return false;
+  return true;
+}
+
+static bool
+digest_ok (const Msg__Digest *m)
+{
+  if (!domain_ok (m->domain) || m->revision < 0 || m->n_id > MSG_MEMBERS)
+    return false;
+  if (m->n_ip != m->n_id || m->n_port != m->n_id || m->n_age_ms != m->n_id
+      || m->n_epoch != m->n_id)
+    return false;
+  for (size_t i = 0; i < m->n_id; i++)
+    if (m->id[i] == 0 || m->ip[i] == 0 || m->port[i] == 0
+        || m->port[i] >= MAX_PORT || m->epoch[i] < 0)
+      return false;
+  return m->n_owner <= MSG_HEIRS && m->n_heir == m->n_owner;
+}
+
+static bool
+heartbeat_ok (const Msg__Heartbeat *m)
+{
+  if (!domain_ok (m->domain))
+    return false;
   if (m->ip == 0 || m->port == 0 || m->port >= MAX_PORT)
     return false;
   if (m->epoch < 0 || m->revision < 0)
@@ -110,6 +132,8 @@
     {
     case MSG__ENVELOPE__BODY_HEARTBEAT:
       return heartbeat_ok (e->heartbeat);
+    case MSG__ENVELOPE__BODY_DIGEST:
+      return digest_ok (e->digest);
     case MSG__ENVELOPE__BODY_LEAVE:
     case MSG__ENVELOPE__BODY_HAND_OVER_ACK:
       return true;
--- a/lib/msg/msg.h
+++ b/lib/msg/msg.h
@@ -15,6 +15,7 @@
 #define MSG_LOTS 512            /* workers in one lending message */
 #define MSG_KNOWN 8             /* addresses in one heartbeat */
 #define MSG_HEIRS 64
+#define MSG_MEMBERS 64 /* instances in one digest */
 
 enum msg_channel
 {
--- a/lib/msg/peer.pb-c.c
+++ b/lib/msg/peer.pb-c.c
@@ -637,6 +637,51 @@
   assert(message->base.descriptor == &msg__heir__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   msg__digest__init
+                     (Msg__Digest         *message)
+{
+  static const Msg__Digest init_value = MSG__DIGEST__INIT;
+  *message = init_value;
+}
+size_t msg__digest__get_packed_size
+                     (const Msg__Digest *message)
+{
+  assert(message->base.descriptor == &msg__digest__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t msg__digest__pack
+                     (const Msg__Digest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &msg__digest__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t msg__digest__pack_to_buffer
+                     (const Msg__Digest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &msg__digest__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Msg__Digest *
+       msg__digest__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Msg__Digest *)
+     protobuf_c_message_unpack (&msg__digest__descriptor,
+                                allocator, len, data);
+}
+void   msg__digest__free_unpacked
+                     (Msg__Digest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &msg__digest__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   msg__forward__init
                      (Msg__Forward         *message)
 {
@@ -1791,6 +1836,148 @@
   (ProtobufCMessageInit) msg__heir__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor msg__digest__field_descriptors[9] =
+{
+  {
+    "domain",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Msg__Digest, domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Msg__Digest, n_id),
+    offsetof(Msg__Digest, id),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ip",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Msg__Digest, n_ip),
+    offsetof(Msg__Digest, ip),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "port",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Msg__Digest, n_port),
+    offsetof(Msg__Digest, port),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    5,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Msg__Digest, n_age_ms),
+    offsetof(Msg__Digest, age_ms),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "epoch",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Msg__Digest, n_epoch),
+    offsetof(Msg__Digest, epoch),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Msg__Digest, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "owner",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Msg__Digest, n_owner),
+    offsetof(Msg__Digest, owner),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heir",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Msg__Digest, n_heir),
+    offsetof(Msg__Digest, heir),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned msg__digest__field_indices_by_name[] = {
+  4,   /* field[4] = age_ms */
+  0,   /* field[0] = domain */
+  5,   /* field[5] = epoch */
+  8,   /* field[8] = heir */
+  1,   /* field[1] = id */
+  2,   /* field[2] = ip */
+  7,   /* field[7] = owner */
+  3,   /* field[3] = port */
+  6,   /* field[6] = revision */
+};
+static const ProtobufCIntRange msg__digest__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 9 }
+};
+const ProtobufCMessageDescriptor msg__digest__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "msg.Digest",
+  "Digest",
+  "Msg__Digest",
+  "msg",
+  sizeof(Msg__Digest),
+  9,
+  msg__digest__field_descriptors,
+  msg__digest__field_indices_by_name,
+  1,  msg__digest__number_ranges,
+  (ProtobufCMessageInit) msg__digest__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor msg__forward__field_descriptors[5] =
 {
   {
@@ -1958,7 +2145,7 @@
   (ProtobufCMessageInit) msg__forward_reply__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor msg__envelope__field_descriptors[19] =
+static const ProtobufCFieldDescriptor msg__envelope__field_descriptors[20] =
 {
   {
     "version",
@@ -2164,6 +2351,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "digest",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Msg__Envelope, body_case),
+    offsetof(Msg__Envelope, digest),
+    &msg__digest__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "forward",
     30,
@@ -2191,8 +2390,9 @@
 };
 static const unsigned msg__envelope__field_indices_by_name[] = {
   11,   /* field[11] = borrow */
-  17,   /* field[17] = forward */
-  18,   /* field[18] = forward_reply */
+  17,   /* field[17] = digest */
+  18,   /* field[18] = forward */
+  19,   /* field[19] = forward_reply */
   1,   /* field[1] = from */
   13,   /* field[13] = give_back */
   12,   /* field[12] = grant */
@@ -2214,8 +2414,8 @@
 {
   { 1, 0 },
   { 10, 3 },
-  { 30, 17 },
-  { 0, 19 }
+  { 30, 18 },
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor msg__envelope__descriptor =
 {
@@ -2225,7 +2425,7 @@
   "Msg__Envelope",
   "msg",
   sizeof(Msg__Envelope),
-  19,
+  20,
   msg__envelope__field_descriptors,
   msg__envelope__field_indices_by_name,
   3,  msg__envelope__number_ranges,
--- a/lib/msg/peer.pb-c.h
+++ b/lib/msg/peer.pb-c.h
@@ -29,6 +29,7 @@
 typedef struct Msg__HandOver Msg__HandOver;
 typedef struct Msg__HandOverAck Msg__HandOverAck;
 typedef struct Msg__Heir Msg__Heir;
+typedef struct Msg__Digest Msg__Digest;
 typedef struct Msg__Forward Msg__Forward;
 typedef struct Msg__ForwardReply Msg__ForwardReply;
 typedef struct Msg__Envelope Msg__Envelope;
@@ -296,6 +297,44 @@
     , 0, 0,NULL }
 
 
+/*
+ * The live instances of one failure domain, in parallel lists, and the heirs
+ * in it. Sent by the relays of a domain instead of heartbeats of all.
+ */
+struct  Msg__Digest
+{
+  ProtobufCMessage base;
+  char *domain;
+  size_t n_id;
+  uint64_t *id;
+  size_t n_ip;
+  uint32_t *ip;
+  size_t n_port;
+  uint32_t *port;
+  /*
+   * since the last sign of life
+   */
+  size_t n_age_ms;
+  uint32_t *age_ms;
+  size_t n_epoch;
+  int64_t *epoch;
+  /*
+   * in force at the sender
+   */
+  int64_t revision;
+  /*
+   * stopped, in parallel with heir
+   */
+  size_t n_owner;
+  uint64_t *owner;
+  size_t n_heir;
+  uint64_t *heir;
+};
+#define MSG__DIGEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&msg__digest__descriptor) \
+    , (char *)protobuf_c_empty_string, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL }
+
+
 struct  Msg__Forward
 {
   ProtobufCMessage base;
@@ -339,6 +378,7 @@
   MSG__ENVELOPE__BODY_HAND_OVER = 21,
   MSG__ENVELOPE__BODY_HAND_OVER_ACK = 22,
   MSG__ENVELOPE__BODY_HEIR = 23,
+  MSG__ENVELOPE__BODY_DIGEST = 24,
   MSG__ENVELOPE__BODY_FORWARD = 30,
   MSG__ENVELOPE__BODY_FORWARD_REPLY = 31
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MSG__ENVELOPE__BODY__CASE)
@@ -369,6 +409,7 @@
     Msg__HandOver *hand_over;
     Msg__HandOverAck *hand_over_ack;
     Msg__Heir *heir;
+    Msg__Digest *digest;
     Msg__Forward *forward;
     Msg__ForwardReply *forward_reply;
   };
@@ -644,6 +685,25 @@
 void   msg__heir__free_unpacked
                      (Msg__Heir *message,
                       ProtobufCAllocator *allocator);
+/* Msg__Digest methods */
+void   msg__digest__init
+                     (Msg__Digest         *message);
+size_t msg__digest__get_packed_size
+                     (const Msg__Digest   *message);
+size_t msg__digest__pack
+                     (const Msg__Digest   *message,
+                      uint8_t             *out);
+size_t msg__digest__pack_to_buffer
+                     (const Msg__Digest   *message,
+                      ProtobufCBuffer     *buffer);
+Msg__Digest *
+       msg__digest__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   msg__digest__free_unpacked
+                     (Msg__Digest *message,
+                      ProtobufCAllocator *allocator);
 /* Msg__Forward methods */
 void   msg__forward__init
                      (Msg__Forward         *message);
@@ -745,6 +805,9 @@
 typedef void (*Msg__Heir_Closure)
                  (const Msg__Heir *message,
                   void *closure_data);
+typedef void (*Msg__Digest_Closure)
+                 (const Msg__Digest *message,
+                  void *closure_data);
 typedef void (*Msg__Forward_Closure)
                  (const Msg__Forward *message,
                   void *closure_data);
@@ -776,6 +839,7 @@
 extern const ProtobufCMessageDescriptor msg__hand_over__descriptor;
 extern const ProtobufCMessageDescriptor msg__hand_over_ack__descriptor;
 extern const ProtobufCMessageDescriptor msg__heir__descriptor;
+extern const ProtobufCMessageDescriptor msg__digest__descriptor;
 extern const ProtobufCMessageDescriptor msg__forward__descriptor;
 extern const ProtobufCMessageDescriptor msg__forward_reply__descriptor;
 extern const ProtobufCMessageDescriptor msg__envelope__descriptor;
--- a/lib/peer/beat.c
+++ b/lib/peer/beat.c
@@ -3,9 +3,9 @@
 #include <string.h>
 
 #define MAX_LINKS 1024
-/* Addresses in a heartbeat to a known peer; each takes 7 bytes.  */
-#define KNOWN_NEAR 4
-#define KNOWN_FAR 1
+/* Addresses in a heartbeat to a known peer; each takes 7 bytes.  Peers of
+   other domains are learnt from digests.  */
+#define KNOWN_NEAR 2
 /* Pause after a heartbeat that found no connection.  */
 #define RETRY_US 50000
 /* Time for the last messages of a planned stop to reach the network.  */
@@ -43,6 +43,7 @@
   if (link == NULL)
     return NULL;
   link->expires_us = expires_us;
+  link->beat_due = true;
   g_ptr_array_add (peer->links, link);
   return link;
 }
@@ -59,28 +60,21 @@
     }
 }
 
-/* A full list for an address that has not answered yet; less for known peers,
-   whose next heartbeats carry the next addresses.  */
-static unsigned
-known_limit (struct peer *peer, const struct link *link)
-{
-  const struct memb_peer *known = memb_table_at (peer->memb, link->addr);
-  if (known == NULL)
-    return MSG_KNOWN;
-  return is_near (peer, known) ? KNOWN_NEAR : KNOWN_FAR;
-}
-
+/* A full list for an address that has not answered yet; less for peers of the
+   own domain, whose next heartbeats carry the next addresses.  */
 static void
 fill_known (struct peer *peer, Msg__Heartbeat *m, const struct link *link,
             uint32_t *ip, uint32_t *port)
 {
+  const struct memb_peer *to = memb_table_at (peer->memb, link->addr);
+  bool near = to != NULL && is_near (peer, to);
   unsigned count = memb_table_count (peer->memb);
-  unsigned limit = known_limit (peer, link);
+  unsigned limit = near ? KNOWN_NEAR : MSG_KNOWN;
   for (unsigned i = 0; i < count && m->n_known_ip < limit; i++)
     {
       const struct memb_peer *known
           = memb_table_peer (peer->memb, peer->known_next++ % count);
-      if (known->state != MEMB_ALIVE)
+      if (known->state != MEMB_ALIVE || (near && !is_near (peer, known)))
         continue;
       ip[m->n_known_ip++] = known->control.ip;
       port[m->n_known_port++] = known->control.port;
@@ -129,14 +123,42 @@
   return link_send (link, &e, MSG_CONTROL);
 }
 
-/* Peers of the own domain and addresses of unknown peers are near.  */
+/* The time until the next heartbeat over LINK, or -1 for none.  Live peers of
+   other domains get digests instead, and lost ones heartbeats by the relays,
+   so that both sides find each other when a partition ends.  */
 static int64_t
 interval_us (struct peer *peer, const struct link *link)
 {
   const struct conf *conf = peer->opts.conf;
   const struct memb_peer *known = memb_table_at (peer->memb, link->addr);
-  bool near = known == NULL || is_near (peer, known);
-  return 1000 * (near ? conf->heartbeat_ms : conf->far_heartbeat_ms);
+  if (known == NULL || is_near (peer, known))
+    return conf->heartbeat_ms * 1000;
+  bool lost = known->state != MEMB_ALIVE && peer->is_relay;
+  return lost ? conf->far_heartbeat_ms * 1000 : -1;
+}
+
+/* Whether LINK may be closed: nothing has been sent for long, and no
+   heartbeats are due.  */
+static bool
+expired (struct peer *peer, const struct link *link, int64_t now)
+{
+  if (link->expires_us == 0 || now < link->expires_us)
+    return false;
+  const struct memb_peer *known = memb_table_at (peer->memb, link->addr);
+  return known == NULL || interval_us (peer, link) < 0;
+}
+
+/* A new or reset link gets one heartbeat in any case.  */
+static void
+beat (struct peer *peer, struct link *link, int64_t now)
+{
+  int64_t interval = interval_us (peer, link);
+  if (interval < 0 && !link->beat_due)
+    return;
+  bool sent = send_beat (peer, link);
+  if (sent)
+    link->beat_due = false;
+  link->next_beat_us = now + (sent && interval > 0 ? interval : RETRY_US);
 }
 
 void
@@ -146,16 +168,10 @@
   for (unsigned i = peer->links->len; i-- > 0;)
     {
       struct link *link = g_ptr_array_index (peer->links, i);
-      if (link->expires_us != 0 && now >= link->expires_us
-          && memb_table_at (peer->memb, link->addr) == NULL)
-        {
-          g_ptr_array_remove_index_fast (peer->links, i);
-          continue;
-        }
-      if (now < link->next_beat_us)
-        continue;
-      bool sent = send_beat (peer, link);
-      link->next_beat_us = now + (sent ? interval_us (peer, link) : RETRY_US);
+      if (expired (peer, link, now))
+        g_ptr_array_remove_index_fast (peer->links, i);
+      else if (now >= link->next_beat_us)
+        beat (peer, link, now);
     }
 }
 
@@ -189,7 +205,10 @@
   int64_t expires = beat_expiry (peer);
   struct link *link = beat_link (peer, said.control, expires);
   if (is_new && link != NULL)
-    link->next_beat_us = 0;
+    {
+      link->beat_due = true;
+      link->next_beat_us = 0;
+    }
   for (size_t i = 0; i < m->n_known_ip; i++)
     {
       struct pl_addr addr = { m->known_ip[i], (uint16_t)m->known_port[i] };
@@ -203,13 +222,26 @@
   return true;
 }
 
+static bool
+linked (const struct peer *peer, struct pl_addr addr)
+{
+  for (unsigned i = 0; i < peer->links->len; i++)
+    {
+      const struct link *link = g_ptr_array_index (peer->links, i);
+      if (pl_addr_eq (link->addr, addr))
+        return true;
+    }
+  return false;
+}
+
+/* Peers without a link learn by digests.  */
 void
 beat_broadcast (struct peer *peer, Msg__Envelope *envelope)
 {
   for (unsigned i = 0; i < memb_table_count (peer->memb); i++)
     {
       const struct memb_peer *known = memb_table_peer (peer->memb, i);
-      if (known->state != MEMB_LEFT)
+      if (known->state != MEMB_LEFT && linked (peer, known->control))
         ctl_send (peer, known->id, envelope);
     }
 }
--- a/lib/peer/ctl.c
+++ b/lib/peer/ctl.c
@@ -65,8 +65,11 @@
   if (e->body_case == MSG__ENVELOPE__BODY_HEARTBEAT)
     return true;
   const struct memb_peer *known = memb_table_find (peer->memb, e->from);
-  if (e->to != peer->opts.self || known == NULL)
+  if (e->to != peer->opts.self)
     return false;
+  /* A digest makes its sender known.  */
+  if (known == NULL)
+    return e->body_case == MSG__ENVELOPE__BODY_DIGEST;
   /* A leaving peer repeats its last message until it is acknowledged.  */
   return known->state != MEMB_LEFT
          || e->body_case == MSG__ENVELOPE__BODY_HAND_OVER;
@@ -81,6 +84,9 @@
       if (!beat_heard (peer, e))
         link_drop (e->from, "stale heartbeat", 0);
       return;
+    case MSG__ENVELOPE__BODY_DIGEST:
+      digest_heard (peer, e->from, e->digest);
+      return;
     case MSG__ENVELOPE__BODY_LEAVE:
       memb_left (peer->memb, e->from);
       return;
@@ -194,6 +200,7 @@
       peer->tick_us = now + TICK_US;
       memb_tick (peer->memb);
       beat_tick (peer);
+      digest_tick (peer);
     }
   if (now >= peer->second_us)
     {
--- a/lib/peer/impl.h
+++ b/lib/peer/impl.h
@@ -59,6 +59,11 @@
   int64_t tick_us;     /* next membership tick */
   int64_t second_us;   /* next tick of the witness table */
   unsigned known_next; /* rotates the addresses in heartbeats */
+  GPtrArray *domains;  /* struct digest_domain, the own one first */
+  bool is_relay;       /* of the own domain's digests */
+  int64_t digest_us;   /* next look for digests to send */
+  int64_t pass_us;     /* next digest for the own domain */
+  unsigned pass_next;  /* rotates the domains in these */
   bool draining;
   int watching; /* -1: not told yet */
   bool stopped;
@@ -102,6 +107,13 @@
 void beat_leave (struct peer *peer);
 void beat_broadcast (struct peer *peer, Msg__Envelope *envelope);
 
+/* digest.c */
+void digest_init (struct peer *peer);
+void digest_changed (struct peer *peer, const struct memb_peer *known,
+                     enum memb_change change);
+void digest_tick (struct peer *peer);
+void digest_heard (struct peer *peer, claim_id from, const Msg__Digest *m);
+
 /* permit.c and revoke.c */
 void permit_init (struct peer *peer);
 void permit_free (struct peer *peer);
--- a/lib/peer/link.h
+++ b/lib/peer/link.h
@@ -10,6 +10,7 @@
 {
   struct pl_addr addr;
   void *sock;
+  bool beat_due; /* a heartbeat is due whoever the peer is */
   int64_t next_beat_us;
   int64_t expires_us; /* 0: never; for addresses that are no peer's */
 };
--- a/lib/peer/peer.c
+++ b/lib/peer/peer.c
@@ -65,6 +65,7 @@
 {
   struct peer *peer = user;
   log_change (known, change, silence_us);
+  digest_changed (peer, known, change);
   if (change == MEMB_CHANGE_SUSPECT || change == MEMB_CHANGE_LEFT)
     lost (peer, known->id);
   if (change == MEMB_CHANGE_DEAD || change == MEMB_CHANGE_LEFT)
@@ -134,6 +135,7 @@
   peer->remotes
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_remote);
   peer->watching = -1;
+  digest_init (peer);
   new_memb (peer);
   peer->witness = claim_witness_new (opts->clock, opts->conf->keep_s * 1000000,
                                      (unsigned)opts->conf->keep_records);
@@ -189,6 +191,7 @@
   permit_free (peer);
   g_hash_table_unref (peer->revokes);
   g_ptr_array_unref (peer->links);
+  g_ptr_array_unref (peer->domains);
   close_sockets (peer);
   g_hash_table_unref (peer->remotes);
   memb_table_free (peer->memb);
@@ -207,8 +210,9 @@
 static void
 run_seed (struct peer *peer, struct ctl_item *base)
 {
-  if (peer != NULL)
-    beat_link (peer, ((struct seed_item *)base)->addr, beat_expiry (peer));
+  struct pl_addr addr = ((struct seed_item *)base)->addr;
+  if (peer != NULL && memb_table_at (peer->memb, addr) == NULL)
+    beat_link (peer, addr, beat_expiry (peer));
 }
 
 void
@@ -227,7 +231,11 @@
     return;
   peer->draining = true;
   for (unsigned i = 0; i < peer->links->len; i++)
-    ((struct link *)g_ptr_array_index (peer->links, i))->next_beat_us = 0;
+    {
+      struct link *link = g_ptr_array_index (peer->links, i);
+      link->beat_due = true;
+      link->next_beat_us = 0;
+    }
 }
 
 void
--- a/lib/peer/relay.c
+++ b/lib/peer/relay.c
@@ -9,6 +9,8 @@
 #define POLL_MS 100
 #define POLL_BUSY_MS 5L /* while forwards may time out */
 #define TURN_MESSAGES 256
+/* A link to another domain that carries nothing for this long is closed.  */
+#define FAR_IDLE_US 60000000L
 
 struct relay
 {
@@ -117,6 +119,8 @@
 send_to (struct relay *relay, claim_id to, Msg__Envelope *e)
 {
   struct link *link = link_to (relay, to);
+  if (link != NULL)
+    link->expires_us = ctl_now (relay->peer) + FAR_IDLE_US;
   e->from = relay->peer->opts.self;
   e->to = to;
   return link != NULL && link_send (link, e, MSG_RELAY);
@@ -308,15 +312,23 @@
     }
 }
 
+static bool
+is_near (const struct relay *relay, const struct memb_peer *known)
+{
+  return strcmp (known->domain, relay->view->self.domain) == 0;
+}
+
 static bool
 in_use (const struct relay *relay, const struct link *link)
 {
+  int64_t now = ctl_now (relay->peer);
   for (unsigned i = 0; i < relay->view->n_peers; i++)
     {
       const struct memb_peer *known = &relay->view->peers[i];
       if (known->state == MEMB_ALIVE
           && pl_addr_eq (relay_addr (known->control), link->addr))
-        return true;
+        return is_near (relay, known) || now < link->expires_us
+               || g_hash_table_size (relay->pending) > 0;
     }
   return false;
 }
@@ -335,7 +347,8 @@
     if (!in_use (relay, g_ptr_array_index (relay->links, i)))
       g_ptr_array_remove_index_fast (relay->links, i);
   for (unsigned i = 0; i < relay->view->n_peers; i++)
-    link_to (relay, relay->view->peers[i].id);
+    if (is_near (relay, &relay->view->peers[i]))
+      link_to (relay, relay->view->peers[i].id);
   expire (relay);
 }
 
--- a/tests/memb_test.c
+++ b/tests/memb_test.c
@@ -198,6 +198,45 @@
   memb_table_free (table);
 }
 
+/* Guards against a far instance that is lost although digests list it, kept
+   although its domain has dropped it, or revived by stale information.  */
+static void
+test_digests (void)
+{
+  struct memb_table *table = new_table ();
+  claim_id relays[MEMB_RELAYS];
+  struct memb_member out[4];
+  const struct memb_member all[]
+      = { { 5, { 2, 5000 }, 0, 7 }, { 4, { 2, 4000 }, SECOND, 7 } };
+  const struct memb_member old = { 9, { 2, 5000 }, 61 * SECOND, 1 };
+  memb_set_digest_silence (table, 30 * SECOND);
+  hear (table, 3, 3000, "potteries", false);
+  memb_digest (table, "potteries", all, 2);
+  memb_digest (table, "brum", all, 2); /* the own domain needs none */
+  memb_digest (table, "potteries", &old, 1);
+  CU_ASSERT_EQUAL (memb_table_count (table), 3);
+  CU_ASSERT_EQUAL (memb_relays (table, "potteries", relays), 2);
+  CU_ASSERT (relays[0] == 3 && relays[1] == 4);
+  CU_ASSERT_EQUAL (memb_relays (table, "brum", relays), 1);
+  CU_ASSERT_EQUAL (relays[0], 1);
+  CU_ASSERT_EQUAL (memb_members (table, "potteries", out, 4), 3);
+  advance (table, 28 * SECOND);
+  CU_ASSERT_EQUAL (state_of (table, 3), MEMB_ALIVE);
+  memb_digest (table, "potteries", all, 2);
+  CU_ASSERT_EQUAL (state_of (table, 3), MEMB_SUSPECT);
+  advance (table, 29 * SECOND);
+  CU_ASSERT_EQUAL (state_of (table, 3), MEMB_DEAD);
+  CU_ASSERT_EQUAL (state_of (table, 5), MEMB_ALIVE);
+  advance (table, SECOND);
+  CU_ASSERT_EQUAL (state_of (table, 5), MEMB_DEAD);
+  memb_digest (table, "potteries", all, 1);
+  CU_ASSERT_EQUAL (state_of (table, 5), MEMB_ALIVE);
+  memb_left (table, 5);
+  memb_digest (table, "potteries", all, 1);
+  CU_ASSERT_EQUAL (state_of (table, 5), MEMB_LEFT);
+  memb_table_free (table);
+}
+
 /* Guards against shares that don't add up to the slots, are uneven, or move
    more slots than the newcomer's share when an instance joins.  */
 static void
@@ -241,6 +280,7 @@
     { "replaced incarnation", test_replaced_incarnation },
     { "witness", test_witness },
     { "heirs", test_heirs },
+    { "digests", test_digests },
     { "shares", test_shares },
     CU_TEST_INFO_NULL,
   };
--- a/tests/peer_test.c
+++ b/tests/peer_test.c
@@ -331,6 +331,50 @@
   node_stop (&nodes[2]);
 }
 
+static enum memb_state
+state_at (struct node *node, claim_id id)
+{
+  struct memb_view *view = view_of (node);
+  const struct memb_peer *known = memb_find (view, id);
+  enum memb_state state = known == NULL ? MEMB_LEFT : known->state;
+  pl_shared_unref (&view->base);
+  return state;
+}
+
+/* Guards against domains that meet only through full heartbeats, against
+   instances that no relay reports, and against a forward to a far owner that
+   hangs when that owner is gone.  */
+static void
+test_domains_meet_by_digests (void)
+{
+  static const char *const domains[] = { "brum", "potteries", "zona" };
+  struct node nodes[12];
+  for (int i = 0; i < 12; i++)
+    node_start (&nodes[i], 0x11 + (claim_id)i, domains[i / 4],
+                i == 0 ? NULL : &nodes[i % 4 == 0 ? 0 : i / 4 * 4]);
+  for (int i = 0; i < 12; i++)
+    CU_ASSERT (WAIT_FOR (alive (&nodes[i]) == 11));
+  /* Beyond both silences of heartbeats; digests keep all alive, and the last
+     of two domains have had no message from each other.  */
+  g_usleep (1000000);
+  for (int i = 0; i < 12; i++)
+    CU_ASSERT_EQUAL (alive (&nodes[i]), 11);
+  struct answer answer = forward (&nodes[3], 0x1c, 2000);
+  CU_ASSERT_EQUAL (answer.state, 1);
+  node_stop (&nodes[11]);
+  CU_ASSERT_EQUAL (forward (&nodes[3], 0x1c, 200).state, 2);
+  CU_ASSERT (WAIT_FOR (state_at (&nodes[3], 0x1c) != MEMB_ALIVE));
+  /* Both relays of a domain are lost at once.  */
+  node_stop (&nodes[4]);
+  node_stop (&nodes[5]);
+  CU_ASSERT (WAIT_FOR (state_at (&nodes[3], 0x15) != MEMB_ALIVE));
+  CU_ASSERT (WAIT_FOR (alive (&nodes[3]) == 8));
+  CU_ASSERT_EQUAL (state_at (&nodes[3], 0x18), MEMB_ALIVE);
+  for (int i = 0; i < 11; i++)
+    if (i != 4 && i != 5)
+      node_stop (&nodes[i]);
+}
+
 int
 main (void)
 {
@@ -342,6 +386,7 @@
     { "notes are relayed", test_notes_are_relayed },
     { "lending", test_lending },
     { "hand-over", test_hand_over },
+    { "domains meet by digests", test_domains_meet_by_digests },
     CU_TEST_INFO_NULL,
   };
   pl_log_init ("text", "warning");
