Make a mailbox's eventfd only for owners that poll

Each message to the dispatch thread cost a write to an eventfd that nobody polled, and each empty queue a read of it: two system calls a message.

--- a/lib/base/mbox.c
+++ b/lib/base/mbox.c
@@ -4,10 +4,12 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+/* An owner that never polls pays for no eventfd: it is made by the first
+   pl_mbox_fd.  */
 struct pl_mbox
 {
   GAsyncQueue *queue;
-  int fd;
+  gint fd; /* atomic; -1: none */
 };
 
 struct pl_mbox *
@@ -15,30 +17,37 @@
 {
   struct pl_mbox *mbox = g_new0 (struct pl_mbox, 1);
   mbox->queue = g_async_queue_new ();
-  mbox->fd = eventfd (0, EFD_CLOEXEC | EFD_NONBLOCK);
-  if (mbox->fd < 0)
-    g_error ("eventfd: %s", g_strerror (errno));
+  mbox->fd = -1;
   return mbox;
 }
 
 void
 pl_mbox_free (struct pl_mbox *mbox)
 {
-  close (mbox->fd);
+  if (mbox->fd >= 0)
+    close (mbox->fd);
   g_async_queue_unref (mbox->queue);
   g_free (mbox);
 }
 
-void
-pl_mbox_post (struct pl_mbox *mbox, struct pl_item *item)
+static void
+signal_fd (int fd)
 {
-  g_async_queue_push (mbox->queue, item);
   uint64_t one = 1;
   /* Fails only when the counter is full; the fd is readable then, too.  */
-  ssize_t n = write (mbox->fd, &one, sizeof one);
+  ssize_t n = write (fd, &one, sizeof one);
   (void)n;
 }
 
+void
+pl_mbox_post (struct pl_mbox *mbox, struct pl_item *item)
+{
+  g_async_queue_push (mbox->queue, item);
+  int fd = g_atomic_int_get (&mbox->fd);
+  if (fd >= 0)
+    signal_fd (fd);
+}
+
 struct pl_item *
 pl_mbox_take (struct pl_mbox *mbox, int64_t wait_us)
 {
@@ -47,9 +56,13 @@
     return item;
   /* Resets the eventfd before the second look, so that an item posted in
      between leaves it readable.  */
-  uint64_t count;
-  ssize_t n = read (mbox->fd, &count, sizeof count);
-  (void)n;
+  int fd = g_atomic_int_get (&mbox->fd);
+  if (fd >= 0)
+    {
+      uint64_t count;
+      ssize_t n = read (fd, &count, sizeof count);
+      (void)n;
+    }
   if (wait_us < 0)
     return g_async_queue_pop (mbox->queue);
   if (wait_us == 0)
@@ -60,5 +73,15 @@
 int
 pl_mbox_fd (struct pl_mbox *mbox)
 {
-  return mbox->fd;
+  int fd = g_atomic_int_get (&mbox->fd);
+  if (fd >= 0)
+    return fd;
+  fd = eventfd (0, EFD_CLOEXEC | EFD_NONBLOCK);
+  if (fd < 0)
+    g_error ("eventfd: %s", g_strerror (errno));
+  g_atomic_int_set (&mbox->fd, fd);
+  /* For items whose senders have seen no eventfd.  */
+  if (g_async_queue_length (mbox->queue) > 0)
+    signal_fd (fd);
+  return fd;
 }
--- a/lib/base/pl.h
+++ b/lib/base/pl.h
@@ -138,7 +138,8 @@
    for ever).  Null on timeout.  */
 struct pl_item *pl_mbox_take (struct pl_mbox *mbox, int64_t wait_us);
 /* An eventfd that is readable while items wait, for poll; call
-   pl_mbox_take until it gives null to reset it.  */
+   pl_mbox_take until it gives null to reset it.  Made by the first call, on
+   the owner's thread.  */
 int pl_mbox_fd (struct pl_mbox *mbox);
 
 /* A published immutable object, read under RCU (flavour "bp", because
--- a/tests/base_test.c
+++ b/tests/base_test.c
@@ -78,6 +78,12 @@
   CU_ASSERT_PTR_NULL (pl_mbox_take (mbox, 0));
   CU_ASSERT_FALSE (readable (pl_mbox_fd (mbox)));
   pl_mbox_free (mbox);
+  /* Items that were posted before the owner asked for the eventfd.  */
+  mbox = pl_mbox_new ();
+  pl_mbox_post (mbox, &a);
+  CU_ASSERT (readable (pl_mbox_fd (mbox)));
+  CU_ASSERT_PTR_EQUAL (pl_mbox_take (mbox, 0), &a);
+  pl_mbox_free (mbox);
 }
 
 static int freed;
