--- a/lib/base/log.c
+++ b/lib/base/log.c
@@ -83,14 +83,23 @@
     }
 }
 
+/* The text of a second is kept: at some hundred lines a second formatting the
+   date took longer than the rest of the line.  */
 static void
 append_time (GString *out)
 {
-  GDateTime *now = g_date_time_new_now_utc ();
-  g_autofree char *day = g_date_time_format (now, "%Y-%m-%dT%H:%M:%S");
-  g_string_append_printf (out, "%s.%06dZ", day,
-                          g_date_time_get_microsecond (now));
-  g_date_time_unref (now);
+  static __thread gint64 second;
+  static __thread char text[32];
+  gint64 now = g_get_real_time ();
+  if (now / G_USEC_PER_SEC != second)
+    {
+      second = now / G_USEC_PER_SEC;
+      g_autoptr (GDateTime) time = g_date_time_new_from_unix_utc (second);
+      g_autofree char *formatted
+          = g_date_time_format (time, "%Y-%m-%dT%H:%M:%S");
+      g_strlcpy (text, formatted, sizeof text);
+    }
+  g_string_append_printf (out, "%s.%06dZ", text, (int)(now % G_USEC_PER_SEC));
 }
 
 static GLogWriterOutput
