Let the connection watchdog sleep until the next limit

It also shut a socket before it marked the connection as cut; the runner woke in between and reported 'short' or 'connection lost' instead of the limit.

--- a/lib/run/pool.c
+++ b/lib/run/pool.c
@@ -5,8 +5,10 @@
 #include <string.h>
 #include <sys/socket.h>
 
-/* Period of the watchdog: a limit is overrun by at most this.  */
+/* Least time between two looks of the watchdog: a limit is overrun by at most
+   this.  It sleeps until the next limit, at most WATCH_MAX_US.  */
 #define WATCH_US INT64_C (10000)
+#define WATCH_MAX_US INT64_C (1000000)
 
 static guint
 addr_hash (gconstpointer key)
@@ -47,34 +49,45 @@
 }
 
 /* Moves connections that have been idle too long to OLD.  They are counted
-   until they are closed.  */
-static void
+   until they are closed.  Returns when the next one is due, UNTIL at most.  */
+static int64_t
 collect_old (struct run_pool *pool, struct run_upstream *up, int64_t now,
-             GPtrArray *old)
+             GPtrArray *old, int64_t until)
 {
   for (;;)
     {
       struct run_conn *conn = g_queue_peek_tail (&up->idle);
-      if (conn == NULL
-          || now - conn->idle_since_us < (int64_t)pool->opts->idle_ms * 1000)
-        return;
+      if (conn == NULL)
+        return until;
+      int64_t due = conn->idle_since_us + (int64_t)pool->opts->idle_ms * 1000;
+      if (now < due)
+        return MIN (until, due);
       g_queue_pop_tail (&up->idle);
       g_ptr_array_add (old, conn);
     }
 }
 
-static void
-cut_overdue (struct run_upstream *up, int64_t now)
+/* Cuts what is overdue; returns the next limit, UNTIL at most.  */
+static int64_t
+cut_overdue (struct run_upstream *up, int64_t now, int64_t until)
 {
   for (unsigned i = 0; i < up->conns->len; i++)
     {
       struct run_conn *conn = g_ptr_array_index (up->conns, i);
-      if (conn->limit_us == 0 || now < conn->limit_us || conn->fd < 0)
+      if (conn->limit_us == 0)
         continue;
-      shutdown (conn->fd, SHUT_RDWR);
+      /* A socket that is not found yet may be when the limit comes.  */
+      if (now < conn->limit_us || conn->fd < 0)
+        {
+          until = MIN (until, conn->limit_us);
+          continue;
+        }
+      /* Before the shutdown: the runner wakes at once and looks at it.  */
       conn->cut = true;
       conn->limit_us = 0;
+      shutdown (conn->fd, SHUT_RDWR);
     }
+  return until;
 }
 
 /* Closes without the lock, since a close may block.  */
@@ -106,17 +119,22 @@
   while (!pool->stopping)
     {
       int64_t now = pl_now_us (pool->opts->clock);
+      int64_t until = now + WATCH_MAX_US;
       GHashTableIter iter;
       gpointer up;
       g_hash_table_iter_init (&iter, pool->upstreams);
       while (g_hash_table_iter_next (&iter, NULL, &up))
         {
-          cut_overdue (up, now);
-          collect_old (pool, up, now, old);
+          until = cut_overdue (up, now, until);
+          until = collect_old (pool, up, now, old, until);
         }
+      pool->watch_us = MAX (until, now + WATCH_US);
+      /* Limits that are set while the lock is free signal nobody.  */
+      if (old->len > 0)
+        pool->watch_us = now + WATCH_US;
       close_old (pool, old);
       g_cond_wait_until (&pool->stopped, &pool->lock,
-                         g_get_monotonic_time () + WATCH_US);
+                         g_get_monotonic_time () + pool->watch_us - now);
     }
   g_mutex_unlock (&pool->lock);
   g_ptr_array_free (old, TRUE);
@@ -222,5 +240,7 @@
   g_mutex_lock (&pool->lock);
   conn->limit_us = limit_us;
   conn->limit_reason = reason;
+  if (limit_us != 0 && limit_us < pool->watch_us - WATCH_US)
+    g_cond_signal (&pool->stopped);
   g_mutex_unlock (&pool->lock);
 }
--- a/lib/run/run_priv.h
+++ b/lib/run/run_priv.h
@@ -58,6 +58,7 @@
   GCond freed;   /* a connection or the right to connect is free */
   GCond stopped; /* wakes the watchdog for its end */
   bool stopping;
+  int64_t watch_us;      /* next look of the watchdog */
   GHashTable *upstreams; /* struct pl_addr: struct run_upstream */
   GThread *watchdog;
 };
