--- a/cmd/papayaload/load.h
+++ b/cmd/papayaload/load.h
@@ -49,6 +49,7 @@
   enum pl_code code;   /* of the last answer; PL_SYSTEM: none came */
   unsigned attempts;   /* keys used */
   unsigned resends;    /* repeated submissions of a key */
+  unsigned refused;    /* requests for which no connection was made */
   unsigned lost;       /* requests sent without a whole answer */
   bool wrong;          /* an answer that is not the job's own or not whole */
 };
--- a/cmd/papayaload/report.c
+++ b/cmd/papayaload/report.c
@@ -11,6 +11,7 @@
 
 struct summary
 {
+  unsigned refused;
   unsigned lost;
   unsigned jobs;
   unsigned outcomes[PL_OUTCOME_UNKNOWN + 1];
@@ -75,6 +76,7 @@
 {
   s->jobs++;
   s->wrong += job->wrong;
+  s->refused += job->refused;
   s->lost += job->lost;
   if (job->code == PL_SYSTEM)
     {
@@ -122,14 +124,14 @@
     json_array_append_new (quantiles,
                            json_real (quantile (s->ratios, q / 100.0)));
   return json_pack (
-      "{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:f, s:f, s:f, s:o}", "jobs",
-      (int)s->jobs, "complete", (int)s->outcomes[PL_OUTCOME_COMPLETE],
+      "{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:f, s:f, s:f, s:o}",
+      "jobs", (int)s->jobs, "complete", (int)s->outcomes[PL_OUTCOME_COMPLETE],
       "not_run", (int)s->outcomes[PL_OUTCOME_NOT_RUN], "failed",
       (int)s->outcomes[PL_OUTCOME_FAILED], "unknown",
       (int)s->outcomes[PL_OUTCOME_UNKNOWN], "no_answer", (int)s->no_answer,
-      "wrong", (int)s->wrong, "lost", (int)s->lost, "mean", mean (s->ratios),
-      "p50", quantile (s->ratios, 0.5), "p99", quantile (s->ratios, 0.99),
-      "quantiles", quantiles);
+      "wrong", (int)s->wrong, "refused", (int)s->refused, "lost", (int)s->lost,
+      "mean", mean (s->ratios), "p50", quantile (s->ratios, 0.5), "p99",
+      quantile (s->ratios, 0.99), "quantiles", quantiles);
 }
 
 static void
--- a/cmd/papayaload/run.c
+++ b/cmd/papayaload/run.c
@@ -227,6 +227,7 @@
       enum call_end end = load_send (client_session (client, entry), "POST",
                                      "/v1/jobs", key, body, &reply);
       bool ok = end == CALL_DONE;
+      job->refused += end == CALL_UNSENT;
       job->lost += end == CALL_LOST;
       if (ok)
         {
--- a/tests/faults/rolling.sh
+++ b/tests/faults/rolling.sh
@@ -8,6 +8,7 @@
 ARGS=(--drain-linger-ms 1000 --log-level notice)
 SEED=11
 LONG=0
+declare -A INDEX=([brum]=1 [potteries]=2)
 
 start_platform || die "platform"
 start_upstreams 1 && start_upstreams 2 || die "upstreams"
@@ -60,7 +61,8 @@
   LONG=$((LONG + 1))
   # Jobs that outlast the linger time: the stop has to wait for them.
   for name in "$@"; do
-    submit "$name" "$(prefix_of "$name").long" "long-$name-$LONG" 2000 >"$DIR/long-$name" &
+    submit "$name" "$(prefix_of "$name").long" "long-$name-$LONG" 2000 \
+      >"$DIR/long-$name" &
     long+=($!)
   done
   sleep 0.2
@@ -82,8 +84,8 @@
   for name in "$@"; do
     equal "$name: job that outlasts the linger time" OK \
       "$(jq -r .name "$DIR/long-$name")"
-    start_entry "$name" "${name%-*}" "$([ "${name%-*}" = brum ] && echo 1 \
-      || echo 2)" "${name#*-}" "${ARGS[@]}"
+    start_entry "$name" "${name%-*}" "${INDEX[${name%-*}]}" "${name#*-}" \
+      "${ARGS[@]}"
   done
   for name in "$@"; do
     check "$name: fresh instance is ready" entry_ready "$name"
@@ -94,7 +96,7 @@
 }
 
 start_load load $SEED 20 "$(entry_list)" --load 0.35 \
-  --slots $((2 * WORKERS * SLOTS)) --scale 0.5 --threads 100 --tries 3 --notice-ms 900
+  --slots $((2 * WORKERS * SLOTS)) --scale 0.5 --threads 100 --tries 3 --notice-ms 600
 sleep 1
 replace brum-1 potteries-1
 replace brum-2 potteries-2
@@ -107,6 +109,8 @@
 done
 check_kept 2
 end_load load
+equal "connections refused to callers" 0 \
+  "$(jq .total.refused "$DIR/load.json")"
 equal "answers lost by callers" 0 "$(jq .total.lost "$DIR/load.json")"
 check_history
 finish
--- /dev/null
+++ b/tests/session/protocol.sh
@@ -0,0 +1,64 @@
+#!/bin/bash
+# The shell lines of docs/protocol.md, used as written against an instance.
+cd "$(dirname "$0")/../.." || exit 2
+. scripts/cluster.sh
+. tests/faults/conf-lib.sh
+trap cleanup EXIT
+
+start_platform || die "platform"
+start_upstreams 1 || die "upstreams"
+write_note "$DIR/note.json" 0 brum=1
+apply_note "$DIR/note.json" >/dev/null || die "first note"
+start_entry brum-1 brum 1 1 --drain-linger-ms 300 --log-level warning
+entry_ready brum-1 || die "brum-1 is not ready"
+
+# The indented blocks of the page that are shell, one command each; a command
+# goes on while its quote is open.
+awk '/^    (E=|P=|curl )/ { on = 1 }
+  !/^    / { on = 0 }
+  on { print substr($0, 5) }' docs/protocol.md >"$DIR/lines"
+run_lines() {
+  local line command='' n=0
+  while IFS= read -r line; do
+    command+=$line$'\n'
+    [ $(($(tr -cd "'" <<<"$command" | wc -c) % 2)) -eq 0 ] || continue
+    n=$((n + 1))
+    eval "$command" >"$DIR/out-$n"
+    printf '%s\n' "$?" >"$DIR/status-$n"
+    printf '%s' "$command" >"$DIR/command-$n"
+    case $command in E=*) E=${HTTP[brum-1]} ;; esac
+    command=''
+  done <"$DIR/lines"
+  COUNT=$n
+}
+run_lines
+
+# expect PATTERN JQ-FILTER: the answer of the command with that text.
+expect() {
+  local i found=0
+  for i in $(seq 1 "$COUNT"); do
+    grep -qF -- "$1" "$DIR/command-$i" || continue
+    found=1
+    equal "status of: $(head -n 1 "$DIR/command-$i")" 0 "$(<"$DIR/status-$i")"
+    check "answer of: $(head -n 1 "$DIR/command-$i") $(head -c 300 \
+      "$DIR/out-$i")" eval "$2 <'$DIR/out-$i' >/dev/null"
+    break
+  done
+  check "the page has: $1" [ $found = 1 ]
+}
+
+equal "commands of the page" 11 "$COUNT"
+check "prefix" [ "$(grep -c '\.' <<<"${P:-}")" = 1 ]
+expect 'order-4711" -d' 'jq -e ".name == \"OK\" and (.answers | length) == 2
+  and .answers[0].echo == \"a\" and .answers[1].echo == \"b\""'
+expect 'layout-preview -H' 'jq -e ".name == \"OK\" and (.answers | length) == 2"'
+expect 'jobs/$P.order-4711' 'jq -e ".name == \"OK\""'
+expect '-X DELETE' 'jq -e ".outcome == \"complete\""'
+expect '/healthz' 'grep -q .'
+expect '/readyz' 'grep -q .'
+expect '/v1/status' 'jq -e ".revision == 1"'
+expect '/metrics' 'grep -q "^papayaloft_task_starts_total 4$"'
+expect '/v1/drain' 'cat'
+await_stop brum-1
+equal "stop asked for by the page's last line" 0 $?
+finish
