Lock the address range of a test run; check the logs for reverted revisions

Two runs at once could choose the same second octet, so that one run's programs met the other's (seen with three fault tests in parallel). A lock file per octet excludes it. operators.sh also looks at each CONF_APPLIED line: a revision that went back for under a millisecond escaped the samples, and the mutant may-go-down survived.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -1,14 +1,19 @@
 # Shell functions that start and stop a small installation on loopback for the
 # demo, the fault tests and the benchmarks. Source it; do not run it.
 #
-# Each run uses its own second octet, so that two runs at once rarely meet.
+# Each run locks its own second octet, so that two runs at once never meet.
 # Variables: DIR (logs and state), NET (address prefix), BIN (programs),
 # WORKERS (a failure domain), SLOTS (a worker).
 
 BIN=${BIN:-build/bin}
 WORKERS=${WORKERS:-6}
 SLOTS=${SLOTS:-8}
-NET=127.$((64 + $$ % 128))
+for ((octet = $$; ; octet++)); do
+  NET=127.$((64 + octet % 128))
+  exec {NET_LOCK}>>"/tmp/papayaloft-net-$UID-${NET#127.}"
+  flock -n "$NET_LOCK" && break
+  exec {NET_LOCK}>&-
+done
 DIR=$(mktemp -d)
 PLATFORM=$NET.250.1:7100
 declare -A PID   # name -> process id
--- a/tests/faults/conf-mutants.sh
+++ b/tests/faults/conf-mutants.sh
@@ -47,7 +47,7 @@
 mutant no-wait-for-requests faults/rolling.sh lib/entry/stop.c \
   's/(http_free \(entry->http, ).*/\10);/'
 mutant second-signal-ends faults/rolling.sh cmd/papayaloftd/main.c \
-  's/^    entry_drain \(entry\);/{ static int n; if (n++) _exit (3); entry_drain (entry); }/'
+  's/^  unsigned cut = entry_stop/  sigset_t set;\n  sigemptyset (\&set);\n  sigaddset (\&set, SIGTERM);\n  pthread_sigmask (SIG_UNBLOCK, \&set, NULL);\n&/'
 mutant ready-while-draining faults/rolling.sh lib/entry/entry.c \
   's/return !draining \&\& /return /'
 mutant serves-unsettled faults/rolling.sh lib/entry/settle.c \
--- a/tests/faults/operators.sh
+++ b/tests/faults/operators.sh
@@ -135,5 +135,10 @@
   END { print n + 0 }' "$DIR/samples")
 equal "revisions that went back in $(wc -l <"$DIR/samples") samples" 0 \
   "$reverted"
+for name in "${ENTRIES[@]}"; do
+  equal "$name: revisions put in force after a higher one" 0 "$(awk '
+    /CONF_APPLIED/ { sub(/.*revision=/, ""); if ($1 <= last) n++; last = $1 }
+    END { print n + 0 }' "$DIR/$name.log")"
+done
 check "samples were taken" [ "$(wc -l <"$DIR/samples")" -gt 100 ]
 finish
