--- a/tests/standin/standin-upstream/task.c
+++ b/tests/standin/standin-upstream/task.c
@@ -21,12 +21,12 @@
   /* A text is logged without its quotes.  */
   const char *echo = req->echo == NULL ? "-" : req->echo;
   size_t len = strlen (echo);
-  bool text = len >= 2 && echo[0] == '"';
+  size_t quote = len >= 2 && echo[0] == '"' ? 1 : 0;
   char line[512];
   int n = snprintf (line, sizeof line, "%lld %s %s %s %s %.*s\n",
                     (long long)g_get_real_time (), req->worker->text, what,
-                    req->id, req->kind, (int)MIN (len - 2 * text, 100),
-                    echo + text);
+                    req->id, req->kind, (int)MIN (len - 2 * quote, 100),
+                    echo + quote);
   if (write (standin->log_fd, line, (size_t)n) < 0)
     perror ("standin-upstream: log");
 }
