--- a/tests/standin/standin-forwarder/main.c
+++ b/tests/standin/standin-forwarder/main.c
@@ -146,7 +146,9 @@
                      == FILTER_STALL;
       for (int side = 0; side < 2; side++)
         {
-          short events = stalled ? 0 : link_events (link, side);
+          short events = 0;
+          if (!stalled)
+            events = link_events (link, side);
           /* A negative descriptor is ignored, so that a hang-up of a stalled
              link is not seen either.  */
           fds[n++] = (struct pollfd){ .fd = events ? link->fds[side] : -1,
@@ -170,7 +172,7 @@
       struct pollfd *at = fds + 1 + f->n_rules;
       for (unsigned i = links; i > 0; i--)
         {
-          struct pollfd *pair = at + 2 * (i - 1);
+          struct pollfd *pair = at + 2 * (size_t)(i - 1);
           if (!link_move (f->links[i - 1], 0, pair[0].revents)
               || !link_move (f->links[i - 1], 1, pair[1].revents))
             drop_link (f, i - 1, false);
--- a/tests/standin/standin-upstream/task.c
+++ b/tests/standin/standin-upstream/task.c
@@ -21,12 +21,12 @@
   /* A text is logged without its quotes.  */
   const char *echo = req->echo == NULL ? "-" : req->echo;
   size_t len = strlen (echo);
-  bool text = len >= 2 && echo[0] == '"';
+  size_t quotes = len >= 2 && echo[0] == '"' ? 2 : 0;
   char line[512];
   int n = snprintf (line, sizeof line, "%lld %s %s %s %s %.*s\n",
                     (long long)g_get_real_time (), req->worker->text, what,
-                    req->id, req->kind, (int)MIN (len - 2 * text, 100),
-                    echo + text);
+                    req->id, req->kind, (int)MIN (len - quotes, 100),
+                    echo + quotes / 2);
   if (write (standin->log_fd, line, (size_t)n) < 0)
     perror ("standin-upstream: log");
 }
