Show that the fault tests need each mechanism

tests/faults/mutants.sh builds ten mutants (tests/faults/mutants/*.sed) and runs the script that must fail; an installation that does not come up counts as not run (exit status 3).

--- a/tests/faults/lib.sh
+++ b/tests/faults/lib.sh
@@ -45,13 +45,16 @@
   done
   write_note "$DIR/note.json" 0 "${pairs[@]}"
   ! declare -F edit_note >/dev/null || edit_note "$DIR/note.json"
-  apply_note "$DIR/note.json" >/dev/null || give_up "the note is not accepted"
+  apply_note "$DIR/note.json" >/dev/null 2>"$DIR/apply.txt" \
+    || give_up "the note is not accepted: $(cat "$DIR/apply.txt")"
 }
 
+# Ends a test whose installation does not come up.  Its own exit status keeps
+# mutants.sh from taking that for a detected fault.
 give_up() {
   echo "FAILED $1"
-  failed=$((failed + 1))
-  finish
+  printf '%s passed, %s failed\n' "$passed" "$((failed + 1))"
+  exit 3
 }
 
 all_ready() {
--- /dev/null
+++ b/tests/faults/mutants/mute-witness-kept.sed
@@ -0,0 +1,3 @@
+# file: lib/peer/permit.c
+# script: partition
+/memb_set_mute (peer->memb, permit->witness, true);/d
