--- a/lib/conf/conf.c
+++ b/lib/conf/conf.c
@@ -88,7 +88,7 @@
 {
   g_auto (GStrv) list = g_strsplit (peers, ",", -1);
   for (char **p = list; *p != NULL; p++)
-    if (**p != '\0' && !check_addr ("peer", *p, err))
+    if (**p != '\0' && !check_addr ("peers", *p, err))
       return false;
   return true;
 }
