Release a parsed submission after it is handed to the dispatch thread

disp_submit takes its own reference and entry_route kept its one, so that every submission leaked its request with all task inputs.

--- a/cmd/papayaloftd/main.c
+++ b/cmd/papayaloftd/main.c
@@ -66,6 +66,14 @@
   return options;
 }
 
+static void
+free_options (struct argp_option *options)
+{
+  for (unsigned i = 0; i < conf_count; i++)
+    g_free ((char *)options[i + 1].doc);
+  g_free (options);
+}
+
 static void
 read_settings (struct args *args, int argc, char **argv)
 {
@@ -75,13 +83,15 @@
       fprintf (stderr, "papayaloftd: %s\n", err.text);
       exit (EXIT_USAGE);
     }
+  struct argp_option *options = make_options ();
   struct argp argp = {
-    .options = make_options (),
+    .options = options,
     .parser = parse_option,
     .doc = "Entry daemon of papayaloft.  A flag wins over its environment "
            "variable.",
   };
   argp_parse (&argp, argc, argv, 0, NULL, args);
+  free_options (options);
   if (!conf_check (&args->conf, &err))
     {
       fprintf (stderr, "papayaloftd: %s\n", err.text);
@@ -149,5 +159,6 @@
   pthread_cancel (thread);
   pthread_join (thread, NULL);
   unsigned cut = entry_stop (entry);
+  conf_clear (&args.conf);
   return cut == 0 ? 0 : 1;
 }
--- a/lib/entry/route.c
+++ b/lib/entry/route.c
@@ -156,8 +156,11 @@
   else if (strcmp (method, "DELETE") == 0)
     disp_cancel (entry->disp, hop_key (hop), on_reply, hop);
   else
-    disp_submit (entry->disp, parse (entry, path, hop_key (hop), *body),
-                 on_reply, hop);
+    {
+      struct job_req *req = parse (entry, path, hop_key (hop), *body);
+      disp_submit (entry->disp, req, on_reply, hop);
+      job_req_unref (req);
+    }
 }
 
 /* The time after which a forwarded request counts as lost.  */
