Count connections of cancellations in the limit of a worker

An instance limited its tasks to its part of worker-connections, but the four cancellation threads could open connections beside them: with a limit of 10 and two instances workers saw 15 to 18. Four connections of the part are now reserved; upstream.sh with a limit of 14 passes. A part of four or less still allows one task and can be exceeded by cancellations.

--- a/lib/disp/thread.c
+++ b/lib/disp/thread.c
@@ -171,6 +171,7 @@
     .share_raise_us = conf->share_raise_ms * 1000,
     .lend_idle_us = conf->lend_idle_ms * 1000,
     .connections = (unsigned)conf->worker_connections,
+    .spare = RUN_CANCEL_THREADS,
   };
   return slot_table_new (&slot);
 }
--- a/lib/run/run.h
+++ b/lib/run/run.h
@@ -3,6 +3,10 @@
 
 #include "pl.h"
 
+/* Cancellations sent at once, each on a connection of its own if no idle one
+   is open.  */
+#define RUN_CANCEL_THREADS 4
+
 /* What is known after one try to run a task.  */
 enum run_status
 {
--- a/lib/run/run_priv.h
+++ b/lib/run/run_priv.h
@@ -8,7 +8,6 @@
 
 /* Longest wait for the answer to a DELETE.  */
 #define RUN_CANCEL_US INT64_C (1000000)
-#define RUN_CANCEL_THREADS 4
 /* Cancellations waiting at most; more are dropped, the tasks then end by
    themselves.  */
 #define RUN_CANCEL_QUEUE 4096
--- a/lib/slot/slot.h
+++ b/lib/slot/slot.h
@@ -23,6 +23,7 @@
   int64_t share_raise_us;
   int64_t lend_idle_us;
   unsigned connections; /* of all instances to one worker; 0: no limit */
+  unsigned spare;       /* connections beside those of tasks, an instance */
 };
 
 /* Slots of one worker that peer ID holds or has lent.  */
--- a/lib/slot/table.c
+++ b/lib/slot/table.c
@@ -167,13 +167,15 @@
       g_array_append_val (table->domain_peers, view->sharers[i]);
 }
 
-/* An instance holds as many connections as it had tasks at once; the limit
-   is divided evenly, since every instance may borrow all slots in turn.  */
+/* An instance holds as many connections as it had tasks at once, and those of
+   cancellations; the limit is divided evenly, since every instance may borrow
+   all slots in turn.  */
 static void
 set_most (const struct slot_table *table, struct slot_worker *worker)
 {
   unsigned sharers = table->domain_peers->len + 1;
-  unsigned part = MAX (table->opts.connections / sharers, 1);
+  unsigned part = table->opts.connections / sharers;
+  part = part > table->opts.spare ? part - table->opts.spare : 1;
   bool limited = table->opts.connections > 0 && part < worker->slots;
   worker->most = limited ? part : worker->slots;
 }
