--- a/cmd/papayaload/main.c
+++ b/cmd/papayaload/main.c
@@ -199,6 +199,7 @@
   g_hash_table_unref (before);
   g_hash_table_unref (after);
   load_plan_free (jobs, n);
+  g_free (opts->entries);
   return wrong == 0 ? 0 : 1;
 }
 
