Run the unit tests under ThreadSanitizer

GLib and liburcu are not instrumented. tests/tsan/glib.c reports the edges of the functions that we use, so that no suppression names our code; tsan.supp names only libraries. Doubles of the HTTP and runner tests read counters that other threads write; these are atomic now.

--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,8 @@
 TESTS := $(patsubst tests/%.c,%,$(wildcard tests/*_test.c))
 LIB_OBJ := $(LIB_SRC:%.c=$(BUILD)/%.o)
 LIB := $(BUILD)/libpapayaloft.a
+# Reports GLib's locks and queues to ThreadSanitizer.
+TSAN_OBJ := $(if $(findstring thread,$(SAN)),$(BUILD)/tests/tsan/glib.o)
 BIN := $(addprefix $(BUILD)/bin/,$(CMDS) $(STANDINS) $(TESTS))
 OWN_SRC := $(filter-out %.pb-c.c %.gen.c,$(shell find lib cmd tests -name '*.c'))
 OWN_HDR := $(filter-out %.pb-c.h %.gen.h,$(shell find lib cmd tests -name '*.h'))
@@ -44,7 +46,7 @@
 $(foreach c,$(CMDS),$(eval $(call program,$(c),cmd/$(c))))
 $(foreach c,$(STANDINS),$(eval $(call program,$(c),tests/standin/$(c))))
 
-$(BUILD)/bin/%_test: $(BUILD)/tests/%_test.o $(LIB)
+$(BUILD)/bin/%_test: $(BUILD)/tests/%_test.o $(TSAN_OBJ) $(LIB)
 	@mkdir -p $(@D)
 	$(CC) $(ALL_CFLAGS) $^ -o $@ $(TEST_LIBS) $(ALL_LIBS)
 
--- a/tests/http_fake.h
+++ b/tests/http_fake.h
@@ -27,10 +27,11 @@
 static struct
 {
   struct http_ops ops;
-  bool ready;
-  bool hold; /* operations wait in HELD until the test takes them */
-  int64_t retry_ms;
-  int drains;
+  /* Set by the test while the server runs.  */
+  _Atomic bool ready;
+  _Atomic bool hold; /* operations wait in HELD until the test takes them */
+  _Atomic int64_t retry_ms;
+  _Atomic int drains;
   gint calls;
   char last[512]; /* "METHOD path key body" */
   GAsyncQueue *held;
--- a/tests/run_server.h
+++ b/tests/run_server.h
@@ -30,7 +30,7 @@
   struct pl_addr addr;
   GMutex lock;
   GCond changed;
-  int connections, open, max_open;
+  _Atomic int connections, open, max_open;
   GArray *fds;      /* of the open connections */
   GHashTable *seen; /* id: how often a first byte of it arrived */
   GHashTable *cancelled;
