--- /dev/null
+++ b/tests/faults/input.sh
@@ -0,0 +1,250 @@
+#!/bin/bash
+# Wrong, hostile and slow callers against a real entry instance: each error
+# has its code and HTTP status, wrong settings are named at the start, and the
+# instance serves as before afterwards without a thread or descriptor lost.
+cd "$(dirname "$0")/../.." || exit 2
+WORKERS=2
+. scripts/cluster.sh
+trap cleanup EXIT
+passed=0
+failed=0
+
+check() { # NAME COMMAND...
+  local name=$1
+  shift
+  if "$@"; then
+    passed=$((passed + 1))
+  else
+    failed=$((failed + 1))
+    printf 'FAILED  %s\n' "$name"
+  fi
+}
+
+# The log is shown and nothing else is run if the installation is not there.
+give_up() {
+  printf '%s\n0 passed, 1 failed\n' "$1"
+  exit 1
+}
+
+start_platform || give_up "no platform"
+start_upstreams 1 || give_up "no upstreams"
+write_note "$DIR/note.json" 0 brum=1
+apply_note "$DIR/note.json" >/dev/null || give_up "no note"
+start_entry e brum 1 1 --caller-idle-s 1 --upstream-idle-ms 300
+entry_ready e || give_up "not ready"
+E=http://${HTTP[e]}
+sleep 1.2 # until the shares of slots are in force
+PREFIX=$(curl -sf "$E/v1/prefix" | jq -r .prefix)
+SERIAL=0
+KEY=
+
+new_key() {
+  SERIAL=$((SERIAL + 1))
+  KEY=$PREFIX.k$SERIAL
+}
+
+# answer STATUS NAME CURL-ARGUMENT...: the answer has this status and code.
+answer() {
+  local status=$1 name=$2 got
+  shift 2
+  got=$(curl -s -m 10 -o "$DIR/body" -w '%{http_code}' "$@")
+  [ "$got" = "$status" ] \
+    && [ "$(jq -r '.name // "none"' "$DIR/body")" = "$name" ] && return
+  printf 'got %s %.200s, expected %s %s\n' "$got" "$(<"$DIR/body")" "$status" "$name"
+  return 1
+}
+
+# submit NAME STATUS CODE BODY: with a key of its own.
+submit() {
+  new_key
+  printf '%s' "$4" >"$DIR/request"
+  check "$1" answer "$2" "$3" "$E/v1/jobs" -H 'Expect:' \
+    -H "Idempotency-Key: $KEY" --data-binary "@$DIR/request"
+}
+
+# job TASKS [MEMBERS]: the body of a job; later members win in jq.
+job() {
+  jq -nc --argjson tasks "$1" --argjson more "${2:-{\}}" \
+    '{service:"board-orders",kind:"price-check",team:"prices",
+      deadline_ms:5000,tasks:$tasks} + $more'
+}
+
+ONE='[{"input":{"run_ms":5,"echo":"a"}}]'
+GOOD=$(job "$ONE")
+
+threads() { awk '$1 == "Threads:" { print $2 }' "/proc/${PID[e]}/status"; }
+descriptors() { ls "/proc/${PID[e]}/fd" | wc -l; }
+as_before() {
+  [ "$(threads)" -eq "$THREADS" ] && [ "$(descriptors)" -eq "$DESCRIPTORS" ]
+}
+
+submit "a good job" 200 OK "$GOOD"
+sleep 1.5 # until the upstream connection and the caller's have been closed
+THREADS=$(threads)
+DESCRIPTORS=$(descriptors)
+
+# Bodies.
+submit "not JSON" 400 BAD_JSON '{"service":'
+submit "empty body" 400 BAD_JSON ''
+submit "not UTF-8" 400 BAD_JSON "$(printf '{"service":"\xff"}')"
+submit "duplicate member" 400 BAD_JSON '{"team":"a","team":"b"}'
+submit "deep nesting" 400 BAD_JSON "$(printf '[%.0s' {1..5000})"
+submit "not an object" 400 BAD_REQUEST '[]'
+submit "no tasks member" 400 BAD_REQUEST "$(job 1)"
+submit "task without input" 400 BAD_REQUEST "$(job '[{}]')"
+submit "negative memory" 400 BAD_REQUEST "$(job '[{"memory_mb":-1,"input":1}]')"
+submit "0 tasks" 400 TOO_MANY_TASKS "$(job '[]')"
+submit "391 tasks" 400 TOO_MANY_TASKS "$(job "$(jq -nc '[range(391)|{input:.}]')")"
+submit "unknown service" 404 UNKNOWN_SERVICE "$(job "$ONE" '{"service":"x"}')"
+submit "unknown kind" 404 UNKNOWN_SERVICE "$(job "$ONE" '{"kind":"x"}')"
+submit "unknown team" 404 UNKNOWN_TEAM "$(job "$ONE" '{"team":"x"}')"
+for deadline in 0 -1 600001 9223372036854775807; do
+  submit "deadline $deadline" 400 DEADLINE_PAST \
+    "$(printf '%s' "$GOOD" | sed "s/5000/$deadline/")"
+done
+submit "deadline beyond 64 bits" 400 BAD_JSON \
+  "$(printf '%s' "$GOOD" | sed 's/5000/99999999999999999999/')"
+submit "deadline as text" 400 BAD_REQUEST "$(job "$ONE" '{"deadline_ms":"1"}')"
+submit "too much memory" 422 NEVER_RUNNABLE \
+  "$(job '[{"memory_mb":2601,"input":1}]')"
+submit "as much memory as the largest worker" 200 OK \
+  "$(job '[{"memory_mb":2600,"input":{"run_ms":5}}]')"
+head -c 1100000 /dev/zero | tr '\0' ' ' >"$DIR/large"
+new_key
+check "too large" answer 413 BODY_TOO_LARGE "$E/v1/jobs" -H 'Expect:' \
+  -H "Idempotency-Key: $KEY" --data-binary "@$DIR/large"
+new_key
+check "too large, chunked" answer 413 BODY_TOO_LARGE "$E/v1/jobs" -H 'Expect:' \
+  -H 'Transfer-Encoding: chunked' -H "Idempotency-Key: $KEY" \
+  --data-binary "@$DIR/large"
+
+# Keys.
+with_key() { # NAME STATUS CODE KEY
+  check "$1" answer "$2" "$3" "$E/v1/jobs" -H "Idempotency-Key: $4" -d "$GOOD"
+}
+check "key missing" answer 400 KEY_MISSING "$E/v1/jobs" -d "$GOOD"
+with_key "key without fields" 400 KEY_MALFORMED x
+with_key "key without suffix" 400 KEY_MALFORMED "$PREFIX."
+with_key "key with a bad suffix" 400 KEY_MALFORMED "$PREFIX.a/b"
+with_key "suffix of 65 characters" 400 KEY_MALFORMED "$PREFIX.$(printf 'a%.0s' {1..65})"
+with_key "key of 10,000 characters" 400 KEY_MALFORMED "$(printf 'a%.0s' {1..10000})"
+with_key "future epoch" 400 KEY_NOT_ISSUED "${PREFIX%.*}.$((${PREFIX##*.} + 1000)).x"
+with_key "unknown instance" 504 UNKNOWN_OWNER "brum.0123456789abcdef.0.1.x"
+new_key
+with_key "first body" 200 OK "$KEY"
+check "second body" answer 409 KEY_REUSED "$E/v1/jobs" \
+  -H "Idempotency-Key: $KEY" -d "$(job "$ONE" '{"deadline_ms":4000}')"
+check "look-up of an unused key" answer 404 NOT_RECORDED "$E/v1/jobs/$PREFIX.unused"
+
+# Methods, paths, headers.
+check "method of jobs" answer 405 BAD_METHOD -X PUT "$E/v1/jobs"
+check "method of a key" answer 405 BAD_METHOD -X POST "$E/v1/jobs/$KEY"
+check "method of prefix" answer 405 BAD_METHOD -X POST "$E/v1/prefix"
+check "method of drain" answer 405 BAD_METHOD "$E/v1/drain"
+check "unknown path" answer 404 NOT_FOUND "$E/v1/nothing"
+check "service path without kind" answer 404 NOT_FOUND -X POST "$E/v1/services/x"
+check "headers above 16 KiB" answer 431 HEADERS_TOO_LARGE "$E/v1/prefix" \
+  -H "X-Fill: $(head -c 16500 /dev/zero | tr '\0' x)"
+check "headers below 16 KiB" answer 200 none "$E/v1/prefix" \
+  -H "X-Fill: $(head -c 15000 /dev/zero | tr '\0' x)"
+far_too_large() {
+  local got
+  got=$(curl -s -m 5 -o /dev/null -w '%{http_code}' "$E/v1/prefix" \
+    -H "X-Fill: $(head -c 100000 /dev/zero | tr '\0' x)")
+  [ "$got" = 431 ]
+}
+check "headers of 100 KB" far_too_large
+
+# raw TEXT: sends bytes and prints what comes back until the end.
+raw() {
+  exec 9<>"/dev/tcp/${HTTP[e]%:*}/${HTTP[e]#*:}" || return 1
+  printf "$1" >&9
+  timeout 5 cat <&9
+  exec 9>&- 9<&-
+}
+stalled() {
+  new_key
+  raw "POST /v1/jobs HTTP/1.1\r\nHost: x\r\nIdempotency-Key: $KEY\r\nContent-Length: 100\r\n\r\n{" \
+    >"$DIR/stalled"
+  grep -q '^HTTP/1.1 408 ' "$DIR/stalled" && grep -q CALLER_STALLED "$DIR/stalled"
+}
+check "stalled body" stalled
+closed_without_headers() { [ -z "$(raw 'GET /v1/pre')" ]; }
+check "stalled headers" closed_without_headers
+not_http() { ! raw '\001\002\003 garbage\r\n\r\n' | grep -q ' 200 '; }
+check "not HTTP" not_http
+
+# A caller that vanishes while its job runs.
+vanishes() {
+  local body n
+  body=$(job '[{"input":{"run_ms":700,"echo":"vanished"}}]')
+  new_key
+  curl -s -m 0.3 -o /dev/null "$E/v1/jobs" -H "Idempotency-Key: $KEY" -d "$body"
+  [ $? -eq 28 ] || return 1
+  wait_for 3 answer 200 OK "$E/v1/jobs/$KEY"
+  answer 200 OK "$E/v1/jobs" -H "Idempotency-Key: $KEY" -d "$body" || return 1
+  [ "$(jq -r '.answers[0].echo' "$DIR/body")" = vanished ] || return 1
+  n=$(grep -c ' start .* vanished$' "$DIR/starts-1.log")
+  [ "$n" -eq 1 ]
+}
+check "the job of a vanished caller completes once" vanishes
+
+# A caller that reads its answer slowly.
+slow_reader() {
+  new_key
+  jq -c '.tasks=[range(100)|{input:{run_ms:5,echo:("y"*8000+tostring)}}]' \
+    <<<"$GOOD" >"$DIR/request"
+  answer 200 OK "$E/v1/jobs" -H "Idempotency-Key: $KEY" \
+    -H 'Expect:' --data-binary "@$DIR/request" || return 1
+  # Longer than an idle caller is kept.
+  answer 200 OK --limit-rate 300K "$E/v1/jobs/$KEY" || return 1
+  [ "$(jq '[.answers|to_entries[]|select(.value.echo=="y"*8000+(.key|tostring))]|length' \
+    "$DIR/body")" -eq 100 ]
+}
+check "a slow reader gets the whole answer" slow_reader
+
+# setting EXPECTED-TEXT ARGUMENT...: refused at the start, and why.
+setting() {
+  local text=$1 status
+  shift
+  timeout 5 env "$@" >"$DIR/setting" 2>&1
+  status=$?
+  # argp itself ends with 64.
+  [ $status -eq 2 ] || [ $status -eq 64 ] || status="wrong: $status"
+  [ "${status#wrong}" = "$status" ] && grep -qF -- "$text" "$DIR/setting" && return
+  printf 'exit %s: %.300s\n' "$status" "$(<"$DIR/setting")"
+  return 1
+}
+D=$BIN/papayaloftd
+check "number below its range" setting \
+  "--queue-tasks: value '0' is not a whole number from 1 to 1000000" "$D" --queue-tasks 0
+check "not a number" setting \
+  "--keep-s: value '1x' is not a whole number from 10 to 86400" "$D" --keep-s 1x
+check "number beyond 64 bits" setting \
+  "--seed: value '99999999999999999999' is not a whole number from 0 to 2147483647" \
+  "$D" --seed 99999999999999999999
+check "environment" setting \
+  "PAPAYALOFT_HTTP_THREADS: value '65' is not a whole number from 1 to 64" \
+  PAPAYALOFT_HTTP_THREADS=65 "$D"
+check "text too long" setting "must have 1 to 32 characters" \
+  "$D" --domain "$(printf 'a%.0s' {1..33})"
+check "domain's characters" setting "--domain: value 'A b' may hold only" "$D" --domain 'A b'
+check "policy" setting "--policy: value 'x' must be one of: slowdown, fifo, p2c" "$D" --policy x
+check "address" setting "--listen: value '1.2.3.4' is not an address" "$D" --listen 1.2.3.4
+check "port" setting "--peer-listen: value '1.2.3.4:70000'" "$D" --peer-listen 1.2.3.4:70000
+check "peers" setting "--peers: value 'b'" "$D" --peers 1.2.3.4:5,b
+check "order" setting "--heartbeat-ms: value 5000 must be less than --suspect-ms (1500)" \
+  "$D" --heartbeat-ms 5000
+check "unknown flag" setting "unrecognized option '--no-such-flag'" "$D" --no-such-flag 1
+
+submit "a good job afterwards" 200 OK "$GOOD"
+check "still ready" http_ok "${HTTP[e]}/readyz"
+wait_for 6 as_before
+check "threads and descriptors: $THREADS $DESCRIPTORS before, $(threads) $(descriptors) after" \
+  as_before
+check "graceful stop" stop_entry e
+if grep -hE -A 40 'ERROR: (Address|Leak)Sanitizer|runtime error:' "$DIR/e.log"; then
+  check "no sanitizer report" false
+fi
+printf '%s passed, %s failed\n' "$passed" "$failed"
+[ $failed -eq 0 ]
--- a/tests/standin/standin-upstream/main.c
+++ b/tests/standin/standin-upstream/main.c
@@ -94,6 +94,7 @@
       struct worker *w = &standin->workers[i];
       w->standin = standin;
       pl_addr_text (addr, w->text);
+      w->fds = g_array_new (FALSE, FALSE, sizeof (int));
       w->running = g_hash_table_new (g_str_hash, g_str_equal);
       w->started
           = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
--- a/tests/standin/standin-upstream/standin.h
+++ b/tests/standin/standin-upstream/standin.h
@@ -48,6 +48,7 @@
   char text[PL_ADDR_TEXT];
   struct fault fault;
   struct stats stats;
+  GArray *fds;         /* of the open connections */
   GHashTable *running; /* id: struct req */
   GHashTable *started; /* ids */
 };
