Eject unreachable workers beyond a third of a domain

Cause: at most a third of a domain was ejected. A lost rack is 6 of 12 workers; two of them kept taking tasks, which spent the retry budget until jobs failed at their deadline. Change: workers whose connections can't be made have a limit of their own, two thirds of a domain.

--- a/lib/slot/health.c
+++ b/lib/slot/health.c
@@ -8,8 +8,9 @@
 #define DECAY 0.98       /* weight of a former result: about 50 count */
 #define FIRST_US 1000000 /* first ejection */
 #define LONGEST_US 30000000
-#define DOMAIN_PART 3   /* at most one in so many is ejected */
-#define LEAST_RATE 0.05 /* a rate below this ejects nobody */
+#define DOMAIN_PART 3      /* at most one in so many is ejected */
+#define LEAST_RATE 0.05    /* a rate below this ejects nobody */
+#define UNREACHABLE_PART 2 /* of DOMAIN_PART, if no connection can be made */
 
 void
 slot_kind_free (void *data)
@@ -91,17 +92,29 @@
   return rate > LEAST_RATE && rate > RATE_FACTOR * common;
 }
 
+/* Unreachable workers have a limit of their own: a lost rack can be half of a
+   domain, and its workers would take tasks for as long as it is away.  */
+static bool
+over_limit (const struct slot_table *table, bool unreachable)
+{
+  unsigned gone = table->unreachable;
+  if (unreachable)
+    return (gone + 1) * DOMAIN_PART > table->listed * UNREACHABLE_PART;
+  return (table->ejected - gone + 1) * DOMAIN_PART > table->listed;
+}
+
 static void
-eject (struct slot_table *table, struct slot_worker *worker)
+eject (struct slot_table *table, struct slot_worker *worker, bool unreachable)
 {
-  if (worker->health != SLOT_EJECTED
-      && (table->ejected + 1) * DOMAIN_PART > table->listed)
+  if (over_limit (table, unreachable))
     return;
   bool again = worker->health == SLOT_TRIAL;
   worker->eject_us = again ? MIN (worker->eject_us * 2, LONGEST_US) : FIRST_US;
   worker->until_us = pl_now_us (table->opts.clock) + worker->eject_us;
   worker->health = SLOT_EJECTED;
   table->ejected++;
+  worker->unreachable = unreachable;
+  table->unreachable += unreachable;
   char text[PL_ADDR_TEXT];
   pl_log (PL_EV_EJECT, "worker=%s failures=%.1f until_ms=%lld",
           pl_addr_text (worker->addr, text), worker->streak,
@@ -117,6 +130,8 @@
     return;
   worker->health = SLOT_TRIAL;
   table->ejected--;
+  table->unreachable -= worker->unreachable;
+  worker->unreachable = false;
   char text[PL_ADDR_TEXT];
   pl_log (PL_EV_TRIAL, "worker=%s", pl_addr_text (worker->addr, text));
 }
@@ -157,7 +172,7 @@
   if (worker->health == SLOT_TRIAL
           ? weight > 0.5
           : worker->streak > STREAK || rate_high (table, worker))
-    eject (table, worker);
+    eject (table, worker, kind == NULL);
 }
 
 unsigned
--- a/lib/slot/slot.h
+++ b/lib/slot/slot.h
@@ -69,6 +69,7 @@
   double tries;     /* results, decaying */
   int64_t until_us; /* end of the ejection */
   int64_t eject_us; /* length of the latest ejection */
+  bool unreachable; /* ejected because no connection can be made */
 };
 
 struct slot_table;
--- a/lib/slot/slot_in.h
+++ b/lib/slot/slot_in.h
@@ -33,6 +33,7 @@
   GArray *domain_peers; /* claim_id of the live ones */
   int64_t revision;
   unsigned ejected;
+  unsigned unreachable; /* of these */
   unsigned listed;
   unsigned lost;
   double slowness; /* mean of the usable workers */
