--- a/tests/slot_test.c
+++ b/tests/slot_test.c
@@ -245,6 +245,63 @@
   slot_table_free (f.table);
 }
 
+/* Guards against a borrower that has to ask again for slots that become free
+   later, and against a grant a slot.  */
+static void
+test_open_request (void)
+{
+  struct fix f;
+  fix_init (&f, 2);
+  while (slot_free_all (f.table) > 0)
+    slot_take (f.table, slot_choose (f.table, 0, false, NULL), 0);
+  slot_want (f.table, PEER, 20);
+  GArray *lots;
+  CU_ASSERT_EQUAL (slot_serve (f.table, &lots), 0);
+  slot_wants_wait (f.table);
+  CU_ASSERT (slot_wanted (f.table));
+  unsigned granted = 0;
+  for (unsigned i = 0; i < WORKERS; i++)
+    {
+      struct slot_worker *worker = slot_at (f.table, i);
+      while (worker->in_use > 0)
+        slot_release (f.table, worker, 0);
+      if (slot_serve (f.table, &lots) != PEER)
+        continue;
+      granted += total (lots);
+      g_array_unref (lots);
+      CU_ASSERT_EQUAL (slot_serve (f.table, &lots), 0);
+      pass (&f, 5);
+    }
+  CU_ASSERT_EQUAL (granted, 20 / 2);
+  slot_want (f.table, PEER, 20);
+  pass (&f, 300);
+  CU_ASSERT (!slot_wanted (f.table));
+  slot_table_free (f.table);
+}
+
+/* Guards against a borrower that uses lent slots again while their lender has
+   queued tasks.  */
+static void
+test_recall (void)
+{
+  struct fix f;
+  fix_init (&f, 2);
+  g_autoptr (GArray) refused
+      = g_array_new (FALSE, FALSE, sizeof (struct slot_lot));
+  struct slot_worker *worker = slot_at (f.table, 0);
+  struct slot_lot lot = { worker->addr, 2 };
+  unsigned before = slot_free (worker);
+  slot_granted (f.table, PEER, &lot, 1, refused);
+  CU_ASSERT_EQUAL (slot_free (worker), before + 2);
+  slot_want (f.table, PEER, 2);
+  CU_ASSERT_EQUAL (slot_free (worker), before);
+  GArray *lots;
+  CU_ASSERT_EQUAL (slot_give_back (f.table, &lots), PEER);
+  CU_ASSERT_EQUAL (total (lots), 2);
+  g_array_unref (lots);
+  slot_table_free (f.table);
+}
+
 static void
 test_borrowing (void)
 {
@@ -300,6 +357,8 @@
     { "leaving", test_leaving },
     { "unreachable", test_unreachable },
     { "lending", test_lending },
+    { "open request", test_open_request },
+    { "recall", test_recall },
     { "borrowing", test_borrowing },
     CU_TEST_INFO_NULL,
   };
