Keep the watch role given before the platform feed exists

Cause: the control thread starts before the feed and may give the role of a watcher while entry->feed is still null; the role was dropped and never given again, so that the instance learnt of notes only by the 10 s poll. At a stop the feed was freed while the control thread could still use it. Change: the role is kept under the entry's lock and applied when the feed exists; the feed is detached under the lock before it is freed.

--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -84,8 +84,10 @@
 peer_revision (struct peer_ops *ops, int64_t revision)
 {
   struct entry *entry = from_peer (ops);
+  g_mutex_lock (&entry->lock);
   if (entry->feed != NULL)
     plat_feed_seen (entry->feed, revision);
+  g_mutex_unlock (&entry->lock);
   disp_view_changed (entry->disp);
   if (revision > 0)
     pl_gauge (PL_CTR_REVISION_IN_FORCE, revision);
@@ -95,8 +97,11 @@
 peer_watch (struct peer_ops *ops, bool on)
 {
   struct entry *entry = from_peer (ops);
+  g_mutex_lock (&entry->lock);
+  entry->watching = on;
   if (entry->feed != NULL)
     plat_feed_watch (entry->feed, on);
+  g_mutex_unlock (&entry->lock);
 }
 
 static void
@@ -192,10 +197,16 @@
 {
   if (entry->conf->platform[0] == '\0')
     return true;
-  entry->feed = plat_feed_new (entry->conf->platform,
-                               (int)entry->conf->leaving_poll_ms,
-                               &entry->feed_ops, err);
-  return entry->feed != NULL;
+  struct plat_feed *feed = plat_feed_new (entry->conf->platform,
+                                          (int)entry->conf->leaving_poll_ms,
+                                          &entry->feed_ops, err);
+  if (feed == NULL)
+    return false;
+  g_mutex_lock (&entry->lock);
+  entry->feed = feed;
+  plat_feed_watch (feed, entry->watching);
+  g_mutex_unlock (&entry->lock);
+  return true;
 }
 
 struct entry *
@@ -235,10 +246,10 @@
   return entry;
 
 fail:
-  if (entry->feed != NULL)
-    plat_feed_free (entry->feed);
   if (entry->peer != NULL)
     peer_stop (entry->peer);
+  if (entry->feed != NULL)
+    plat_feed_free (entry->feed);
   if (entry->disp != NULL)
     disp_free (entry->disp);
   if (entry->peer != NULL)
--- a/lib/entry/impl.h
+++ b/lib/entry/impl.h
@@ -20,12 +20,15 @@
   struct peer *peer;
   struct disp *disp;
   struct http *http;
-  struct plat_feed *feed; /* null without a platform */
+  struct plat_feed *feed; /* null without a platform; under the lock, since
+                             the control thread starts before it and ends
+                             after it */
   GHashTable *leaving;    /* addresses that the list called leaving when it was
                              last read; feed's thread */
   GMutex lock;
   GCond drain_asked;
   bool draining;
+  bool watching; /* the role last given by the control thread */
   GArray *seeds; /* struct pl_addr, of the setting peers */
   int64_t started_us;
   gint settled;
--- a/lib/entry/settle.c
+++ b/lib/entry/settle.c
@@ -29,7 +29,7 @@
 seeds_heard (struct entry *entry)
 {
   if (entry->seeds->len == 0)
-    return entry->feed == NULL;
+    return entry->conf->platform[0] == '\0';
   struct pl_shared *shared = pl_slot_get (&entry->memb_slot);
   bool heard = shared != NULL;
   for (guint i = 0; heard && i < entry->seeds->len; i++)
--- a/lib/entry/stop.c
+++ b/lib/entry/stop.c
@@ -59,8 +59,11 @@
   unsigned cut = http_free (entry->http, left_ms (entry, until_us));
   unsigned unfinished = close_records (entry, until_us);
   bool handed = peer_hand_over (entry->peer, left_ms (entry, until_us));
-  if (entry->feed != NULL)
-    plat_feed_free (entry->feed);
+  g_mutex_lock (&entry->lock);
+  struct plat_feed *feed = entry->feed;
+  entry->feed = NULL;
+  g_mutex_unlock (&entry->lock);
+  plat_feed_free (feed);
   peer_stop (entry->peer);
   disp_free (entry->disp);
   peer_free (entry->peer);
