--- a/tests/standin/standin-forwarder/main.c
+++ b/tests/standin/standin-forwarder/main.c
@@ -172,7 +172,7 @@
       struct pollfd *at = fds + 1 + f->n_rules;
       for (unsigned i = links; i > 0; i--)
         {
-          struct pollfd *pair = at + 2 * (i - 1);
+          struct pollfd *pair = at + 2 * (size_t)(i - 1);
           if (!link_move (f->links[i - 1], 0, pair[0].revents)
               || !link_move (f->links[i - 1], 1, pair[1].revents))
             drop_link (f, i - 1, false);
