Add mutated requests, upstream answers and peer messages

Seeded and deterministic: 300 damaged HTTP requests at once, 150 damaged upstream answers each followed by a good one, 10,000 damaged Forward and NoteReply frames. Bodies of jobs, notes and heartbeats were covered before.

--- a/tests/http_test.c
+++ b/tests/http_test.c
@@ -365,6 +365,77 @@
   CU_ASSERT_EQUAL (http_free (http, 1000), 0);
 }
 
+static void
+mutate (GRand *rand, GString *text)
+{
+  static const char *const parts[] = { "\r\n",
+                                       "\r\n\r\n",
+                                       ":",
+                                       " ",
+                                       "\xff",
+                                       "%00",
+                                       "-1",
+                                       "../",
+                                       "Content-Length: 9\r\n",
+                                       "Transfer-Encoding: chunked\r\n",
+                                       "99999999999999999999",
+                                       "Expect: 100-continue\r\n" };
+  for (int n = g_rand_int_range (rand, 1, 5); n > 0 && text->len > 1; n--)
+    {
+      gssize at = g_rand_int_range (rand, 0, (gint32)text->len);
+      const char *part
+          = parts[g_rand_int_range (rand, 0, G_N_ELEMENTS (parts))];
+      switch (g_rand_int_range (rand, 0, 4))
+        {
+        case 0:
+          text->str[at] = (char)g_rand_int_range (rand, 0, 256);
+          break;
+        case 1:
+          g_string_erase (text, at, 1);
+          break;
+        case 2:
+          g_string_insert (text, at, part);
+          break;
+        default:
+          g_string_truncate (text, (gsize)at);
+        }
+    }
+}
+
+/* Guards against a crash, a hung connection or a request that is lost by
+   damaged requests; meant to run under the sanitizers as well.  */
+static void
+test_mutated_requests (void)
+{
+  struct http *http = start ();
+  GRand *rand = g_rand_new_with_seed (4711);
+  /* All at once: an incomplete request ends only when its time is over.  */
+  int fds[300];
+  for (unsigned i = 0; i < G_N_ELEMENTS (fds); i++)
+    {
+      GString *text = g_string_new (
+          "POST /v1/jobs HTTP/1.1\r\nHost: x\r\n" WITH_KEY JSON);
+      mutate (rand, text);
+      fds[i] = dial ();
+      CU_ASSERT_FATAL (fds[i] >= 0);
+      ssize_t n = send (fds[i], text->str, text->len, MSG_NOSIGNAL);
+      (void)n;
+      shutdown (fds[i], SHUT_WR);
+      g_string_free (text, TRUE);
+    }
+  for (unsigned i = 0; i < G_N_ELEMENTS (fds); i++)
+    {
+      g_autofree char *got = take (fds[i]);
+      CU_ASSERT (got[0] == '\0' || g_str_has_prefix (got, "HTTP/1."));
+      close (fds[i]);
+    }
+  g_rand_free (rand);
+  g_autofree char *after
+      = call ("POST /v1/jobs HTTP/1.1\r\nHost: x\r\n" WITH_KEY JSON);
+  CU_ASSERT (has (after, "HTTP/1.1 200 "));
+  CU_ASSERT_EQUAL (http_free (http, 2000), 0);
+}
+
 int
 main (void)
 {
@@ -391,6 +462,7 @@
     { "free waits", test_free_waits },
     { "free cuts", test_free_cuts },
     { "bad listen", test_bad_listen },
+    { "mutated requests", test_mutated_requests },
     CU_TEST_INFO_NULL,
   };
   return test_run ("http", tests);
--- a/tests/msg_test.c
+++ b/tests/msg_test.c
@@ -88,6 +88,57 @@
   g_free (forward.body.data);
 }
 
+/* Changes bytes of E and cuts it; what is taken must pass again.  */
+static void
+damage (GRand *rand, Msg__Envelope *e, enum msg_channel channel)
+{
+  g_autoptr (GBytes) data = packed (e, channel);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (data);
+  size_t len = g_bytes_get_size (data);
+  struct pl_err err = { 0 };
+  for (int i = 0; i < 5000; i++)
+    {
+      g_autofree uint8_t *copy
+          = g_memdup2 (g_bytes_get_data (data, NULL), len);
+      for (int n = g_rand_int_range (rand, 1, 4); n > 0; n--)
+        copy[g_rand_int_range (rand, 0, (gint32)len)]
+            = (uint8_t)g_rand_int_range (rand, 0, 256);
+      size_t cut = (size_t)g_rand_int_range (rand, 1, (gint32)len + 1);
+      Msg__Envelope *got
+          = msg_unpack (copy, i % 2 == 0 ? len : cut, channel, &err);
+      if (got != NULL)
+        CU_ASSERT (accepted (got, channel));
+      msg_free (got);
+    }
+}
+
+/* Guards against crashes on damaged messages that carry bytes and lists.  */
+static void
+test_damaged (void)
+{
+  GRand *rand = g_rand_new_with_seed (7);
+  Msg__Forward forward = MSG__FORWARD__INIT;
+  Msg__Envelope e = MSG__ENVELOPE__INIT;
+  e.body_case = MSG__ENVELOPE__BODY_FORWARD;
+  e.forward = &forward;
+  forward.method = MSG__METHOD__METHOD_POST;
+  forward.key.data = (uint8_t *)"a.0000000000000001.0.1.x";
+  forward.key.len = 24;
+  forward.body.data = (uint8_t *)"{\"a\":1}";
+  forward.body.len = 7;
+  damage (rand, &e, MSG_RELAY);
+  Msg__NoteReply note = MSG__NOTE_REPLY__INIT;
+  e = (Msg__Envelope)MSG__ENVELOPE__INIT;
+  e.body_case = MSG__ENVELOPE__BODY_NOTE_REPLY;
+  e.note_reply = &note;
+  note.revision = 3;
+  note.total = 1;
+  note.data.data = (uint8_t *)"{}";
+  note.data.len = 2;
+  damage (rand, &e, MSG_CONTROL);
+  g_rand_free (rand);
+}
+
 /* Guards against crashes of the decoder and against messages that decode to
    far more memory than their size.  */
 static void
@@ -134,6 +185,7 @@
     { "counts and ranges", test_counts_and_ranges },
     { "size", test_size },
     { "noise", test_noise },
+    { "damaged", test_damaged },
     CU_TEST_INFO_NULL,
   };
   return test_run ("msg", tests);
--- a/tests/run_server.h
+++ b/tests/run_server.h
@@ -153,6 +153,54 @@
   answer (fd, 410, id, 2, "{}");
 }
 
+/* An answer to ID with SEED's changes; whether it is still a whole answer with
+   the right identity can't be told here.  */
+static GString *
+mutated_answer (const char *id, guint32 seed)
+{
+  static const char *const parts[] = { "\r\n",
+                                       "\r\n\r\n",
+                                       ":",
+                                       " ",
+                                       "Content-Length: 3\r\n",
+                                       "\xff",
+                                       "-1",
+                                       "200",
+                                       "503",
+                                       "Task-Id: other\r\n",
+                                       "HTTP/1.1 100 Continue\r\n\r\n",
+                                       "Transfer-Encoding: chunked\r\n",
+                                       "99999999999999999999" };
+  GRand *rand = g_rand_new_with_seed (seed);
+  GString *out = g_string_new (NULL);
+  g_string_printf (out,
+                   "HTTP/1.1 200 OK\r\nTask-Id: %s\r\nContent-Length: 4\r\n"
+                   "\r\ntrue",
+                   id);
+  for (int n = g_rand_int_range (rand, 1, 4); n > 0 && out->len > 1; n--)
+    {
+      gssize at = g_rand_int_range (rand, 0, (gint32)out->len);
+      const char *part
+          = parts[g_rand_int_range (rand, 0, G_N_ELEMENTS (parts))];
+      switch (g_rand_int_range (rand, 0, 4))
+        {
+        case 0:
+          out->str[at] = (char)g_rand_int_range (rand, 0, 256);
+          break;
+        case 1:
+          g_string_erase (out, at, 1);
+          break;
+        case 2:
+          g_string_insert (out, at, part);
+          break;
+        default:
+          g_string_truncate (out, (gsize)at);
+        }
+    }
+  g_rand_free (rand);
+  return out;
+}
+
 /* Returns false if the connection is to be closed.  */
 static bool
 behave (int fd, struct request *r)
@@ -214,6 +262,15 @@
       answer (fd, 200, r->id, 4, "true");
       return false;
     }
+  else if (g_str_has_prefix (k, "mutate-"))
+    {
+      GString *text
+          = mutated_answer (r->id, (guint32)strtol (k + 7, NULL, 10));
+      ssize_t n = send (fd, text->str, text->len, MSG_NOSIGNAL);
+      (void)n;
+      g_string_free (text, TRUE);
+      return false;
+    }
   else if (strcmp (k, "reset") == 0)
     {
       struct linger linger = { .l_onoff = 1 };
--- a/tests/run_test.c
+++ b/tests/run_test.c
@@ -373,6 +373,47 @@
   CU_ASSERT (server.max_open <= CONNECTIONS);
 }
 
+/* Guards against a crash, a foreign answer or a connection that is left in a
+   wrong state after a damaged answer.  */
+static void
+test_mutated_answers (void)
+{
+  struct run *run = runner (pl_clock_real (), 1, 2);
+  unsigned ok = 0;
+  for (guint32 seed = 1; seed <= 150; seed++)
+    {
+      char id[64];
+      char kind[32];
+      g_snprintf (id, sizeof id, "mutated-%u", seed);
+      g_snprintf (kind, sizeof kind, "mutate-%u", seed);
+      run_start (run, task_new (id, kind, g_get_monotonic_time () + 5000000));
+      struct outcome *o = g_async_queue_pop (results);
+      GString *text = mutated_answer (id, seed);
+      if (o->result->status == RUN_OK)
+        {
+          /* Taken as an answer: its identity is still there, and the body is
+             the end of what was sent.  */
+          gsize size = 0;
+          const char *body = g_bytes_get_data (o->result->answer, &size);
+          CU_ASSERT (strstr (text->str, id) != NULL);
+          CU_ASSERT (
+              size <= text->len
+              && (size == 0
+                  || memcmp (text->str + text->len - size, body, size) == 0));
+          ok++;
+        }
+      CU_ASSERT (o->result->status != RUN_NOT_SENT);
+      CU_ASSERT (o->result->status != RUN_REFUSED);
+      CU_ASSERT_EQUAL (seen (id), 1);
+      g_string_free (text, TRUE);
+      outcome_free (o);
+      g_snprintf (id, sizeof id, "after-%u", seed);
+      CU_ASSERT_EQUAL (once (run, id, "ok", NULL), RUN_OK);
+    }
+  CU_ASSERT (ok > 0 && ok < 150);
+  run_free (run);
+}
+
 /* Guards against exceeding the connections of an upstream.  */
 static void
 test_connection_limit (void)
@@ -416,6 +457,7 @@
     { "slow answers are bounded", test_slow_answers_are_bounded },
     { "cancel reaches upstream", test_cancel_reaches_upstream },
     { "many tasks", test_many_tasks },
+    { "mutated answers", test_mutated_answers },
     { "connection limit", test_connection_limit },
     CU_TEST_INFO_NULL,
   };
