--- a/tests/run_test.c
+++ b/tests/run_test.c
@@ -407,6 +407,7 @@
       CU_ASSERT_EQUAL (seen (id), 1);
       g_string_free (text, TRUE);
       outcome_free (o);
+      wait_closed ();
       g_snprintf (id, sizeof id, "after-%u", seed);
       CU_ASSERT_EQUAL (once (run, id, "ok", NULL), RUN_OK);
     }
