--- a/tests/faults/input.sh
+++ b/tests/faults/input.sh
@@ -4,27 +4,7 @@
 # instance serves as before afterwards without a thread or descriptor lost.
 cd "$(dirname "$0")/../.." || exit 2
 WORKERS=2
-. scripts/cluster.sh
-trap cleanup EXIT
-passed=0
-failed=0
-
-check() { # NAME COMMAND...
-  local name=$1
-  shift
-  if "$@"; then
-    passed=$((passed + 1))
-  else
-    failed=$((failed + 1))
-    printf 'FAILED  %s\n' "$name"
-  fi
-}
-
-# The log is shown and nothing else is run if the installation is not there.
-give_up() {
-  printf '%s\n0 passed, 1 failed\n' "$1"
-  exit 1
-}
+. tests/faults/lib.sh
 
 start_platform || give_up "no platform"
 start_upstreams 1 || give_up "no upstreams"
@@ -58,7 +38,7 @@
 submit() {
   new_key
   printf '%s' "$4" >"$DIR/request"
-  check "$1" answer "$2" "$3" "$E/v1/jobs" -H 'Expect:' \
+  expect "$1" answer "$2" "$3" "$E/v1/jobs" -H 'Expect:' \
     -H "Idempotency-Key: $KEY" --data-binary "@$DIR/request"
 }
 
@@ -111,18 +91,18 @@
   "$(job '[{"memory_mb":2600,"input":{"run_ms":5}}]')"
 head -c 1100000 /dev/zero | tr '\0' ' ' >"$DIR/large"
 new_key
-check "too large" answer 413 BODY_TOO_LARGE "$E/v1/jobs" -H 'Expect:' \
+expect "too large" answer 413 BODY_TOO_LARGE "$E/v1/jobs" -H 'Expect:' \
   -H "Idempotency-Key: $KEY" --data-binary "@$DIR/large"
 new_key
-check "too large, chunked" answer 413 BODY_TOO_LARGE "$E/v1/jobs" -H 'Expect:' \
+expect "too large, chunked" answer 413 BODY_TOO_LARGE "$E/v1/jobs" -H 'Expect:' \
   -H 'Transfer-Encoding: chunked' -H "Idempotency-Key: $KEY" \
   --data-binary "@$DIR/large"
 
 # Keys.
 with_key() { # NAME STATUS CODE KEY
-  check "$1" answer "$2" "$3" "$E/v1/jobs" -H "Idempotency-Key: $4" -d "$GOOD"
+  expect "$1" answer "$2" "$3" "$E/v1/jobs" -H "Idempotency-Key: $4" -d "$GOOD"
 }
-check "key missing" answer 400 KEY_MISSING "$E/v1/jobs" -d "$GOOD"
+expect "key missing" answer 400 KEY_MISSING "$E/v1/jobs" -d "$GOOD"
 with_key "key without fields" 400 KEY_MALFORMED x
 with_key "key without suffix" 400 KEY_MALFORMED "$PREFIX."
 with_key "key with a bad suffix" 400 KEY_MALFORMED "$PREFIX.a/b"
@@ -132,20 +112,20 @@
 with_key "unknown instance" 504 UNKNOWN_OWNER "brum.0123456789abcdef.0.1.x"
 new_key
 with_key "first body" 200 OK "$KEY"
-check "second body" answer 409 KEY_REUSED "$E/v1/jobs" \
+expect "second body" answer 409 KEY_REUSED "$E/v1/jobs" \
   -H "Idempotency-Key: $KEY" -d "$(job "$ONE" '{"deadline_ms":4000}')"
-check "look-up of an unused key" answer 404 NOT_RECORDED "$E/v1/jobs/$PREFIX.unused"
+expect "look-up of an unused key" answer 404 NOT_RECORDED "$E/v1/jobs/$PREFIX.unused"
 
 # Methods, paths, headers.
-check "method of jobs" answer 405 BAD_METHOD -X PUT "$E/v1/jobs"
-check "method of a key" answer 405 BAD_METHOD -X POST "$E/v1/jobs/$KEY"
-check "method of prefix" answer 405 BAD_METHOD -X POST "$E/v1/prefix"
-check "method of drain" answer 405 BAD_METHOD "$E/v1/drain"
-check "unknown path" answer 404 NOT_FOUND "$E/v1/nothing"
-check "service path without kind" answer 404 NOT_FOUND -X POST "$E/v1/services/x"
-check "headers above 16 KiB" answer 431 HEADERS_TOO_LARGE "$E/v1/prefix" \
+expect "method of jobs" answer 405 BAD_METHOD -X PUT "$E/v1/jobs"
+expect "method of a key" answer 405 BAD_METHOD -X POST "$E/v1/jobs/$KEY"
+expect "method of prefix" answer 405 BAD_METHOD -X POST "$E/v1/prefix"
+expect "method of drain" answer 405 BAD_METHOD "$E/v1/drain"
+expect "unknown path" answer 404 NOT_FOUND "$E/v1/nothing"
+expect "service path without kind" answer 404 NOT_FOUND -X POST "$E/v1/services/x"
+expect "headers above 16 KiB" answer 431 HEADERS_TOO_LARGE "$E/v1/prefix" \
   -H "X-Fill: $(head -c 16500 /dev/zero | tr '\0' x)"
-check "headers below 16 KiB" answer 200 none "$E/v1/prefix" \
+expect "headers below 16 KiB" answer 200 none "$E/v1/prefix" \
   -H "X-Fill: $(head -c 15000 /dev/zero | tr '\0' x)"
 far_too_large() {
   local got
@@ -153,7 +133,7 @@
     -H "X-Fill: $(head -c 100000 /dev/zero | tr '\0' x)")
   [ "$got" = 431 ]
 }
-check "headers of 100 KB" far_too_large
+expect "headers of 100 KB" far_too_large
 
 # raw TEXT: sends bytes and prints what comes back until the end.
 raw() {
@@ -168,11 +148,11 @@
     >"$DIR/stalled"
   grep -q '^HTTP/1.1 408 ' "$DIR/stalled" && grep -q CALLER_STALLED "$DIR/stalled"
 }
-check "stalled body" stalled
+expect "stalled body" stalled
 closed_without_headers() { [ -z "$(raw 'GET /v1/pre')" ]; }
-check "stalled headers" closed_without_headers
+expect "stalled headers" closed_without_headers
 not_http() { ! raw '\001\002\003 garbage\r\n\r\n' | grep -q ' 200 '; }
-check "not HTTP" not_http
+expect "not HTTP" not_http
 
 # A caller that vanishes while its job runs.
 vanishes() {
@@ -187,7 +167,7 @@
   n=$(grep -c ' start .* vanished$' "$DIR/starts-1.log")
   [ "$n" -eq 1 ]
 }
-check "the job of a vanished caller completes once" vanishes
+expect "the job of a vanished caller completes once" vanishes
 
 # A caller that reads its answer slowly.
 slow_reader() {
@@ -201,7 +181,7 @@
   [ "$(jq '[.answers|to_entries[]|select(.value.echo=="y"*8000+(.key|tostring))]|length' \
     "$DIR/body")" -eq 100 ]
 }
-check "a slow reader gets the whole answer" slow_reader
+expect "a slow reader gets the whole answer" slow_reader
 
 # setting EXPECTED-TEXT ARGUMENT...: refused at the start, and why.
 setting() {
@@ -216,35 +196,35 @@
   return 1
 }
 D=$BIN/papayaloftd
-check "number below its range" setting \
+expect "number below its range" setting \
   "--queue-tasks: value '0' is not a whole number from 1 to 1000000" "$D" --queue-tasks 0
-check "not a number" setting \
+expect "not a number" setting \
   "--keep-s: value '1x' is not a whole number from 10 to 86400" "$D" --keep-s 1x
-check "number beyond 64 bits" setting \
+expect "number beyond 64 bits" setting \
   "--seed: value '99999999999999999999' is not a whole number from 0 to 2147483647" \
   "$D" --seed 99999999999999999999
-check "environment" setting \
+expect "environment" setting \
   "PAPAYALOFT_HTTP_THREADS: value '65' is not a whole number from 1 to 64" \
   PAPAYALOFT_HTTP_THREADS=65 "$D"
-check "text too long" setting "must have 1 to 32 characters" \
+expect "text too long" setting "must have 1 to 32 characters" \
   "$D" --domain "$(printf 'a%.0s' {1..33})"
-check "domain's characters" setting "--domain: value 'A b' may hold only" "$D" --domain 'A b'
-check "policy" setting "--policy: value 'x' must be one of: slowdown, fifo, p2c" "$D" --policy x
-check "address" setting "--listen: value '1.2.3.4' is not an address" "$D" --listen 1.2.3.4
-check "port" setting "--peer-listen: value '1.2.3.4:70000'" "$D" --peer-listen 1.2.3.4:70000
-check "peers" setting "--peers: value 'b'" "$D" --peers 1.2.3.4:5,b
-check "order" setting "--heartbeat-ms: value 5000 must be less than --suspect-ms (1500)" \
+expect "domain's characters" setting "--domain: value 'A b' may hold only" "$D" --domain 'A b'
+expect "policy" setting "--policy: value 'x' must be one of: slowdown, fifo, p2c" "$D" --policy x
+expect "address" setting "--listen: value '1.2.3.4' is not an address" "$D" --listen 1.2.3.4
+expect "port" setting "--peer-listen: value '1.2.3.4:70000'" "$D" --peer-listen 1.2.3.4:70000
+expect "peers" setting "--peers: value 'b'" "$D" --peers 1.2.3.4:5,b
+expect "order" setting "--heartbeat-ms: value 5000 must be less than --suspect-ms (1500)" \
   "$D" --heartbeat-ms 5000
-check "unknown flag" setting "unrecognized option '--no-such-flag'" "$D" --no-such-flag 1
+expect "unknown flag" setting "unrecognized option '--no-such-flag'" "$D" --no-such-flag 1
 
 submit "a good job afterwards" 200 OK "$GOOD"
-check "still ready" http_ok "${HTTP[e]}/readyz"
+expect "still ready" http_ok "${HTTP[e]}/readyz"
 wait_for 6 as_before
-check "threads and descriptors: $THREADS $DESCRIPTORS before, $(threads) $(descriptors) after" \
+expect "threads and descriptors: $THREADS $DESCRIPTORS before, $(threads) $(descriptors) after" \
   as_before
-check "graceful stop" stop_entry e
+expect "graceful stop" stop_entry e
 if grep -hE -A 40 'ERROR: (Address|Leak)Sanitizer|runtime error:' "$DIR/e.log"; then
-  check "no sanitizer report" false
+  expect "no sanitizer report" false
 fi
 printf '%s passed, %s failed\n' "$passed" "$failed"
 [ $failed -eq 0 ]
--- a/tests/faults/upstream.sh
+++ b/tests/faults/upstream.sh
@@ -8,27 +8,7 @@
 # for cancellations. A worker's slots and both instances' cancellations would
 # need more.
 CONNECTIONS=14
-. scripts/cluster.sh
-trap cleanup EXIT
-passed=0
-failed=0
-
-check() { # NAME COMMAND...
-  local name=$1
-  shift
-  if "$@"; then
-    passed=$((passed + 1))
-  else
-    failed=$((failed + 1))
-    printf 'FAILED  %s\n' "$name"
-  fi
-}
-
-# Without the installation nothing else can be said.
-give_up() {
-  printf '%s\n0 passed, 1 failed\n' "$1"
-  exit 1
-}
+. tests/faults/lib.sh
 
 start_platform || give_up "no platform"
 start_upstreams 1 || give_up "no upstreams"
@@ -105,15 +85,15 @@
 
 under_load() { # NAME FAULT
   local name=$1
-  check "$name: set" fault "$2"
-  check "$name: every complete answer is whole and the job's own" \
+  expect "$name: set" fault "$2"
+  expect "$name: every complete answer is whole and the job's own" \
     load "$name" --mix all --seed 7 --scale 0.1 --rate 100 --seconds 0.4 \
     --threads 200 --deadline-ms 2500
-  check "$name: has happened" hit "$name"
+  expect "$name: has happened" hit "$name"
   if [ "$name" = refuse_lie ]; then
-    check "$name: no start twice" started_once_unless_repeatable "$name"
+    expect "$name: no start twice" started_once_unless_repeatable "$name"
   else
-    check "$name: outcomes are true" true_outcomes "$name"
+    expect "$name: outcomes are true" true_outcomes "$name"
   fi
   printf '%s: %s\n' "$name" "$(outcomes "$name")"
 }
@@ -136,11 +116,11 @@
     return 1
   done
 }
-check "lone fail" lone fail FAILED_RAN 1
-check "lone refuse" lone refuse NO_WORKER 0
-check "lone cut_before" lone cut_before UNKNOWN_LOST 0
+expect "lone fail" lone fail FAILED_RAN 1
+expect "lone refuse" lone refuse NO_WORKER 0
+expect "lone cut_before" lone cut_before UNKNOWN_LOST 0
 for name in cut_after cross short double oversize stall dribble; do
-  check "lone $name: answer lost after the work" lone "$name" UNKNOWN_LOST 1
+  expect "lone $name: answer lost after the work" lone "$name" UNKNOWN_LOST 1
 done
 fault '{"mode":"none"}'
 
@@ -171,10 +151,10 @@
   printf '%s: %s, at most %s seen in flight\n' "$name" "$(outcomes "$name")" "$most"
   return $status
 }
-check "crossed: answers are own" thousands crossed '{"mode":"cross","probability":0.02}'
-check "crossed: outcomes are true" true_outcomes crossed
-check "late: answers are own" thousands late '{"mode":"slow","factor":500,"probability":0.05}'
-check "late: outcomes are true" true_outcomes late
+expect "crossed: answers are own" thousands crossed '{"mode":"cross","probability":0.02}'
+expect "crossed: outcomes are true" true_outcomes crossed
+expect "late: answers are own" thousands late '{"mode":"slow","factor":500,"probability":0.05}'
+expect "late: outcomes are true" true_outcomes late
 fault '{"mode":"none"}'
 
 nothing_twice() { ! stats duplicate_starts | grep -qv '^0$'; }
@@ -183,16 +163,16 @@
   # One more is this script's own.
   [ "$(stats max_connections | sort -n | tail -n 1)" -le $((CONNECTIONS + 1)) ]
 }
-check "no task id starts twice" nothing_twice
-check "slots of a worker: $(stats max_running | tr '\n' ' ')" slots_kept
-check "connections of a worker: $(stats max_connections | tr '\n' ' ')" connections_kept
+expect "no task id starts twice" nothing_twice
+expect "slots of a worker: $(stats max_running | tr '\n' ' ')" slots_kept
+expect "connections of a worker: $(stats max_connections | tr '\n' ' ')" connections_kept
 # The leak check of a sanitized build runs at the end of the process.
 kill -TERM "${PID[e1]}" "${PID[e2]}"
-check "graceful stop of e1" stop_entry e1
-check "graceful stop of e2" stop_entry e2
+expect "graceful stop of e1" stop_entry e1
+expect "graceful stop of e2" stop_entry e2
 for name in e1 e2 platform upstream-1; do
   grep -hE -A 40 'ERROR: (Address|Leak)Sanitizer|runtime error:' "$DIR/$name.log" \
-    && check "no sanitizer report of $name" false
+    && expect "no sanitizer report of $name" false
 done
 printf '%s passed, %s failed\n' "$passed" "$failed"
 [ $failed -eq 0 ]
