--- a/lib/disp/disp_in.h
+++ b/lib/disp/disp_in.h
@@ -147,6 +147,9 @@
    once if NOW is set.  */
 void disp_end (struct disp *disp, struct disp_job *job, enum pl_code cause,
                const char *detail, bool now);
+/* Records REPLY as final, gives it to all callers and releases it.  */
+void disp_reply_all (struct disp *disp, struct disp_job *job,
+                     struct job_reply *reply);
 /* Gives the reply that follows from what is known.  */
 void disp_finish (struct disp *disp, struct disp_job *job);
 void disp_job_free (struct disp *disp, struct disp_job *job);
--- a/lib/disp/finish.c
+++ b/lib/disp/finish.c
@@ -98,6 +98,20 @@
           (long long)(disp_now (disp) - job->base.arrival_us));
 }
 
+void
+disp_reply_all (struct disp *disp, struct disp_job *job,
+                struct job_reply *reply)
+{
+  claim_finish (disp->claims, job->record, reply);
+  for (unsigned i = 0; i < job->waiters->len; i++)
+    {
+      struct disp_waiter *w
+          = &g_array_index (job->waiters, struct disp_waiter, i);
+      w->done (reply, w->user);
+    }
+  job_reply_unref (reply);
+}
+
 void
 disp_finish (struct disp *disp, struct disp_job *job)
 {
@@ -110,14 +124,7 @@
   g_hash_table_remove (disp->permits, &job->hash);
   disp->unfinished--;
   claim_record_set_user (job->record, NULL);
-  claim_finish (disp->claims, job->record, reply);
-  for (unsigned i = 0; i < job->waiters->len; i++)
-    {
-      struct disp_waiter *w
-          = &g_array_index (job->waiters, struct disp_waiter, i);
-      w->done (reply, w->user);
-    }
-  job_reply_unref (reply);
+  disp_reply_all (disp, job, reply);
   if (job->running == 0)
     disp_job_free (disp, job);
 }
--- a/lib/disp/submit.c
+++ b/lib/disp/submit.c
@@ -87,14 +87,7 @@
   pl_log (PL_EV_REFUSE, "key=%s code=%d detail=\"%s\"", job->req->key, code,
           detail);
   pl_count (PL_CTR_JOBS_NOT_RUN_TOTAL, 1);
-  claim_finish (disp->claims, job->record, reply);
-  for (unsigned i = 0; i < job->waiters->len; i++)
-    {
-      struct disp_waiter *w
-          = &g_array_index (job->waiters, struct disp_waiter, i);
-      w->done (reply, w->user);
-    }
-  job_reply_unref (reply);
+  disp_reply_all (disp, job, reply);
   disp_job_free (disp, job);
 }
 
