Mend inverted results of load_send in papayaload

A merge joined a change of load_send's result from bool to enum (0: done) with two callers that read it as bool: failure domains were not told apart, so that the load was not spread over them, and cancellations counted as not sent. The report now has the number of domains and bench-regress checks it; that check fails with the inverted caller (domains 1).

--- a/cmd/papayaload/cancel.c
+++ b/cmd/papayaload/cancel.c
@@ -93,7 +93,8 @@
       ne_session *session
           = call_session (cancel->opts->entries[open->job->entry], 2000);
       struct call_answer answer;
-      if (load_send (session, "DELETE", path, NULL, NULL, &answer))
+      if (load_send (session, "DELETE", path, NULL, NULL, &answer)
+          == CALL_DONE)
         {
           g_string_free (answer.body, TRUE);
           sent++;
--- a/cmd/papayaload/report.c
+++ b/cmd/papayaload/report.c
@@ -295,11 +295,11 @@
   unsigned wrong
       = (unsigned)json_integer_value (json_object_get (total, "wrong"));
   json_t *root = json_pack (
-      "{s:s, s:i, s:f, s:f, s:f, s:f, s:o, s:o, s:o, s:o}", "mix",
-      opts->mix->name, "seed", (int)opts->seed, "rate", opts->rate, "seconds",
-      opts->seconds, "scale", opts->scale, "slots", opts->slots, "kinds",
-      kinds, "teams", teams, "total", total, "messages",
-      report_messages (before, after));
+      "{s:s, s:i, s:i, s:f, s:f, s:f, s:f, s:o, s:o, s:o, s:o}", "mix",
+      opts->mix->name, "seed", (int)opts->seed, "domains",
+      (int)opts->n_domains, "rate", opts->rate, "seconds", opts->seconds,
+      "scale", opts->scale, "slots", opts->slots, "kinds", kinds, "teams",
+      teams, "total", total, "messages", report_messages (before, after));
   if (opts->out != NULL && json_dump_file (root, opts->out, JSON_INDENT (1)))
     fprintf (stderr, "papayaload: can't write %s\n", opts->out);
   json_decref (root);
--- a/cmd/papayaload/spread.c
+++ b/cmd/papayaload/spread.c
@@ -13,7 +13,8 @@
   ne_session *session = call_session (addr, 2000);
   struct call_answer answer;
   char *domain = NULL;
-  if (load_send (session, "GET", "/v1/prefix", NULL, NULL, &answer))
+  if (load_send (session, "GET", "/v1/prefix", NULL, NULL, &answer)
+      == CALL_DONE)
     {
       const char *dot = strchr (answer.prefix, '.');
       if (dot != NULL)
--- a/tests/faults/bench-regress.sh
+++ b/tests/faults/bench-regress.sh
@@ -45,6 +45,8 @@
 
 expect "all jobs complete at half load" \
   '.[0].total | .jobs > 0 and .complete == .jobs and .wrong == 0' "$half"
+expect "the load is spread over all failure domains" \
+  'all(.domains == 4)' "$half" "$slowdown" "$fifo"
 expect "wasted messages a start at half load" \
   '.[0].messages | .starts > 0 and .wasted_per_start < 0.01' "$half"
 expect "wasted messages a start at overload" \
