Accept callers on a thread of our own; a planned stop could abort

Cause: MHD_quiesce_daemon marks a pool thread as quiesced and then removes the listening socket from its epoll set; the thread may do the same in between, and the one that comes second aborts the process ("Failed to remove listen FD from epoll set"). Ruled out: the descriptor being closed too early, which was mended before. Change: libmicrohttpd gets no listening socket; a thread accepts and hands connections over.

--- a/lib/http/http.c
+++ b/lib/http/http.c
@@ -87,18 +87,15 @@
 }
 
 static struct MHD_Daemon *
-start (struct http *http, struct pl_addr addr)
+start (struct http *http)
 {
   const struct conf *conf = http->conf;
-  struct sockaddr_in sin = { .sin_family = AF_INET,
-                             .sin_port = htons (addr.port),
-                             .sin_addr.s_addr = htonl (addr.ip) };
   unsigned limit = (unsigned)conf->caller_connections + SPARE_CONNECTIONS;
   unsigned threads = (unsigned)conf->http_threads;
   return MHD_start_daemon (
-      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_USE_SUSPEND_RESUME, addr.port, NULL,
-      NULL, handle, http, MHD_OPTION_SOCK_ADDR, &sin,
-      MHD_OPTION_LISTEN_BACKLOG_SIZE, limit, MHD_OPTION_THREAD_POOL_SIZE,
+      MHD_USE_EPOLL_INTERNAL_THREAD | MHD_USE_SUSPEND_RESUME
+          | MHD_USE_NO_LISTEN_SOCKET | MHD_USE_ITC,
+      0, NULL, NULL, handle, http, MHD_OPTION_THREAD_POOL_SIZE,
       threads > 1 ? threads : 0U, MHD_OPTION_CONNECTION_LIMIT,
       MAX (limit, threads), MHD_OPTION_CONNECTION_TIMEOUT,
       (unsigned)conf->caller_idle_s + SPARE_IDLE_S,
@@ -127,14 +124,22 @@
   http->conns = g_hash_table_new (NULL, NULL);
   /* A caller that goes away must not end the process.  */
   signal (SIGPIPE, SIG_IGN);
-  http->daemon = start (http, addr);
-  if (http->daemon == NULL)
+  if (!http_listen (http, addr))
     {
       pl_fail (err, PL_SYSTEM, "cannot listen on %s: %s", conf->listen,
                g_strerror (errno));
       http_unref (http);
       return NULL;
     }
+  http->daemon = start (http);
+  if (http->daemon == NULL)
+    {
+      pl_fail (err, PL_SYSTEM, "no HTTP threads: %s", g_strerror (errno));
+      close (http->listen_fd);
+      http_unref (http);
+      return NULL;
+    }
+  http_accept_start (http);
   http->sweeper = g_thread_new ("http-sweep", http_sweep, http);
   return http;
 }
@@ -199,12 +204,7 @@
 unsigned
 http_free (struct http *http, int limit_ms)
 {
-  MHD_socket fd = MHD_quiesce_daemon (http->daemon);
-  /* Callers are refused from now on.  The descriptor itself stays until the
-     library's threads have removed it from their epoll sets: it aborts the
-     process if it finds the descriptor closed.  */
-  if (fd != MHD_INVALID_SOCKET)
-    shutdown (fd, SHUT_RDWR);
+  http_accept_stop (http);
   wait_open (http, limit_ms);
   g_mutex_lock (&http->lock);
   http->stopping = true;
@@ -213,8 +213,6 @@
   g_thread_join (http->sweeper);
   unsigned cut = cut_open (http);
   MHD_stop_daemon (http->daemon);
-  if (fd != MHD_INVALID_SOCKET)
-    close (fd);
   http_unref (http);
   return cut;
 }
--- a/lib/http/http_priv.h
+++ b/lib/http/http_priv.h
@@ -49,6 +49,8 @@
   const struct conf *conf;
   struct http_ops *ops;
   struct MHD_Daemon *daemon;
+  int listen_fd;
+  GThread *acceptor;
   GMutex lock;
   GCond changed;
   GHashTable *open;  /* struct http_req, set */
@@ -95,3 +97,9 @@
 void http_conn_sweep (struct http *http, int64_t limit_us);
 gpointer http_sweep (gpointer http);
 void http_unref (struct http *http);
+
+/* Opens the listening socket; false with errno set.  */
+bool http_listen (struct http *http, struct pl_addr addr);
+void http_accept_start (struct http *http);
+/* Refuses callers from now on.  */
+void http_accept_stop (struct http *http);
