--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -32,13 +32,17 @@
 
 # Ends every process that this script started, by its id.
 cleanup() {
+  end_all 2>/dev/null # bash tells of killed processes, after the summary line
+  [ -n "${KEEP:-}" ] || rm -rf "$DIR"
+}
+
+end_all() {
   local name
   for name in "${!PID[@]}"; do
-    kill -CONT "${PID[$name]}" 2>/dev/null
-    kill -KILL "${PID[$name]}" 2>/dev/null
+    kill -CONT "${PID[$name]}"
+    kill -KILL "${PID[$name]}"
   done
-  wait 2>/dev/null
-  [ -n "${KEEP:-}" ] || rm -rf "$DIR"
+  wait
 }
 
 # wait_for SECONDS COMMAND...: polls until COMMAND succeeds.
--- a/tests/faults/lib.sh
+++ b/tests/faults/lib.sh
@@ -28,6 +28,19 @@
   fi
 }
 
+# check_load: waits for the background process "load" and checks its history,
+# DIR/history.log, and its report, DIR/report.json.
+check_load() {
+  wait "${PID[load]}"
+  unset "PID[load]"
+  compare_history "$DIR/history.log"
+  expect "the history agrees with the workers" test $? -eq 0
+  jq -c '.total | {jobs, complete, not_run, failed, unknown, no_answer, wrong}' \
+    "$DIR/report.json" | sed 's/^/measured: load: /'
+  is "no wrong answer" "$(jq .total.wrong "$DIR/report.json")" 0
+  is "no job without an answer" "$(jq .total.no_answer "$DIR/report.json")" 0
+}
+
 finish() {
   printf '%s passed, %s failed\n' "$passed" "$failed"
   [ "$failed" -eq 0 ]
--- a/tests/faults/pause.sh
+++ b/tests/faults/pause.sh
@@ -158,12 +158,5 @@
   sleep 1
   resume $name
 done
-wait "${PID[load]}"
-unset "PID[load]"
-compare_history "$DIR/history.log"
-expect "the history agrees with the workers" test $? -eq 0
-jq -c '.total | {jobs, complete, not_run, failed, unknown, no_answer, wrong}' \
-  "$DIR/report.json" | sed 's/^/measured: load: /'
-is "no wrong answer" "$(jq .total.wrong "$DIR/report.json")" 0
-is "no job without an answer" "$(jq .total.no_answer "$DIR/report.json")" 0
+check_load
 finish
