--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,10 @@
 SAN ?=
 CC = gcc
 PKGS = glib-2.0 jansson libmicrohttpd neon libzmq liburcu-bp libprotobuf-c libxxhash
+# What the event-driven daemon needs; it is linked with nothing else, because
+# each library that is loaded costs memory on every machine.
+LEAN_PKGS = glib-2.0 jansson libevent_core libprotobuf-c libxxhash
+LEAN_LIBS = $(shell pkg-config --libs $(LEAN_PKGS)) -lhttp_parser
 CSTD = -std=gnu11
 WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
        -Wno-missing-field-initializers -Werror
@@ -13,7 +17,8 @@
 ALL_CFLAGS = $(CSTD) $(CFLAGS) $(WARN) -D_GNU_SOURCE \
   $(if $(SAN),-fsanitize=$(SAN) -fno-omit-frame-pointer) \
   $(addprefix -I,$(wildcard lib/*)) $(shell pkg-config --cflags $(PKGS))
-ALL_LIBS = $(shell pkg-config --libs $(PKGS)) -lpthread -lm
+ALL_LIBS = $(shell pkg-config --libs $(PKGS) $(LEAN_PKGS)) -lhttp_parser \
+  -lpthread -lm
 TEST_LIBS = $(shell pkg-config --libs cunit)
 
 LIB_SRC := $(wildcard lib/*/*.c)
@@ -24,9 +29,9 @@
 LIB := $(BUILD)/libpapayaloft.a
 # Reports GLib's locks and queues to ThreadSanitizer.
 TSAN_OBJ := $(if $(findstring thread,$(SAN)),$(BUILD)/tests/tsan/glib.o)
-BIN := $(addprefix $(BUILD)/bin/,$(CMDS) $(STANDINS) $(TESTS))
-OWN_SRC := $(filter-out %.pb-c.c %.gen.c,$(shell find lib cmd tests -name '*.c'))
-OWN_HDR := $(filter-out %.pb-c.h %.gen.h,$(shell find lib cmd tests -name '*.h'))
+BIN := $(addprefix $(BUILD)/bin/,$(CMDS) papayaloft-platformd $(STANDINS) $(TESTS))
+OWN_SRC := $(filter-out %.pb-c.c %.gen.c,$(shell find lib cmd platform tests -name '*.c'))
+OWN_HDR := $(filter-out %.pb-c.h %.gen.h,$(shell find lib cmd platform tests -name '*.h'))
 
 all: $(BIN)
 
@@ -46,6 +51,10 @@
 $(foreach c,$(CMDS),$(eval $(call program,$(c),cmd/$(c))))
 $(foreach c,$(STANDINS),$(eval $(call program,$(c),tests/standin/$(c))))
 
+$(BUILD)/bin/papayaloft-platformd: $(patsubst %.c,$(BUILD)/%.o,$(wildcard platform/*.c)) $(LIB)
+	@mkdir -p $(@D)
+	$(CC) $(ALL_CFLAGS) $^ -o $@ $(LEAN_LIBS)
+
 $(BUILD)/bin/%_test: $(BUILD)/tests/%_test.o $(TSAN_OBJ) $(LIB)
 	@mkdir -p $(@D)
 	$(CC) $(ALL_CFLAGS) $^ -o $@ $(TEST_LIBS) $(ALL_LIBS)
@@ -60,6 +69,7 @@
 generate:
 	protoc-c --proto_path=schema --c_out=lib/msg schema/peer.proto
 	protoc-c --proto_path=schema --c_out=lib/claim schema/claim.proto
+	protoc-c --proto_path=schema --c_out=lib/cell schema/cell.proto
 	awk -f schema/codes.awk schema/codes.txt
 	awk -f schema/events.awk schema/events.txt
 	awk -f schema/counters.awk schema/counters.txt
--- a/lib/base/codes.gen.c
+++ b/lib/base/codes.gen.c
@@ -54,6 +54,8 @@
     .outcome = PL_OUTCOME_NONE, .resubmit = "no" },
   { .code = PL_HANDED_OVER_UNSEEN, .name = "HANDED_OVER_UNSEEN", .http = 503,
     .outcome = PL_OUTCOME_NOT_RUN, .resubmit = "new_key" },
+  { .code = PL_NOT_SERVED, .name = "NOT_SERVED", .http = 503,
+    .outcome = PL_OUTCOME_NOT_RUN, .resubmit = "no" },
   { .code = PL_FAILED_RAN, .name = "FAILED_RAN", .http = 502,
     .outcome = PL_OUTCOME_FAILED, .resubmit = "no" },
   { .code = PL_CANCELLED_RAN, .name = "CANCELLED_RAN", .http = 409,
--- a/lib/base/log.c
+++ b/lib/base/log.c
@@ -1,13 +1,28 @@
 #include "pl.h"
 
+#include <errno.h>
+#include <fcntl.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 #include <unistd.h>
 
+#define BUFFER_BYTES 65536 /* of lines that wait for the reader */
+
 static bool json_format;
 static GLogLevelFlags lowest = G_LOG_LEVEL_INFO;
 
+/* Lines that wait for pl_log_flush.  */
+static struct
+{
+  GString *text; /* null: lines are written at once */
+  struct pl_clock *clock;
+  unsigned max_lines_per_s;
+  int64_t second;
+  unsigned lines; /* in that second */
+  unsigned dropped;
+} buffer;
+
 static const struct pl_event_info *
 event_info (enum pl_event event)
 {
@@ -102,6 +117,52 @@
   g_string_append_printf (out, "%s.%06dZ", text, (int)(now % G_USEC_PER_SEC));
 }
 
+static void
+append_buffered (const GString *line)
+{
+  int64_t second = pl_now_us (buffer.clock) / G_USEC_PER_SEC;
+  if (second != buffer.second)
+    {
+      unsigned dropped = buffer.dropped;
+      buffer.second = second;
+      buffer.lines = 0;
+      buffer.dropped = 0;
+      if (dropped > 0)
+        pl_log (PL_EV_LOG_DROPPED, "lines=%u", dropped);
+    }
+  if (buffer.lines >= buffer.max_lines_per_s
+      || buffer.text->len + line->len > BUFFER_BYTES)
+    {
+      buffer.dropped++;
+      return;
+    }
+  buffer.lines++;
+  g_string_append_len (buffer.text, line->str, (gssize)line->len);
+}
+
+void
+pl_log_buffered (struct pl_clock *clock, unsigned max_lines_per_s)
+{
+  buffer.text = g_string_sized_new (BUFFER_BYTES / 16);
+  buffer.clock = clock;
+  buffer.max_lines_per_s = max_lines_per_s;
+  int flags = fcntl (STDOUT_FILENO, F_GETFL);
+  if (flags >= 0)
+    (void)fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+}
+
+void
+pl_log_flush (void)
+{
+  if (buffer.text == NULL || buffer.text->len == 0)
+    return;
+  ssize_t n = write (STDOUT_FILENO, buffer.text->str, buffer.text->len);
+  if (n > 0)
+    g_string_erase (buffer.text, 0, n);
+  else if (n < 0 && errno != EAGAIN && errno != EINTR)
+    g_string_truncate (buffer.text, 0); /* nobody reads any more */
+}
+
 static GLogWriterOutput
 write_line (GLogLevelFlags level, const GLogField *fields, gsize n_fields,
             gpointer user)
@@ -139,6 +200,11 @@
       g_string_append_printf (line, " %s %s %s %s\n", level_name (level),
                               event, name, message);
     }
+  if (buffer.text != NULL)
+    {
+      append_buffered (line);
+      return G_LOG_WRITER_HANDLED;
+    }
   /* One write a line keeps lines of several threads apart.  */
   if (write (STDERR_FILENO, line->str, line->len) < 0)
     return G_LOG_WRITER_UNHANDLED;
--- a/lib/base/pl.h
+++ b/lib/base/pl.h
@@ -3,9 +3,9 @@
 #pragma once
 
 #include <glib.h>
+#include <inttypes.h>
 #include <stdbool.h>
 #include <stddef.h>
-#include <stdint.h>
 
 #include "codes.gen.h"
 #include "counters.gen.h"
@@ -104,6 +104,12 @@
 /* Chooses "text" or "json" on standard error and the lowest level: info,
    notice, warning or error.  Call once, before other threads start.  */
 void pl_log_init (const char *format, const char *level);
+/* Collects lines for standard output instead, where pl_log_flush writes them
+   without blocking.  What the reader doesn't take, and what exceeds
+   MAX_LINES_PER_S, is dropped and counted in an event of its own.  For
+   programs with one thread.  */
+void pl_log_buffered (struct pl_clock *clock, unsigned max_lines_per_s);
+void pl_log_flush (void);
 void pl_log (enum pl_event event, const char *fmt, ...) G_GNUC_PRINTF (2, 3);
 
 /* Counters; any thread may add.  */
--- /dev/null
+++ b/lib/cell/cell.c
@@ -0,0 +1,184 @@
+/* Assembly of an instance, and its turns.  */
+#include "cell_priv.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+uint64_t
+cell_key (struct pl_str text)
+{
+  uint64_t key = XXH64 (text.data, text.len, 0);
+  return key == 0 ? 1 : key; /* 0 stands for none */
+}
+
+static void
+peer_free (void *data)
+{
+  struct peer *peer = data;
+  g_hash_table_unref (peer->held);
+  g_free (peer->name);
+  g_free (peer);
+}
+
+static void
+worker_free (void *data)
+{
+  struct known_worker *known = data;
+  g_free (known->id);
+  g_free (known);
+}
+
+struct cell *
+cell_new (const struct cell_config *config, const struct cell_ops *ops,
+          void *ctx)
+{
+  struct cell *cell = g_new0 (struct cell, 1);
+  cell->clock = config->clock;
+  cell->ops = ops;
+  cell->ctx = ctx;
+  cell->id = config->id;
+  cell->name = g_strdup (config->name);
+  cell->domain_name = g_strdup (config->domain);
+  cell->domain = cell_key (pl_str (config->domain));
+  cell->addr = config->addr;
+  cell->peers
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, peer_free);
+  cell->workers
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, worker_free);
+  cell->leases = lease_table_new (&cell_lease_ops, cell);
+  cell->jobs = own_table_new (cell->clock, &cell_own_ops, cell);
+  cell->plan = pack_new (&cell_pack_ops, cell);
+  g_queue_init (&cell->inbox);
+  cell->planner = cell->id;
+  cell->planning = true;
+  cell->view_dirty = true;
+  return cell;
+}
+
+static void
+disconnect_all (struct cell *cell)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, cell->peers);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    cell->ops->disconnect (cell->ctx, ((struct peer *)value)->link);
+}
+
+void
+cell_free (struct cell *cell)
+{
+  disconnect_all (cell);
+  g_queue_clear_full (&cell->inbox, (GDestroyNotify)g_bytes_unref);
+  lease_table_free (cell->leases);
+  own_table_free (cell->jobs);
+  pack_free (cell->plan);
+  g_hash_table_unref (cell->peers);
+  g_hash_table_unref (cell->workers);
+  g_clear_pointer (&cell->config, g_bytes_unref);
+  g_free (cell->name);
+  g_free (cell->domain_name);
+  g_free (cell);
+}
+
+struct lease_table *
+cell_leases (struct cell *cell)
+{
+  return cell->leases;
+}
+
+struct own_table *
+cell_jobs (struct cell *cell)
+{
+  return cell->jobs;
+}
+
+void
+cell_set_config (struct cell *cell, int64_t version, struct pl_str text)
+{
+  if (version <= cell->config_version)
+    return;
+  cell->config_version = version;
+  g_clear_pointer (&cell->config, g_bytes_unref);
+  cell->config = g_bytes_new (text.data, text.len);
+  cell->beat_us = 0; /* peers learn of it at once */
+  cell->ops->wake (cell->ctx);
+}
+
+void
+cell_set_ready (struct cell *cell, bool ready)
+{
+  if (cell->ready == ready)
+    return;
+  cell->ready = ready;
+  cell->view_dirty = true;
+  cell->beat_us = 0;
+  cell->ops->wake (cell->ctx);
+}
+
+void
+cell_drain (struct cell *cell)
+{
+  cell->draining = true;
+  cell->view_dirty = true;
+  cell->beat_us = 0;
+  cell_tick (cell);
+}
+
+void
+cell_set_registry_fresh (struct cell *cell, bool fresh)
+{
+  cell->registry_fresh = fresh;
+}
+
+static void
+drain_inbox (struct cell *cell)
+{
+  GBytes *bytes;
+  while ((bytes = g_queue_pop_head (&cell->inbox)) != NULL)
+    {
+      gsize len;
+      const uint8_t *data = g_bytes_get_data (bytes, &len);
+      Cellpb__Envelope *env = cellpb__envelope__unpack (NULL, len, data);
+      cell_dispatch (cell, cell->id, env);
+      cellpb__envelope__free_unpacked (env, NULL);
+      g_bytes_unref (bytes);
+    }
+}
+
+void
+cell_turn (struct cell *cell)
+{
+  if (cell->view_dirty)
+    {
+      cell->view_dirty = false;
+      cell_members_changed (cell);
+    }
+  /* Each step may queue messages to ourselves, which the next round sees. */
+  do
+    {
+      drain_inbox (cell);
+      own_flush (cell->jobs);
+      cell_report_rooms (cell);
+      drain_inbox (cell);
+      if (cell->planning && cell->plan_dirty)
+        {
+          cell->plan_dirty = false;
+          pack_decide (cell->plan, pl_now_us (cell->clock));
+        }
+    }
+  while (!g_queue_is_empty (&cell->inbox));
+}
+
+void
+cell_tick (struct cell *cell)
+{
+  int64_t now_us = pl_now_us (cell->clock);
+  cell_tick_members (cell);
+  lease_tick (cell->leases, now_us);
+  own_tick (cell->jobs);
+  cell_assign (cell);
+  if (pack_waiting (cell->plan) > 0)
+    cell->plan_dirty = true;
+  cell_turn (cell);
+}
--- /dev/null
+++ b/lib/cell/cell_priv.h
@@ -0,0 +1,120 @@
+/* Internals of lib/cell.  */
+#pragma once
+
+#include "cell.h"
+#include "cell.pb-c.h"
+
+/* Silence after which a peer counts as lost for planning, and after which its
+   runs on workers held here are stopped.  */
+#define PEER_SILENT_US 500000
+/* A peer whose link has ended is back within a reconnect, or it is dead.  */
+#define PEER_CLOSED_US 160000
+#define BEAT_US 100000
+
+struct peer
+{
+  struct pl_addr addr;
+  void *link;  /* outgoing */
+  uint64_t id; /* incarnation, 0: not heard yet */
+  char *name;
+  uint64_t domain;
+  int64_t heard_us;  /* last beat */
+  int64_t closed_us; /* its link to us has ended; 0: open */
+  bool refused;      /* its address refuses connections */
+  bool hears_us;
+  bool draining;
+  bool ready;
+  bool alive;      /* state that was acted on */
+  bool registered; /* in the registry of instances */
+  int64_t config_version;
+  GHashTable *held; /* worker -> token (int64_t *) */
+};
+
+/* A worker of the registry.  */
+struct known_worker
+{
+  struct lease_info info;
+  char *id;
+  int64_t token_seen; /* highest token that is known to be used there */
+  int64_t retry_us;   /* not taken before; 0: at once */
+  int64_t unheld_us;  /* since when its intended holder has not claimed it */
+  unsigned fences;    /* in a row */
+  bool dirty;         /* the planner has an old report */
+};
+
+struct cell
+{
+  struct pl_clock *clock;
+  const struct cell_ops *ops;
+  void *ctx;
+  uint64_t id;
+  char *name;
+  char *domain_name;
+  uint64_t domain;
+  struct pl_addr addr;
+  GHashTable *peers;   /* address -> struct peer */
+  GHashTable *workers; /* key -> struct known_worker */
+  struct lease_table *leases;
+  struct own_table *jobs;
+  struct pack_plan *plan;
+  uint64_t planner;
+  bool planning; /* we are the planner */
+  bool plan_dirty;
+  bool ready;
+  bool draining;
+  bool view_dirty;
+  bool rooms_dirty;
+  bool registry_fresh;
+  int64_t beat_us;
+  int64_t rooms_us; /* last report of all rooms */
+  int64_t config_version;
+  GBytes *config;
+  GQueue inbox; /* GBytes of messages to ourselves */
+  bool in_turn;
+};
+
+/* Peers.  */
+struct peer *cell_peer (struct cell *cell, uint64_t id);
+bool cell_peer_alive (struct cell *cell, const struct peer *peer);
+void cell_beat_arrived (struct cell *cell, uint64_t sender,
+                        const Cellpb__Beat *beat);
+void cell_tick_members (struct cell *cell);
+void cell_members_changed (struct cell *cell);
+
+/* Messages.  TO 0: all live peers and ourselves.  */
+void cell_send (struct cell *cell, uint64_t to, Cellpb__Envelope *env);
+void cell_send_peer (struct cell *cell, struct peer *peer,
+                     Cellpb__Envelope *env);
+void cell_send_beat (struct cell *cell, struct peer *peer);
+void cell_dispatch (struct cell *cell, uint64_t sender,
+                    const Cellpb__Envelope *env);
+
+#define CELL_ENVELOPE(field, tag, message)                                    \
+  {                                                                           \
+    PROTOBUF_C_MESSAGE_INIT (&cellpb__envelope__descriptor),                  \
+        .body_case = CELLPB__ENVELOPE__BODY_##tag, .field = (message)         \
+  }
+
+/* Holder.  */
+extern const struct lease_ops cell_lease_ops;
+void cell_assign (struct cell *cell);
+void cell_report_rooms (struct cell *cell);
+void cell_all_rooms_dirty (struct cell *cell);
+void cell_on_start (struct cell *cell, uint64_t sender,
+                    const Cellpb__Start *msg);
+void cell_on_stop (struct cell *cell, const Cellpb__Stop *msg);
+void cell_on_yield (struct cell *cell, const Cellpb__Yield *msg);
+void cell_on_taken (struct cell *cell, uint64_t sender,
+                    const Cellpb__Taken *msg);
+
+/* Planner and owner.  */
+extern const struct pack_ops cell_pack_ops;
+extern const struct own_ops cell_own_ops;
+void cell_on_ask (struct cell *cell, uint64_t sender, const Cellpb__Ask *msg);
+void cell_on_room (struct cell *cell, uint64_t sender,
+                   const Cellpb__Room *msg);
+void cell_on_ended (struct cell *cell, uint64_t sender,
+                    const Cellpb__Ended *msg);
+
+struct lease_run_id cell_run_id (const Cellpb__RunId *id);
+struct pack_amount cell_amount (const Cellpb__Amount *amount);
--- /dev/null
+++ b/lib/cell/msg.c
@@ -0,0 +1,164 @@
+/* Packing, sending and dispatch of messages.  */
+#include "cell_priv.h"
+
+struct lease_run_id
+cell_run_id (const Cellpb__RunId *id)
+{
+  return (struct lease_run_id){ id->job, id->index, id->run };
+}
+
+struct pack_amount
+cell_amount (const Cellpb__Amount *amount)
+{
+  if (amount == NULL)
+    return (struct pack_amount){ 0 };
+  return (struct pack_amount){ amount->cpu, amount->mem, amount->gpu };
+}
+
+static void
+send_self (struct cell *cell, const Cellpb__Envelope *env)
+{
+  size_t len = cellpb__envelope__get_packed_size (env);
+  uint8_t *data = g_malloc (len);
+  cellpb__envelope__pack (env, data);
+  g_queue_push_tail (&cell->inbox, g_bytes_new_take (data, len));
+  cell->ops->wake (cell->ctx);
+}
+
+void
+cell_send_peer (struct cell *cell, struct peer *peer, Cellpb__Envelope *env)
+{
+  env->sender = cell->id;
+  size_t len = cellpb__envelope__get_packed_size (env);
+  g_autofree uint8_t *data = g_malloc (len);
+  cellpb__envelope__pack (env, data);
+  cell->ops->send (cell->ctx, peer->link,
+                   (struct pl_str){ (const char *)data, len });
+}
+
+static void
+send_all (struct cell *cell, Cellpb__Envelope *env)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, cell->peers);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    cell_send_peer (cell, value, env);
+  send_self (cell, env);
+}
+
+void
+cell_send (struct cell *cell, uint64_t to, Cellpb__Envelope *env)
+{
+  env->sender = cell->id;
+  if (to == 0)
+    {
+      send_all (cell, env);
+      return;
+    }
+  if (to == cell->id)
+    {
+      send_self (cell, env);
+      return;
+    }
+  struct peer *peer = cell_peer (cell, to);
+  if (peer != NULL)
+    cell_send_peer (cell, peer, env);
+}
+
+static void
+on_config (struct cell *cell, const Cellpb__Config *msg)
+{
+  if (msg->version > cell->config_version)
+    cell->ops->config (
+        cell->ctx, msg->version,
+        (struct pl_str){ (const char *)msg->text.data, msg->text.len });
+}
+
+void
+cell_dispatch (struct cell *cell, uint64_t sender, const Cellpb__Envelope *env)
+{
+  switch (env->body_case)
+    {
+    case CELLPB__ENVELOPE__BODY_BEAT:
+      cell_beat_arrived (cell, sender, env->beat);
+      break;
+    case CELLPB__ENVELOPE__BODY_ASK:
+      cell_on_ask (cell, sender, env->ask);
+      break;
+    case CELLPB__ENVELOPE__BODY_DROP:
+      pack_drop (cell->plan, env->drop->job, sender);
+      break;
+    case CELLPB__ENVELOPE__BODY_GRANT:
+      own_granted (cell->jobs, env->grant->job, env->grant->index,
+                   env->grant->worker, env->grant->holder);
+      break;
+    case CELLPB__ENVELOPE__BODY_REFUSE:
+      own_refused (cell->jobs, env->refuse->job, env->refuse->retry_after_ms);
+      break;
+    case CELLPB__ENVELOPE__BODY_RELEASE:
+      pack_release (cell->plan, env->release->worker, env->release->tag);
+      cell->plan_dirty = true;
+      break;
+    case CELLPB__ENVELOPE__BODY_START:
+      cell_on_start (cell, sender, env->start);
+      break;
+    case CELLPB__ENVELOPE__BODY_STOP:
+      cell_on_stop (cell, env->stop);
+      break;
+    case CELLPB__ENVELOPE__BODY_ENDED:
+      cell_on_ended (cell, sender, env->ended);
+      break;
+    case CELLPB__ENVELOPE__BODY_ROOM:
+      cell_on_room (cell, sender, env->room);
+      break;
+    case CELLPB__ENVELOPE__BODY_TAKEN:
+      cell_on_taken (cell, sender, env->taken);
+      break;
+    case CELLPB__ENVELOPE__BODY_YIELD:
+      cell_on_yield (cell, env->yield);
+      break;
+    case CELLPB__ENVELOPE__BODY_CONFIG:
+      on_config (cell, env->config);
+      break;
+    default:
+      pl_log (PL_EV_MSG_BAD, "from=%016" PRIx64 " reason=body bytes=0",
+              sender);
+    }
+}
+
+/* Whether the parts that handlers rely on are there.  */
+static bool
+is_complete (const Cellpb__Envelope *env)
+{
+  switch (env->body_case)
+    {
+    case CELLPB__ENVELOPE__BODY_START:
+      return env->start->id != NULL;
+    case CELLPB__ENVELOPE__BODY_STOP:
+      return env->stop->id != NULL;
+    case CELLPB__ENVELOPE__BODY_ENDED:
+      return env->ended->id != NULL;
+    default:
+      return env->sender != 0;
+    }
+}
+
+void
+cell_frame (struct cell *cell, uint64_t *link_peer, struct pl_str frame)
+{
+  Cellpb__Envelope *env = cellpb__envelope__unpack (
+      NULL, frame.len, (const uint8_t *)frame.data);
+  if (env == NULL || !is_complete (env))
+    {
+      pl_log (PL_EV_MSG_BAD, "from=%016" PRIx64 " reason=malformed bytes=%zu",
+              *link_peer, frame.len);
+      if (env != NULL)
+        cellpb__envelope__free_unpacked (env, NULL);
+      return;
+    }
+  *link_peer = env->sender;
+  cell_dispatch (cell, env->sender, env);
+  cellpb__envelope__free_unpacked (env, NULL);
+  cell->ops->wake (cell->ctx);
+}
--- /dev/null
+++ b/lib/cell/plan.c
@@ -0,0 +1,222 @@
+/* The planner's and the owner's messages.  */
+#include "cell_priv.h"
+
+#include <string.h>
+
+void
+cell_on_ask (struct cell *cell, uint64_t sender, const Cellpb__Ask *msg)
+{
+  int64_t now_us = pl_now_us (cell->clock);
+  struct pack_want want = {
+    .job = msg->job,
+    .owner = sender,
+    .service = msg->service,
+    .domain = cell->domain,
+    .required_label = msg->required_label,
+    .preferred_label = msg->preferred_label,
+    .per_worker = msg->per_worker,
+    .size = cell_amount (msg->size),
+    .run_us = msg->run_us,
+    .objective_us = now_us + msg->objective_us,
+    .late_us = now_us + msg->late_us,
+    .deadline_us = now_us + msg->deadline_us,
+    .priority = msg->priority,
+    .started = msg->started,
+    .n_tasks = msg->width,
+    .n = (unsigned)msg->n_tasks,
+    .tasks = msg->tasks,
+  };
+  const struct peer *peer = cell_peer (cell, sender);
+  if (peer != NULL)
+    want.domain = peer->domain;
+  pack_request (cell->plan, &want, now_us);
+  cell->plan_dirty = true;
+}
+
+void
+cell_on_room (struct cell *cell, uint64_t sender, const Cellpb__Room *msg)
+{
+  if (msg->gone)
+    {
+      pack_forget_worker (cell->plan, msg->worker, sender);
+      return;
+    }
+  struct pack_room room = {
+    .worker = msg->worker,
+    .holder = sender,
+    .service = msg->service,
+    .domain = msg->domain,
+    .capacity = cell_amount (msg->capacity),
+    .used = cell_amount (msg->used),
+    .usable = msg->usable,
+    .slowness = msg->slowness,
+    .n_runs = (unsigned)MIN (msg->n_runs, PACK_MAX_RUNS),
+  };
+  for (size_t i = 0; i < msg->n_labels && i < PACK_MAX_LABELS; i++)
+    room.labels[i] = msg->labels[i];
+  memcpy (room.runs, msg->runs, room.n_runs * sizeof *room.runs);
+  pack_report (cell->plan, &room);
+  cell->plan_dirty = true;
+}
+
+static void
+on_grant (void *ctx, uint64_t owner, uint64_t job, uint32_t index,
+          uint64_t worker, uint64_t holder)
+{
+  struct cell *cell = ctx;
+  Cellpb__Grant msg = CELLPB__GRANT__INIT;
+  msg.job = job;
+  msg.index = index;
+  msg.worker = worker;
+  msg.holder = holder;
+  Cellpb__Envelope env = CELL_ENVELOPE (grant, GRANT, &msg);
+  cell_send (cell, owner, &env);
+}
+
+static void
+on_refuse (void *ctx, uint64_t owner, uint64_t job, int retry_after_ms)
+{
+  struct cell *cell = ctx;
+  Cellpb__Refuse msg = CELLPB__REFUSE__INIT;
+  msg.job = job;
+  msg.retry_after_ms = retry_after_ms;
+  Cellpb__Envelope env = CELL_ENVELOPE (refuse, REFUSE, &msg);
+  pl_log (PL_EV_SHED, "job=%016" PRIx64 " waiting=%u retry_after_ms=%d", job,
+          pack_waiting (cell->plan), retry_after_ms);
+  cell_send (cell, owner, &env);
+}
+
+const struct pack_ops cell_pack_ops = {
+  .grant = on_grant,
+  .refuse = on_refuse,
+};
+
+static void
+on_want (void *ctx, const struct pack_want *want)
+{
+  struct cell *cell = ctx;
+  int64_t now_us = pl_now_us (cell->clock);
+  Cellpb__Amount size = CELLPB__AMOUNT__INIT;
+  size.cpu = want->size.cpu;
+  size.mem = want->size.mem;
+  size.gpu = want->size.gpu;
+  Cellpb__Ask msg = CELLPB__ASK__INIT;
+  msg.job = want->job;
+  msg.service = want->service;
+  msg.required_label = want->required_label;
+  msg.preferred_label = want->preferred_label;
+  msg.per_worker = want->per_worker;
+  msg.size = &size;
+  msg.run_us = want->run_us;
+  msg.objective_us = want->objective_us - now_us;
+  msg.late_us = want->late_us - now_us;
+  msg.deadline_us = want->deadline_us - now_us;
+  msg.priority = want->priority;
+  msg.started = want->started;
+  msg.width = want->n_tasks;
+  msg.tasks = (uint32_t *)want->tasks;
+  msg.n_tasks = want->n;
+  Cellpb__Envelope env = CELL_ENVELOPE (ask, ASK, &msg);
+  cell_send (cell, cell->planner, &env);
+}
+
+static void
+on_drop (void *ctx, uint64_t job)
+{
+  struct cell *cell = ctx;
+  Cellpb__Drop msg = CELLPB__DROP__INIT;
+  msg.job = job;
+  Cellpb__Envelope env = CELL_ENVELOPE (drop, DROP, &msg);
+  cell_send (cell, cell->planner, &env);
+}
+
+static void
+on_release (void *ctx, uint64_t worker, uint64_t tag)
+{
+  struct cell *cell = ctx;
+  Cellpb__Release msg = CELLPB__RELEASE__INIT;
+  msg.worker = worker;
+  msg.tag = tag;
+  Cellpb__Envelope env = CELL_ENVELOPE (release, RELEASE, &msg);
+  cell_send (cell, cell->planner, &env);
+}
+
+static void
+send_start (struct cell *cell, uint64_t holder, uint64_t worker,
+            const struct lease_order *order, bool claim)
+{
+  Cellpb__RunId id = CELLPB__RUN_ID__INIT;
+  id.job = order->id.job;
+  id.index = order->id.index;
+  id.run = order->id.run;
+  Cellpb__Amount size = CELLPB__AMOUNT__INIT;
+  size.cpu = order->size.cpu;
+  size.mem = order->size.mem;
+  size.gpu = order->size.gpu;
+  Cellpb__Start msg = CELLPB__START__INIT;
+  msg.worker = worker;
+  msg.id = &id;
+  msg.size = &size;
+  msg.expect_us = order->expect_us;
+  msg.claim = claim;
+  if (!claim)
+    msg.spec = (ProtobufCBinaryData){ order->spec.len,
+                                      (uint8_t *)order->spec.data };
+  Cellpb__Envelope env = CELL_ENVELOPE (start, START, &msg);
+  cell_send (cell, holder, &env);
+}
+
+static void
+on_start (void *ctx, uint64_t holder, uint64_t worker,
+          const struct lease_order *order)
+{
+  send_start (ctx, holder, worker, order, false);
+}
+
+static void
+on_claim (void *ctx, uint64_t holder, uint64_t worker,
+          const struct lease_order *order)
+{
+  send_start (ctx, holder, worker, order, true);
+}
+
+static void
+on_stop (void *ctx, uint64_t holder, uint64_t worker,
+         const struct lease_run_id *id)
+{
+  struct cell *cell = ctx;
+  Cellpb__RunId run = CELLPB__RUN_ID__INIT;
+  run.job = id->job;
+  run.index = id->index;
+  run.run = id->run;
+  Cellpb__Stop msg = CELLPB__STOP__INIT;
+  msg.worker = worker;
+  msg.id = &run;
+  Cellpb__Envelope env = CELL_ENVELOPE (stop, STOP, &msg);
+  cell_send (cell, holder, &env);
+}
+
+static void
+on_answer (void *ctx, struct own_job *job, const struct own_answer *answer)
+{
+  struct cell *cell = ctx;
+  cell->ops->answer (cell->ctx, job, answer);
+}
+
+const struct own_ops cell_own_ops = {
+  .ask = on_want,
+  .drop = on_drop,
+  .release = on_release,
+  .start = on_start,
+  .claim = on_claim,
+  .stop = on_stop,
+  .answer = on_answer,
+};
+
+void
+cell_on_ended (struct cell *cell, uint64_t sender, const Cellpb__Ended *msg)
+{
+  struct lease_run_id id = cell_run_id (msg->id);
+  own_ended (cell->jobs, msg->worker, sender, &id, (enum lease_end)msg->end,
+             msg->took_us);
+}
--- /dev/null
+++ b/lib/lease/lease_priv.h
@@ -0,0 +1,44 @@
+/* Internals of lib/lease.  */
+#pragma once
+
+#include "lease.h"
+
+struct lease_table
+{
+  const struct lease_ops *ops;
+  void *ctx;
+  GHashTable *workers; /* key -> struct lease_worker */
+};
+
+/* An empty list of runs that frees its entries.  */
+GPtrArray *lease_runs_new (void);
+struct lease_run *lease_run_find (struct lease_worker *w,
+                                  const struct lease_run_id *id);
+struct lease_run *lease_run_add (struct lease_worker *w,
+                                 const struct lease_run_id *id);
+/* Removes RUN and tells its owner.  */
+void lease_run_end (struct lease_table *table, struct lease_worker *w,
+                    struct lease_run *run, enum lease_end end, int64_t now_us);
+/* Ends all runs of W the same way.  */
+void lease_end_all (struct lease_table *table, struct lease_worker *w,
+                    enum lease_end end, int64_t now_us);
+/* Orders RUN to stop and waits until that is certain.  */
+void lease_run_stop (struct lease_table *table, struct lease_worker *w,
+                     struct lease_run *run, int64_t now_us);
+/* Removes W after its runs were reported as END.  */
+void lease_lose (struct lease_table *table, struct lease_worker *w,
+                 enum lease_reply why, enum lease_end end, int64_t now_us);
+
+/* Sends the next look; with a lease if RENEW.  */
+void lease_look (struct lease_table *table, struct lease_worker *w, bool renew,
+                 int64_t now_us);
+
+void lease_health_good (struct lease_health *health, int64_t took_us,
+                        int64_t expect_us);
+/* Returns whether the worker is ejected by this failure.  */
+bool lease_health_bad (struct lease_health *health, int64_t now_us);
+bool lease_usable (const struct lease_worker *w, int64_t now_us);
+struct pack_amount lease_used (const struct lease_worker *w);
+
+/* Deadline on the worker's clock of a lease granted now, 0: unknown clock. */
+int64_t lease_deadline_ms (const struct lease_worker *w, int64_t now_us);
--- /dev/null
+++ b/lib/lease/run.c
@@ -0,0 +1,254 @@
+/* Runs on a held worker.  */
+#include "lease_priv.h"
+
+#include <string.h>
+
+const char *
+lease_end_name (enum lease_end end)
+{
+  static const char *const names[] = {
+    [LEASE_DONE] = "done",       [LEASE_FAILED] = "failed",
+    [LEASE_STOPPED] = "stopped", [LEASE_REJECTED] = "rejected",
+    [LEASE_OLD] = "old",         [LEASE_UNKNOWN] = "unknown",
+  };
+  return end < G_N_ELEMENTS (names) && names[end] != NULL ? names[end] : "?";
+}
+
+static void
+run_free (void *data)
+{
+  struct lease_run *run = data;
+  g_free (run->spec);
+  g_free (run);
+}
+
+GPtrArray *
+lease_runs_new (void)
+{
+  return g_ptr_array_new_with_free_func (run_free);
+}
+
+struct lease_run *
+lease_run_find (struct lease_worker *w, const struct lease_run_id *id)
+{
+  for (guint i = 0; i < w->runs->len; i++)
+    {
+      struct lease_run *run = g_ptr_array_index (w->runs, i);
+      if (run->id.job == id->job && run->id.index == id->index
+          && run->id.run == id->run)
+        return run;
+    }
+  return NULL;
+}
+
+struct lease_run *
+lease_run_add (struct lease_worker *w, const struct lease_run_id *id)
+{
+  struct lease_run *run = g_new0 (struct lease_run, 1);
+  run->id = *id;
+  g_ptr_array_add (w->runs, run);
+  return run;
+}
+
+void
+lease_run_end (struct lease_table *table, struct lease_worker *w,
+               struct lease_run *run, enum lease_end end, int64_t now_us)
+{
+  struct lease_run_id id = run->id;
+  uint64_t owner = run->owner;
+  int64_t took_us = run->started_us > 0 ? now_us - run->started_us : 0;
+  g_ptr_array_remove_fast (w->runs, run);
+  table->ops->ended (table->ctx, w, owner, &id, end, took_us);
+}
+
+void
+lease_end_all (struct lease_table *table, struct lease_worker *w,
+               enum lease_end end, int64_t now_us)
+{
+  while (w->runs->len > 0)
+    {
+      struct lease_run *run = g_ptr_array_index (w->runs, w->runs->len - 1);
+      lease_run_end (table, w, run, end, now_us);
+    }
+}
+
+void
+lease_run_stop (struct lease_table *table, struct lease_worker *w,
+                struct lease_run *run, int64_t now_us)
+{
+  run->state = LEASE_RUN_STOPPING;
+  run->stop_us = now_us;
+  table->ops->stop (table->ctx, w, &run->id);
+}
+
+struct pack_amount
+lease_used (const struct lease_worker *w)
+{
+  struct pack_amount used = { 0 };
+  for (guint i = 0; i < w->runs->len; i++)
+    {
+      const struct lease_run *run = g_ptr_array_index (w->runs, i);
+      /* The size of a run that nobody has claimed is not known.  */
+      if (run->size.cpu == 0 && run->size.mem == 0)
+        return w->info.capacity;
+      used = pack_add (used, run->size);
+    }
+  return used;
+}
+
+bool
+lease_start (struct lease_table *table, struct lease_worker *w,
+             const struct lease_order *order, int64_t now_us)
+{
+  int64_t deadline_ms = lease_deadline_ms (w, now_us);
+  if (!lease_usable (w, now_us) || deadline_ms == 0
+      || !pack_fits (w->info.capacity, lease_used (w), order->size))
+    return false;
+  for (guint i = 0; i < w->runs->len; i++)
+    {
+      /* An earlier run of the task that isn't settled yet.  */
+      const struct lease_run *other = g_ptr_array_index (w->runs, i);
+      if (other->id.job == order->id.job && other->id.index == order->id.index)
+        return false;
+    }
+  struct lease_run *run = lease_run_add (w, &order->id);
+  run->owner = order->owner;
+  run->size = order->size;
+  run->spec = g_strndup (order->spec.data, order->spec.len);
+  run->expect_us = order->expect_us;
+  run->sent_us = now_us;
+  w->renewed_us = now_us;
+  table->ops->start (table->ctx, w, run, deadline_ms);
+  return true;
+}
+
+bool
+lease_claim (struct lease_table *table, struct lease_worker *w,
+             const struct lease_order *order)
+{
+  struct lease_run *run = lease_run_find (w, &order->id);
+  if (run == NULL || (run->owner != 0 && run->owner != order->owner))
+    return false;
+  run->owner = order->owner;
+  run->size = order->size;
+  run->expect_us = order->expect_us;
+  table->ops->changed (table->ctx, w);
+  return true;
+}
+
+void
+lease_stop (struct lease_table *table, struct lease_worker *w,
+            const struct lease_run_id *id, int64_t now_us)
+{
+  struct lease_run *run = lease_run_find (w, id);
+  if (run != NULL && run->state != LEASE_RUN_STOPPING)
+    lease_run_stop (table, w, run, now_us);
+}
+
+void
+lease_stop_owner (struct lease_table *table, uint64_t owner, int64_t now_us)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, table->workers);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      struct lease_worker *w = value;
+      for (guint i = 0; i < w->runs->len; i++)
+        {
+          struct lease_run *run = g_ptr_array_index (w->runs, i);
+          if (run->owner == owner && run->state != LEASE_RUN_STOPPING)
+            lease_run_stop (table, w, run, now_us);
+        }
+    }
+}
+
+/* Whether the failure says something about the worker.  */
+static void
+count_failure (struct lease_table *table, struct lease_worker *w,
+               int64_t now_us)
+{
+  if (lease_health_bad (&w->health, now_us))
+    pl_log (PL_EV_EJECT, "worker=%s failures=1 until_ms=%" PRId64, w->id,
+            w->health.ejected_us / 1000);
+  table->ops->changed (table->ctx, w);
+}
+
+static void
+start_failed (struct lease_table *table, struct lease_worker *w,
+              struct lease_run *run, enum lease_reply reply, int64_t now_us)
+{
+  switch (reply)
+    {
+    case LEASE_REPLY_OLD:
+      lease_run_end (table, w, run, LEASE_OLD, now_us);
+      break;
+    case LEASE_REPLY_UNSENT:
+    case LEASE_REPLY_REFUSED:
+      count_failure (table, w, now_us);
+      lease_run_end (table, w, run, LEASE_REJECTED, now_us);
+      break;
+    case LEASE_REPLY_LATE:
+      lease_run_end (table, w, run, LEASE_REJECTED, now_us);
+      break;
+    default:
+      lease_run_stop (table, w, run, now_us);
+    }
+}
+
+void
+lease_start_done (struct lease_table *table, uint64_t worker, int64_t token,
+                  const struct lease_run_id *id, enum lease_reply reply,
+                  int64_t now_us)
+{
+  struct lease_worker *w = lease_find (table, worker);
+  if (w == NULL || w->token != token)
+    return;
+  struct lease_run *run = lease_run_find (w, id);
+  if (reply == LEASE_REPLY_FENCED || reply == LEASE_REPLY_REBORN)
+    {
+      if (run != NULL)
+        lease_run_end (table, w, run, LEASE_REJECTED, now_us);
+      lease_lose (table, w, reply,
+                  reply == LEASE_REPLY_REBORN ? LEASE_STOPPED : LEASE_UNKNOWN,
+                  now_us);
+      return;
+    }
+  if (run == NULL)
+    return;
+  if (reply == LEASE_REPLY_OK)
+    {
+      if (run->started_us == 0)
+        run->started_us = now_us;
+      if (run->state == LEASE_RUN_STARTING)
+        run->state = LEASE_RUN_RUNNING;
+      return;
+    }
+  if (run->state == LEASE_RUN_STARTING)
+    start_failed (table, w, run, reply, now_us);
+  else if (run->state == LEASE_RUN_STOPPING && reply != LEASE_REPLY_NONE)
+    lease_run_end (table, w, run, LEASE_REJECTED, now_us);
+  table->ops->changed (table->ctx, w);
+}
+
+void
+lease_stop_done (struct lease_table *table, uint64_t worker, int64_t token,
+                 const struct lease_run_id *id, enum lease_reply reply,
+                 int64_t now_us)
+{
+  struct lease_worker *w = lease_find (table, worker);
+  if (w == NULL || w->token != token)
+    return;
+  if (reply == LEASE_REPLY_FENCED || reply == LEASE_REPLY_REBORN)
+    {
+      lease_lose (table, w, reply,
+                  reply == LEASE_REPLY_REBORN ? LEASE_STOPPED : LEASE_UNKNOWN,
+                  now_us);
+      return;
+    }
+  struct lease_run *run = lease_run_find (w, id);
+  if (run == NULL)
+    return;
+  if (reply == LEASE_REPLY_OK)
+    run->settled_us = now_us;
+}
--- /dev/null
+++ b/lib/lease/table.c
@@ -0,0 +1,188 @@
+/* The workers that this instance holds.  */
+#include "lease_priv.h"
+
+#include <string.h>
+
+#define STOP_RESEND_US 250000
+#define CLAIM_US 250000 /* after which an unclaimed run is stopped */
+/* A run that takes this many times its expected time, and this much longer,
+   stands still.  */
+#define STRAGGLER_FACTOR 5
+#define STRAGGLER_US 400000
+
+static void
+worker_free (void *data)
+{
+  struct lease_worker *w = data;
+  g_ptr_array_unref (w->runs);
+  g_free (w->id);
+  g_free (w);
+}
+
+struct lease_table *
+lease_table_new (const struct lease_ops *ops, void *ctx)
+{
+  struct lease_table *table = g_new0 (struct lease_table, 1);
+  table->ops = ops;
+  table->ctx = ctx;
+  table->workers
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, worker_free);
+  return table;
+}
+
+void
+lease_table_free (struct lease_table *table)
+{
+  g_hash_table_unref (table->workers);
+  g_free (table);
+}
+
+struct lease_worker *
+lease_find (struct lease_table *table, uint64_t worker)
+{
+  return g_hash_table_lookup (table->workers, &worker);
+}
+
+GHashTable *
+lease_workers (struct lease_table *table)
+{
+  return table->workers;
+}
+
+static void
+copy_info (struct lease_worker *w, const struct lease_info *info)
+{
+  int64_t born_ms = w->info.born_ms;
+  if (info->id != w->id)
+    {
+      g_free (w->id);
+      w->id = g_strdup (info->id);
+    }
+  w->info = *info;
+  w->info.id = w->id;
+  /* The worker's own answers are newer than the registry.  */
+  if (born_ms > info->born_ms)
+    w->info.born_ms = born_ms;
+}
+
+struct lease_worker *
+lease_take (struct lease_table *table, const struct lease_info *info,
+            int64_t token, int64_t now_us)
+{
+  struct lease_worker *w = g_new0 (struct lease_worker, 1);
+  copy_info (w, info);
+  w->runs = lease_runs_new ();
+  w->token = token;
+  w->answered_us = now_us;
+  w->health.slowness = 100;
+  g_hash_table_insert (table->workers, &w->info.worker, w);
+  lease_look (table, w, false, now_us);
+  return w;
+}
+
+void
+lease_update (struct lease_table *table, struct lease_worker *w,
+              const struct lease_info *info)
+{
+  bool changed = w->info.draining != info->draining
+                 || w->info.capacity.cpu != info->capacity.cpu;
+  copy_info (w, info);
+  if (changed)
+    table->ops->changed (table->ctx, w);
+}
+
+void
+lease_yield (struct lease_table *table, struct lease_worker *w)
+{
+  g_hash_table_remove (table->workers, &w->info.worker);
+}
+
+void
+lease_lose (struct lease_table *table, struct lease_worker *w,
+            enum lease_reply why, enum lease_end end, int64_t now_us)
+{
+  lease_end_all (table, w, end, now_us);
+  table->ops->lost (table->ctx, w, why);
+  g_hash_table_remove (table->workers, &w->info.worker);
+}
+
+void
+lease_gone (struct lease_table *table, struct lease_worker *w)
+{
+  lease_lose (table, w, LEASE_REPLY_NONE, LEASE_STOPPED,
+              w->answered_us > w->renewed_us ? w->answered_us : w->renewed_us);
+}
+
+static bool
+is_straggler (const struct lease_run *run, int64_t now_us)
+{
+  return run->state == LEASE_RUN_RUNNING && run->expect_us > 0
+         && run->started_us > 0
+         && now_us - run->started_us
+                > run->expect_us * STRAGGLER_FACTOR + STRAGGLER_US;
+}
+
+static void
+tick_run (struct lease_table *table, struct lease_worker *w,
+          struct lease_run *run, int64_t now_us)
+{
+  if (run->state == LEASE_RUN_STOPPING)
+    {
+      if (run->settled_us == 0 && now_us - run->stop_us > STOP_RESEND_US)
+        lease_run_stop (table, w, run, now_us);
+      return;
+    }
+  if (run->owner == 0 && now_us - run->sent_us > CLAIM_US)
+    lease_run_stop (table, w, run, now_us);
+  else if (is_straggler (run, now_us))
+    {
+      run->straggler = true;
+      (void)lease_health_bad (&w->health, now_us);
+      lease_run_stop (table, w, run, now_us);
+      table->ops->changed (table->ctx, w);
+    }
+}
+
+static void
+tick_worker (struct lease_table *table, struct lease_worker *w, int64_t now_us)
+{
+  for (guint i = 0; i < w->runs->len; i++)
+    tick_run (table, w, g_ptr_array_index (w->runs, i), now_us);
+  if (w->health.ejected_us != 0 && w->health.ejected_us <= now_us)
+    {
+      w->health.ejected_us = 0;
+      table->ops->changed (table->ctx, w);
+    }
+  if (!w->look_out && w->retry_us != 0 && w->retry_us <= now_us)
+    lease_look (table, w, false, now_us);
+}
+
+void
+lease_tick (struct lease_table *table, int64_t now_us)
+{
+  g_autoptr (GList) workers = g_hash_table_get_values (table->workers);
+  for (GList *l = workers; l != NULL; l = l->next)
+    tick_worker (table, l->data, now_us);
+}
+
+void
+lease_room (const struct lease_worker *w, uint64_t holder, int64_t now_us,
+            struct pack_room *out)
+{
+  *out = (struct pack_room){
+    .worker = w->info.worker,
+    .holder = holder,
+    .service = w->info.service,
+    .domain = w->info.domain,
+    .capacity = w->info.capacity,
+    .used = lease_used (w),
+    .usable = lease_usable (w, now_us),
+    .slowness = w->health.slowness,
+  };
+  memcpy (out->labels, w->info.labels, sizeof out->labels);
+  for (guint i = 0; i < w->runs->len && out->n_runs < PACK_MAX_RUNS; i++)
+    {
+      const struct lease_run *run = g_ptr_array_index (w->runs, i);
+      out->runs[out->n_runs++] = pack_tag (run->id.job, run->id.index);
+    }
+}
--- /dev/null
+++ b/lib/own/job.c
@@ -0,0 +1,234 @@
+/* A job from submission to its answer.  */
+#include "own_priv.h"
+
+#include <string.h>
+
+static void
+job_free (void *data)
+{
+  struct own_job *job = data;
+  g_free (job->route);
+  g_free (job->service);
+  g_free (job->spec);
+  g_free (job->tasks);
+  g_free (job);
+}
+
+struct own_table *
+own_table_new (struct pl_clock *clock, const struct own_ops *ops, void *ctx)
+{
+  struct own_table *table = g_new0 (struct own_table, 1);
+  table->clock = clock;
+  table->ops = ops;
+  table->ctx = ctx;
+  table->sizes = sched_sizes_new (clock);
+  table->jobs
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, job_free);
+  return table;
+}
+
+void
+own_table_free (struct own_table *table)
+{
+  g_hash_table_unref (table->jobs);
+  sched_sizes_free (table->sizes);
+  g_free (table);
+}
+
+struct own_job *
+own_find (struct own_table *table, uint64_t job)
+{
+  return g_hash_table_lookup (table->jobs, &job);
+}
+
+unsigned
+own_count (const struct own_table *table)
+{
+  return g_hash_table_size (table->jobs);
+}
+
+struct own_job *
+own_submit (struct own_table *table, const struct own_order *order, void *user)
+{
+  struct own_job *job = g_new0 (struct own_job, 1);
+  *job = (struct own_job){
+    .id = order->job,
+    .route = g_strdup (order->route),
+    .service = g_strdup (order->service),
+    .service_key = order->service_key,
+    .required_label = order->required_label,
+    .preferred_label = order->preferred_label,
+    .per_worker = order->per_worker,
+    .spec = g_strndup (order->spec.data, order->spec.len),
+    .spec_len = order->spec.len,
+    .size = order->size,
+    .stretch = order->stretch,
+    .target_us = order->target_us,
+    .arrival_us = pl_now_us (table->clock),
+    .deadline_us = order->deadline_us,
+    .declared_us = order->declared_us,
+    .priority = order->priority,
+    .max_attempts = MAX (order->max_attempts, 1),
+    .n_tasks = order->n_tasks,
+    .dirty = true,
+    .tasks = g_new0 (struct own_task, order->n_tasks),
+    .user = user,
+  };
+  job->run_us = sched_sizes_get (table->sizes, job->service, job->route, "",
+                                 order->declared_us, NULL);
+  g_hash_table_insert (table->jobs, &job->id, job);
+  table->dirty = true;
+  return job;
+}
+
+struct lease_order
+own_order_of (const struct own_job *job, uint32_t index)
+{
+  return (struct lease_order){
+    .id = { job->id, index, job->tasks[index].run },
+    .size = job->size,
+    .spec = { job->spec, job->spec_len },
+    .expect_us = job->run_us,
+  };
+}
+
+static void
+stop_tasks (struct own_table *table, struct own_job *job)
+{
+  for (unsigned i = 0; i < job->n_tasks; i++)
+    {
+      struct own_task *task = &job->tasks[i];
+      if (task->state != OWN_PLACED && task->state != OWN_UNSURE)
+        continue;
+      struct lease_run_id id = { job->id, i, task->run };
+      table->ops->stop (table->ctx, task->holder, task->worker, &id);
+    }
+}
+
+void
+own_finish (struct own_table *table, struct own_job *job, enum pl_code code,
+            int retry_after_ms)
+{
+  struct own_answer answer = { code, retry_after_ms };
+  if (code != PL_OK)
+    {
+      stop_tasks (table, job);
+      table->ops->drop (table->ctx, job->id);
+    }
+  table->ops->answer (table->ctx, job, &answer);
+  g_hash_table_remove (table->jobs, &job->id);
+}
+
+void
+own_give_up (struct own_table *table, struct own_job *job, enum pl_code code,
+             bool answer)
+{
+  if (answer)
+    {
+      own_finish (table, job, code, 0);
+      return;
+    }
+  stop_tasks (table, job);
+  table->ops->drop (table->ctx, job->id);
+  g_hash_table_remove (table->jobs, &job->id);
+}
+
+static void
+ask (struct own_table *table, struct own_job *job)
+{
+  g_autofree uint32_t *tasks = g_new (uint32_t, job->n_tasks);
+  unsigned n = 0;
+  for (unsigned i = 0; i < job->n_tasks; i++)
+    if (job->tasks[i].state == OWN_WAITING)
+      tasks[n++] = i;
+  job->dirty = false;
+  if (n == 0)
+    return;
+  int64_t objective
+      = (int64_t)((double)job->run_us * job->stretch) + job->target_us;
+  struct pack_want want = {
+    .job = job->id,
+    .service = job->service_key,
+    .required_label = job->required_label,
+    .preferred_label = job->preferred_label,
+    .per_worker = job->per_worker,
+    .size = job->size,
+    .run_us = job->run_us,
+    .objective_us = job->arrival_us + objective,
+    .late_us = job->arrival_us + 3 * objective,
+    .deadline_us = job->deadline_us,
+    .priority = job->priority,
+    .started = job->started,
+    .n_tasks = job->n_tasks,
+    .n = n,
+    .tasks = tasks,
+  };
+  table->ops->ask (table->ctx, &want);
+}
+
+void
+own_flush (struct own_table *table)
+{
+  if (!table->dirty)
+    return;
+  table->dirty = false;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, table->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      struct own_job *job = value;
+      if (job->dirty)
+        ask (table, job);
+    }
+}
+
+void
+own_ask_again (struct own_table *table)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, table->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    ((struct own_job *)value)->dirty = true;
+  table->dirty = true;
+}
+
+void
+own_refused (struct own_table *table, uint64_t id, int retry_after_ms)
+{
+  struct own_job *job = own_find (table, id);
+  if (job == NULL || job->dirty)
+    return;
+  if (job->started)
+    own_finish (table, job, PL_DEADLINE_RAN, 0);
+  else
+    own_finish (table, job, PL_DEADLINE_LOST, retry_after_ms);
+}
+
+static void
+tick_job (struct own_table *table, struct own_job *job, int64_t now_us)
+{
+  if (now_us >= job->deadline_us)
+    {
+      own_finish (table, job,
+                  job->started ? PL_DEADLINE_RAN : PL_DEADLINE_LOST,
+                  job->started ? 0 : 1000);
+      return;
+    }
+  for (unsigned i = 0; i < job->n_tasks; i++)
+    {
+      struct own_task *task = &job->tasks[i];
+      if (task->state == OWN_UNSURE && task->until_us <= now_us)
+        own_task_again (table, job, task);
+    }
+}
+
+void
+own_tick (struct own_table *table)
+{
+  int64_t now_us = pl_now_us (table->clock);
+  g_autoptr (GList) jobs = g_hash_table_get_values (table->jobs);
+  for (GList *l = jobs; l != NULL; l = l->next)
+    tick_job (table, l->data, now_us);
+}
--- /dev/null
+++ b/lib/own/task.c
@@ -0,0 +1,162 @@
+/* The tasks of a job: grants, ends and lost holders.  */
+#include "own_priv.h"
+
+/* A holder that can't be reached stops our runs when it finds us silent, and
+   if it is dead they lapse.  */
+#define UNSURE_US 1700000
+#define RUN_STEP 16 /* skips run numbers that an earlier attempt has used */
+
+void
+own_task_again (struct own_table *table, struct own_job *job,
+                struct own_task *task)
+{
+  task->state = OWN_WAITING;
+  job->dirty = true;
+  table->dirty = true;
+}
+
+void
+own_granted (struct own_table *table, uint64_t id, uint32_t index,
+             uint64_t worker, uint64_t holder)
+{
+  struct own_job *job = own_find (table, id);
+  if (job == NULL || index >= job->n_tasks
+      || job->tasks[index].state != OWN_WAITING)
+    {
+      table->ops->release (table->ctx, worker, pack_tag (id, index));
+      return;
+    }
+  struct own_task *task = &job->tasks[index];
+  task->state = OWN_PLACED;
+  task->run++;
+  task->worker = worker;
+  task->holder = holder;
+  job->started = true;
+  struct lease_order order = own_order_of (job, index);
+  table->ops->start (table->ctx, holder, worker, &order);
+}
+
+static void
+task_done (struct own_table *table, struct own_job *job, struct own_task *task,
+           int64_t took_us)
+{
+  task->state = OWN_ENDED;
+  if (took_us > 0)
+    sched_sizes_learn (table->sizes, job->service, job->route, "", took_us);
+  if (++job->n_ended == job->n_tasks)
+    own_finish (table, job, PL_OK, 0);
+}
+
+static void
+task_failed (struct own_table *table, struct own_job *job,
+             struct own_task *task)
+{
+  if (++task->failed >= job->max_attempts)
+    own_finish (table, job, PL_FAILED_RAN, 0);
+  else
+    own_task_again (table, job, task);
+}
+
+void
+own_ended (struct own_table *table, uint64_t worker, uint64_t holder,
+           const struct lease_run_id *id, enum lease_end end, int64_t took_us)
+{
+  struct own_job *job = own_find (table, id->job);
+  if (job == NULL || id->index >= job->n_tasks)
+    return;
+  struct own_task *task = &job->tasks[id->index];
+  bool ours = task->state == OWN_PLACED || task->state == OWN_UNSURE;
+  if (!ours || task->run != id->run || task->worker != worker)
+    return;
+  (void)holder;
+  switch (end)
+    {
+    case LEASE_DONE:
+      task_done (table, job, task, took_us);
+      break;
+    case LEASE_FAILED:
+      task_failed (table, job, task);
+      break;
+    case LEASE_OLD:
+      task->run += RUN_STEP;
+      own_task_again (table, job, task);
+      break;
+    case LEASE_STOPPED:
+    case LEASE_REJECTED:
+      own_task_again (table, job, task);
+      break;
+    case LEASE_UNKNOWN:
+      task->state = OWN_UNSURE;
+      task->until_us = pl_now_us (table->clock) + UNSURE_US;
+      break;
+    }
+}
+
+void
+own_holder_lost (struct own_table *table, uint64_t holder)
+{
+  int64_t until_us = pl_now_us (table->clock) + UNSURE_US;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, table->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      struct own_job *job = value;
+      for (unsigned i = 0; i < job->n_tasks; i++)
+        {
+          struct own_task *task = &job->tasks[i];
+          if (task->state != OWN_PLACED || task->holder != holder)
+            continue;
+          task->state = OWN_UNSURE;
+          task->until_us = until_us;
+        }
+    }
+}
+
+static bool
+is_listed (const struct lease_run_id *runs, unsigned n_runs, uint64_t job,
+           uint32_t index, uint32_t run)
+{
+  for (unsigned i = 0; i < n_runs; i++)
+    if (runs[i].job == job && runs[i].index == index && runs[i].run == run)
+      return true;
+  return false;
+}
+
+static void
+task_moved (struct own_table *table, struct own_job *job, uint32_t index,
+            uint64_t holder, bool listed)
+{
+  struct own_task *task = &job->tasks[index];
+  if (!listed)
+    {
+      own_task_again (table, job, task);
+      return;
+    }
+  task->state = OWN_PLACED;
+  task->holder = holder;
+  struct lease_order order = own_order_of (job, index);
+  table->ops->claim (table->ctx, holder, task->worker, &order);
+}
+
+void
+own_worker_taken (struct own_table *table, uint64_t worker, uint64_t holder,
+                  const struct lease_run_id *runs, unsigned n_runs)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, table->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      struct own_job *job = value;
+      for (unsigned i = 0; i < job->n_tasks; i++)
+        {
+          struct own_task *task = &job->tasks[i];
+          bool placed = task->state == OWN_PLACED || task->state == OWN_UNSURE;
+          if (!placed || task->worker != worker || task->holder == holder)
+            continue;
+          task_moved (table, job, i, holder,
+                      is_listed (runs, n_runs, job->id, i, task->run));
+        }
+    }
+}
--- /dev/null
+++ b/lib/pack/choose.c
@@ -0,0 +1,122 @@
+/* Choice of a worker for one task.  */
+#include "pack_priv.h"
+
+/* Costs of a choice, in thousandths of a core of room left over: a task on
+   another failure domain sends its request over a paid link.  */
+#define COST_FAR 3000
+#define COST_NOT_PREFERRED 20000
+#define COST_SAME_JOB 10
+#define COST_SLOW_PERCENT 100 /* for each percent above the estimate */
+/* A grant that no report confirms is dropped after this time.  */
+#define GRANT_TIMEOUT_US 250000
+
+bool
+pack_fits (struct pack_amount capacity, struct pack_amount used,
+           struct pack_amount need)
+{
+  return used.cpu + need.cpu <= capacity.cpu
+         && used.mem + need.mem <= capacity.mem
+         && used.gpu + need.gpu <= capacity.gpu;
+}
+
+struct pack_amount
+pack_add (struct pack_amount a, struct pack_amount b)
+{
+  return (struct pack_amount){ a.cpu + b.cpu, a.mem + b.mem, a.gpu + b.gpu };
+}
+
+struct pack_amount
+pack_sub (struct pack_amount a, struct pack_amount b)
+{
+  return (struct pack_amount){ a.cpu - b.cpu, a.mem - b.mem, a.gpu - b.gpu };
+}
+
+struct pack_amount
+pack_room_used (const struct room *r)
+{
+  struct pack_amount used = r->r.used;
+  for (guint i = 0; i < r->grants->len; i++)
+    used = pack_add (used, g_array_index (r->grants, struct grant, i).size);
+  return used;
+}
+
+static void
+expire_grants (struct room *r, int64_t now_us)
+{
+  for (guint i = r->grants->len; i-- > 0;)
+    if (g_array_index (r->grants, struct grant, i).at_us + GRANT_TIMEOUT_US
+        < now_us)
+      g_array_remove_index_fast (r->grants, i);
+}
+
+static bool
+has_label (const struct room *r, uint64_t label)
+{
+  for (int i = 0; i < PACK_MAX_LABELS; i++)
+    if (r->r.labels[i] == label)
+      return true;
+  return false;
+}
+
+static unsigned
+count_placed (const struct job *job, uint64_t worker)
+{
+  unsigned n = 0;
+  for (guint i = 0; i < job->placed->len; i++)
+    n += g_array_index (job->placed, uint64_t, i) == worker;
+  return n;
+}
+
+static bool
+allowed (const struct room *r, const struct job *job)
+{
+  const struct pack_want *want = &job->want;
+  if (!r->r.usable || r->r.service != want->service)
+    return false;
+  if (want->required_label != 0 && !has_label (r, want->required_label))
+    return false;
+  return want->per_worker == 0
+         || count_placed (job, r->r.worker) < want->per_worker;
+}
+
+/* Best fit: the less is left over, the better.  */
+static int64_t
+cost (const struct room *r, const struct job *job, struct pack_amount used)
+{
+  const struct pack_want *want = &job->want;
+  int64_t c = r->r.capacity.cpu - used.cpu - want->size.cpu;
+  if (r->r.domain != want->domain)
+    c += COST_FAR;
+  if (want->preferred_label != 0 && !has_label (r, want->preferred_label))
+    c += COST_NOT_PREFERRED;
+  if (r->r.slowness > 100)
+    c += (int64_t)(r->r.slowness - 100) * COST_SLOW_PERCENT;
+  return c + (int64_t)count_placed (job, r->r.worker) * COST_SAME_JOB;
+}
+
+struct room *
+pack_choose (struct pack_plan *plan, const struct job *job, int64_t now_us)
+{
+  struct room *best = NULL;
+  int64_t best_cost = INT64_MAX;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, plan->rooms);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      struct room *r = value;
+      if (!allowed (r, job))
+        continue;
+      expire_grants (r, now_us);
+      struct pack_amount used = pack_room_used (r);
+      if (!pack_fits (r->r.capacity, used, job->want.size))
+        continue;
+      int64_t c = cost (r, job, used);
+      if (c < best_cost)
+        {
+          best = r;
+          best_cost = c;
+        }
+    }
+  return best;
+}
--- /dev/null
+++ b/lib/pack/order.c
@@ -0,0 +1,44 @@
+/* Order of waiting jobs, and when a job is given up.  */
+#include "pack_priv.h"
+
+/* Answer's way from the last task's end to the caller.  */
+#define ANSWER_US 4000
+
+int64_t
+pack_latest_start (const struct job *job)
+{
+  return job->want.objective_us - job->want.run_us - ANSWER_US;
+}
+
+bool
+pack_hopeless (const struct job *job, int64_t now_us)
+{
+  int64_t limit = MIN (job->want.deadline_us, job->want.late_us);
+  return now_us + job->want.run_us / 2 + ANSWER_US > limit;
+}
+
+/* 0: may still meet its objective; 1: some tasks are paid for already; 2: can
+   only be late.  */
+static int
+rank (const struct job *job, int64_t now_us)
+{
+  if (pack_latest_start (job) >= now_us)
+    return 0;
+  return job->want.started ? 1 : 2;
+}
+
+static int
+compare (int64_t a, int64_t b)
+{
+  return (a > b) - (a < b);
+}
+
+int
+pack_order (const struct job *a, const struct job *b, int64_t now_us)
+{
+  int by_rank = compare (rank (a, now_us), rank (b, now_us));
+  if (by_rank != 0)
+    return by_rank;
+  int by_start = compare (pack_latest_start (a), pack_latest_start (b));
+  return by_start != 0 ? by_start : compare ((int64_t)a->seq, (int64_t)b->seq);
+}
--- /dev/null
+++ b/lib/pack/pack.c
@@ -0,0 +1,260 @@
+/* The planner's tables and its decisions.  */
+#include "pack_priv.h"
+
+#include <string.h>
+
+/* A refused caller comes back after the wait of the queue, spread so that
+   refused callers don't return together.  */
+#define RETRY_AFTER_MIN_MS 1000
+#define RETRY_AFTER_SPREAD_MS 2000
+
+uint64_t
+pack_tag (uint64_t job, uint32_t index)
+{
+  return job ^ ((uint64_t)(index + 1) * 0x9e3779b97f4a7c15u);
+}
+
+static void
+room_free (void *data)
+{
+  struct room *r = data;
+  g_array_unref (r->grants);
+  g_free (r);
+}
+
+static void
+job_free (void *data)
+{
+  struct job *job = data;
+  g_array_unref (job->waiting);
+  g_array_unref (job->placed);
+  g_free (job);
+}
+
+struct pack_plan *
+pack_new (const struct pack_ops *ops, void *ctx)
+{
+  struct pack_plan *plan = g_new0 (struct pack_plan, 1);
+  plan->ops = ops;
+  plan->ctx = ctx;
+  plan->rooms
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, room_free);
+  plan->by_id = g_hash_table_new (g_int64_hash, g_int64_equal);
+  plan->jobs = g_ptr_array_new_with_free_func (job_free);
+  return plan;
+}
+
+void
+pack_clear (struct pack_plan *plan)
+{
+  g_hash_table_remove_all (plan->by_id);
+  g_ptr_array_set_size (plan->jobs, 0);
+  g_hash_table_remove_all (plan->rooms);
+}
+
+void
+pack_free (struct pack_plan *plan)
+{
+  pack_clear (plan);
+  g_hash_table_unref (plan->by_id);
+  g_hash_table_unref (plan->rooms);
+  g_ptr_array_unref (plan->jobs);
+  g_free (plan);
+}
+
+static bool
+reports_run (const struct pack_room *room, uint64_t tag)
+{
+  for (unsigned i = 0; i < room->n_runs; i++)
+    if (room->runs[i] == tag)
+      return true;
+  return false;
+}
+
+void
+pack_report (struct pack_plan *plan, const struct pack_room *room)
+{
+  struct room *r = g_hash_table_lookup (plan->rooms, &room->worker);
+  if (r == NULL)
+    {
+      r = g_new0 (struct room, 1);
+      r->grants = g_array_new (FALSE, FALSE, sizeof (struct grant));
+      r->r = *room;
+      g_hash_table_insert (plan->rooms, &r->r.worker, r);
+    }
+  r->r = *room;
+  for (guint i = r->grants->len; i-- > 0;)
+    if (reports_run (room, g_array_index (r->grants, struct grant, i).tag))
+      g_array_remove_index_fast (r->grants, i);
+  plan->dirty = true;
+}
+
+void
+pack_forget_worker (struct pack_plan *plan, uint64_t worker, uint64_t holder)
+{
+  struct room *r = g_hash_table_lookup (plan->rooms, &worker);
+  if (r != NULL && r->r.holder == holder)
+    g_hash_table_remove (plan->rooms, &worker);
+}
+
+void
+pack_forget_holder (struct pack_plan *plan, uint64_t holder)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, plan->rooms);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    if (((struct room *)value)->r.holder == holder)
+      g_hash_table_iter_remove (&it);
+}
+
+void
+pack_release (struct pack_plan *plan, uint64_t worker, uint64_t tag)
+{
+  struct room *r = g_hash_table_lookup (plan->rooms, &worker);
+  if (r == NULL)
+    return;
+  for (guint i = r->grants->len; i-- > 0;)
+    if (g_array_index (r->grants, struct grant, i).tag == tag)
+      g_array_remove_index_fast (r->grants, i);
+  plan->dirty = true;
+}
+
+static void
+job_remove (struct pack_plan *plan, struct job *job)
+{
+  g_hash_table_remove (plan->by_id, &job->want.job);
+  g_ptr_array_remove_fast (plan->jobs, job);
+}
+
+void
+pack_request (struct pack_plan *plan, const struct pack_want *want,
+              int64_t now_us)
+{
+  struct job *job = g_hash_table_lookup (plan->by_id, &want->job);
+  if (job == NULL)
+    {
+      job = g_new0 (struct job, 1);
+      job->waiting = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+      job->placed = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+      job->arrival_us = now_us;
+      job->seq = plan->next_seq++;
+      job->want.job = want->job;
+      g_ptr_array_add (plan->jobs, job);
+      g_hash_table_insert (plan->by_id, &job->want.job, job);
+    }
+  job->want = *want;
+  job->want.tasks = NULL;
+  g_array_set_size (job->waiting, 0);
+  g_array_append_vals (job->waiting, want->tasks, want->n);
+  plan->dirty = true;
+}
+
+void
+pack_drop (struct pack_plan *plan, uint64_t id, uint64_t owner)
+{
+  struct job *job = g_hash_table_lookup (plan->by_id, &id);
+  if (job != NULL && job->want.owner == owner)
+    job_remove (plan, job);
+}
+
+void
+pack_forget_owner (struct pack_plan *plan, uint64_t owner)
+{
+  for (guint i = plan->jobs->len; i-- > 0;)
+    {
+      struct job *job = g_ptr_array_index (plan->jobs, i);
+      if (job->want.owner == owner)
+        job_remove (plan, job);
+    }
+}
+
+static void
+place_task (struct pack_plan *plan, struct job *job, struct room *r,
+            uint32_t index, int64_t now_us)
+{
+  struct grant grant = {
+    .tag = pack_tag (job->want.job, index),
+    .size = job->want.size,
+    .at_us = now_us,
+  };
+  g_array_append_val (r->grants, grant);
+  g_array_append_val (job->placed, r->r.worker);
+  job->want.started = true;
+  plan->ops->grant (plan->ctx, job->want.owner, job->want.job, index,
+                    r->r.worker, r->r.holder);
+}
+
+/* Places tasks of JOB while there is room.  */
+static void
+place_job (struct pack_plan *plan, struct job *job, int64_t now_us)
+{
+  while (job->waiting->len > 0)
+    {
+      struct room *r = pack_choose (plan, job, now_us);
+      if (r == NULL)
+        return;
+      uint32_t index = g_array_index (job->waiting, uint32_t, 0);
+      g_array_remove_index (job->waiting, 0);
+      place_task (plan, job, r, index, now_us);
+    }
+}
+
+/* Tells the owner that the job is not served.  */
+static void
+refuse_job (struct pack_plan *plan, struct job *job)
+{
+  uint64_t owner = job->want.owner;
+  uint64_t id = job->want.job;
+  int spread = (int)(id % RETRY_AFTER_SPREAD_MS);
+  job_remove (plan, job);
+  plan->ops->refuse (plan->ctx, owner, id, RETRY_AFTER_MIN_MS + spread);
+}
+
+static void
+refuse_hopeless (struct pack_plan *plan, int64_t now_us)
+{
+  for (guint i = plan->jobs->len; i-- > 0;)
+    {
+      struct job *job = g_ptr_array_index (plan->jobs, i);
+      if (job->waiting->len > 0 && pack_hopeless (job, now_us))
+        refuse_job (plan, job);
+    }
+}
+
+static gint
+compare_jobs (gconstpointer a, gconstpointer b, gpointer now_us)
+{
+  return pack_order (*(struct job *const *)a, *(struct job *const *)b,
+                     *(int64_t *)now_us);
+}
+
+void
+pack_decide (struct pack_plan *plan, int64_t now_us)
+{
+  plan->dirty = false;
+  refuse_hopeless (plan, now_us);
+  if (plan->jobs->len == 0)
+    return;
+  g_ptr_array_sort_with_data (plan->jobs, compare_jobs, &now_us);
+  for (guint i = 0; i < plan->jobs->len; i++)
+    place_job (plan, g_ptr_array_index (plan->jobs, i), now_us);
+  for (guint i = plan->jobs->len; i-- > 0;)
+    {
+      struct job *job = g_ptr_array_index (plan->jobs, i);
+      if (job->waiting->len == 0)
+        job_remove (plan, job);
+    }
+}
+
+unsigned
+pack_waiting (const struct pack_plan *plan)
+{
+  return plan->jobs->len;
+}
+
+int64_t
+pack_next_us (const struct pack_plan *plan, int64_t now_us)
+{
+  return plan->jobs->len == 0 ? INT64_MAX : now_us + 20000;
+}
--- /dev/null
+++ b/lib/pack/pack.h
@@ -0,0 +1,98 @@
+/* Planning: which waiting task goes to which worker, and which job is refused.
+   Pure logic with explicit time; one owning thread.  The planner knows the
+   room of all workers from the reports of their holders and the waiting tasks
+   from the requests of the jobs' owners.  A holder checks each start against
+   its own books, so that a wrong plan costs time and never breaks a bound. */
+#pragma once
+
+#include "pl.h"
+
+#define PACK_MAX_LABELS 4
+#define PACK_MAX_RUNS 64 /* runs reported of one worker */
+
+/* Resources of a task or a worker.  */
+struct pack_amount
+{
+  int32_t cpu; /* thousandths of a core */
+  int32_t mem; /* MB */
+  int32_t gpu;
+};
+
+/* Whether NEED fits into CAPACITY less USED.  */
+bool pack_fits (struct pack_amount capacity, struct pack_amount used,
+                struct pack_amount need);
+struct pack_amount pack_add (struct pack_amount a, struct pack_amount b);
+struct pack_amount pack_sub (struct pack_amount a, struct pack_amount b);
+
+/* Identifies a task in reports of holders.  */
+uint64_t pack_tag (uint64_t job, uint32_t index);
+
+/* A holder's report about one worker.  */
+struct pack_room
+{
+  uint64_t worker;
+  uint64_t holder;
+  uint64_t service;
+  uint64_t domain;
+  uint64_t labels[PACK_MAX_LABELS]; /* hashes; 0: none */
+  struct pack_amount capacity;
+  struct pack_amount used;
+  bool usable;
+  uint32_t slowness;            /* run time against the estimate, in percent */
+  uint64_t runs[PACK_MAX_RUNS]; /* tags */
+  unsigned n_runs;
+};
+
+/* An owner's request for one job; it replaces the former one.  */
+struct pack_want
+{
+  uint64_t job;
+  uint64_t owner;
+  uint64_t service;
+  uint64_t domain; /* of the owner */
+  uint64_t required_label;
+  uint64_t preferred_label;
+  uint32_t per_worker; /* tasks of the job on one worker; 0: no limit */
+  struct pack_amount size;
+  int64_t run_us;       /* expected run time of a task */
+  int64_t objective_us; /* full value until then */
+  int64_t deadline_us;  /* no value after it */
+  int64_t late_us;      /* partial value until then */
+  unsigned priority;    /* 0 comes first */
+  bool started;         /* some task of the job has started */
+  unsigned n_tasks;     /* of the whole job */
+  unsigned n;
+  const uint32_t *tasks; /* waiting ones */
+};
+
+struct pack_plan;
+
+struct pack_ops
+{
+  /* Task INDEX of JOB may start on WORKER.  */
+  void (*grant) (void *ctx, uint64_t owner, uint64_t job, uint32_t index,
+                 uint64_t worker, uint64_t holder);
+  /* JOB is not served.  */
+  void (*refuse) (void *ctx, uint64_t owner, uint64_t job, int retry_after_ms);
+};
+
+struct pack_plan *pack_new (const struct pack_ops *ops, void *ctx);
+void pack_free (struct pack_plan *plan);
+void pack_report (struct pack_plan *plan, const struct pack_room *room);
+void pack_forget_worker (struct pack_plan *plan, uint64_t worker,
+                         uint64_t holder);
+void pack_forget_holder (struct pack_plan *plan, uint64_t holder);
+/* Drops everything; a new planner starts empty.  */
+void pack_clear (struct pack_plan *plan);
+void pack_request (struct pack_plan *plan, const struct pack_want *want,
+                   int64_t now_us);
+/* The job needs nothing more.  */
+void pack_drop (struct pack_plan *plan, uint64_t job, uint64_t owner);
+void pack_forget_owner (struct pack_plan *plan, uint64_t owner);
+/* Releases a grant that its holder turned down.  */
+void pack_release (struct pack_plan *plan, uint64_t worker, uint64_t tag);
+/* Grants and refuses what can be decided now.  */
+void pack_decide (struct pack_plan *plan, int64_t now_us);
+unsigned pack_waiting (const struct pack_plan *plan);
+/* Latest time at which pack_decide has to run again, INT64_MAX: none.  */
+int64_t pack_next_us (const struct pack_plan *plan, int64_t now_us);
