--- a/lib/cell/hold.c
+++ b/lib/cell/hold.c
@@ -481,9 +481,10 @@
           order.id.job, order.id.index, order.id.run, w == NULL ? "-" : w->id,
           sender, msg->claim, ok, w == NULL ? 0 : w->runs->len,
           w == NULL ? 0 : (now_us - w->answered_us) / 1000);
-  if (!ok)
-    send_ended (cell, sender, msg->worker, &order.id,
-                msg->claim ? LEASE_STOPPED : LEASE_REJECTED, 0);
+  /* A claim that fails says nothing about the run: the worker may have a new
+     holder by now, which lists it again.  */
+  if (!ok && !msg->claim)
+    send_ended (cell, sender, msg->worker, &order.id, LEASE_REJECTED, 0);
   mark_room (cell, msg->worker);
 }
 
--- a/lib/own/task.c
+++ b/lib/own/task.c
@@ -68,7 +68,9 @@
   bool ours = task->state == OWN_PLACED || task->state == OWN_UNSURE;
   if (!ours || task->run != id->run || task->worker != worker)
     return;
-  (void)holder;
+  /* A former holder does not know what its successor found.  */
+  if (end != LEASE_DONE && end != LEASE_FAILED && task->holder != holder)
+    return;
   switch (end)
     {
     case LEASE_DONE:
