--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -39,7 +39,8 @@
   int64_t retry_us;   /* not taken before; 0: at once */
   int64_t unheld_us;  /* since when its intended holder has not claimed it */
   unsigned fences;    /* in a row */
-  bool dirty;         /* the planner has an old report */
+  bool removed; /* the registry names it no longer */
+  bool dirty;   /* the planner has an old report */
 };
 
 struct cell
--- a/lib/cell/hold.c
+++ b/lib/cell/hold.c
@@ -154,6 +154,18 @@
   take (cell, known, now_us);
 }
 
+/* Whether a removed worker is let go.  */
+static bool
+let_go (struct cell *cell, struct known_worker *known)
+{
+  struct lease_worker *w = lease_find (cell->leases, known->info.worker);
+  if (w != NULL && w->runs->len > 0)
+    return false;
+  if (w != NULL)
+    lease_gone (cell->leases, w);
+  return true;
+}
+
 void
 cell_assign (struct cell *cell)
 {
@@ -162,7 +174,13 @@
   gpointer value;
   g_hash_table_iter_init (&it, cell->workers);
   while (g_hash_table_iter_next (&it, NULL, &value))
-    assign_worker (cell, value, now_us);
+    {
+      struct known_worker *known = value;
+      if (!known->removed)
+        assign_worker (cell, known, now_us);
+      else if (let_go (cell, known))
+        g_hash_table_iter_remove (&it);
+    }
 }
 
 static void
@@ -188,6 +206,7 @@
       copy_info (known, info);
       g_hash_table_insert (cell->workers, &known->info.worker, known);
     }
+  known->removed = false;
   bool moved = !pl_addr_eq (known->info.addr, info->addr)
                || known->info.born_ms < info->born_ms;
   copy_info (known, info);
@@ -204,13 +223,21 @@
   cell->ops->wake (cell->ctx);
 }
 
+/* The registry may lose a worker that still answers us and runs tasks: it gets
+   no more starts, and is let go when nothing runs there.  */
 void
 cell_remove_worker (struct cell *cell, uint64_t worker)
 {
+  struct known_worker *known = g_hash_table_lookup (cell->workers, &worker);
   struct lease_worker *w = lease_find (cell->leases, worker);
-  if (w != NULL)
-    lease_gone (cell->leases, w);
-  g_hash_table_remove (cell->workers, &worker);
+  if (known == NULL)
+    return;
+  known->removed = true;
+  if (w == NULL)
+    return;
+  struct lease_info info = w->info;
+  info.draining = true;
+  lease_update (cell->leases, w, &info);
 }
 
 bool
@@ -502,8 +529,8 @@
 {
   struct known_worker *known
       = g_hash_table_lookup (cell->workers, &msg->worker);
-  if (known == NULL || lease_find (cell->leases, msg->worker) != NULL
-      || cell->draining)
+  if (known == NULL || known->removed || cell->draining
+      || lease_find (cell->leases, msg->worker) != NULL)
     return;
   known->token_seen = MAX (known->token_seen, msg->token);
   take (cell, known, pl_now_us (cell->clock));
