Carry the holder's token in grants and starts

The owner now ignores notices older than the lease of the start, holders refuse starts meant for another lease, and a new instance listens for 250 ms before it takes workers.

--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -111,6 +111,7 @@
   if (cell->ready == ready)
     return;
   cell->ready = ready;
+  cell->ready_us = pl_now_us (cell->clock);
   cell->view_dirty = true;
   cell->beat_us = 0;
   cell->ops->wake (cell->ctx);
--- a/lib/cell/cell.pb-c.c
+++ b/lib/cell/cell.pb-c.c
@@ -1300,7 +1300,7 @@
   (ProtobufCMessageInit) cellpb__drop__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__grant__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cellpb__grant__field_descriptors[5] =
 {
   {
     "job",
@@ -1350,17 +1350,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "token",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Grant, token),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cellpb__grant__field_indices_by_name[] = {
   3,   /* field[3] = holder */
   1,   /* field[1] = index */
   0,   /* field[0] = job */
+  4,   /* field[4] = token */
   2,   /* field[2] = worker */
 };
 static const ProtobufCIntRange cellpb__grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor cellpb__grant__descriptor =
 {
@@ -1370,7 +1383,7 @@
   "Cellpb__Grant",
   "cellpb",
   sizeof(Cellpb__Grant),
-  4,
+  5,
   cellpb__grant__field_descriptors,
   cellpb__grant__field_indices_by_name,
   1,  cellpb__grant__number_ranges,
@@ -1543,7 +1556,7 @@
   (ProtobufCMessageInit) cellpb__run_id__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__start__field_descriptors[6] =
+static const ProtobufCFieldDescriptor cellpb__start__field_descriptors[7] =
 {
   {
     "worker",
@@ -1617,6 +1630,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "token",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Start, token),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cellpb__start__field_indices_by_name[] = {
   5,   /* field[5] = claim */
@@ -1624,12 +1649,13 @@
   1,   /* field[1] = id */
   2,   /* field[2] = size */
   4,   /* field[4] = spec */
+  6,   /* field[6] = token */
   0,   /* field[0] = worker */
 };
 static const ProtobufCIntRange cellpb__start__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor cellpb__start__descriptor =
 {
@@ -1639,7 +1665,7 @@
   "Cellpb__Start",
   "cellpb",
   sizeof(Cellpb__Start),
-  6,
+  7,
   cellpb__start__field_descriptors,
   cellpb__start__field_indices_by_name,
   1,  cellpb__start__number_ranges,
@@ -1774,7 +1800,7 @@
   (ProtobufCMessageInit) cellpb__ended__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__room__field_descriptors[10] =
+static const ProtobufCFieldDescriptor cellpb__room__field_descriptors[11] =
 {
   {
     "worker",
@@ -1896,6 +1922,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "token",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Room, token),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cellpb__room__field_indices_by_name[] = {
   4,   /* field[4] = capacity */
@@ -1905,6 +1943,7 @@
   8,   /* field[8] = runs */
   1,   /* field[1] = service */
   7,   /* field[7] = slowness */
+  10,   /* field[10] = token */
   6,   /* field[6] = usable */
   5,   /* field[5] = used */
   0,   /* field[0] = worker */
@@ -1912,7 +1951,7 @@
 static const ProtobufCIntRange cellpb__room__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor cellpb__room__descriptor =
 {
@@ -1922,7 +1961,7 @@
   "Cellpb__Room",
   "cellpb",
   sizeof(Cellpb__Room),
-  10,
+  11,
   cellpb__room__field_descriptors,
   cellpb__room__field_indices_by_name,
   1,  cellpb__room__number_ranges,
--- a/lib/cell/cell.pb-c.h
+++ b/lib/cell/cell.pb-c.h
@@ -157,10 +157,14 @@
   uint32_t index;
   uint64_t worker;
   uint64_t holder;
+  /*
+   * with which the holder holds the worker
+   */
+  int64_t token;
 };
 #define CELLPB__GRANT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cellpb__grant__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 struct  Cellpb__Refuse
@@ -215,10 +219,14 @@
    */
   ProtobufCBinaryData spec;
   protobuf_c_boolean claim;
+  /*
+   * the lease that the start is meant for
+   */
+  int64_t token;
 };
 #define CELLPB__START__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cellpb__start__descriptor) \
-    , 0, NULL, NULL, 0, {0,NULL}, 0 }
+    , 0, NULL, NULL, 0, {0,NULL}, 0, 0 }
 
 
 struct  Cellpb__Stop
@@ -269,10 +277,11 @@
    * the sender holds it no longer
    */
   protobuf_c_boolean gone;
+  int64_t token;
 };
 #define CELLPB__ROOM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cellpb__room__descriptor) \
-    , 0, 0, 0, 0,NULL, NULL, NULL, 0, 0, 0,NULL, 0 }
+    , 0, 0, 0, 0,NULL, NULL, NULL, 0, 0, 0,NULL, 0, 0 }
 
 
 /*
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -39,8 +39,8 @@
   int64_t retry_us;   /* not taken before; 0: at once */
   int64_t unheld_us;  /* since when its intended holder has not claimed it */
   unsigned fences;    /* in a row */
-  bool removed; /* the registry names it no longer */
-  bool dirty;   /* the planner has an old report */
+  bool removed;       /* the registry names it no longer */
+  bool dirty;         /* the planner has an old report */
 };
 
 struct cell
@@ -62,6 +62,7 @@
   bool planning; /* we are the planner */
   bool plan_dirty;
   bool ready;
+  int64_t ready_us; /* since when */
   bool draining;
   bool view_dirty;
   bool rooms_dirty;
--- a/lib/cell/hold.c
+++ b/lib/cell/hold.c
@@ -11,7 +11,8 @@
 #define PEER_DEAD_US 700000
 /* A registered but silent peer is cut off and goes on with its workers.  */
 #define PEER_CUT_US 6000000
-/* After this time without a holder a worker is taken by whoever should. */
+/* After its start an instance first hears what its peers hold.  */
+#define LISTEN_US 250000
 #define TOKEN_PER_MS 1024
 /* Raises the token above that of a holder whose clock is ahead.  */
 #define FENCE_STEP_MS 10000
@@ -149,6 +150,7 @@
       return;
     }
   if (holder != cell->id || known->retry_us > now_us
+      || now_us - cell->ready_us < LISTEN_US
       || claimed_elsewhere (cell, known, now_us))
     return;
   take (cell, known, now_us);
@@ -303,6 +305,7 @@
   used.gpu = room.used.gpu;
   Cellpb__Room msg = CELLPB__ROOM__INIT;
   msg.worker = room.worker;
+  msg.token = room.token;
   msg.service = room.service;
   msg.domain = room.domain;
   msg.labels = room.labels;
@@ -497,6 +500,7 @@
     .size = cell_amount (msg->size),
     .spec = { (const char *)msg->spec.data, msg->spec.len },
     .expect_us = msg->expect_us,
+    .token = msg->token,
   };
   int64_t now_us = pl_now_us (cell->clock);
   bool ok = w != NULL
@@ -547,6 +551,6 @@
       = g_new0 (struct lease_run_id, msg->n_runs + 1);
   for (size_t i = 0; i < msg->n_runs; i++)
     runs[i] = cell_run_id (msg->runs[i]);
-  own_worker_taken (cell->jobs, msg->worker, sender, runs,
-                    (unsigned)msg->n_runs);
+  struct own_place place = { msg->worker, sender, msg->token };
+  own_worker_taken (cell->jobs, &place, runs, (unsigned)msg->n_runs);
 }
--- a/lib/cell/msg.c
+++ b/lib/cell/msg.c
@@ -75,6 +75,13 @@
         (struct pl_str){ (const char *)msg->text.data, msg->text.len });
 }
 
+static void
+on_grant (struct cell *cell, const Cellpb__Grant *msg)
+{
+  struct own_place place = { msg->worker, msg->holder, msg->token };
+  own_granted (cell->jobs, msg->job, msg->index, &place);
+}
+
 void
 cell_dispatch (struct cell *cell, uint64_t sender, const Cellpb__Envelope *env)
 {
@@ -90,8 +97,7 @@
       pack_drop (cell->plan, env->drop->job, sender);
       break;
     case CELLPB__ENVELOPE__BODY_GRANT:
-      own_granted (cell->jobs, env->grant->job, env->grant->index,
-                   env->grant->worker, env->grant->holder);
+      on_grant (cell, env->grant);
       break;
     case CELLPB__ENVELOPE__BODY_REFUSE:
       own_refused (cell->jobs, env->refuse->job, env->refuse->retry_after_ms);
--- a/lib/cell/plan.c
+++ b/lib/cell/plan.c
@@ -44,6 +44,7 @@
   struct pack_room room = {
     .worker = msg->worker,
     .holder = sender,
+    .token = msg->token,
     .service = msg->service,
     .domain = msg->domain,
     .capacity = cell_amount (msg->capacity),
@@ -61,14 +62,15 @@
 
 static void
 on_grant (void *ctx, uint64_t owner, uint64_t job, uint32_t index,
-          uint64_t worker, uint64_t holder)
+          const struct pack_room *room)
 {
   struct cell *cell = ctx;
   Cellpb__Grant msg = CELLPB__GRANT__INIT;
   msg.job = job;
   msg.index = index;
-  msg.worker = worker;
-  msg.holder = holder;
+  msg.worker = room->worker;
+  msg.holder = room->holder;
+  msg.token = room->token;
   Cellpb__Envelope env = CELL_ENVELOPE (grant, GRANT, &msg);
   cell_send (cell, owner, &env);
 }
@@ -159,6 +161,7 @@
   msg.size = &size;
   msg.expect_us = order->expect_us;
   msg.claim = claim;
+  msg.token = order->token;
   if (!claim)
     msg.spec = (ProtobufCBinaryData){ order->spec.len,
                                       (uint8_t *)order->spec.data };
--- a/lib/lease/lease.h
+++ b/lib/lease/lease.h
@@ -196,6 +196,7 @@
   struct pack_amount size;
   struct pl_str spec;
   int64_t expect_us;
+  int64_t token; /* of the lease that is meant; another one is refused */
 };
 
 /* Orders a start; false if the worker has no room or takes no starts.  */
--- a/lib/lease/run.c
+++ b/lib/lease/run.c
@@ -101,7 +101,7 @@
              const struct lease_order *order, int64_t now_us)
 {
   int64_t deadline_ms = lease_deadline_ms (w, now_us);
-  if (!lease_usable (w, now_us) || deadline_ms == 0
+  if (order->token != w->token || !lease_usable (w, now_us) || deadline_ms == 0
       || !pack_fits (w->info.capacity, lease_used (w), order->size))
     return false;
   for (guint i = 0; i < w->runs->len; i++)
--- a/lib/lease/table.c
+++ b/lib/lease/table.c
@@ -172,6 +172,7 @@
   *out = (struct pack_room){
     .worker = w->info.worker,
     .holder = holder,
+    .token = w->token,
     .service = w->info.service,
     .domain = w->info.domain,
     .capacity = w->info.capacity,
--- a/lib/net/client.c
+++ b/lib/net/client.c
@@ -4,8 +4,9 @@
 
 #include <string.h>
 
-#define MAX_RESPONSE_BYTES (2 * 1024 * 1024) /* a page of the store is 1 MB   \
-                                              */
+#define MAX_RESPONSE_BYTES                                                    \
+  (2 * 1024 * 1024) /* a page of the store is 1 MB                            \
+                     */
 
 struct net_call
 {
--- a/lib/net/server.c
+++ b/lib/net/server.c
@@ -4,8 +4,9 @@
 #include <event2/listener.h>
 #include <string.h>
 
-#define READ_HIGH_BYTES 65536 /* unread input kept while a request is served  \
-                               */
+#define READ_HIGH_BYTES                                                       \
+  65536 /* unread input kept while a request is served                        \
+         */
 
 struct net_exchange
 {
--- a/lib/own/job.c
+++ b/lib/own/job.c
@@ -89,6 +89,7 @@
     .size = job->size,
     .spec = { job->spec, job->spec_len },
     .expect_us = job->run_us,
+    .token = job->tasks[index].token,
   };
 }
 
--- a/lib/own/own.h
+++ b/lib/own/own.h
@@ -44,6 +44,7 @@
   uint32_t failed; /* runs that failed */
   uint64_t worker;
   uint64_t holder;
+  int64_t token; /* with which the holder holds the worker */
   int64_t until_us;
 };
 
@@ -110,19 +111,26 @@
 /* Gives a job up: stops what runs and, if ANSWER, answers with CODE.  */
 void own_give_up (struct own_table *table, struct own_job *job,
                   enum pl_code code, bool answer);
+/* Where a task is or may be started.  */
+struct own_place
+{
+  uint64_t worker;
+  uint64_t holder;
+  int64_t token; /* of the holder's lease */
+};
+
 void own_granted (struct own_table *table, uint64_t job, uint32_t index,
-                  uint64_t worker, uint64_t holder);
+                  const struct own_place *place);
 void own_refused (struct own_table *table, uint64_t job, int retry_after_ms);
 void own_ended (struct own_table *table, uint64_t worker, uint64_t holder,
                 const struct lease_run_id *id, enum lease_end end,
                 int64_t took_us);
 /* HOLDER can't be reached; what it started may run for a while.  */
 void own_holder_lost (struct own_table *table, uint64_t holder);
-/* HOLDER holds WORKER now, where RUNS are listed; nothing else of ours runs
-   there.  */
-void own_worker_taken (struct own_table *table, uint64_t worker,
-                       uint64_t holder, const struct lease_run_id *runs,
-                       unsigned n_runs);
+/* The worker has a new holder, which lists RUNS there; nothing else of ours
+   runs there, unless it was started under a later lease.  */
+void own_worker_taken (struct own_table *table, const struct own_place *place,
+                       const struct lease_run_id *runs, unsigned n_runs);
 /* The planner has changed: all waiting tasks are asked for again.  */
 void own_ask_again (struct own_table *table);
 /* Sends the requests of jobs that have changed; call at the end of a turn. */
--- a/lib/own/task.c
+++ b/lib/own/task.c
@@ -17,23 +17,24 @@
 
 void
 own_granted (struct own_table *table, uint64_t id, uint32_t index,
-             uint64_t worker, uint64_t holder)
+             const struct own_place *place)
 {
   struct own_job *job = own_find (table, id);
   if (job == NULL || index >= job->n_tasks
       || job->tasks[index].state != OWN_WAITING)
     {
-      table->ops->release (table->ctx, worker, pack_tag (id, index));
+      table->ops->release (table->ctx, place->worker, pack_tag (id, index));
       return;
     }
   struct own_task *task = &job->tasks[index];
   task->state = OWN_PLACED;
   task->run++;
-  task->worker = worker;
-  task->holder = holder;
+  task->worker = place->worker;
+  task->holder = place->holder;
+  task->token = place->token;
   job->started = true;
   struct lease_order order = own_order_of (job, index);
-  table->ops->start (table->ctx, holder, worker, &order);
+  table->ops->start (table->ctx, place->holder, place->worker, &order);
 }
 
 static void
@@ -127,7 +128,7 @@
 
 static void
 task_moved (struct own_table *table, struct own_job *job, uint32_t index,
-            uint64_t holder, bool listed)
+            const struct own_place *place, bool listed)
 {
   struct own_task *task = &job->tasks[index];
   if (!listed)
@@ -136,13 +137,22 @@
       return;
     }
   task->state = OWN_PLACED;
-  task->holder = holder;
+  task->holder = place->holder;
+  task->token = place->token;
   struct lease_order order = own_order_of (job, index);
-  table->ops->claim (table->ctx, holder, task->worker, &order);
+  table->ops->claim (table->ctx, place->holder, task->worker, &order);
+}
+
+/* Whether the task was last known on the worker under an earlier lease.  */
+static bool
+is_affected (const struct own_task *task, const struct own_place *place)
+{
+  bool placed = task->state == OWN_PLACED || task->state == OWN_UNSURE;
+  return placed && task->worker == place->worker && task->token < place->token;
 }
 
 void
-own_worker_taken (struct own_table *table, uint64_t worker, uint64_t holder,
+own_worker_taken (struct own_table *table, const struct own_place *place,
                   const struct lease_run_id *runs, unsigned n_runs)
 {
   GHashTableIter it;
@@ -152,13 +162,8 @@
     {
       struct own_job *job = value;
       for (unsigned i = 0; i < job->n_tasks; i++)
-        {
-          struct own_task *task = &job->tasks[i];
-          bool placed = task->state == OWN_PLACED || task->state == OWN_UNSURE;
-          if (!placed || task->worker != worker || task->holder == holder)
-            continue;
-          task_moved (table, job, i, holder,
-                      is_listed (runs, n_runs, job->id, i, task->run));
-        }
+        if (is_affected (&job->tasks[i], place))
+          task_moved (table, job, i, place,
+                      is_listed (runs, n_runs, job->id, i, job->tasks[i].run));
     }
 }
--- a/lib/pack/pack.c
+++ b/lib/pack/pack.c
@@ -181,8 +181,7 @@
   g_array_append_val (r->grants, grant);
   g_array_append_val (job->placed, r->r.worker);
   job->want.started = true;
-  plan->ops->grant (plan->ctx, job->want.owner, job->want.job, index,
-                    r->r.worker, r->r.holder);
+  plan->ops->grant (plan->ctx, job->want.owner, job->want.job, index, &r->r);
 }
 
 /* Places tasks of JOB while there is room.  */
--- a/lib/pack/pack.h
+++ b/lib/pack/pack.h
@@ -32,6 +32,7 @@
 {
   uint64_t worker;
   uint64_t holder;
+  int64_t token; /* of the holder */
   uint64_t service;
   uint64_t domain;
   uint64_t labels[PACK_MAX_LABELS]; /* hashes; 0: none */
@@ -69,9 +70,9 @@
 
 struct pack_ops
 {
-  /* Task INDEX of JOB may start on WORKER.  */
+  /* Task INDEX of JOB may start on the worker of ROOM.  */
   void (*grant) (void *ctx, uint64_t owner, uint64_t job, uint32_t index,
-                 uint64_t worker, uint64_t holder);
+                 const struct pack_room *room);
   /* JOB is not served.  */
   void (*refuse) (void *ctx, uint64_t owner, uint64_t job, int retry_after_ms);
 };
