Judge stragglers by what else their worker finishes

The short limit now holds only on a worker that has finished nothing since; a task started again gets more time.

--- a/lib/lease/table.c
+++ b/lib/lease/table.c
@@ -5,10 +5,12 @@
 
 #define STOP_RESEND_US 250000
 #define CLAIM_US 250000 /* after which an unclaimed run is stopped */
-/* A run that takes this many times its expected time, and this much longer,
-   stands still.  */
-#define STRAGGLER_FACTOR 3
-#define STRAGGLER_US 150000
+/* A run stands still after this many times its expected time, and this much
+   longer: sooner on a worker that has finished nothing since it started.  */
+#define STRAGGLER_FACTOR 6
+#define STRAGGLER_US 400000
+#define STUCK_FACTOR 3
+#define STUCK_US 150000
 
 static void
 worker_free (void *data)
@@ -114,12 +116,18 @@
 }
 
 static bool
-is_straggler (const struct lease_run *run, int64_t now_us)
+is_straggler (const struct lease_worker *w, const struct lease_run *run,
+              int64_t now_us)
 {
-  return run->state == LEASE_RUN_RUNNING && run->expect_us > 0
-         && run->started_us > 0
-         && now_us - run->started_us
-                > run->expect_us * STRAGGLER_FACTOR + STRAGGLER_US;
+  if (run->state != LEASE_RUN_RUNNING || run->expect_us == 0
+      || run->started_us == 0)
+    return false;
+  bool stuck = w->health.done_us < run->started_us;
+  /* A task that is started again for its run time may simply be long.  */
+  int64_t expect_us = run->expect_us * run->id.run;
+  int64_t limit_us = stuck ? expect_us * STUCK_FACTOR + STUCK_US
+                           : expect_us * STRAGGLER_FACTOR + STRAGGLER_US;
+  return now_us - run->started_us > limit_us;
 }
 
 static void
@@ -134,7 +142,7 @@
     }
   if (run->owner == 0 && now_us - run->sent_us > CLAIM_US)
     lease_run_stop (table, w, run, now_us);
-  else if (is_straggler (run, now_us))
+  else if (is_straggler (w, run, now_us))
     {
       lease_run_stop (table, w, run, now_us);
       lease_straggler (table, w, run, now_us);
