--- /dev/null
+++ b/lib/cell/beat.c
@@ -0,0 +1,98 @@
+/* Beats: what an instance tells its peers about itself, periodically.  */
+#include "cell_priv.h"
+
+/* Parallel lists of the peers that we hear.  */
+struct heard
+{
+  GArray *ids;   /* uint64_t */
+  GArray *ips;   /* uint32_t */
+  GArray *ports; /* uint32_t */
+};
+
+static void
+list_heard (struct cell *cell, struct heard *heard)
+{
+  int64_t now_us = pl_now_us (cell->clock);
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, cell->peers);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const struct peer *peer = value;
+      if (peer->id == 0 || now_us - peer->heard_us > PEER_SILENT_US)
+        continue;
+      uint32_t port = peer->addr.port;
+      g_array_append_val (heard->ids, peer->id);
+      g_array_append_val (heard->ips, peer->addr.ip);
+      g_array_append_val (heard->ports, port);
+    }
+}
+
+static void
+add_heard (Cellpb__Beat *beat, const struct heard *heard)
+{
+  beat->heard = (uint64_t *)(void *)heard->ids->data;
+  beat->n_heard = heard->ids->len;
+  beat->known_ip = (uint32_t *)(void *)heard->ips->data;
+  beat->n_known_ip = heard->ips->len;
+  beat->known_port = (uint32_t *)(void *)heard->ports->data;
+  beat->n_known_port = heard->ports->len;
+}
+
+/* Lists the held workers; POINTERS refer to the entries of HELD.  */
+static void
+list_held (struct cell *cell, GArray *held, GPtrArray *pointers)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, lease_workers (cell->leases));
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const struct lease_worker *w = value;
+      Cellpb__Held entry = CELLPB__HELD__INIT;
+      entry.worker = w->info.worker;
+      entry.token = w->token;
+      g_array_append_val (held, entry);
+    }
+  for (guint i = 0; i < held->len; i++)
+    g_ptr_array_add (pointers, &g_array_index (held, Cellpb__Held, i));
+}
+
+static void
+send_to_all (struct cell *cell, Cellpb__Envelope *env)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, cell->peers);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    cell_send_peer (cell, value, env);
+}
+
+void
+cell_send_beat (struct cell *cell, struct peer *to)
+{
+  g_autoptr (GArray) held = g_array_new (FALSE, FALSE, sizeof (Cellpb__Held));
+  g_autoptr (GPtrArray) pointers = g_ptr_array_new ();
+  g_autoptr (GArray) ids = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  g_autoptr (GArray) ips = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  g_autoptr (GArray) ports = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  struct heard heard = { ids, ips, ports };
+  Cellpb__Beat beat = CELLPB__BEAT__INIT;
+  list_heard (cell, &heard);
+  add_heard (&beat, &heard);
+  list_held (cell, held, pointers);
+  beat.held = (Cellpb__Held **)pointers->pdata;
+  beat.n_held = pointers->len;
+  beat.name = cell->name;
+  beat.domain = cell->domain_name;
+  beat.ip = cell->addr.ip;
+  beat.port = cell->addr.port;
+  beat.draining = cell->draining;
+  beat.ready = cell->ready;
+  beat.config_version = cell->config_version;
+  Cellpb__Envelope env = CELL_ENVELOPE (beat, BEAT, &beat);
+  if (to != NULL)
+    cell_send_peer (cell, to, &env);
+  else
+    send_to_all (cell, &env);
+}
--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -28,6 +28,13 @@
   g_free (known);
 }
 
+static GHashTable *
+table_new (GDestroyNotify free_key, GDestroyNotify free_value)
+{
+  return g_hash_table_new_full (g_int64_hash, g_int64_equal, free_key,
+                                free_value);
+}
+
 struct cell *
 cell_new (const struct cell_config *config, const struct cell_ops *ops,
           void *ctx)
@@ -41,13 +48,12 @@
   cell->domain_name = g_strdup (config->domain);
   cell->domain = cell_key (pl_str (config->domain));
   cell->addr = config->addr;
-  cell->peers
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, peer_free);
-  cell->workers
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, worker_free);
+  cell->peers = table_new (g_free, peer_free);
+  cell->workers = table_new (NULL, worker_free);
   cell->leases = lease_table_new (&cell_lease_ops, cell);
   cell->jobs = own_table_new (cell->clock, &cell_own_ops, cell);
   cell->plan = pack_new (&cell_pack_ops, cell);
+  cell->config = g_bytes_new (NULL, 0);
   g_queue_init (&cell->inbox);
   cell->planner = cell->id;
   cell->planning = true;
@@ -75,7 +81,7 @@
   pack_free (cell->plan);
   g_hash_table_unref (cell->peers);
   g_hash_table_unref (cell->workers);
-  g_clear_pointer (&cell->config, g_bytes_unref);
+  g_bytes_unref (cell->config);
   g_free (cell->name);
   g_free (cell->domain_name);
   g_free (cell);
@@ -99,7 +105,7 @@
   if (version <= cell->config_version)
     return;
   cell->config_version = version;
-  g_clear_pointer (&cell->config, g_bytes_unref);
+  g_bytes_unref (cell->config);
   cell->config = g_bytes_new (text.data, text.len);
   cell->beat_us = 0; /* peers learn of it at once */
   cell->ops->wake (cell->ctx);
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -18,9 +18,9 @@
   uint64_t id; /* incarnation, 0: not heard yet */
   char *name;
   uint64_t domain;
-  int64_t heard_us;  /* last beat */
-  int64_t closed_us; /* its link to us has ended; 0: open */
-  bool refused;      /* its address refuses connections */
+  int64_t heard_us;     /* last beat */
+  int64_t closed_us;    /* its link to us has ended; 0: open */
+  bool refused;         /* its address refuses connections */
   int64_t offset_us;    /* our clock less its clock, least delay included */
   int64_t offset_at_us; /* when that was measured */
   bool hears_us;
--- a/lib/cell/hold.c
+++ b/lib/cell/hold.c
@@ -422,21 +422,23 @@
   if (known != NULL)
     known->fences = 0;
   unsigned n = w->runs->len;
-  g_autofree Cellpb__RunId *runs = g_new0 (Cellpb__RunId, n + 1);
-  g_autofree Cellpb__RunId **refs = g_new0 (Cellpb__RunId *, n + 1);
+  g_autoptr (GArray) runs = g_array_new (FALSE, FALSE, sizeof (Cellpb__RunId));
+  g_autoptr (GPtrArray) pointers = g_ptr_array_new ();
   for (unsigned i = 0; i < n; i++)
     {
       const struct lease_run *run = g_ptr_array_index (w->runs, i);
-      cellpb__run_id__init (&runs[i]);
-      runs[i].job = run->id.job;
-      runs[i].index = run->id.index;
-      runs[i].run = run->id.run;
-      refs[i] = &runs[i];
+      Cellpb__RunId id = CELLPB__RUN_ID__INIT;
+      id.job = run->id.job;
+      id.index = run->id.index;
+      id.run = run->id.run;
+      g_array_append_val (runs, id);
     }
+  for (unsigned i = 0; i < n; i++)
+    g_ptr_array_add (pointers, &g_array_index (runs, Cellpb__RunId, i));
   Cellpb__Taken msg = CELLPB__TAKEN__INIT;
   msg.worker = w->info.worker;
   msg.token = w->token;
-  msg.runs = refs;
+  msg.runs = (Cellpb__RunId **)pointers->pdata;
   msg.n_runs = n;
   Cellpb__Envelope env = CELL_ENVELOPE (taken, TAKEN, &msg);
   pl_log (PL_EV_TAKEN, "worker=%s token=%" PRId64 " runs=%u", w->id, w->token,
@@ -550,10 +552,15 @@
       = g_hash_table_lookup (cell->workers, &msg->worker);
   if (known != NULL)
     known->token_seen = MAX (known->token_seen, msg->token);
-  g_autofree struct lease_run_id *runs
-      = g_new0 (struct lease_run_id, msg->n_runs + 1);
+  g_autoptr (GArray) runs
+      = g_array_new (FALSE, FALSE, sizeof (struct lease_run_id));
   for (size_t i = 0; i < msg->n_runs; i++)
-    runs[i] = cell_run_id (msg->runs[i]);
+    {
+      struct lease_run_id id = cell_run_id (msg->runs[i]);
+      g_array_append_val (runs, id);
+    }
   struct own_place place = { msg->worker, sender, msg->token };
-  own_worker_taken (cell->jobs, &place, runs, (unsigned)msg->n_runs);
+  own_worker_taken (cell->jobs, &place,
+                    (const struct lease_run_id *)(void *)runs->data,
+                    runs->len);
 }
--- a/lib/cell/member.c
+++ b/lib/cell/member.c
@@ -105,8 +105,8 @@
   if (peer == NULL)
     return false; /* its first beat */
   int64_t now_us = pl_now_us (cell->clock);
-  int64_t expected_us = peer->offset_us
-                        + (now_us - peer->offset_at_us) * DRIFT_PERCENT / 100;
+  int64_t expected_us
+      = peer->offset_us + (now_us - peer->offset_at_us) * DRIFT_PERCENT / 100;
   int64_t age_us = now_us - sent_us - expected_us;
   if (age_us <= 0 || peer->offset_at_us == 0)
     {
@@ -159,7 +159,7 @@
 static void
 offer_config (struct cell *cell, struct peer *peer)
 {
-  if (cell->config == NULL || peer->config_version >= cell->config_version)
+  if (peer->config_version >= cell->config_version)
     return;
   gsize len;
   const void *data = g_bytes_get_data (cell->config, &len);
@@ -300,66 +300,6 @@
   cell_assign (cell);
 }
 
-void
-cell_send_beat (struct cell *cell, struct peer *to)
-{
-  unsigned n_peers = g_hash_table_size (cell->peers);
-  GHashTable *leases = lease_workers (cell->leases);
-  unsigned n_held = g_hash_table_size (leases);
-  g_autofree uint64_t *heard = g_new0 (uint64_t, n_peers + 1);
-  g_autofree uint32_t *ips = g_new0 (uint32_t, n_peers + 1);
-  g_autofree uint32_t *ports = g_new0 (uint32_t, n_peers + 1);
-  g_autofree Cellpb__Held *held = g_new0 (Cellpb__Held, n_held + 1);
-  g_autofree Cellpb__Held **held_refs = g_new0 (Cellpb__Held *, n_held + 1);
-  Cellpb__Beat beat = CELLPB__BEAT__INIT;
-  int64_t now_us = pl_now_us (cell->clock);
-  GHashTableIter it;
-  gpointer value;
-  g_hash_table_iter_init (&it, cell->peers);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    {
-      const struct peer *peer = value;
-      if (peer->id == 0 || now_us - peer->heard_us > PEER_SILENT_US)
-        continue;
-      heard[beat.n_heard] = peer->id;
-      ips[beat.n_heard] = peer->addr.ip;
-      ports[beat.n_heard] = peer->addr.port;
-      beat.n_heard++;
-    }
-  g_hash_table_iter_init (&it, leases);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    {
-      const struct lease_worker *w = value;
-      cellpb__held__init (&held[beat.n_held]);
-      held[beat.n_held].worker = w->info.worker;
-      held[beat.n_held].token = w->token;
-      held_refs[beat.n_held] = &held[beat.n_held];
-      beat.n_held++;
-    }
-  beat.name = cell->name;
-  beat.domain = cell->domain_name;
-  beat.ip = cell->addr.ip;
-  beat.port = cell->addr.port;
-  beat.draining = cell->draining;
-  beat.ready = cell->ready;
-  beat.heard = heard;
-  beat.held = held_refs;
-  beat.config_version = cell->config_version;
-  beat.known_ip = ips;
-  beat.n_known_ip = beat.n_heard;
-  beat.known_port = ports;
-  beat.n_known_port = beat.n_heard;
-  Cellpb__Envelope env = CELL_ENVELOPE (beat, BEAT, &beat);
-  if (to != NULL)
-    {
-      cell_send_peer (cell, to, &env);
-      return;
-    }
-  g_hash_table_iter_init (&it, cell->peers);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    cell_send_peer (cell, value, &env);
-}
-
 void
 cell_tick_members (struct cell *cell)
 {
--- a/lib/lease/health.c
+++ b/lib/lease/health.c
@@ -18,7 +18,8 @@
     return;
   int64_t percent = MIN (took_us * 100 / expect_us, SLOWNESS_MAX);
   health->slowness
-      = (uint32_t)((health->slowness * (SLOWNESS_WEIGHT - 1) + percent)
+      = (uint32_t)(((int64_t)health->slowness * (SLOWNESS_WEIGHT - 1)
+                    + percent)
                    / SLOWNESS_WEIGHT);
 }
 
--- a/lib/lease/lease.h
+++ b/lib/lease/lease.h
@@ -52,7 +52,6 @@
   int64_t expect_us;  /* expected run time */
   int64_t stop_us;    /* of the latest stop order; 0: none outstanding */
   int64_t settled_us; /* the stop was acknowledged; 0: not yet */
-  
 };
 
 struct lease_info
@@ -81,8 +80,8 @@
   unsigned strikes;   /* failures in a row */
   int64_t ejected_us; /* until then no starts; 0: none */
   unsigned ejections; /* in a row */
-  uint32_t slowness; /* run time against the estimate, percent */
-  int64_t done_us; /* when a run was done last */
+  uint32_t slowness;  /* run time against the estimate, percent */
+  int64_t done_us;    /* when a run was done last */
 };
 
 struct lease_worker
--- a/lib/net/client.c
+++ b/lib/net/client.c
@@ -5,8 +5,8 @@
 #include <string.h>
 
 #define MAX_RESPONSE_BYTES                                                    \
-  (2 * 1024 * 1024) /* a page of the store is 1 MB                            \
-                     */
+  ((size_t)2 * 1024 * 1024) /* a page of the store is 1 MB                    \
+                             */
 
 struct net_call
 {
@@ -128,8 +128,9 @@
 void
 net_pool_free (struct net_pool *pool)
 {
-  while (pool->calls.head != NULL)
-    call_fail (pool->calls.head->data);
+  struct net_call *call;
+  while ((call = g_queue_peek_head (&pool->calls)) != NULL)
+    call_fail (call);
   g_free (pool);
 }
 
--- a/lib/net/link.c
+++ b/lib/net/link.c
@@ -5,12 +5,12 @@
 #include <event2/listener.h>
 #include <string.h>
 
-#define MAX_FRAME_BYTES (4 * 1024 * 1024) /* a whole configuration */
+#define MAX_FRAME_BYTES ((size_t)4 * 1024 * 1024) /* a whole configuration */
 #define FRAME_HEADER_BYTES 4
 #define RECONNECT_US 100000
-#define CONNECT_TIMEOUT_MS 500
+#define CONNECT_TIMEOUT_US 500000
 /* Output that a silent peer leaves unread is dropped with its link.  */
-#define MAX_OUTPUT_BYTES (8 * 1024 * 1024)
+#define MAX_OUTPUT_BYTES ((size_t)8 * 1024 * 1024)
 
 struct net_hub
 {
@@ -106,7 +106,7 @@
 open_outgoing (struct net_link *link)
 {
   struct sockaddr_in sin = net_sockaddr (link->addr);
-  struct timeval tv = { 0, CONNECT_TIMEOUT_MS * 1000 };
+  struct timeval tv = { 0, CONNECT_TIMEOUT_US };
   link->bev = bufferevent_socket_new (
       link->hub->base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
   bufferevent_setcb (link->bev, NULL, NULL, on_event, link);
--- a/lib/own/job.c
+++ b/lib/own/job.c
@@ -142,13 +142,12 @@
 static void
 ask (struct own_table *table, struct own_job *job)
 {
-  g_autofree uint32_t *tasks = g_new (uint32_t, job->n_tasks);
-  unsigned n = 0;
-  for (unsigned i = 0; i < job->n_tasks; i++)
+  g_autoptr (GArray) tasks = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  for (uint32_t i = 0; i < job->n_tasks; i++)
     if (job->tasks[i].state == OWN_WAITING && job->tasks[i].retry_us == 0)
-      tasks[n++] = i;
+      g_array_append_val (tasks, i);
   job->dirty = false;
-  if (n == 0)
+  if (tasks->len == 0)
     return;
   int64_t objective
       = (int64_t)((double)job->run_us * job->stretch) + job->target_us;
@@ -166,8 +165,8 @@
     .priority = job->priority,
     .started = job->started,
     .n_tasks = job->n_tasks,
-    .n = n,
-    .tasks = tasks,
+    .n = tasks->len,
+    .tasks = (const uint32_t *)(void *)tasks->data,
   };
   table->ops->ask (table->ctx, &want);
 }
--- a/lib/own/own.h
+++ b/lib/own/own.h
@@ -44,9 +44,9 @@
   uint32_t failed; /* runs that failed */
   uint64_t worker;
   uint64_t holder;
-  int64_t token; /* with which the holder holds the worker */
-  int64_t until_us;  /* while it is unsure */
-  int64_t retry_us;  /* not asked for before; 0: at once */
+  int64_t token;    /* with which the holder holds the worker */
+  int64_t until_us; /* while it is unsure */
+  int64_t retry_us; /* not asked for before; 0: at once */
 };
 
 struct own_job
--- a/tests/cell_test.c
+++ b/tests/cell_test.c
@@ -3,7 +3,7 @@
 #include "cell_world.h"
 #include "test.h"
 
-#define SECOND 1000000
+#define SECOND ((int64_t)1000000)
 #define SOAK_SEEDS 40
 
 static void
@@ -289,7 +289,8 @@
   for (int i = 0; i < 300; i++)
     {
       int instance = (int)world_between (world, 0, 5);
-      (void)world_submit (world, instance, (unsigned)world_between (world, 1, 8),
+      (void)world_submit (world, instance,
+                          (unsigned)world_between (world, 1, 8),
                           world_between (world, 30000, 900000));
       if (world_chance (world, 0.1))
         disturb (world);
@@ -332,7 +333,8 @@
       test_a_cut_off_domain_serves_with_its_own_workers },
     { "starts of a silent owner are not kept",
       test_starts_of_a_silent_owner_are_not_kept },
-    { "late frames start nothing twice", test_late_frames_start_nothing_twice },
+    { "late frames start nothing twice",
+      test_late_frames_start_nothing_twice },
     { "a restart of all recovers", test_a_restart_of_all_recovers },
     { "a hanging worker is left alone", test_a_hanging_worker_is_left_alone },
     { "late orders run nothing twice", test_late_orders_run_nothing_twice },
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include "cell.h"
+#include "worker_model.h"
 
 #include <stdarg.h>
 #include <stdio.h>
@@ -15,7 +16,6 @@
 #define WORLD_MAX_WORKERS 32
 #define WORLD_DOMAINS 4
 #define WORLD_STOP_US 50000
-#define WORLD_MAX_LEASE_US 1000000
 #define WORLD_ORDER_TIMEOUT_US 200000
 #define WORLD_RECONNECT_US 100000
 #define WORLD_RESEND_US 1300000 /* a caller sends a lost job again */
@@ -29,8 +29,8 @@
   int64_t at_us;
   uint64_t seq;
   void (*fire) (struct world *world, struct world_event *event);
-  int from; /* instance */
-  int to;   /* instance or worker */
+  int from;      /* instance */
+  int to;        /* instance or worker */
   uint64_t life; /* of the instance FROM or TO, as the event says */
   GBytes *frame;
   int64_t token;
@@ -44,14 +44,6 @@
   enum lease_reply reply;
 };
 
-struct world_run
-{
-  struct lease_run_id id;
-  struct pack_amount size;
-  int64_t end_us; /* of its work, or of its stop */
-  bool stopping;
-};
-
 struct world_worker
 {
   int index;
@@ -61,13 +53,7 @@
   int64_t born_ms;
   bool up;
   bool draining;
-  struct pack_amount capacity;
-  int64_t token;
-  int64_t lease_us; /* when everything lapses */
-  GArray *runs;     /* struct world_run */
-  GArray *ended;    /* struct lease_ended */
-  GArray *gone;     /* runs that ended or were stopped here: lease_run_id */
-  int64_t next_end;
+  struct model_worker model;
   struct world_event *look; /* waits for an end */
   double fail_share;
   bool hangs;
@@ -99,7 +85,7 @@
   unsigned n_tasks;
   struct pack_amount size;
   int64_t run_us;
-  int at;      /* instance */
+  int at; /* instance */
   uint64_t life;
   int64_t lost_us; /* its instance has ended; 0: not */
   bool answered;
@@ -124,9 +110,7 @@
   bool store_down;
   double late_share; /* of orders that are carried out 2 to 12 s later */
   GHashTable *jobs;  /* id -> struct world_job */
-  GHashTable *running; /* task key -> worker index + 1 */
   unsigned starts;
-  unsigned ends_done;
   unsigned answers[PL_CODE_LIMIT];
   unsigned complete;
   unsigned twice;
@@ -208,7 +192,7 @@
 
 /* With PAPAYALOFT_TRACE set, tells what happens, for the search of a cause. */
 static inline void G_GNUC_PRINTF (2, 3)
-world_trace (struct world *world, const char *fmt, ...)
+    world_trace (struct world *world, const char *fmt, ...)
 {
   if (getenv ("PAPAYALOFT_TRACE") == NULL)
     return;
@@ -222,61 +206,25 @@
 
 /* Workers.  */
 
-static inline struct pack_amount
-world_used (const struct world_worker *w)
-{
-  struct pack_amount used = { 0 };
-  for (guint i = 0; i < w->runs->len; i++)
-    used = pack_add (used,
-                     g_array_index (w->runs, struct world_run, i).size);
-  return used;
-}
-
-static inline bool
-world_same (const struct lease_run_id *a, const struct lease_run_id *b)
-{
-  return a->job == b->job && a->index == b->index;
-}
-
-static inline void
-world_answer_look (struct world *world, struct world_worker *w);
-
-static inline void
-world_end_run (struct world *world, struct world_worker *w, guint at,
-               enum lease_how how)
-{
-  struct world_run run = g_array_index (w->runs, struct world_run, at);
-  g_array_remove_index_fast (w->runs, at);
-  struct lease_ended end
-      = { .number = ++w->next_end, .id = run.id, .how = how };
-  g_array_append_val (w->ended, end);
-  g_array_append_val (w->gone, run.id);
-  world_trace (world, "end %016" PRIx64 ".%u run %u on %s how %d",
-               run.id.job, run.id.index, run.id.run, w->id, (int)how);
-  if (how == LEASE_HOW_DONE)
-    world->ends_done++;
-}
+static inline void world_answer_look (struct world *world,
+                                      struct world_worker *w);
 
 /* Ends what is due by now; the waiting look is answered.  */
 static inline void
 world_advance_worker (struct world *world, struct world_worker *w)
 {
-  bool ended = false;
-  int64_t now_us = world_now (world);
-  for (guint i = w->runs->len; i-- > 0;)
+  guint before = w->model.ended->len;
+  if (model_advance (&w->model, world_now (world)) == 0)
+    return;
+  for (guint i = before; i < w->model.ended->len; i++)
     {
-      struct world_run *run = &g_array_index (w->runs, struct world_run, i);
-      enum lease_how how = run->stopping ? LEASE_HOW_STOPPED : LEASE_HOW_DONE;
-      if (w->lease_us <= now_us)
-        how = LEASE_HOW_LAPSED;
-      else if (run->end_us > now_us)
-        continue;
-      else if (how == LEASE_HOW_DONE && world_chance (world, w->fail_share))
-        how = LEASE_HOW_FAILED;
-      world_end_run (world, w, i, how);
-      ended = true;
+      const struct lease_ended *end
+          = &g_array_index (w->model.ended, struct lease_ended, i);
+      world_trace (world, "end %016" PRIx64 ".%u run %u on %s how %d",
+                   end->id.job, end->id.index, end->id.run, w->id,
+                   (int)end->how);
     }
-  if (ended && w->look != NULL)
+  if (w->look != NULL)
     world_answer_look (world, w);
 }
 
@@ -284,98 +232,84 @@
 world_worker_due (struct world *world, struct world_event *event)
 {
   struct world_worker *w = &world->workers[event->to];
-  if (w->up)
-    world_advance_worker (world, w);
+  if (!w->up)
+    return;
+  world_advance_worker (world, w);
 }
 
 static inline void
-world_wake_worker (struct world *world, struct world_worker *w,
-                   int64_t at_us)
+world_wake_worker (struct world *world, struct world_worker *w)
 {
-  struct world_event *event
-      = world_event (world, MAX (at_us - world_now (world), 0),
-                     world_worker_due);
+  int64_t due_us = model_due_us (&w->model);
+  if (due_us == INT64_MAX)
+    return;
+  struct world_event *event = world_event (
+      world, MAX (due_us - world_now (world), 0), world_worker_due);
   event->to = w->index;
   world_schedule (world, event);
 }
 
-/* Whether the task runs anywhere.  */
+/* Whether the task runs on another worker.  */
 static inline bool
-world_runs_elsewhere (struct world *world, const struct lease_run_id *id)
+world_runs_elsewhere (struct world *world, const struct world_worker *here,
+                      const struct lease_run_id *id)
 {
   for (int i = 0; i < world->n_workers; i++)
     {
       struct world_worker *w = &world->workers[i];
-      if (!w->up)
+      if (!w->up || w == here)
         continue;
       world_advance_worker (world, w);
-      for (guint k = 0; k < w->runs->len; k++)
-        if (world_same (&g_array_index (w->runs, struct world_run, k).id, id))
+      for (guint k = 0; k < w->model.runs->len; k++)
+        if (model_same_task (
+                &g_array_index (w->model.runs, struct model_run, k).id, id))
           return true;
     }
   return false;
 }
 
 static inline void
-world_lease (struct world *world, struct world_worker *w, int64_t deadline_ms)
-{
-  int64_t until = deadline_ms * 1000;
-  int64_t most = world_now (world) + WORLD_MAX_LEASE_US;
-  until = MIN (until, most);
-  if (deadline_ms == 0 || until <= w->lease_us)
-    return;
-  w->lease_us = until;
-  world_wake_worker (world, w, until);
-}
-
-static inline enum lease_reply
-world_apply_start (struct world *world, struct world_worker *w,
+world_check_start (struct world *world, struct world_worker *w,
                    const struct world_event *event)
 {
-  world_advance_worker (world, w);
-  if (event->token < w->token)
-    return LEASE_REPLY_FENCED;
-  w->token = event->token;
-  if (event->deadline_ms * 1000 <= world_now (world))
-    return LEASE_REPLY_LATE;
-  for (guint i = 0; i < w->runs->len; i++)
-    {
-      struct lease_run_id *id
-          = &g_array_index (w->runs, struct world_run, i).id;
-      if (world_same (id, &event->id) && id->run == event->id.run)
-        return LEASE_REPLY_OK;
-    }
-  world_lease (world, w, event->deadline_ms);
-  for (guint i = 0; i < w->gone->len; i++)
-    {
-      struct lease_run_id *id
-          = &g_array_index (w->gone, struct lease_run_id, i);
-      if (world_same (id, &event->id) && id->run >= event->id.run)
-        return LEASE_REPLY_OLD;
-    }
-  if (world_runs_elsewhere (world, &event->id))
+  struct pack_amount none = { 0 };
+  world->starts++;
+  world_trace (world, "start %016" PRIx64 ".%u run %u on %s by i%d",
+               event->id.job, event->id.index, event->id.run, w->id,
+               event->from);
+  if (world_runs_elsewhere (world, w, &event->id))
     {
       world->twice++;
       world_fault (world, "TWICE", event->id.job, event->id.index);
     }
-  struct world_run run = {
-    .id = event->id,
-    .size = event->size,
-    .end_us = world_now (world) + (w->hangs ? 60000000 : event->run_us),
-  };
-  g_array_append_val (w->runs, run);
-  struct pack_amount none = { 0 };
-  if (!pack_fits (w->capacity, world_used (w), none))
+  if (!pack_fits (w->model.capacity, model_used (&w->model), none))
     {
       world->over++;
       world_fault (world, "LIMIT", event->id.job, event->id.index);
     }
-  world->starts++;
-  world_trace (world, "start %016" PRIx64 ".%u run %u on %s by i%d",
-               event->id.job, event->id.index, event->id.run, w->id,
-               event->from);
-  world_wake_worker (world, w, run.end_us);
-  return LEASE_REPLY_OK;
+}
+
+static inline enum lease_reply
+world_apply_start (struct world *world, struct world_worker *w,
+                   const struct world_event *event)
+{
+  bool begun;
+  struct model_start start = {
+    .token = event->token,
+    .deadline_us = event->deadline_ms * 1000,
+    .id = event->id,
+    .size = event->size,
+    .run_us = w->hangs ? 60000000 : event->run_us,
+    .how
+    = world_chance (world, w->fail_share) ? LEASE_HOW_FAILED : LEASE_HOW_DONE,
+  };
+  world_advance_worker (world, w);
+  enum lease_reply reply
+      = model_start (&w->model, &start, world_now (world), &begun);
+  if (begun)
+    world_check_start (world, w, event);
+  world_wake_worker (world, w);
+  return reply;
 }
 
 static inline enum lease_reply
@@ -383,22 +317,11 @@
                   const struct world_event *event)
 {
   world_advance_worker (world, w);
-  if (event->token < w->token)
-    return LEASE_REPLY_FENCED;
-  w->token = event->token;
-  g_array_append_val (w->gone, event->id);
-  for (guint i = 0; i < w->runs->len; i++)
-    {
-      struct world_run *run = &g_array_index (w->runs, struct world_run, i);
-      if (!world_same (&run->id, &event->id) || run->id.run != event->id.run
-          || run->stopping)
-        continue;
-      run->stopping = true;
-      run->end_us = world_now (world)
-                    + world_between (world, 1000, WORLD_STOP_US);
-      world_wake_worker (world, w, run->end_us);
-    }
-  return LEASE_REPLY_OK;
+  enum lease_reply reply
+      = model_stop (&w->model, event->token, &event->id, world_now (world),
+                    world_between (world, 1000, WORLD_STOP_US));
+  world_wake_worker (world, w);
+  return reply;
 }
 
 /* Answers on their way back.  */
@@ -407,8 +330,7 @@
 world_cell (struct world *world, int instance, uint64_t life)
 {
   struct world_instance *in = &world->instances[instance];
-  return in->cell != NULL && in->life == life && !in->frozen ? in->cell
-                                                             : NULL;
+  return in->cell != NULL && in->life == life && !in->frozen ? in->cell : NULL;
 }
 
 static inline void
@@ -456,13 +378,13 @@
   answer->result.born_ms = w->born_ms;
   answer->result.running = answer->running;
   answer->result.ended = answer->ended;
-  for (guint i = 0; reply == LEASE_REPLY_OK && i < w->runs->len; i++)
+  for (guint i = 0; reply == LEASE_REPLY_OK && i < w->model.runs->len; i++)
     answer->running[answer->result.n_running++].id
-        = g_array_index (w->runs, struct world_run, i).id;
-  for (guint i = 0; reply == LEASE_REPLY_OK && i < w->ended->len && i < 256;
-       i++)
+        = g_array_index (w->model.runs, struct model_run, i).id;
+  for (guint i = 0;
+       reply == LEASE_REPLY_OK && i < w->model.ended->len && i < 256; i++)
     answer->ended[answer->result.n_ended++]
-        = g_array_index (w->ended, struct lease_ended, i);
+        = g_array_index (w->model.ended, struct lease_ended, i);
   world_schedule (world, &answer->base);
 }
 
@@ -494,18 +416,16 @@
       return;
     }
   world_advance_worker (world, w);
-  if (event->token < w->token)
+  if (!model_obeys (&w->model, event->token))
     {
       world_send_look (world, event, LEASE_REPLY_FENCED, world_delay (world));
       return;
     }
-  w->token = event->token;
-  world_lease (world, w, event->deadline_ms);
-  for (guint i = w->ended->len; i-- > 0;)
-    if (g_array_index (w->ended, struct lease_ended, i).number
-        <= event->last_seen)
-      g_array_remove_index (w->ended, i);
-  if (w->ended->len > 0 || event->wait_ms == 0)
+  if (event->deadline_ms != 0)
+    model_renew (&w->model, event->deadline_ms * 1000, world_now (world));
+  world_wake_worker (world, w);
+  model_acknowledge (&w->model, event->last_seen);
+  if (w->model.ended->len > 0 || event->wait_ms == 0)
     {
       world_send_look (world, event, LEASE_REPLY_OK, world_delay (world));
       return;
@@ -527,8 +447,7 @@
   if (cell == NULL)
     return;
   lease_start_done (cell_leases (cell), world->workers[event->to].key,
-                    event->token, &event->id, event->reply,
-                    world_now (world));
+                    event->token, &event->id, event->reply, world_now (world));
   world_turn (world, event->from);
 }
 
@@ -644,8 +563,7 @@
 {
   struct world_instance *in = ctx;
   struct world_event *event = world_call (in, w, world_start_reaches);
-  struct world_job *job
-      = g_hash_table_lookup (in->world->jobs, &run->id.job);
+  struct world_job *job = g_hash_table_lookup (in->world->jobs, &run->id.job);
   event->deadline_ms = deadline_ms;
   event->id = run->id;
   event->size = run->size;
@@ -690,7 +608,8 @@
   if (cell == NULL)
     return;
   struct world_instance *in = &world->instances[event->from];
-  struct world_link *link = g_ptr_array_index (in->links, (guint)event->wait_ms);
+  struct world_link *link
+      = g_ptr_array_index (in->links, (guint)event->wait_ms);
   struct world_instance *to = &world->instances[event->to];
   if (to->cell != NULL && !world->cut[event->from][event->to]
       && !world->cut[event->to][event->from])
@@ -770,8 +689,7 @@
     return;
   struct world *world = in->world;
   int to = world_instance_at (world, link->addr);
-  struct world_event *event
-      = world_event (world, 500, world_frame_arrives);
+  struct world_event *event = world_event (world, 500, world_frame_arrives);
   event->from = in->index;
   event->to = to;
   event->life = world->instances[to].life;
@@ -849,7 +767,7 @@
     .addr = { 0x0b000000u + (uint32_t)w->index, 8000 },
     .service = 1,
     .domain = cell_key (pl_str (world_domain (w->domain))),
-    .capacity = w->capacity,
+    .capacity = w->model.capacity,
     .born_ms = w->born_ms,
     .draining = w->draining,
   };
@@ -900,8 +818,7 @@
       world_tell_worker (world, in, &world->workers[i]);
   for (int i = 0; i < world->n_instances; i++)
     if (world->instances[i].cell != NULL && i != index)
-      cell_set_registered (world->instances[i].cell, world_addr (index),
-                           true);
+      cell_set_registered (world->instances[i].cell, world_addr (index), true);
   cell_set_registry_fresh (in->cell, !world->store_down);
   cell_set_ready (in->cell, true);
   struct world_event *tick = world_event (world, 1000, world_tick_instance);
@@ -1002,14 +919,9 @@
 world_crash_worker (struct world *world, int index)
 {
   struct world_worker *w = &world->workers[index];
-  g_array_set_size (w->runs, 0);
-  g_array_set_size (w->ended, 0);
-  g_array_set_size (w->gone, 0);
+  model_reset (&w->model);
   g_clear_pointer (&w->look, g_free);
   w->up = false;
-  w->token = 0;
-  w->next_end = 0;
-  w->lease_us = 0;
 }
 
 static inline void
@@ -1032,10 +944,8 @@
   w->key = cell_key (pl_str (w->id));
   w->born_ms = 1;
   w->up = true;
-  w->capacity = (struct pack_amount){ cpu, 131072, 0 };
-  w->runs = g_array_new (FALSE, FALSE, sizeof (struct world_run));
-  w->ended = g_array_new (FALSE, FALSE, sizeof (struct lease_ended));
-  w->gone = g_array_new (FALSE, FALSE, sizeof (struct lease_run_id));
+  struct pack_amount capacity = { cpu, 131072, 0 };
+  model_init (&w->model, capacity);
 }
 
 static inline struct world *
@@ -1046,8 +956,8 @@
   world->rng = seed * 0x9e3779b97f4a7c15u + 1;
   world->events = g_sequence_new (NULL);
   world->held = g_ptr_array_new ();
-  world->jobs = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
-                                       g_free);
+  world->jobs
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   world->n_instances = n_instances;
   for (int i = 0; i < n_workers; i++)
     world_add_worker (world, i % n_domains, i % 3 == 2 ? 48000 : 32000);
@@ -1082,9 +992,7 @@
     world_event_free (g_ptr_array_index (world->held, i));
   for (int i = 0; i < world->n_workers; i++)
     {
-      g_array_unref (world->workers[i].runs);
-      g_array_unref (world->workers[i].ended);
-      g_array_unref (world->workers[i].gone);
+      model_clear (&world->workers[i].model);
       g_free (world->workers[i].look);
     }
   g_sequence_free (world->events);
@@ -1133,9 +1041,9 @@
       job = g_new0 (struct world_job, 1);
       job->id = id;
       job->n_tasks = n_tasks;
-      job->size = (struct pack_amount){
-        (int32_t)world_between (world, 11000, 20000), 64, 0
-      };
+      job->size
+          = (struct pack_amount){ (int32_t)world_between (world, 11000, 20000),
+                                  64, 0 };
       job->run_us = run_us;
       g_hash_table_insert (world->jobs, &job->id, job);
     }
@@ -1190,8 +1098,8 @@
         job->lost_us = world_now (world);
       if (world_now (world) - job->lost_us < WORLD_RESEND_US)
         continue;
-      int instance = (int)(world_random (world)
-                           % (uint64_t)world->n_instances);
+      int instance
+          = (int)(world_random (world) % (uint64_t)world->n_instances);
       (void)world_submit_at (world, instance, job->id, job->n_tasks,
                              job->run_us);
     }
