--- /dev/null
+++ b/tests/lease_test.c
@@ -0,0 +1,408 @@
+/* Tests of lib/lease: the holder of one worker, step by step.  */
+#include "lease.h"
+#include "test.h"
+
+#include <string.h>
+
+#define MS ((int64_t)1000)
+#define TOKEN 100
+
+struct sink
+{
+  unsigned looks;
+  int64_t look_deadline_ms;
+  int64_t look_seen;
+  unsigned starts;
+  unsigned stops;
+  unsigned taken;
+  unsigned lost;
+  enum lease_reply why;
+  unsigned ends;
+  enum lease_end end;
+  struct lease_run_id ended;
+};
+
+static void
+on_look (void *ctx, struct lease_worker *w, int64_t deadline_ms, int wait_ms)
+{
+  struct sink *sink = ctx;
+  (void)wait_ms;
+  sink->looks++;
+  sink->look_deadline_ms = deadline_ms;
+  sink->look_seen = w->last_seen;
+}
+
+static void
+on_start (void *ctx, struct lease_worker *w, const struct lease_run *run,
+          int64_t deadline_ms)
+{
+  (void)w;
+  (void)run;
+  (void)deadline_ms;
+  ((struct sink *)ctx)->starts++;
+}
+
+static void
+on_stop (void *ctx, struct lease_worker *w, const struct lease_run_id *id)
+{
+  (void)w;
+  (void)id;
+  ((struct sink *)ctx)->stops++;
+}
+
+static void
+on_ended (void *ctx, struct lease_worker *w, uint64_t owner,
+          const struct lease_run_id *id, enum lease_end end, int64_t took_us)
+{
+  struct sink *sink = ctx;
+  (void)w;
+  (void)owner;
+  (void)took_us;
+  sink->ends++;
+  sink->end = end;
+  sink->ended = *id;
+}
+
+static void
+on_taken (void *ctx, struct lease_worker *w)
+{
+  (void)w;
+  ((struct sink *)ctx)->taken++;
+}
+
+static void
+on_lost (void *ctx, struct lease_worker *w, enum lease_reply why)
+{
+  struct sink *sink = ctx;
+  (void)w;
+  sink->lost++;
+  sink->why = why;
+}
+
+static void
+on_changed (void *ctx, struct lease_worker *w)
+{
+  (void)ctx;
+  (void)w;
+}
+
+static const struct lease_ops ops = {
+  .look = on_look,
+  .start = on_start,
+  .stop = on_stop,
+  .ended = on_ended,
+  .taken = on_taken,
+  .lost = on_lost,
+  .changed = on_changed,
+};
+
+static const struct lease_info info = {
+  .worker = 1,
+  .id = "w1",
+  .service = 1,
+  .capacity = { 32000, 1024, 0 },
+  .born_ms = 5,
+};
+
+/* Feeds an answer with the given lists.  */
+static void
+look_answers (struct lease_table *table, const struct lease_running *running,
+              unsigned n_running, const struct lease_ended *ended,
+              unsigned n_ended, int64_t now_us)
+{
+  struct lease_look_result result = {
+    .reply = LEASE_REPLY_OK,
+    .clock_ms = 500000 + now_us / 1000,
+    .born_ms = 5,
+    .running = running,
+    .n_running = n_running,
+    .ended = ended,
+    .n_ended = n_ended,
+  };
+  lease_look_done (table, 1, TOKEN, &result, now_us);
+}
+
+static void
+look_fails (struct lease_table *table, enum lease_reply reply, int64_t now_us)
+{
+  struct lease_look_result result = { .reply = reply };
+  lease_look_done (table, 1, TOKEN, &result, now_us);
+}
+
+static struct lease_order
+order_of (uint64_t job, uint32_t run)
+{
+  return (struct lease_order){
+    .id = { job, 0, run },
+    .owner = 9,
+    .size = { 14000, 64, 0 },
+    .spec = pl_str ("spec"),
+    .expect_us = 100 * MS,
+    .token = TOKEN,
+  };
+}
+
+/* A held worker with one start on its way.  */
+static struct lease_worker *
+hold (struct lease_table *table, int64_t now_us)
+{
+  struct lease_worker *w = lease_take (table, &info, TOKEN, now_us);
+  look_answers (table, NULL, 0, NULL, 0, now_us);
+  return w;
+}
+
+/* Guards against a lease in the holder's own time instead of the worker's. */
+static void
+test_leases_are_on_the_workers_clock (void)
+{
+  struct sink sink = { 0 };
+  struct lease_table *table = lease_table_new (&ops, &sink);
+  hold (table, 10 * MS);
+  CU_ASSERT_EQUAL (sink.taken, 1);
+  CU_ASSERT_EQUAL (sink.look_deadline_ms, 500000 + 10 + LEASE_MAX_MS);
+  lease_table_free (table);
+}
+
+/* Guards against a start meant for a former holder's lease.  */
+static void
+test_starts_for_another_lease_are_refused (void)
+{
+  struct sink sink = { 0 };
+  struct lease_table *table = lease_table_new (&ops, &sink);
+  struct lease_worker *w = hold (table, 0);
+  struct lease_order order = order_of (1, 1);
+  order.token = TOKEN - 1;
+  CU_ASSERT_FALSE (lease_start (table, w, &order, MS));
+  order.token = TOKEN;
+  CU_ASSERT_TRUE (lease_start (table, w, &order, MS));
+  CU_ASSERT_EQUAL (sink.starts, 1);
+  lease_table_free (table);
+}
+
+/* Guards against more than the worker's cores.  */
+static void
+test_room_is_checked (void)
+{
+  struct sink sink = { 0 };
+  struct lease_table *table = lease_table_new (&ops, &sink);
+  struct lease_worker *w = hold (table, 0);
+  struct lease_order a = order_of (1, 1);
+  struct lease_order b = order_of (2, 1);
+  struct lease_order c = order_of (3, 1);
+  CU_ASSERT_TRUE (lease_start (table, w, &a, MS));
+  CU_ASSERT_TRUE (lease_start (table, w, &b, MS));
+  CU_ASSERT_FALSE (lease_start (table, w, &c, MS));
+  lease_table_free (table);
+}
+
+/* Guards against a start without an answer that is taken as not run: its fate
+   is settled by a stop and a look that was sent after it.  */
+static void
+test_an_unanswered_start_is_settled_first (void)
+{
+  struct sink sink = { 0 };
+  struct lease_table *table = lease_table_new (&ops, &sink);
+  struct lease_worker *w = hold (table, 0);
+  struct lease_order order = order_of (1, 1);
+  (void)lease_start (table, w, &order, MS);
+  lease_start_done (table, 1, TOKEN, &order.id, LEASE_REPLY_NONE, 200 * MS);
+  CU_ASSERT_EQUAL (sink.stops, 1);
+  look_answers (table, NULL, 0, NULL, 0, 201 * MS);
+  CU_ASSERT_EQUAL (sink.ends, 0);
+  lease_stop_done (table, 1, TOKEN, &order.id, LEASE_REPLY_OK, 202 * MS);
+  /* This look was sent before the stop was acknowledged.  */
+  look_answers (table, NULL, 0, NULL, 0, 203 * MS);
+  CU_ASSERT_EQUAL (sink.ends, 0);
+  look_answers (table, NULL, 0, NULL, 0, 204 * MS);
+  CU_ASSERT_EQUAL (sink.ends, 1);
+  CU_ASSERT_EQUAL (sink.end, LEASE_STOPPED);
+  lease_table_free (table);
+}
+
+/* Guards against an unanswered start that ran and is done all the same.  */
+static void
+test_an_unanswered_start_may_be_done (void)
+{
+  struct sink sink = { 0 };
+  struct lease_table *table = lease_table_new (&ops, &sink);
+  struct lease_worker *w = hold (table, 0);
+  struct lease_order order = order_of (1, 1);
+  (void)lease_start (table, w, &order, MS);
+  lease_start_done (table, 1, TOKEN, &order.id, LEASE_REPLY_NONE, 200 * MS);
+  struct lease_ended ended
+      = { .number = 1, .id = order.id, .how = LEASE_HOW_DONE };
+  look_answers (table, NULL, 0, &ended, 1, 201 * MS);
+  CU_ASSERT_EQUAL (sink.end, LEASE_DONE);
+  lease_table_free (table);
+}
+
+/* Guards against an end that is handled twice or never acknowledged.  */
+static void
+test_ends_are_read_once_and_acknowledged (void)
+{
+  struct sink sink = { 0 };
+  struct lease_table *table = lease_table_new (&ops, &sink);
+  struct lease_worker *w = hold (table, 0);
+  struct lease_order order = order_of (1, 1);
+  (void)lease_start (table, w, &order, MS);
+  struct lease_ended ended
+      = { .number = 7, .id = order.id, .how = LEASE_HOW_DONE };
+  look_answers (table, NULL, 0, &ended, 1, 50 * MS);
+  CU_ASSERT_EQUAL (sink.look_seen, 7);
+  look_answers (table, NULL, 0, &ended, 1, 51 * MS);
+  CU_ASSERT_EQUAL (sink.ends, 1);
+  lease_table_free (table);
+}
+
+/* Guards against runs that count as ended while a lost answer may have renewed
+   their lease: after a failure nothing is renewed, and they lapse.  */
+static void
+test_a_silent_worker_is_not_renewed (void)
+{
+  struct sink sink = { 0 };
+  struct lease_table *table = lease_table_new (&ops, &sink);
+  struct lease_worker *w = hold (table, 0);
+  struct lease_order order = order_of (1, 1);
+  (void)lease_start (table, w, &order, 100 * MS);
+  lease_start_done (table, 1, TOKEN, &order.id, LEASE_REPLY_OK, 101 * MS);
+  int64_t now_us = 600 * MS;
+  look_fails (table, LEASE_REPLY_NONE, now_us);
+  while (sink.ends == 0 && now_us < 3000 * MS)
+    {
+      now_us += 70 * MS;
+      unsigned looks = sink.looks;
+      lease_tick (table, now_us);
+      if (sink.looks == looks)
+        continue;
+      CU_ASSERT_EQUAL (sink.look_deadline_ms, 0);
+      look_fails (table, LEASE_REPLY_NONE, now_us);
+    }
+  /* The last renewal left at 100 ms; a slow clock makes it 2% longer.  */
+  CU_ASSERT_TRUE (now_us >= 100 * MS + LEASE_MAX_MS * 1020);
+  CU_ASSERT_EQUAL (sink.end, LEASE_STOPPED);
+  lease_table_free (table);
+}
+
+/* Guards against a holder that goes on after another has taken over.  */
+static void
+test_a_fenced_holder_gives_up (void)
+{
+  struct sink sink = { 0 };
+  struct lease_table *table = lease_table_new (&ops, &sink);
+  struct lease_worker *w = hold (table, 0);
+  struct lease_order order = order_of (1, 1);
+  (void)lease_start (table, w, &order, MS);
+  look_fails (table, LEASE_REPLY_FENCED, 2 * MS);
+  CU_ASSERT_EQUAL (sink.lost, 1);
+  CU_ASSERT_EQUAL (sink.end, LEASE_UNKNOWN);
+  CU_ASSERT_PTR_NULL (lease_find (table, 1));
+  lease_table_free (table);
+}
+
+/* Guards against runs of a former incarnation that are waited for.  */
+static void
+test_another_incarnation_ends_all_runs (void)
+{
+  struct sink sink = { 0 };
+  struct lease_table *table = lease_table_new (&ops, &sink);
+  struct lease_worker *w = hold (table, 0);
+  struct lease_order order = order_of (1, 1);
+  (void)lease_start (table, w, &order, MS);
+  lease_start_done (table, 1, TOKEN, &order.id, LEASE_REPLY_OK, 2 * MS);
+  struct lease_look_result result
+      = { .reply = LEASE_REPLY_OK, .clock_ms = 3, .born_ms = 6 };
+  lease_look_done (table, 1, TOKEN, &result, 100 * MS);
+  CU_ASSERT_EQUAL (sink.end, LEASE_STOPPED);
+  lease_table_free (table);
+}
+
+/* Guards against a run found by a new holder that nobody claims.  */
+static void
+test_unclaimed_runs_are_stopped (void)
+{
+  struct sink sink = { 0 };
+  struct lease_table *table = lease_table_new (&ops, &sink);
+  struct lease_worker *w = lease_take (table, &info, TOKEN, 0);
+  struct lease_running running[]
+      = { { .id = { 1, 0, 1 } }, { .id = { 2, 0, 1 } } };
+  look_answers (table, running, 2, NULL, 0, MS);
+  struct lease_order claim = order_of (1, 1);
+  CU_ASSERT_TRUE (lease_claim (table, w, &claim));
+  lease_tick (table, 300 * MS);
+  CU_ASSERT_EQUAL (sink.stops, 1);
+  lease_table_free (table);
+}
+
+/* Guards against a worker that fails everything and, being free, gets it. */
+static void
+test_a_failing_worker_is_ejected_and_tried_again (void)
+{
+  struct sink sink = { 0 };
+  struct lease_table *table = lease_table_new (&ops, &sink);
+  struct lease_worker *w = hold (table, 0);
+  int64_t now_us = MS;
+  for (uint32_t i = 1; i <= 3; i++)
+    {
+      struct lease_order order = order_of (i, 1);
+      CU_ASSERT_TRUE (lease_start (table, w, &order, now_us));
+      struct lease_ended ended
+          = { .number = i, .id = order.id, .how = LEASE_HOW_FAILED };
+      now_us += 10 * MS;
+      look_answers (table, NULL, 0, &ended, 1, now_us);
+    }
+  struct lease_order order = order_of (9, 1);
+  CU_ASSERT_FALSE (lease_start (table, w, &order, now_us));
+  look_answers (table, NULL, 0, NULL, 0, now_us + 2000 * MS);
+  lease_tick (table, now_us + 2000 * MS);
+  CU_ASSERT_TRUE (lease_start (table, w, &order, now_us + 2001 * MS));
+  lease_table_free (table);
+}
+
+/* Guards against tasks that stand still until their deadline.  */
+static void
+test_a_task_that_stands_still_is_stopped (void)
+{
+  struct sink sink = { 0 };
+  struct lease_table *table = lease_table_new (&ops, &sink);
+  struct lease_worker *w = hold (table, 0);
+  struct lease_order order = order_of (1, 1);
+  (void)lease_start (table, w, &order, MS);
+  lease_start_done (table, 1, TOKEN, &order.id, LEASE_REPLY_OK, 2 * MS);
+  lease_tick (table, 400 * MS);
+  CU_ASSERT_EQUAL (sink.stops, 0);
+  lease_tick (table, 500 * MS);
+  CU_ASSERT_EQUAL (sink.stops, 1);
+  /* Nothing else was done there meanwhile: the worker is left alone.  */
+  CU_ASSERT_TRUE (w->health.ejected_us > 500 * MS);
+  lease_table_free (table);
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = {
+    { "leases are on the worker's clock",
+      test_leases_are_on_the_workers_clock },
+    { "starts for another lease are refused",
+      test_starts_for_another_lease_are_refused },
+    { "room is checked", test_room_is_checked },
+    { "an unanswered start is settled first",
+      test_an_unanswered_start_is_settled_first },
+    { "an unanswered start may be done",
+      test_an_unanswered_start_may_be_done },
+    { "ends are read once and acknowledged",
+      test_ends_are_read_once_and_acknowledged },
+    { "a silent worker is not renewed", test_a_silent_worker_is_not_renewed },
+    { "a fenced holder gives up", test_a_fenced_holder_gives_up },
+    { "another incarnation ends all runs",
+      test_another_incarnation_ends_all_runs },
+    { "unclaimed runs are stopped", test_unclaimed_runs_are_stopped },
+    { "a failing worker is ejected and tried again",
+      test_a_failing_worker_is_ejected_and_tried_again },
+    { "a task that stands still is stopped",
+      test_a_task_that_stands_still_is_stopped },
+    CU_TEST_INFO_NULL,
+  };
+  pl_log_init ("text", "error");
+  return test_run ("lease_test", tests);
+}
--- /dev/null
+++ b/tests/pack_test.c
@@ -0,0 +1,269 @@
+/* Tests of lib/pack: each replays a pattern of load on explicit times.  */
+#include "pack.h"
+#include "test.h"
+
+#include <string.h>
+
+#define MS ((int64_t)1000)
+#define MAX_GRANTS 256
+
+struct sink
+{
+  uint64_t jobs[MAX_GRANTS];
+  uint64_t workers[MAX_GRANTS];
+  uint32_t indexes[MAX_GRANTS];
+  unsigned grants;
+  uint64_t refused[MAX_GRANTS];
+  int retry_after_ms[MAX_GRANTS];
+  unsigned refusals;
+};
+
+static void
+on_grant (void *ctx, uint64_t owner, uint64_t job, uint32_t index,
+          const struct pack_room *room)
+{
+  struct sink *sink = ctx;
+  (void)owner;
+  sink->jobs[sink->grants] = job;
+  sink->indexes[sink->grants] = index;
+  sink->workers[sink->grants++] = room->worker;
+}
+
+static void
+on_refuse (void *ctx, uint64_t owner, uint64_t job, int retry_after_ms)
+{
+  struct sink *sink = ctx;
+  (void)owner;
+  sink->retry_after_ms[sink->refusals] = retry_after_ms;
+  sink->refused[sink->refusals++] = job;
+}
+
+static const struct pack_ops ops = { .grant = on_grant, .refuse = on_refuse };
+
+static void
+report (struct pack_plan *plan, uint64_t worker, int32_t cpu, int32_t used)
+{
+  struct pack_room room = {
+    .worker = worker,
+    .holder = 1,
+    .service = 1,
+    .domain = 1,
+    .capacity = { cpu, 131072, 0 },
+    .used = { used, 0, 0 },
+    .usable = true,
+    .slowness = 100,
+  };
+  pack_report (plan, &room);
+}
+
+static void
+request (struct pack_plan *plan, uint64_t job, unsigned n, int32_t cpu,
+         int64_t run_us, int64_t now_us)
+{
+  uint32_t tasks[32];
+  for (uint32_t i = 0; i < n; i++)
+    tasks[i] = i;
+  int64_t objective_us = run_us * 16 / 10 + 60 * MS;
+  struct pack_want want = {
+    .job = job,
+    .owner = 7,
+    .service = 1,
+    .domain = 1,
+    .size = { cpu, 64, 0 },
+    .run_us = run_us,
+    .objective_us = now_us + objective_us,
+    .late_us = now_us + 3 * objective_us,
+    .deadline_us = now_us + 4 * objective_us,
+    .n_tasks = n,
+    .n = n,
+    .tasks = tasks,
+  };
+  pack_request (plan, &want, now_us);
+}
+
+/* Guards against tasks beyond a worker's cores between two reports.  */
+static void
+test_grants_count_until_they_are_reported (void)
+{
+  struct sink sink = { 0 };
+  struct pack_plan *plan = pack_new (&ops, &sink);
+  report (plan, 1, 32000, 0);
+  request (plan, 10, 3, 14000, 60 * MS, 0);
+  pack_decide (plan, 0);
+  CU_ASSERT_EQUAL (sink.grants, 2);
+  pack_decide (plan, 10 * MS);
+  CU_ASSERT_EQUAL (sink.grants, 2);
+  pack_free (plan);
+}
+
+/* Guards against wide rooms that are broken up by small tasks: the rest of a
+   worker of 32 cores takes what fits best.  */
+static void
+test_the_best_fit_is_taken (void)
+{
+  struct sink sink = { 0 };
+  struct pack_plan *plan = pack_new (&ops, &sink);
+  report (plan, 1, 48000, 0);
+  report (plan, 2, 32000, 18000);
+  request (plan, 10, 1, 14000, 60 * MS, 0);
+  pack_decide (plan, 0);
+  CU_ASSERT_EQUAL (sink.workers[0], 2);
+  pack_free (plan);
+}
+
+/* A burst fills all rooms: guards against a job that could still meet its
+   objective but waits behind one that is late in any case.  */
+static void
+test_jobs_that_can_be_in_time_go_first (void)
+{
+  struct sink sink = { 0 };
+  struct pack_plan *plan = pack_new (&ops, &sink);
+  report (plan, 1, 16000, 14000);
+  request (plan, 10, 1, 14000, 200 * MS, 0);
+  pack_decide (plan, 0);
+  request (plan, 11, 1, 14000, 200 * MS, 250 * MS);
+  report (plan, 1, 16000, 0);
+  pack_decide (plan, 260 * MS);
+  CU_ASSERT_EQUAL (sink.grants, 1);
+  CU_ASSERT_EQUAL (sink.jobs[0], 11);
+  pack_free (plan);
+}
+
+/* All workers are lost: guards against jobs that wait for their deadline
+   although it is known that they can't be served.  */
+static void
+test_a_hopeless_job_is_refused_at_once (void)
+{
+  struct sink sink = { 0 };
+  struct pack_plan *plan = pack_new (&ops, &sink);
+  request (plan, 10, 1, 14000, 200 * MS, 0);
+  pack_decide (plan, 500 * MS);
+  CU_ASSERT_EQUAL (sink.refusals, 0);
+  /* Late is 3 x (320 + 60) ms after the arrival.  */
+  pack_decide (plan, 1060 * MS);
+  CU_ASSERT_EQUAL (sink.refusals, 1);
+  CU_ASSERT_EQUAL (pack_waiting (plan), 0);
+  pack_free (plan);
+}
+
+/* Guards against refused callers that all return at the same moment.  */
+static void
+test_refused_callers_return_spread (void)
+{
+  struct sink sink = { 0 };
+  struct pack_plan *plan = pack_new (&ops, &sink);
+  for (uint64_t job = 0; job < 100; job++)
+    request (plan, job * 7919 + 1, 1, 14000, 200 * MS, 0);
+  pack_decide (plan, 1200 * MS);
+  CU_ASSERT_EQUAL (sink.refusals, 100);
+  int early = 0;
+  for (unsigned i = 0; i < sink.refusals; i++)
+    early += sink.retry_after_ms[i] < 2000;
+  CU_ASSERT_TRUE (early > 25 && early < 75);
+  pack_free (plan);
+}
+
+/* Guards against tasks on a worker that is leaving or that its holder has
+   ejected.  */
+static void
+test_unusable_workers_get_nothing (void)
+{
+  struct sink sink = { 0 };
+  struct pack_plan *plan = pack_new (&ops, &sink);
+  struct pack_room room = {
+    .worker = 1, .holder = 1, .service = 1, .capacity = { 32000, 1024, 0 }
+  };
+  pack_report (plan, &room);
+  request (plan, 10, 1, 14000, 60 * MS, 0);
+  pack_decide (plan, 0);
+  CU_ASSERT_EQUAL (sink.grants, 0);
+  pack_free (plan);
+}
+
+/* Guards against a failure domain whose tasks leave it although its own
+   workers are free.  */
+static void
+test_the_own_domain_comes_first (void)
+{
+  struct sink sink = { 0 };
+  struct pack_plan *plan = pack_new (&ops, &sink);
+  struct pack_room far = { .worker = 1,
+                           .holder = 1,
+                           .service = 1,
+                           .domain = 2,
+                           .capacity = { 32000, 1024, 0 },
+                           .usable = true,
+                           .slowness = 100 };
+  pack_report (plan, &far);
+  report (plan, 2, 32000, 0);
+  request (plan, 10, 1, 14000, 60 * MS, 0);
+  pack_decide (plan, 0);
+  CU_ASSERT_EQUAL (sink.workers[0], 2);
+  pack_free (plan);
+}
+
+/* Guards against more tasks of a job on one worker than it allows.  */
+static void
+test_tasks_are_spread_as_asked (void)
+{
+  struct sink sink = { 0 };
+  struct pack_plan *plan = pack_new (&ops, &sink);
+  uint32_t tasks[] = { 0, 1 };
+  struct pack_want want = { .job = 1,
+                            .owner = 1,
+                            .service = 1,
+                            .per_worker = 1,
+                            .size = { 1000, 1, 0 },
+                            .run_us = MS,
+                            .objective_us = 60 * MS,
+                            .late_us = 180 * MS,
+                            .deadline_us = 200 * MS,
+                            .n_tasks = 2,
+                            .n = 2,
+                            .tasks = tasks };
+  report (plan, 1, 32000, 0);
+  pack_request (plan, &want, 0);
+  pack_decide (plan, 0);
+  CU_ASSERT_EQUAL (sink.grants, 1);
+  report (plan, 2, 32000, 0);
+  pack_decide (plan, MS);
+  CU_ASSERT_EQUAL (sink.grants, 2);
+  CU_ASSERT_NOT_EQUAL (sink.workers[0], sink.workers[1]);
+  pack_free (plan);
+}
+
+/* Guards against room that is planned after its holder was lost.  */
+static void
+test_a_lost_holder_takes_its_rooms_along (void)
+{
+  struct sink sink = { 0 };
+  struct pack_plan *plan = pack_new (&ops, &sink);
+  report (plan, 1, 32000, 0);
+  pack_forget_holder (plan, 1);
+  request (plan, 10, 1, 14000, 60 * MS, 0);
+  pack_decide (plan, 0);
+  CU_ASSERT_EQUAL (sink.grants, 0);
+  pack_free (plan);
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = {
+    { "grants count until they are reported",
+      test_grants_count_until_they_are_reported },
+    { "the best fit is taken", test_the_best_fit_is_taken },
+    { "jobs that can be in time go first",
+      test_jobs_that_can_be_in_time_go_first },
+    { "a hopeless job is refused at once",
+      test_a_hopeless_job_is_refused_at_once },
+    { "refused callers return spread", test_refused_callers_return_spread },
+    { "unusable workers get nothing", test_unusable_workers_get_nothing },
+    { "the own domain comes first", test_the_own_domain_comes_first },
+    { "tasks are spread as asked", test_tasks_are_spread_as_asked },
+    { "a lost holder takes its rooms along",
+      test_a_lost_holder_takes_its_rooms_along },
+    CU_TEST_INFO_NULL,
+  };
+  return test_run ("pack_test", tests);
+}
