--- a/lib/pack/order.c
+++ b/lib/pack/order.c
@@ -17,14 +17,14 @@
   return now_us + job->want.run_us / 2 + ANSWER_US > limit;
 }
 
-/* 0: may still meet its objective; 1: some tasks are paid for already; 2: can
-   only be late.  */
+/* 0: some of its work is paid for already; 1: may still meet its objective; 2:
+   can only be late.  */
 static int
 rank (const struct job *job, int64_t now_us)
 {
-  if (pack_latest_start (job) >= now_us)
+  if (job->want.started)
     return 0;
-  return job->want.started ? 1 : 2;
+  return pack_latest_start (job) >= now_us ? 1 : 2;
 }
 
 static int
