--- a/lib/pack/pack.c
+++ b/lib/pack/pack.c
@@ -221,6 +221,49 @@
     }
 }
 
+/* Cores of all usable workers, in thousandths.  */
+static int64_t
+usable_cpu (struct pack_plan *plan)
+{
+  int64_t cpu = 0;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, plan->rooms);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const struct room *r = value;
+      if (r->r.usable)
+        cpu += r->r.capacity.cpu;
+    }
+  return cpu;
+}
+
+/* Refuses jobs that the work queued before them keeps from starting in time.
+   Jobs are in order.  */
+static void
+refuse_crowded_out (struct pack_plan *plan, int64_t now_us)
+{
+  int64_t cpu = usable_cpu (plan);
+  int64_t ahead = 0; /* thousandths of a core x microseconds */
+  if (cpu == 0)
+    return;
+  g_autoptr (GPtrArray) refused = g_ptr_array_new ();
+  for (guint i = 0; i < plan->jobs->len; i++)
+    {
+      struct job *job = g_ptr_array_index (plan->jobs, i);
+      if (job->waiting->len == 0)
+        continue;
+      if (!job->want.started
+          && now_us + ahead / cpu > pack_latest_start (job))
+        g_ptr_array_add (refused, job);
+      else
+        ahead += (int64_t)job->waiting->len * job->want.size.cpu
+                 * job->want.run_us;
+    }
+  for (guint i = 0; i < refused->len; i++)
+    refuse_job (plan, g_ptr_array_index (refused, i));
+}
+
 static gint
 compare_jobs (gconstpointer a, gconstpointer b, gpointer now_us)
 {
@@ -238,6 +281,7 @@
   g_ptr_array_sort_with_data (plan->jobs, compare_jobs, &now_us);
   for (guint i = 0; i < plan->jobs->len; i++)
     place_job (plan, g_ptr_array_index (plan->jobs, i), now_us);
+  refuse_crowded_out (plan, now_us);
   for (guint i = plan->jobs->len; i-- > 0;)
     {
       struct job *job = g_ptr_array_index (plan->jobs, i);
