--- a/lib/lease/lease.h
+++ b/lib/lease/lease.h
@@ -98,7 +98,8 @@
   int64_t look_us;    /* when it was sent */
   int64_t renewed_us; /* when the latest order with a lease was sent */
   int64_t answered_us;
-  int64_t retry_us; /* next look after a failure; 0: none */
+  int64_t retry_us;   /* next look after a failure; 0: none */
+  int64_t trouble_us; /* when the latest look got no answer; 0: never */
   struct lease_health health;
   GPtrArray *runs; /* struct lease_run */
   void *user;      /* of the caller */
--- a/lib/lease/look.c
+++ b/lib/lease/look.c
@@ -3,7 +3,9 @@
 #include "lease_priv.h"
 
 #define LOOK_WAIT_MS 400 /* renews well inside a lease */
-#define RETRY_US 60000   /* between looks that get no answer */
+/* While answers are lost, ends would be learnt of with this delay.  */
+#define LOOK_WAIT_SHORT_MS 40
+#define TROUBLE_US 3000000 /* after the latest lost answer */
 /* A worker's clock may be 2% slow, and its answers travel.  */
 #define LAPSE_US (LEASE_MAX_MS * 1000 * 102 / 100 + 30000)
 #define STALE_ANSWER_US 900000 /* an older clock reading is not used */
@@ -27,8 +29,10 @@
   w->retry_us = 0;
   if (deadline_ms != 0)
     w->renewed_us = now_us;
+  bool trouble = w->trouble_us != 0 && now_us - w->trouble_us < TROUBLE_US;
+  int wait_ms = trouble ? LOOK_WAIT_SHORT_MS : LOOK_WAIT_MS;
   table->ops->look (table->ctx, w, deadline_ms,
-                    deadline_ms != 0 ? LOOK_WAIT_MS : 0);
+                    deadline_ms != 0 ? wait_ms : 0);
 }
 
 /* No answer: nothing is renewed until one arrives, so that what runs lapses
@@ -43,7 +47,8 @@
     }
   if (now_us - w->renewed_us > LAPSE_US)
     lease_end_all (table, w, LEASE_STOPPED, now_us);
-  w->retry_us = now_us + RETRY_US;
+  w->trouble_us = now_us;
+  w->retry_us = now_us;
 }
 
 static enum lease_end
@@ -74,6 +79,9 @@
       table->ops->ended (table->ctx, w, 0, &ended->id, end_of (ended->how), 0);
       return;
     }
+  /* When it ended is known only to a look that was waiting for it.  */
+  if (!w->look_renews)
+    run->started_us = 0;
   if (ended->how == LEASE_HOW_DONE)
     lease_health_good (&w->health,
                        run->started_us > 0 ? now_us - run->started_us : 0,
--- a/lib/lease/table.c
+++ b/lib/lease/table.c
@@ -3,7 +3,7 @@
 
 #include <string.h>
 
-#define STOP_RESEND_US 250000
+#define STOP_RESEND_US 50000
 #define CLAIM_US 250000 /* after which an unclaimed run is stopped */
 /* A run stands still after this many times its expected time, and this much
    longer: sooner on a worker that has finished nothing since it started.  */
@@ -11,6 +11,7 @@
 #define STRAGGLER_US 400000
 #define STUCK_FACTOR 3
 #define STUCK_US 150000
+#define FRESH_ANSWER_US 500000 /* above the time that a look waits */
 
 static void
 worker_free (void *data)
@@ -122,6 +123,9 @@
   if (run->state != LEASE_RUN_RUNNING || run->expect_us == 0
       || run->started_us == 0)
     return false;
+  /* Its end may be among what a lost answer would have told.  */
+  if (now_us - w->answered_us > FRESH_ANSWER_US)
+    return false;
   bool stuck = w->health.done_us < run->started_us;
   /* A task that is started again for its run time may simply be long.  */
   int64_t expect_us = run->expect_us * run->id.run;
--- a/lib/net/client.c
+++ b/lib/net/client.c
@@ -112,7 +112,14 @@
 {
   (void)fd;
   (void)what;
-  call_fail (arg);
+  struct net_call *call = arg;
+  /* After a pause of the process the response may have come in time.  */
+  struct evbuffer *in = bufferevent_get_input (call->bev);
+  if (evbuffer_get_length (in) > 0 && net_message_feed (&call->message, in)
+      && call->message.complete)
+    call_complete (call);
+  else
+    call_fail (call);
 }
 
 struct net_pool *
--- a/tests/lease_test.c
+++ b/tests/lease_test.c
@@ -12,6 +12,8 @@
   unsigned looks;
   int64_t look_deadline_ms;
   int64_t look_seen;
+  int look_wait_ms;
+  int64_t took_us;
   unsigned starts;
   unsigned stops;
   unsigned taken;
@@ -26,7 +28,7 @@
 on_look (void *ctx, struct lease_worker *w, int64_t deadline_ms, int wait_ms)
 {
   struct sink *sink = ctx;
-  (void)wait_ms;
+  sink->look_wait_ms = wait_ms;
   sink->looks++;
   sink->look_deadline_ms = deadline_ms;
   sink->look_seen = w->last_seen;
@@ -57,7 +59,7 @@
   struct sink *sink = ctx;
   (void)w;
   (void)owner;
-  (void)took_us;
+  sink->took_us = took_us;
   sink->ends++;
   sink->end = end;
   sink->ended = *id;
@@ -358,6 +360,84 @@
   lease_table_free (table);
 }
 
+/* Answers are lost (one look in five): guards against ends that are learnt of
+   half a second late, and against run times that include that delay.  */
+static void
+test_looks_are_short_after_a_lost_answer (void)
+{
+  struct sink sink = { 0 };
+  struct lease_table *table = lease_table_new (&ops, &sink);
+  struct lease_worker *w = hold (table, 0);
+  int calm_ms = sink.look_wait_ms;
+  struct lease_order order = order_of (1, 1);
+  (void)lease_start (table, w, &order, MS);
+  lease_start_done (table, 1, TOKEN, &order.id, LEASE_REPLY_OK, 2 * MS);
+  look_fails (table, LEASE_REPLY_NONE, 450 * MS);
+  lease_tick (table, 460 * MS);
+  struct lease_ended ended
+      = { .number = 1, .id = order.id, .how = LEASE_HOW_DONE };
+  look_answers (table, NULL, 0, &ended, 1, 462 * MS);
+  CU_ASSERT_EQUAL (sink.end, LEASE_DONE);
+  CU_ASSERT_EQUAL (sink.took_us, 0);
+  CU_ASSERT_TRUE (sink.look_wait_ms < calm_ms / 4);
+  look_answers (table, NULL, 0, NULL, 0, 4000 * MS);
+  CU_ASSERT_EQUAL (sink.look_wait_ms, calm_ms);
+  lease_table_free (table);
+}
+
+/* Guards against a sound worker that is ejected because an answer with its
+   ends was lost.  */
+static void
+test_runs_are_not_judged_without_fresh_answers (void)
+{
+  struct sink sink = { 0 };
+  struct lease_table *table = lease_table_new (&ops, &sink);
+  struct lease_worker *w = hold (table, 0);
+  struct lease_order order = order_of (1, 1);
+  (void)lease_start (table, w, &order, MS);
+  lease_start_done (table, 1, TOKEN, &order.id, LEASE_REPLY_OK, 2 * MS);
+  lease_tick (table, 600 * MS);
+  CU_ASSERT_EQUAL (sink.stops, 0);
+  CU_ASSERT_EQUAL (w->health.ejected_us, 0);
+  lease_table_free (table);
+}
+
+/* A job that can't be done fails everywhere: guards against ejecting most of
+   the workers for it.  */
+static void
+test_at_most_half_are_ejected (void)
+{
+  struct sink sink = { 0 };
+  struct lease_table *table = lease_table_new (&ops, &sink);
+  struct lease_info other = info;
+  unsigned ejected = 0;
+  for (uint64_t key = 1; key <= 4; key++)
+    {
+      other.worker = key;
+      (void)lease_take (table, &other, TOKEN, 0);
+    }
+  for (uint64_t key = 1; key <= 4; key++)
+    {
+      struct lease_look_result result
+          = { .reply = LEASE_REPLY_OK, .clock_ms = 1, .born_ms = 5 };
+      lease_look_done (table, key, TOKEN, &result, 0);
+      struct lease_worker *w = lease_find (table, key);
+      for (uint32_t run = 1; run <= 5; run++)
+        {
+          struct lease_order order = order_of (run, 1);
+          struct lease_ended ended
+              = { .number = run, .id = order.id, .how = LEASE_HOW_FAILED };
+          (void)lease_start (table, w, &order, MS);
+          result.ended = &ended;
+          result.n_ended = 1;
+          lease_look_done (table, key, TOKEN, &result, MS);
+        }
+      ejected += w->health.ejected_us > MS;
+    }
+  CU_ASSERT_EQUAL (ejected, 2);
+  lease_table_free (table);
+}
+
 /* Guards against tasks that stand still until their deadline.  */
 static void
 test_a_task_that_stands_still_is_stopped (void)
@@ -399,6 +479,11 @@
     { "unclaimed runs are stopped", test_unclaimed_runs_are_stopped },
     { "a failing worker is ejected and tried again",
       test_a_failing_worker_is_ejected_and_tried_again },
+    { "looks are short after a lost answer",
+      test_looks_are_short_after_a_lost_answer },
+    { "runs are not judged without fresh answers",
+      test_runs_are_not_judged_without_fresh_answers },
+    { "at most half are ejected", test_at_most_half_are_ejected },
     { "a task that stands still is stopped",
       test_a_task_that_stands_still_is_stopped },
     CU_TEST_INFO_NULL,
--- a/tests/pack_test.c
+++ b/tests/pack_test.c
@@ -129,6 +129,46 @@
   pack_free (plan);
 }
 
+/* Twice the load: guards against callers that wait for half their objective
+   and are then refused, although the queue before them was known on arrival.
+ */
+static void
+test_jobs_behind_a_long_queue_are_refused_at_once (void)
+{
+  struct sink sink = { 0 };
+  struct pack_plan *plan = pack_new (&ops, &sink);
+  report (plan, 1, 32000, 28000);
+  /* Each takes 200 ms of half of the worker: a queue of 100 ms a job.  */
+  for (uint64_t job = 1; job <= 6; job++)
+    request (plan, job, 1, 16000, 200 * MS, 0);
+  pack_decide (plan, MS);
+  /* The slack is 176 ms: the third one would start after 200 ms.  */
+  CU_ASSERT_EQUAL (sink.grants, 0);
+  CU_ASSERT_EQUAL (pack_waiting (plan), 2);
+  CU_ASSERT_EQUAL (sink.refusals, 4);
+  pack_free (plan);
+}
+
+/* Under overload: guards against jobs that are begun, paid for and given up
+   because newer ones take the room.  */
+static void
+test_started_jobs_are_finished_first (void)
+{
+  struct sink sink = { 0 };
+  struct pack_plan *plan = pack_new (&ops, &sink);
+  report (plan, 1, 16000, 0);
+  request (plan, 10, 2, 14000, 900 * MS, 0);
+  pack_decide (plan, 0);
+  CU_ASSERT_EQUAL (sink.grants, 1);
+  request (plan, 11, 1, 14000, 60 * MS, MS);
+  report (plan, 1, 16000, 14000);
+  pack_release (plan, 1, pack_tag (10, 0));
+  report (plan, 1, 16000, 0);
+  pack_decide (plan, 2 * MS);
+  CU_ASSERT_EQUAL (sink.jobs[1], 10);
+  pack_free (plan);
+}
+
 /* All workers are lost: guards against jobs that wait for their deadline
    although it is known that they can't be served.  */
 static void
@@ -255,6 +295,10 @@
     { "the best fit is taken", test_the_best_fit_is_taken },
     { "jobs that can be in time go first",
       test_jobs_that_can_be_in_time_go_first },
+    { "jobs behind a long queue are refused at once",
+      test_jobs_behind_a_long_queue_are_refused_at_once },
+    { "started jobs are finished first",
+      test_started_jobs_are_finished_first },
     { "a hopeless job is refused at once",
       test_a_hopeless_job_is_refused_at_once },
     { "refused callers return spread", test_refused_callers_return_spread },
