--- a/Makefile
+++ b/Makefile
@@ -65,6 +65,10 @@
 $(BUILD)/bin/plat_test: $(PLAT_SERVER:%.c=$(BUILD)/%.o)
 $(BUILD)/bin/plat_test: TEST_LIBS += $(LIB)
 
+# The adapter's own test links the parts of the adapter that it calls.
+$(BUILD)/bin/platform_test: $(BUILD)/platform/decode.o $(BUILD)/platform/settings.o
+$(BUILD)/bin/platform_test: TEST_LIBS += $(LIB)
+
 # Regenerates the committed sources from schema/; needs protoc-c and awk.
 generate:
 	protoc-c --proto_path=schema --c_out=lib/msg schema/peer.proto
--- a/lib/cell/plan.c
+++ b/lib/cell/plan.c
@@ -1,7 +1,6 @@
 /* The planner's and the owner's messages.  */
 #include "cell_priv.h"
 
-#include <string.h>
 
 void
 cell_on_ask (struct cell *cell, uint64_t sender, const Cellpb__Ask *msg)
@@ -55,7 +54,8 @@
   };
   for (size_t i = 0; i < msg->n_labels && i < PACK_MAX_LABELS; i++)
     room.labels[i] = msg->labels[i];
-  memcpy (room.runs, msg->runs, room.n_runs * sizeof *room.runs);
+  for (unsigned i = 0; i < room.n_runs; i++)
+    room.runs[i] = msg->runs[i];
   pack_report (cell->plan, &room);
   cell->plan_dirty = true;
 }
--- a/lib/net/message.c
+++ b/lib/net/message.c
@@ -99,7 +99,9 @@
   g_string_truncate (message->body, 0);
   message->in_value = false;
   message->complete = false;
-  http_parser_pause (&message->parser, 0);
+  /* A parser that has failed can't go on; its connection is closed.  */
+  if (HTTP_PARSER_ERRNO (&message->parser) == HPE_PAUSED)
+    http_parser_pause (&message->parser, 0);
 }
 
 void
--- a/tests/session/platform.sh
+++ b/tests/session/platform.sh
@@ -114,6 +114,10 @@
 is "an unknown job" "$(curl -s -o /dev/null -w '%{http_code}' \
   "http://$NET.11:8161/pule/00000000000000a7" -H 'Host: pule.example')" 410
 
+# Bytes that are not HTTP harm nobody else.
+printf '\x16\x03\x01 nonsense\r\n\r\n' >"/dev/tcp/$NET.11/8161"
+is "served after nonsense" "$(submit 1 pule 00000000000000a8 2 50)" '{"state":"completed"} 200'
+
 # A configuration is in force everywhere, and an older one changes nothing.
 config 9 "$(route pule), $(route lohu)"
 sleep 1
