--- a/tests/net_test.c
+++ b/tests/net_test.c
@@ -10,7 +10,7 @@
 #define PORT 18761
 #define LOOPBACK 0x7f2a0001u /* 127.42.0.1: no other test listens there */
 #define TURN_US 20000
-#define TIMEOUT_US 100000
+#define TIMEOUT_US 100000L
 
 struct bench
 {
