--- a/lib/base/log.c
+++ b/lib/base/log.c
@@ -134,6 +134,7 @@
       || buffer.text->len + line->len > BUFFER_BYTES)
     {
       buffer.dropped++;
+      pl_count (PL_CTR_LOG_LINES_DROPPED_TOTAL, 1);
       return;
     }
   buffer.lines++;
--- a/lib/base/pl.h
+++ b/lib/base/pl.h
@@ -130,6 +130,19 @@
 /* Appends all counters in the Prometheus text format.  */
 void pl_counters_text (GString *out);
 
+/* Latency histograms; any thread may observe.  */
+enum pl_hist
+{
+  PL_HIST_RESPONSE,
+  PL_HIST_FIRST_START,
+  PL_HIST_RUN,
+  PL_HIST_COUNT,
+};
+
+void pl_observe (enum pl_hist hist, int64_t us);
+/* Appends all histograms in the Prometheus text format.  */
+void pl_hists_text (GString *out);
+
 /* A mailbox: many threads post, one owner takes.  An item runs on the owner's
    thread and frees itself.  */
 struct pl_item
--- a/lib/cell/hold.c
+++ b/lib/cell/hold.c
@@ -114,6 +114,7 @@
   int64_t token = next_token (cell, known);
   known->token_seen = token;
   known->retry_us = 0;
+  pl_count (PL_CTR_WORKERS_TAKEN_TOTAL, 1);
   pl_log (PL_EV_TAKE, "worker=%s token=%" PRId64 " born_ms=%" PRId64,
           known->id, token, known->info.born_ms);
   lease_take (cell->leases, &known->info, token, now_us);
@@ -466,6 +467,7 @@
           why == LEASE_REPLY_FENCED   ? "fenced"
           : why == LEASE_REPLY_REBORN ? "reborn"
                                       : "gone");
+  pl_count (PL_CTR_WORKERS_LOST_TOTAL, 1);
   Cellpb__Room room = CELLPB__ROOM__INIT;
   room.worker = w->info.worker;
   room.gone = true;
@@ -519,6 +521,8 @@
           w == NULL ? 0 : (now_us - w->answered_us) / 1000);
   /* A claim that fails says nothing about the run: the worker may have a new
      holder by now, which lists it again.  */
+  if (!ok)
+    pl_count (PL_CTR_RUN_STARTS_REFUSED_TOTAL, 1);
   if (!ok && !msg->claim)
     send_ended (cell, sender, msg->worker, &order.id, LEASE_REJECTED, 0);
   mark_room (cell, msg->worker);
--- a/lib/cell/msg.c
+++ b/lib/cell/msg.c
@@ -166,8 +166,11 @@
     }
   *link_peer = env->sender;
   if (cell_is_stale (cell, env->sender, env->sent_us))
-    pl_log (PL_EV_MSG_BAD, "from=%016" PRIx64 " reason=stale bytes=%zu",
-            env->sender, frame.len);
+    {
+      pl_count (PL_CTR_FRAMES_STALE_TOTAL, 1);
+      pl_log (PL_EV_MSG_BAD, "from=%016" PRIx64 " reason=stale bytes=%zu",
+              env->sender, frame.len);
+    }
   else
     cell_dispatch (cell, env->sender, env);
   cellpb__envelope__free_unpacked (env, NULL);
--- a/lib/cell/plan.c
+++ b/lib/cell/plan.c
@@ -1,7 +1,6 @@
 /* The planner's and the owner's messages.  */
 #include "cell_priv.h"
 
-
 void
 cell_on_ask (struct cell *cell, uint64_t sender, const Cellpb__Ask *msg)
 {
@@ -66,6 +65,7 @@
 {
   struct cell *cell = ctx;
   Cellpb__Grant msg = CELLPB__GRANT__INIT;
+  pl_count (PL_CTR_GRANTS_TOTAL, 1);
   msg.job = job;
   msg.index = index;
   msg.worker = room->worker;
--- a/lib/lease/health.c
+++ b/lib/lease/health.c
@@ -43,6 +43,7 @@
   health->strikes = 0;
   health->ejected_us = now_us + ((int64_t)EJECT_US << doublings);
   health->ejections++;
+  pl_count (PL_CTR_WORKERS_EJECTED_TOTAL, 1);
   pl_log (PL_EV_EJECT, "worker=%s failures=%u until_ms=%" PRId64, w->id,
           health->ejections, health->ejected_us / 1000);
 }
--- a/lib/lease/look.c
+++ b/lib/lease/look.c
@@ -48,6 +48,7 @@
   if (now_us - w->renewed_us > LAPSE_US)
     lease_end_all (table, w, LEASE_STOPPED, now_us);
   w->trouble_us = now_us;
+  pl_count (PL_CTR_LOOKS_LOST_TOTAL, 1);
   w->retry_us = now_us;
 }
 
--- a/lib/lease/run.c
+++ b/lib/lease/run.c
@@ -54,10 +54,19 @@
 lease_run_end (struct lease_table *table, struct lease_worker *w,
                struct lease_run *run, enum lease_end end, int64_t now_us)
 {
+  static const enum pl_counter counters[] = {
+    [LEASE_DONE] = PL_CTR_RUNS_DONE_TOTAL,
+    [LEASE_FAILED] = PL_CTR_RUNS_FAILED_TOTAL,
+    [LEASE_STOPPED] = PL_CTR_RUNS_STOPPED_TOTAL,
+    [LEASE_REJECTED] = PL_CTR_RUN_STARTS_REFUSED_TOTAL,
+    [LEASE_OLD] = PL_CTR_RUN_STARTS_REFUSED_TOTAL,
+    [LEASE_UNKNOWN] = PL_CTR_RUNS_UNKNOWN_TOTAL,
+  };
   struct lease_run_id id = run->id;
   uint64_t owner = run->owner;
   int64_t took_us = run->started_us > 0 ? now_us - run->started_us : 0;
   g_ptr_array_remove_fast (w->runs, run);
+  pl_count (counters[end], 1);
   table->ops->ended (table->ctx, w, owner, &id, end, took_us);
 }
 
@@ -118,6 +127,7 @@
   run->expect_us = order->expect_us;
   run->sent_us = now_us;
   w->renewed_us = now_us;
+  pl_count (PL_CTR_RUN_STARTS_TOTAL, 1);
   table->ops->start (table->ctx, w, run, deadline_ms);
   return true;
 }
--- a/lib/own/job.c
+++ b/lib/own/job.c
@@ -86,6 +86,7 @@
   job->expect_us = sized ? MAX (job->run_us, job->declared_us)
                          : job->run_us * UNSIZED_FACTOR;
   g_hash_table_insert (table->jobs, &job->id, job);
+  pl_count (PL_CTR_JOBS_SUBMITTED_TOTAL, 1);
   table->dirty = true;
   return job;
 }
@@ -115,11 +116,29 @@
     }
 }
 
+static void
+count_answer (enum pl_code code)
+{
+  switch (pl_code_info (code)->outcome)
+    {
+    case PL_OUTCOME_COMPLETE:
+      pl_count (PL_CTR_JOBS_COMPLETE_TOTAL, 1);
+      break;
+    case PL_OUTCOME_NOT_RUN:
+      pl_count (PL_CTR_JOBS_NOT_RUN_TOTAL, 1);
+      break;
+    default:
+      pl_count (PL_CTR_JOBS_FAILED_TOTAL, 1);
+    }
+}
+
 void
 own_finish (struct own_table *table, struct own_job *job, enum pl_code code,
             int retry_after_ms)
 {
   struct own_answer answer = { code, retry_after_ms };
+  count_answer (code);
+  pl_observe (PL_HIST_RESPONSE, pl_now_us (table->clock) - job->arrival_us);
   if (code != PL_OK)
     {
       stop_tasks (table, job);
--- a/lib/own/task.c
+++ b/lib/own/task.c
@@ -36,6 +36,9 @@
   task->worker = place->worker;
   task->holder = place->holder;
   task->token = place->token;
+  if (!job->started)
+    pl_observe (PL_HIST_FIRST_START,
+                pl_now_us (table->clock) - job->arrival_us);
   job->started = true;
   struct lease_order order = own_order_of (job, index);
   table->ops->start (table->ctx, place->holder, place->worker, &order);
@@ -47,7 +50,10 @@
 {
   task->state = OWN_ENDED;
   if (took_us > 0)
-    sched_sizes_learn (table->sizes, job->service, job->route, "", took_us);
+    {
+      pl_observe (PL_HIST_RUN, took_us);
+      sched_sizes_learn (table->sizes, job->service, job->route, "", took_us);
+    }
   if (++job->n_ended == job->n_tasks)
     own_finish (table, job, PL_OK, 0);
 }
--- a/tests/session/platform.sh
+++ b/tests/session/platform.sh
@@ -181,6 +181,13 @@
 
 is "no task ran twice" "$(report .twice)" 0
 is "no worker was overfull" "$(report .over)" 0
+metrics() { curl -s "http://$NET.11:9464/metrics" | sed -n "s/^papayaloft_$1 //p"; }
+is "answers are counted" "$(($(metrics jobs_complete_total) > 5))" 1
+is "response times are counted" "$(metrics response_seconds_count)" \
+  "$(($(metrics jobs_complete_total) + $(metrics jobs_not_run_total) + $(metrics jobs_failed_total)))"
+is "settings can be checked" "$(PAPAYALOFT_NODE_FILE=$DIR/i1.json "$BIN/papayaloft-platformd" --check |
+  head -n 2 | tr '\n' ' ')" "name=i1 domain=brum "
+is "a bad flag is named" "$("$BIN/papayaloft-platformd" --metrics-port=x 2>&1 | grep -c -- --metrics-port)" 1
 is "log lines are JSON" "$(grep -cv '^{.*}$' "$DIR/i1.log")" 0
 is "settings are checked" "$(echo '{}' >"$DIR/bad.json"
   PAPAYALOFT_NODE_FILE=$DIR/bad.json "$BIN/papayaloft-platformd" >"$DIR/bad.log" 2>&1
