--- a/lib/cell/hold.c
+++ b/lib/cell/hold.c
@@ -442,8 +442,9 @@
   msg.runs = (Cellpb__RunId **)pointers->pdata;
   msg.n_runs = n;
   Cellpb__Envelope env = CELL_ENVELOPE (taken, TAKEN, &msg);
-  pl_log (PL_EV_TAKEN, "worker=%s token=%" PRId64 " runs=%u", w->id, w->token,
-          n);
+  pl_log (PL_EV_TAKEN,
+          "worker=%s key=%016" PRIx64 " token=%" PRId64 " runs=%u", w->id,
+          w->info.worker, w->token, n);
   cell_send (cell, 0, &env);
 }
 
--- a/lib/cell/plan.c
+++ b/lib/cell/plan.c
@@ -55,37 +55,48 @@
     room.labels[i] = msg->labels[i];
   for (unsigned i = 0; i < room.n_runs; i++)
     room.runs[i] = msg->runs[i];
-  pack_report (cell->plan, &room);
+  pack_report (cell->plan, &room, pl_now_us (cell->clock));
   cell->plan_dirty = true;
 }
 
 static void
-on_grant (void *ctx, uint64_t owner, uint64_t job, uint32_t index,
-          const struct pack_room *room)
+on_grant (void *ctx, const struct pack_want *want, uint32_t index,
+          const struct pack_placing *placing)
 {
   struct cell *cell = ctx;
+  const struct pack_room *room = placing->room;
   Cellpb__Grant msg = CELLPB__GRANT__INIT;
   pl_count (PL_CTR_GRANTS_TOTAL, 1);
-  msg.job = job;
+  pl_log (PL_EV_PLACE,
+          "task=%016" PRIx64 ".%u worker=%016" PRIx64 " wait_us=%" PRId64
+          " used=%d capacity=%d report_age_us=%" PRId64,
+          want->job, index, room->worker, placing->waited_us,
+          placing->used.cpu, room->capacity.cpu, placing->report_age_us);
+  msg.job = want->job;
   msg.index = index;
   msg.worker = room->worker;
   msg.holder = room->holder;
   msg.token = room->token;
   Cellpb__Envelope env = CELL_ENVELOPE (grant, GRANT, &msg);
-  cell_send (cell, owner, &env);
+  cell_send (cell, want->owner, &env);
 }
 
 static void
-on_refuse (void *ctx, uint64_t owner, uint64_t job, int retry_after_ms)
+on_refuse (void *ctx, const struct pack_want *want,
+           const struct pack_refusal *refusal)
 {
   struct cell *cell = ctx;
   Cellpb__Refuse msg = CELLPB__REFUSE__INIT;
-  msg.job = job;
-  msg.retry_after_ms = retry_after_ms;
+  msg.job = want->job;
+  msg.retry_after_ms = refusal->retry_after_ms;
   Cellpb__Envelope env = CELL_ENVELOPE (refuse, REFUSE, &msg);
-  pl_log (PL_EV_SHED, "job=%016" PRIx64 " waiting=%u retry_after_ms=%d", job,
-          pack_waiting (cell->plan), retry_after_ms);
-  cell_send (cell, owner, &env);
+  pl_log (PL_EV_SHED,
+          "key=%016" PRIx64 " reason=%s waiting=%u usable_cpu=%" PRId64
+          " ahead_us=%" PRId64 " slack_us=%" PRId64 " retry_after_ms=%d",
+          want->job, refusal->reason == PACK_HOPELESS ? "hopeless" : "crowded",
+          refusal->waiting, refusal->usable_cpu, refusal->ahead_us,
+          refusal->slack_us, refusal->retry_after_ms);
+  cell_send (cell, want->owner, &env);
 }
 
 const struct pack_ops cell_pack_ops = {
--- a/lib/pack/pack.c
+++ b/lib/pack/pack.c
@@ -72,7 +72,8 @@
 }
 
 void
-pack_report (struct pack_plan *plan, const struct pack_room *room)
+pack_report (struct pack_plan *plan, const struct pack_room *room,
+             int64_t now_us)
 {
   struct room *r = g_hash_table_lookup (plan->rooms, &room->worker);
   if (r == NULL)
@@ -83,6 +84,7 @@
       g_hash_table_insert (plan->rooms, &r->r.worker, r);
     }
   r->r = *room;
+  r->reported_us = now_us;
   for (guint i = r->grants->len; i-- > 0;)
     if (reports_run (room, g_array_index (r->grants, struct grant, i).tag))
       g_array_remove_index_fast (r->grants, i);
@@ -178,10 +180,16 @@
     .size = job->want.size,
     .at_us = now_us,
   };
+  struct pack_placing placing = {
+    .room = &r->r,
+    .used = pack_room_used (r),
+    .waited_us = now_us - job->arrival_us,
+    .report_age_us = now_us - r->reported_us,
+  };
   g_array_append_val (r->grants, grant);
   g_array_append_val (job->placed, r->r.worker);
   job->want.started = true;
-  plan->ops->grant (plan->ctx, job->want.owner, job->want.job, index, &r->r);
+  plan->ops->grant (plan->ctx, &job->want, index, &placing);
 }
 
 /* Places tasks of JOB while there is room.  */
@@ -199,15 +207,40 @@
     }
 }
 
+/* Cores of all usable workers, in thousandths.  */
+static int64_t
+usable_cpu (struct pack_plan *plan)
+{
+  int64_t cpu = 0;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, plan->rooms);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const struct room *r = value;
+      if (r->r.usable)
+        cpu += r->r.capacity.cpu;
+    }
+  return cpu;
+}
+
 /* Tells the owner that the job is not served.  */
 static void
-refuse_job (struct pack_plan *plan, struct job *job)
+refuse_job (struct pack_plan *plan, struct job *job, enum pack_reason reason,
+            int64_t ahead_us, int64_t now_us)
 {
-  uint64_t owner = job->want.owner;
-  uint64_t id = job->want.job;
-  int spread = (int)(id % RETRY_AFTER_SPREAD_MS);
+  struct pack_want want = job->want;
+  struct pack_refusal refusal = {
+    .reason = reason,
+    .retry_after_ms
+    = RETRY_AFTER_MIN_MS + (int)(want.job % RETRY_AFTER_SPREAD_MS),
+    .waiting = plan->jobs->len,
+    .usable_cpu = usable_cpu (plan),
+    .ahead_us = ahead_us,
+    .slack_us = pack_latest_start (job) - now_us,
+  };
   job_remove (plan, job);
-  plan->ops->refuse (plan->ctx, owner, id, RETRY_AFTER_MIN_MS + spread);
+  plan->ops->refuse (plan->ctx, &want, &refusal);
 }
 
 static void
@@ -217,25 +250,15 @@
     {
       struct job *job = g_ptr_array_index (plan->jobs, i);
       if (job->waiting->len > 0 && pack_hopeless (job, now_us))
-        refuse_job (plan, job);
+        refuse_job (plan, job, PACK_HOPELESS, 0, now_us);
     }
 }
 
-/* Cores of all usable workers, in thousandths.  */
-static int64_t
-usable_cpu (struct pack_plan *plan)
+static gint
+compare_jobs (gconstpointer a, gconstpointer b, gpointer now_us)
 {
-  int64_t cpu = 0;
-  GHashTableIter it;
-  gpointer value;
-  g_hash_table_iter_init (&it, plan->rooms);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    {
-      const struct room *r = value;
-      if (r->r.usable)
-        cpu += r->r.capacity.cpu;
-    }
-  return cpu;
+  return pack_order (*(struct job *const *)a, *(struct job *const *)b,
+                     *(int64_t *)now_us);
 }
 
 /* Refuses jobs that the work queued before them keeps from starting in time.
@@ -246,29 +269,21 @@
   int64_t cpu = usable_cpu (plan);
   int64_t ahead = 0; /* thousandths of a core x microseconds */
   if (cpu == 0)
-    return;
-  g_autoptr (GPtrArray) refused = g_ptr_array_new ();
-  for (guint i = 0; i < plan->jobs->len; i++)
+    return; /* the holders have not reported yet */
+  /* Refusals change the plan's list.  */
+  g_autoptr (GPtrArray) jobs = g_ptr_array_new ();
+  g_ptr_array_extend (jobs, plan->jobs, NULL, NULL);
+  for (guint i = 0; i < jobs->len; i++)
     {
-      struct job *job = g_ptr_array_index (plan->jobs, i);
+      struct job *job = g_ptr_array_index (jobs, i);
       if (job->waiting->len == 0)
         continue;
-      if (!job->want.started
-          && now_us + ahead / cpu > pack_latest_start (job))
-        g_ptr_array_add (refused, job);
+      if (!job->want.started && now_us + ahead / cpu > pack_latest_start (job))
+        refuse_job (plan, job, PACK_CROWDED, ahead / cpu, now_us);
       else
         ahead += (int64_t)job->waiting->len * job->want.size.cpu
                  * job->want.run_us;
     }
-  for (guint i = 0; i < refused->len; i++)
-    refuse_job (plan, g_ptr_array_index (refused, i));
-}
-
-static gint
-compare_jobs (gconstpointer a, gconstpointer b, gpointer now_us)
-{
-  return pack_order (*(struct job *const *)a, *(struct job *const *)b,
-                     *(int64_t *)now_us);
 }
 
 void
--- a/lib/pack/pack.h
+++ b/lib/pack/pack.h
@@ -66,20 +66,48 @@
   const uint32_t *tasks; /* waiting ones */
 };
 
+/* Where a task goes, and what decided it.  */
+struct pack_placing
+{
+  const struct pack_room *room;
+  struct pack_amount used; /* before the task, grants included */
+  int64_t waited_us;
+  int64_t report_age_us; /* of the holder's report */
+};
+
+enum pack_reason
+{
+  PACK_HOPELESS, /* can't end in time even if it started now */
+  PACK_CROWDED,  /* the work queued before it takes too long */
+};
+
+/* Why a job is refused, and what decided it.  */
+struct pack_refusal
+{
+  enum pack_reason reason;
+  int retry_after_ms;
+  unsigned waiting;   /* jobs in the queue */
+  int64_t usable_cpu; /* of all workers, thousandths of a core */
+  int64_t ahead_us;   /* until the work before it is started */
+  int64_t slack_us;   /* until its latest start; may be negative */
+};
+
 struct pack_plan;
 
 struct pack_ops
 {
   /* Task INDEX of JOB may start on the worker of ROOM.  */
-  void (*grant) (void *ctx, uint64_t owner, uint64_t job, uint32_t index,
-                 const struct pack_room *room);
-  /* JOB is not served.  */
-  void (*refuse) (void *ctx, uint64_t owner, uint64_t job, int retry_after_ms);
+  void (*grant) (void *ctx, const struct pack_want *want, uint32_t index,
+                 const struct pack_placing *placing);
+  /* The job is not served.  */
+  void (*refuse) (void *ctx, const struct pack_want *want,
+                  const struct pack_refusal *refusal);
 };
 
 struct pack_plan *pack_new (const struct pack_ops *ops, void *ctx);
 void pack_free (struct pack_plan *plan);
-void pack_report (struct pack_plan *plan, const struct pack_room *room);
+void pack_report (struct pack_plan *plan, const struct pack_room *room,
+                  int64_t now_us);
 void pack_forget_worker (struct pack_plan *plan, uint64_t worker,
                          uint64_t holder);
 void pack_forget_holder (struct pack_plan *plan, uint64_t holder);
--- a/lib/pack/pack_priv.h
+++ b/lib/pack/pack_priv.h
@@ -14,6 +14,7 @@
 struct room
 {
   struct pack_room r;
+  int64_t reported_us;
   GArray *grants;
 };
 
--- a/tests/pack_test.c
+++ b/tests/pack_test.c
@@ -19,23 +19,22 @@
 };
 
 static void
-on_grant (void *ctx, uint64_t owner, uint64_t job, uint32_t index,
-          const struct pack_room *room)
+on_grant (void *ctx, const struct pack_want *want, uint32_t index,
+          const struct pack_placing *placing)
 {
   struct sink *sink = ctx;
-  (void)owner;
-  sink->jobs[sink->grants] = job;
+  sink->jobs[sink->grants] = want->job;
   sink->indexes[sink->grants] = index;
-  sink->workers[sink->grants++] = room->worker;
+  sink->workers[sink->grants++] = placing->room->worker;
 }
 
 static void
-on_refuse (void *ctx, uint64_t owner, uint64_t job, int retry_after_ms)
+on_refuse (void *ctx, const struct pack_want *want,
+           const struct pack_refusal *refusal)
 {
   struct sink *sink = ctx;
-  (void)owner;
-  sink->retry_after_ms[sink->refusals] = retry_after_ms;
-  sink->refused[sink->refusals++] = job;
+  sink->retry_after_ms[sink->refusals] = refusal->retry_after_ms;
+  sink->refused[sink->refusals++] = want->job;
 }
 
 static const struct pack_ops ops = { .grant = on_grant, .refuse = on_refuse };
@@ -53,7 +52,7 @@
     .usable = true,
     .slowness = 100,
   };
-  pack_report (plan, &room);
+  pack_report (plan, &room, 0);
 }
 
 static void
@@ -213,7 +212,7 @@
   struct pack_room room = {
     .worker = 1, .holder = 1, .service = 1, .capacity = { 32000, 1024, 0 }
   };
-  pack_report (plan, &room);
+  pack_report (plan, &room, 0);
   request (plan, 10, 1, 14000, 60 * MS, 0);
   pack_decide (plan, 0);
   CU_ASSERT_EQUAL (sink.grants, 0);
@@ -234,7 +233,7 @@
                            .capacity = { 32000, 1024, 0 },
                            .usable = true,
                            .slowness = 100 };
-  pack_report (plan, &far);
+  pack_report (plan, &far, 0);
   report (plan, 2, 32000, 0);
   request (plan, 10, 1, 14000, 60 * MS, 0);
   pack_decide (plan, 0);
