Ask a holder that is heard again for the runs it was left with

The new test 'a holder lost for a moment keeps its runs' fails without the mend. The owner now claims such runs again; a holder answers a claim of a run that it has not.

--- a/lib/cell/hold.c
+++ b/lib/cell/hold.c
@@ -495,6 +495,22 @@
 
 /* Messages to the holder.  */
 
+/* A claim has failed.  A run that is still here is being stopped, and its end
+   will be told.  One that is missing under the lease that the claim names has
+   ended.  Else the worker may have a new holder by now, which lists the run
+   again or stops it for want of a claim.  */
+static void
+answer_claim (struct cell *cell, uint64_t owner, uint64_t worker,
+              const struct lease_worker *w, const struct lease_order *order)
+{
+  bool same_lease
+      = w != NULL && w->state != LEASE_TAKING && w->token == order->token;
+  if (same_lease && lease_has_run (w, &order->id))
+    return;
+  send_ended (cell, owner, worker, &order->id,
+              same_lease ? LEASE_STOPPED : LEASE_UNKNOWN, 0);
+}
+
 void
 cell_on_start (struct cell *cell, uint64_t sender, const Cellpb__Start *msg)
 {
@@ -520,11 +536,9 @@
           order.id.job, order.id.index, order.id.run, w == NULL ? "-" : w->id,
           sender, msg->claim, ok, w == NULL ? 0 : w->runs->len,
           w == NULL ? 0 : (now_us - w->answered_us) / 1000);
-  /* A claim that fails says nothing about the run: the worker may have a new
-     holder by now, which lists it again.  */
-  if (!ok)
-    pl_count (PL_CTR_RUN_STARTS_REFUSED_TOTAL, 1);
-  if (!ok && !msg->claim)
+  if (!ok && msg->claim)
+    answer_claim (cell, sender, msg->worker, w, &order);
+  else if (!ok)
     send_ended (cell, sender, msg->worker, &order.id, LEASE_REJECTED, 0);
   mark_room (cell, msg->worker);
 }
--- a/lib/cell/member.c
+++ b/lib/cell/member.c
@@ -96,6 +96,7 @@
     }
   pl_log (PL_EV_PEER_UP, "peer=%s domain=%016" PRIx64, peer->name,
           peer->domain);
+  own_holder_back (cell->jobs, peer->id);
 }
 
 bool
--- a/lib/lease/lease.h
+++ b/lib/lease/lease.h
@@ -206,6 +206,8 @@
 /* Names the owner of a run that was found on the worker.  */
 bool lease_claim (struct lease_table *table, struct lease_worker *w,
                   const struct lease_order *order);
+bool lease_has_run (const struct lease_worker *w,
+                    const struct lease_run_id *id);
 void lease_stop (struct lease_table *table, struct lease_worker *w,
                  const struct lease_run_id *id, int64_t now_us);
 /* Stops whatever OWNER has running; OWNER may not come back.  */
--- a/lib/lease/lease_priv.h
+++ b/lib/lease/lease_priv.h
@@ -12,7 +12,7 @@
 
 /* An empty list of runs that frees its entries.  */
 GPtrArray *lease_runs_new (void);
-struct lease_run *lease_run_find (struct lease_worker *w,
+struct lease_run *lease_run_find (const struct lease_worker *w,
                                   const struct lease_run_id *id);
 struct lease_run *lease_run_add (struct lease_worker *w,
                                  const struct lease_run_id *id);
--- a/lib/lease/run.c
+++ b/lib/lease/run.c
@@ -29,7 +29,7 @@
 }
 
 struct lease_run *
-lease_run_find (struct lease_worker *w, const struct lease_run_id *id)
+lease_run_find (const struct lease_worker *w, const struct lease_run_id *id)
 {
   for (guint i = 0; i < w->runs->len; i++)
     {
@@ -41,6 +41,12 @@
   return NULL;
 }
 
+bool
+lease_has_run (const struct lease_worker *w, const struct lease_run_id *id)
+{
+  return lease_run_find (w, id) != NULL;
+}
+
 struct lease_run *
 lease_run_add (struct lease_worker *w, const struct lease_run_id *id)
 {
--- a/lib/own/own.h
+++ b/lib/own/own.h
@@ -129,6 +129,9 @@
                 int64_t took_us);
 /* HOLDER can't be reached; what it started may run for a while.  */
 void own_holder_lost (struct own_table *table, uint64_t holder);
+/* HOLDER is heard again and may never have noticed: it is asked for the runs
+   that it was left with.  */
+void own_holder_back (struct own_table *table, uint64_t holder);
 /* The worker has a new holder, which lists RUNS there; nothing else of ours
    runs there, unless it was started under a later lease.  */
 void own_worker_taken (struct own_table *table, const struct own_place *place,
--- a/lib/own/task.c
+++ b/lib/own/task.c
@@ -129,6 +129,27 @@
     }
 }
 
+void
+own_holder_back (struct own_table *table, uint64_t holder)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, table->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      struct own_job *job = value;
+      for (uint32_t i = 0; i < job->n_tasks; i++)
+        {
+          struct own_task *task = &job->tasks[i];
+          if (task->state != OWN_UNSURE || task->holder != holder)
+            continue;
+          task->state = OWN_PLACED;
+          struct lease_order order = own_order_of (job, i);
+          table->ops->claim (table->ctx, holder, task->worker, &order);
+        }
+    }
+}
+
 static bool
 is_listed (const struct lease_run_id *runs, unsigned n_runs, uint64_t job,
            uint32_t index, uint32_t run)
--- a/tests/cell_test.c
+++ b/tests/cell_test.c
@@ -226,6 +226,28 @@
     }
 }
 
+/* Guards against an owner that gives a holder up for a moment which the holder
+   doesn't notice: its run goes on while the owner starts the task again.  */
+static void
+test_a_holder_lost_for_a_moment_keeps_its_runs (void)
+{
+  for (int64_t us = 480000; us <= 640000; us += 5000)
+    {
+      struct world *world = world_new (9, 2, 6, 2);
+      world->hold_frames = true;
+      world_run_for (world, SECOND);
+      (void)world_submit (world, 0, 12, 3500000);
+      world_run_for (world, 100000);
+      world_cut_pair (world, 1, 0, true);
+      world_run_for (world, us);
+      world_cut_pair (world, 1, 0, false);
+      world_release_held (world);
+      world_run_for (world, 3 * SECOND);
+      check_faults (world, "moment", (uint64_t)us);
+      world_free (world);
+    }
+}
+
 /* One random fault, or the end of one.  */
 static void
 disturb (struct world *world)
@@ -338,6 +360,8 @@
     { "a restart of all recovers", test_a_restart_of_all_recovers },
     { "a hanging worker is left alone", test_a_hanging_worker_is_left_alone },
     { "late orders run nothing twice", test_late_orders_run_nothing_twice },
+    { "a holder lost for a moment keeps its runs",
+      test_a_holder_lost_for_a_moment_keeps_its_runs },
     { "soak", test_soak },
     CU_TEST_INFO_NULL,
   };
