--- a/lib/cell/member.c
+++ b/lib/cell/member.c
@@ -72,7 +72,7 @@
   pl_log (PL_EV_PEER_GONE, "peer=%s reason=%s silence_ms=%" PRId64, peer->name,
           reason, (now_us - peer->heard_us) / 1000);
   lease_stop_owner (cell->leases, peer->id, now_us);
-  own_holder_lost (cell->jobs, peer->id);
+  own_holder_lost (cell->jobs, peer->id, peer->heard_us);
   pack_forget_holder (cell->plan, peer->id);
   pack_forget_owner (cell->plan, peer->id);
   /* Even if it is back within the same turn, it has forgotten us.  */
--- a/lib/own/own.h
+++ b/lib/own/own.h
@@ -127,8 +127,10 @@
 void own_ended (struct own_table *table, uint64_t worker, uint64_t holder,
                 const struct lease_run_id *id, enum lease_end end,
                 int64_t took_us);
-/* HOLDER can't be reached; what it started may run for a while.  */
-void own_holder_lost (struct own_table *table, uint64_t holder);
+/* HOLDER can't be reached and was heard last at HEARD_US; what it started may
+   run for a while.  */
+void own_holder_lost (struct own_table *table, uint64_t holder,
+                      int64_t heard_us);
 /* HOLDER is heard again and may never have noticed: it is asked for the runs
    that it was left with.  */
 void own_holder_back (struct own_table *table, uint64_t holder);
--- a/lib/own/task.c
+++ b/lib/own/task.c
@@ -1,9 +1,10 @@
 /* The tasks of a job: grants, ends and lost holders.  */
 #include "own_priv.h"
 
-/* A holder that can't be reached stops our runs when it finds us silent, and
-   if it is dead they lapse.  */
-#define UNSURE_US 1700000
+/* A holder that can't be reached stops our runs when it finds us silent (500
+   ms, a beat and the stop), and if it is dead they lapse: it renewed them at
+   most a beat after it was heard, for 1,020 ms by the slowest clock.  */
+#define UNSURE_US 1300000
 /* The planner's picture of a holder that turns a start down is out of date for
    a moment; asking at once would repeat the same grant.  */
 #define REJECT_PAUSE_US 5000
@@ -109,9 +110,9 @@
 }
 
 void
-own_holder_lost (struct own_table *table, uint64_t holder)
+own_holder_lost (struct own_table *table, uint64_t holder, int64_t heard_us)
 {
-  int64_t until_us = pl_now_us (table->clock) + UNSURE_US;
+  int64_t until_us = heard_us + UNSURE_US;
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, table->jobs);
