--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -94,3 +94,4 @@
 unsigned cell_usable_workers (struct cell *cell);
 unsigned cell_held_workers (struct cell *cell);
 unsigned cell_peers_alive (struct cell *cell);
+unsigned cell_known_peers (const struct cell *cell);
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -10,6 +10,8 @@
 /* A peer whose link has ended is back within a reconnect, or it is dead.  */
 #define PEER_CLOSED_US 160000
 #define BEAT_US 100000
+/* A peer that is neither heard nor registered has been replaced.  */
+#define PEER_FORGET_US 30000000
 
 struct peer
 {
--- a/lib/cell/member.c
+++ b/lib/cell/member.c
@@ -21,6 +21,7 @@
     return;
   struct peer *peer = g_new0 (struct peer, 1);
   peer->addr = addr;
+  peer->heard_us = pl_now_us (cell->clock);
   peer->held
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   uint64_t *key = g_new (uint64_t, 1);
@@ -301,6 +302,30 @@
   cell_assign (cell);
 }
 
+/* Addresses of replaced instances would be dialled for ever.  */
+static void
+forget_replaced (struct cell *cell, int64_t now_us)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, cell->peers);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      struct peer *peer = value;
+      if (peer->alive || peer->registered
+          || now_us - peer->heard_us < PEER_FORGET_US)
+        continue;
+      cell->ops->disconnect (cell->ctx, peer->link);
+      g_hash_table_iter_remove (&it);
+    }
+}
+
+unsigned
+cell_known_peers (const struct cell *cell)
+{
+  return g_hash_table_size (cell->peers);
+}
+
 void
 cell_tick_members (struct cell *cell)
 {
@@ -318,6 +343,7 @@
   if (now_us - cell->beat_us < BEAT_US)
     return;
   cell->beat_us = now_us;
+  forget_replaced (cell, now_us);
   cell_send_beat (cell, NULL);
 }
 
--- a/tests/cell_test.c
+++ b/tests/cell_test.c
@@ -248,6 +248,24 @@
     }
 }
 
+/* Guards against addresses of replaced instances that are kept for ever.  */
+static void
+test_replaced_peers_are_forgotten (void)
+{
+  struct world *world = world_new (11, 4, 8, 2);
+  world_run_for (world, SECOND);
+  CU_ASSERT_EQUAL (cell_known_peers (world->instances[0].cell), 3);
+  world_kill (world, 3, true);
+  world_run_for (world, 10 * SECOND);
+  CU_ASSERT_EQUAL (cell_known_peers (world->instances[0].cell), 3);
+  world_run_for (world, 25 * SECOND);
+  CU_ASSERT_EQUAL (cell_known_peers (world->instances[0].cell), 2);
+  world_boot (world, 3);
+  world_run_for (world, SECOND);
+  CU_ASSERT_EQUAL (cell_peers_alive (world->instances[0].cell), 3);
+  world_free (world);
+}
+
 /* One random fault, or the end of one.  */
 static void
 disturb (struct world *world)
@@ -362,6 +380,7 @@
     { "late orders run nothing twice", test_late_orders_run_nothing_twice },
     { "a holder lost for a moment keeps its runs",
       test_a_holder_lost_for_a_moment_keeps_its_runs },
+    { "replaced peers are forgotten", test_replaced_peers_are_forgotten },
     { "soak", test_soak },
     CU_TEST_INFO_NULL,
   };
