--- /dev/null
+++ b/lib/cell/assign.c
@@ -0,0 +1,264 @@
+/* Which workers this instance holds, and what the registry says of them.  */
+#include "cell_priv.h"
+
+#include <xxhash.h>
+
+/* A silent peer whose registration is gone, or unknown while the registry is
+   away, is dead after this time.  */
+#define PEER_DEAD_US 700000
+/* A registered but silent peer is cut off and goes on with its workers.  */
+#define PEER_CUT_US 6000000
+/* After its start an instance first hears what its peers hold.  */
+#define LISTEN_US 250000
+#define TOKEN_PER_MS 1024
+/* Raises the token above that of a holder whose clock is ahead.  */
+#define FENCE_STEP_MS 10000
+
+static uint64_t
+weight (const char *name, uint64_t worker)
+{
+  return XXH64 (name, strlen (name), worker);
+}
+
+static bool
+takes_workers (const struct peer *peer)
+{
+  return peer->alive && peer->ready && !peer->draining;
+}
+
+/* The instance that should hold the worker: the one of highest weight in its
+   failure domain, or of all if the domain has none.  0: nobody.  */
+static uint64_t
+choose_holder (struct cell *cell, const struct known_worker *known)
+{
+  uint64_t best = 0;
+  uint64_t best_weight = 0;
+  bool best_near = false;
+  if (cell->ready && !cell->draining)
+    {
+      best = cell->id;
+      best_weight = weight (cell->name, known->info.worker);
+      best_near = cell->domain == known->info.domain;
+    }
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, cell->peers);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const struct peer *peer = value;
+      if (!takes_workers (peer))
+        continue;
+      bool near = peer->domain == known->info.domain;
+      uint64_t w = weight (peer->name, known->info.worker);
+      if (best != 0
+          && (near < best_near || (near == best_near && w <= best_weight)))
+        continue;
+      best = peer->id;
+      best_weight = w;
+      best_near = near;
+    }
+  return best;
+}
+
+/* Whether a silent peer may still be at work on the worker.  */
+static bool
+may_be_at_work (struct cell *cell, const struct peer *peer, int64_t now_us)
+{
+  int64_t silence_us = now_us - peer->heard_us;
+  bool ended = peer->closed_us != 0 && peer->refused;
+  if (ended)
+    return false;
+  if (cell->registry_fresh && peer->registered)
+    return silence_us < PEER_CUT_US;
+  return silence_us < PEER_DEAD_US;
+}
+
+/* Whether another instance claims the worker and may be at work on it.  */
+static bool
+claimed_elsewhere (struct cell *cell, const struct known_worker *known,
+                   int64_t now_us)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, cell->peers);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const struct peer *peer = value;
+      if (!g_hash_table_contains (peer->held, &known->info.worker))
+        continue;
+      if (peer->alive || may_be_at_work (cell, peer, now_us))
+        return true;
+    }
+  return false;
+}
+
+static int64_t
+next_token (struct cell *cell, const struct known_worker *known)
+{
+  int64_t wall_ms = cell->ops->wall_ms (cell->ctx)
+                    + (int64_t)known->fences * FENCE_STEP_MS;
+  int64_t token = wall_ms * TOKEN_PER_MS + (int64_t)(cell->id % TOKEN_PER_MS);
+  if (token <= known->token_seen)
+    token = (known->token_seen / TOKEN_PER_MS + 1) * TOKEN_PER_MS
+            + (int64_t)(cell->id % TOKEN_PER_MS);
+  return token;
+}
+
+static void
+take (struct cell *cell, struct known_worker *known, int64_t now_us)
+{
+  int64_t token = next_token (cell, known);
+  known->token_seen = token;
+  known->retry_us = 0;
+  pl_count (PL_CTR_WORKERS_TAKEN_TOTAL, 1);
+  pl_log (PL_EV_TAKE, "worker=%s token=%" PRId64 " born_ms=%" PRId64,
+          known->id, token, known->info.born_ms);
+  lease_take (cell->leases, &known->info, token, now_us);
+}
+
+static void
+yield_to (struct cell *cell, struct lease_worker *w, uint64_t holder)
+{
+  Cellpb__Yield yield = CELLPB__YIELD__INIT;
+  yield.worker = w->info.worker;
+  yield.token = w->token;
+  Cellpb__Envelope env = CELL_ENVELOPE (yield, YIELD, &yield);
+  Cellpb__Room room = CELLPB__ROOM__INIT;
+  room.worker = w->info.worker;
+  room.gone = true;
+  Cellpb__Envelope gone = CELL_ENVELOPE (room, ROOM, &room);
+  pl_log (PL_EV_YIELD, "worker=%s to=%016" PRIx64 " runs=%u", w->id, holder,
+          w->runs->len);
+  cell_send (cell, cell->planner, &gone);
+  cell->ops->release (cell->ctx, w);
+  lease_yield (cell->leases, w);
+  cell_send (cell, holder, &env);
+}
+
+static void
+assign_worker (struct cell *cell, struct known_worker *known, int64_t now_us)
+{
+  uint64_t holder = choose_holder (cell, known);
+  struct lease_worker *w = lease_find (cell->leases, known->info.worker);
+  if (w != NULL)
+    {
+      if (holder != cell->id && holder != 0 && w->state != LEASE_TAKING)
+        yield_to (cell, w, holder);
+      return;
+    }
+  if (holder != cell->id || known->retry_us > now_us
+      || now_us - cell->ready_us < LISTEN_US
+      || claimed_elsewhere (cell, known, now_us))
+    return;
+  take (cell, known, now_us);
+}
+
+/* Whether a removed worker is let go.  */
+static bool
+let_go (struct cell *cell, struct known_worker *known)
+{
+  struct lease_worker *w = lease_find (cell->leases, known->info.worker);
+  if (w != NULL && w->runs->len > 0)
+    return false;
+  if (w != NULL)
+    lease_gone (cell->leases, w);
+  return true;
+}
+
+void
+cell_assign (struct cell *cell)
+{
+  int64_t now_us = pl_now_us (cell->clock);
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, cell->workers);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      struct known_worker *known = value;
+      if (!known->removed)
+        assign_worker (cell, known, now_us);
+      else if (let_go (cell, known))
+        g_hash_table_iter_remove (&it);
+    }
+}
+
+static void
+copy_info (struct known_worker *known, const struct lease_info *info)
+{
+  if (known->id == NULL || strcmp (known->id, info->id) != 0)
+    {
+      g_free (known->id);
+      known->id = g_strdup (info->id);
+    }
+  known->info = *info;
+  known->info.id = known->id;
+}
+
+void
+cell_set_worker (struct cell *cell, const struct lease_info *info)
+{
+  struct known_worker *known
+      = g_hash_table_lookup (cell->workers, &info->worker);
+  if (known == NULL)
+    {
+      known = g_new0 (struct known_worker, 1);
+      copy_info (known, info);
+      g_hash_table_insert (cell->workers, &known->info.worker, known);
+    }
+  known->removed = false;
+  bool moved = !pl_addr_eq (known->info.addr, info->addr)
+               || known->info.born_ms < info->born_ms;
+  copy_info (known, info);
+  struct lease_worker *w = lease_find (cell->leases, info->worker);
+  if (w != NULL && moved && w->info.born_ms < info->born_ms
+      && !pl_addr_eq (w->info.addr, info->addr))
+    {
+      lease_gone (cell->leases, w);
+      w = NULL;
+    }
+  if (w != NULL)
+    lease_update (cell->leases, w, info);
+  cell->view_dirty = true;
+  cell->ops->wake (cell->ctx);
+}
+
+/* The registry may lose a worker that still answers us and runs tasks: it gets
+   no more starts, and is let go when nothing runs there.  */
+void
+cell_remove_worker (struct cell *cell, uint64_t worker)
+{
+  struct known_worker *known = g_hash_table_lookup (cell->workers, &worker);
+  struct lease_worker *w = lease_find (cell->leases, worker);
+  if (known == NULL)
+    return;
+  known->removed = true;
+  if (w == NULL)
+    return;
+  struct lease_info info = w->info;
+  info.draining = true;
+  lease_update (cell->leases, w, &info);
+}
+
+bool
+cell_has_worker (struct cell *cell, uint64_t worker)
+{
+  return g_hash_table_contains (cell->workers, &worker);
+}
+
+unsigned
+cell_known_workers (const struct cell *cell)
+{
+  return g_hash_table_size (cell->workers);
+}
+
+void
+cell_on_yield (struct cell *cell, const Cellpb__Yield *msg)
+{
+  struct known_worker *known
+      = g_hash_table_lookup (cell->workers, &msg->worker);
+  if (known == NULL || known->removed || cell->draining
+      || lease_find (cell->leases, msg->worker) != NULL)
+    return;
+  known->token_seen = MAX (known->token_seen, msg->token);
+  take (cell, known, pl_now_us (cell->clock));
+}
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -104,15 +104,24 @@
         .body_case = CELLPB__ENVELOPE__BODY_##tag, .field = (message)         \
   }
 
-/* Holder.  */
-extern const struct lease_ops cell_lease_ops;
+/* Division of the workers.  */
 void cell_assign (struct cell *cell);
+void cell_on_yield (struct cell *cell, const Cellpb__Yield *msg);
+
+/* Reports of rooms.  */
 void cell_report_rooms (struct cell *cell);
 void cell_all_rooms_dirty (struct cell *cell);
+void cell_mark_room (struct cell *cell, uint64_t worker);
+
+/* Holder.  */
+extern const struct lease_ops cell_lease_ops;
+/* Tells owner TO (0: everybody) how a run has ended.  */
+void cell_send_ended (struct cell *cell, uint64_t to, uint64_t worker,
+                      const struct lease_run_id *id, enum lease_end end,
+                      int64_t took_us);
 void cell_on_start (struct cell *cell, uint64_t sender,
                     const Cellpb__Start *msg);
 void cell_on_stop (struct cell *cell, const Cellpb__Stop *msg);
-void cell_on_yield (struct cell *cell, const Cellpb__Yield *msg);
 void cell_on_taken (struct cell *cell, uint64_t sender,
                     const Cellpb__Taken *msg);
 
