--- a/lib/base/events.gen.c
+++ b/lib/base/events.gen.c
@@ -8,6 +8,7 @@
   { .event = PL_EV_STOP, .name = "STOP", .level = G_LOG_LEVEL_MESSAGE },
   { .event = PL_EV_SETTING_BAD, .name = "SETTING_BAD", .level = G_LOG_LEVEL_CRITICAL },
   { .event = PL_EV_FATAL, .name = "FATAL", .level = G_LOG_LEVEL_CRITICAL },
+  { .event = PL_EV_RELOAD, .name = "RELOAD", .level = G_LOG_LEVEL_MESSAGE },
   { .event = PL_EV_SUBMIT, .name = "SUBMIT", .level = G_LOG_LEVEL_INFO },
   { .event = PL_EV_JOIN, .name = "JOIN", .level = G_LOG_LEVEL_INFO },
   { .event = PL_EV_REFUSE, .name = "REFUSE", .level = G_LOG_LEVEL_INFO },
--- a/lib/base/events.gen.h
+++ b/lib/base/events.gen.h
@@ -10,6 +10,7 @@
   PL_EV_STOP = 103,
   PL_EV_SETTING_BAD = 104,
   PL_EV_FATAL = 105,
+  PL_EV_RELOAD = 107,
   PL_EV_SUBMIT = 200,
   PL_EV_JOIN = 201,
   PL_EV_REFUSE = 202,
--- a/lib/own/job.c
+++ b/lib/own/job.c
@@ -51,6 +51,21 @@
   return g_hash_table_size (table->jobs);
 }
 
+unsigned
+own_waiting (const struct own_table *table, const char *route)
+{
+  unsigned n = 0;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, table->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const struct own_job *job = value;
+      n += !job->started && strcmp (job->route, route) == 0;
+    }
+  return n;
+}
+
 struct own_job *
 own_submit (struct own_table *table, const struct own_order *order, void *user)
 {
--- a/lib/own/own.h
+++ b/lib/own/own.h
@@ -108,6 +108,8 @@
 void own_table_free (struct own_table *table);
 struct own_job *own_find (struct own_table *table, uint64_t job);
 unsigned own_count (const struct own_table *table);
+/* Jobs of ROUTE of which no task has started.  */
+unsigned own_waiting (const struct own_table *table, const char *route);
 struct own_job *own_submit (struct own_table *table,
                             const struct own_order *order, void *user);
 /* Gives a job up: stops what runs and, if ANSWER, answers with CODE.  */
--- a/tests/own_test.c
+++ b/tests/own_test.c
@@ -160,6 +160,19 @@
   own_table_free (bench.table);
 }
 
+/* Guards against a queue's length that counts what has started.  */
+static void
+test_waiting_jobs_are_counted (void)
+{
+  struct bench bench;
+  bench_open (&bench, 2);
+  CU_ASSERT_EQUAL (own_waiting (bench.table, "r"), 1);
+  CU_ASSERT_EQUAL (own_waiting (bench.table, "other"), 0);
+  grant (&bench, 0, 1);
+  CU_ASSERT_EQUAL (own_waiting (bench.table, "r"), 0);
+  own_table_free (bench.table);
+}
+
 /* Guards against "not run" for a job of which something has started.  */
 static void
 test_a_refusal_is_true (void)
@@ -340,6 +353,7 @@
 {
   CU_TestInfo tests[] = {
     { "the answer is whole", test_the_answer_is_whole },
+    { "waiting jobs are counted", test_waiting_jobs_are_counted },
     { "a refusal is true", test_a_refusal_is_true },
     { "attempts are bounded", test_attempts_are_bounded },
     { "old run numbers are skipped", test_old_run_numbers_are_skipped },
--- a/tests/session/platform.sh
+++ b/tests/session/platform.sh
@@ -134,6 +134,12 @@
 sleep 0.6
 is "bad entries harm nothing" "$(submit 1 pule 00000000000000c1 4 50)" '{"state":"completed"} 200'
 
+# A reload is logged, and a queue's length can be asked for.
+kill -HUP "${PID[i1]}"
+sleep 0.2
+is "a reload is logged" "$(grep -c '"name":"RELOAD"' "$DIR/i1.log")" 1
+is "an empty queue" "$(curl -s "http://$NET.11:8161/pule/" -H 'Host: pule.example')" '{"pending":0}'
+
 # A caller that leaves: its tasks are stopped.
 curl -s -m 0.3 -o /dev/null "http://$NET.11:8161/pule/00000000000000c2" -H 'Host: pule.example' \
   -d '{"spec": "ms=3000 cpu=14000", "best_effort": true, "steps": [{"count": 16, "cpu": 14000, "mem_mb": 64}]}'
