--- a/lib/cell/assign.c
+++ b/lib/cell/assign.c
@@ -239,18 +239,6 @@
   lease_update (cell->leases, w, &info);
 }
 
-bool
-cell_has_worker (struct cell *cell, uint64_t worker)
-{
-  return g_hash_table_contains (cell->workers, &worker);
-}
-
-unsigned
-cell_known_workers (const struct cell *cell)
-{
-  return g_hash_table_size (cell->workers);
-}
-
 void
 cell_on_yield (struct cell *cell, const Cellpb__Yield *msg)
 {
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -62,8 +62,6 @@
 /* What the registry says.  */
 void cell_set_worker (struct cell *cell, const struct lease_info *info);
 void cell_remove_worker (struct cell *cell, uint64_t worker);
-bool cell_has_worker (struct cell *cell, uint64_t worker);
-unsigned cell_known_workers (const struct cell *cell);
 /* An instance is registered at ADDR, or no longer.  */
 void cell_set_registered (struct cell *cell, struct pl_addr addr,
                           bool registered);
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -41,7 +41,6 @@
   char *id;
   int64_t token_seen; /* highest token that is known to be used there */
   int64_t retry_us;   /* not taken before; 0: at once */
-  int64_t unheld_us;  /* since when its intended holder has not claimed it */
   unsigned fences;    /* in a row */
   bool removed;       /* the registry names it no longer */
   bool dirty;         /* the planner has an old report */
--- a/lib/net/link.c
+++ b/lib/net/link.c
@@ -176,12 +176,6 @@
   g_free (link);
 }
 
-bool
-net_link_is_up (const struct net_link *link)
-{
-  return link->up;
-}
-
 void
 net_link_send (struct net_link *link, struct pl_str frame)
 {
--- a/lib/pack/choose.c
+++ b/lib/pack/choose.c
@@ -25,12 +25,6 @@
   return (struct pack_amount){ a.cpu + b.cpu, a.mem + b.mem, a.gpu + b.gpu };
 }
 
-struct pack_amount
-pack_sub (struct pack_amount a, struct pack_amount b)
-{
-  return (struct pack_amount){ a.cpu - b.cpu, a.mem - b.mem, a.gpu - b.gpu };
-}
-
 struct pack_amount
 pack_room_used (const struct room *r)
 {
--- a/lib/pack/pack.c
+++ b/lib/pack/pack.c
@@ -88,7 +88,6 @@
   for (guint i = r->grants->len; i-- > 0;)
     if (reports_run (room, g_array_index (r->grants, struct grant, i).tag))
       g_array_remove_index_fast (r->grants, i);
-  plan->dirty = true;
 }
 
 void
@@ -119,7 +118,6 @@
   for (guint i = r->grants->len; i-- > 0;)
     if (g_array_index (r->grants, struct grant, i).tag == tag)
       g_array_remove_index_fast (r->grants, i);
-  plan->dirty = true;
 }
 
 static void
@@ -149,7 +147,6 @@
   job->want.tasks = NULL;
   g_array_set_size (job->waiting, 0);
   g_array_append_vals (job->waiting, want->tasks, want->n);
-  plan->dirty = true;
 }
 
 void
@@ -289,7 +286,6 @@
 void
 pack_decide (struct pack_plan *plan, int64_t now_us)
 {
-  plan->dirty = false;
   refuse_hopeless (plan, now_us);
   if (plan->jobs->len == 0)
     return;
@@ -310,9 +306,3 @@
 {
   return plan->jobs->len;
 }
-
-int64_t
-pack_next_us (const struct pack_plan *plan, int64_t now_us)
-{
-  return plan->jobs->len == 0 ? INT64_MAX : now_us + 20000;
-}
--- a/lib/pack/pack.h
+++ b/lib/pack/pack.h
@@ -22,7 +22,6 @@
 bool pack_fits (struct pack_amount capacity, struct pack_amount used,
                 struct pack_amount need);
 struct pack_amount pack_add (struct pack_amount a, struct pack_amount b);
-struct pack_amount pack_sub (struct pack_amount a, struct pack_amount b);
 
 /* Identifies a task in reports of holders.  */
 uint64_t pack_tag (uint64_t job, uint32_t index);
@@ -123,5 +122,3 @@
 /* Grants and refuses what can be decided now.  */
 void pack_decide (struct pack_plan *plan, int64_t now_us);
 unsigned pack_waiting (const struct pack_plan *plan);
-/* Latest time at which pack_decide has to run again, INT64_MAX: none.  */
-int64_t pack_next_us (const struct pack_plan *plan, int64_t now_us);
--- a/lib/pack/pack_priv.h
+++ b/lib/pack/pack_priv.h
@@ -35,7 +35,6 @@
   GPtrArray *jobs;   /* struct job, unordered between decisions */
   GHashTable *by_id; /* job -> struct job */
   uint64_t next_seq;
-  bool dirty;
 };
 
 /* Room that grants and runs of R take.  */
