--- a/lib/lease/look.c
+++ b/lib/lease/look.c
@@ -6,6 +6,8 @@
 /* While answers are lost, ends would be learnt of with this delay.  */
 #define LOOK_WAIT_SHORT_MS 40
 #define TROUBLE_US 3000000 /* after the latest lost answer */
+/* Each look at a worker that is gone opens a connection.  */
+#define SILENT_RETRY_US 100000
 /* A worker's clock may be 2% slow, and its answers travel.  */
 #define LAPSE_US (LEASE_MAX_MS * 1000 * 102 / 100 + 30000)
 #define STALE_ANSWER_US 900000 /* an older clock reading is not used */
@@ -49,7 +51,7 @@
     lease_end_all (table, w, LEASE_STOPPED, now_us);
   w->trouble_us = now_us;
   pl_count (PL_CTR_LOOKS_LOST_TOTAL, 1);
-  w->retry_us = now_us;
+  w->retry_us = now_us + (w->state == LEASE_SILENT ? SILENT_RETRY_US : 0);
 }
 
 static enum lease_end
--- a/tests/lease_test.c
+++ b/tests/lease_test.c
@@ -282,6 +282,18 @@
   /* The last renewal left at 100 ms; a slow clock makes it 2% longer.  */
   CU_ASSERT_TRUE (now_us >= 100 * MS + LEASE_MAX_MS * MS * 102 / 100);
   CU_ASSERT_EQUAL (sink.end, LEASE_STOPPED);
+  /* It is looked at now and then only.  */
+  unsigned looks = 0;
+  for (int64_t us = 0; us < 1000 * MS; us += LEASE_TICK_US)
+    {
+      unsigned before = sink.looks;
+      lease_tick (table, now_us + us);
+      if (sink.looks == before)
+        continue;
+      looks++;
+      look_fails (table, LEASE_REPLY_NONE, now_us + us);
+    }
+  CU_ASSERT_TRUE (looks >= 5 && looks <= 11);
   lease_table_free (table);
 }
 
