--- a/tests/net_test.c
+++ b/tests/net_test.c
@@ -8,7 +8,7 @@
 #include <unistd.h>
 
 #define PORT 18761
-#define LOOPBACK 0x7f2a0001u /* 127.42.0.1: no other test listens there */
+#define LOOPBACK 0x7f2a0000u /* 127.42.0.0/16 */
 #define TURN_US 20000
 #define TIMEOUT_US 100000L
 
@@ -58,10 +58,18 @@
 /* A port for each test: connections of the last one may linger.  */
 static struct pl_addr addr = { LOOPBACK, PORT };
 
+/* Tests of another build may run at the same time.  */
+static uint32_t
+own_ip (void)
+{
+  return LOOPBACK + ((uint32_t)getpid () & 0xffff);
+}
+
 static void
 bench_open (struct bench *bench)
 {
   static uint16_t next;
+  addr.ip = own_ip ();
   addr.port = (uint16_t)(PORT + 10 + next++);
   struct net_server_config config
       = { .addr = addr, .ops = &server_ops, .ctx = bench, .max_body = 1000 };
@@ -85,7 +93,7 @@
 {
   struct sockaddr_in sin = { .sin_family = AF_INET,
                              .sin_port = htons (addr.port),
-                             .sin_addr.s_addr = htonl (LOOPBACK) };
+                             .sin_addr.s_addr = htonl (addr.ip) };
   int fd = socket (AF_INET, SOCK_STREAM, 0);
   CU_ASSERT_EQUAL_FATAL (connect (fd, (struct sockaddr *)&sin, sizeof sin), 0);
   return fd;
@@ -267,7 +275,7 @@
   CU_ASSERT_EQUAL (bench.last.status, 0);
   CU_ASSERT_TRUE (bench.last.sent);
   net_pool_free (pool);
-  struct pl_addr nobody = { LOOPBACK, PORT };
+  struct pl_addr nobody = { own_ip (), PORT };
   pool = net_pool_new (bench.base, nobody);
   ask (&bench, pool, "POST");
   play (&bench, TURN_US);
@@ -335,8 +343,8 @@
 {
   struct bench bench = { .base = event_base_new () };
   struct pl_err err = { 0 };
-  struct pl_addr here = { LOOPBACK, PORT + 2 };
-  struct pl_addr nobody = { LOOPBACK, PORT + 3 };
+  struct pl_addr here = { own_ip (), PORT + 2 };
+  struct pl_addr nobody = { own_ip (), PORT + 3 };
   struct net_hub *hub = net_hub_new (bench.base, here, &hub_ops, &bench, &err);
   CU_ASSERT_PTR_NOT_NULL_FATAL (hub);
   struct net_link *link = net_hub_connect (hub, here);
