Plan for whoever asks, also when views of the instances differ

An instance now plans for whoever asks; owners and holders withdraw from their former planner, and reports older than 2.5 s are not used. The new test 'views that differ still plan' fails without the mend.

--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -56,7 +56,6 @@
   cell->config = g_bytes_new (NULL, 0);
   g_queue_init (&cell->inbox);
   cell->planner = cell->id;
-  cell->planning = true;
   cell->view_dirty = true;
   return cell;
 }
@@ -168,7 +167,7 @@
       own_flush (cell->jobs);
       cell_report_rooms (cell);
       drain_inbox (cell);
-      if (cell->planning && cell->plan_dirty)
+      if (cell->plan_dirty)
         {
           cell->plan_dirty = false;
           pack_decide (cell->plan, pl_now_us (cell->clock));
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -62,7 +62,6 @@
   struct own_table *jobs;
   struct pack_plan *plan;
   uint64_t planner;
-  bool planning; /* we are the planner */
   bool plan_dirty;
   bool ready;
   int64_t ready_us; /* since when */
@@ -110,6 +109,8 @@
 /* Reports of rooms.  */
 void cell_report_rooms (struct cell *cell);
 void cell_all_rooms_dirty (struct cell *cell);
+/* Tells the planner that it gets no more reports from here.  */
+void cell_withdraw_rooms (struct cell *cell);
 void cell_mark_room (struct cell *cell, uint64_t worker);
 
 /* Holder.  */
--- a/lib/cell/member.c
+++ b/lib/cell/member.c
@@ -283,6 +283,17 @@
   return best;
 }
 
+/* Takes our jobs and rooms back from the planner, which may go on for others
+   that don't hear the new one.  */
+static void
+leave_planner (struct cell *cell)
+{
+  if (cell->planner == 0)
+    return; /* it is lost */
+  own_withdraw (cell->jobs);
+  cell_withdraw_rooms (cell);
+}
+
 void
 cell_members_changed (struct cell *cell)
 {
@@ -292,10 +303,8 @@
       pl_log (PL_EV_PLANNER,
               "planner=%016" PRIx64 " former=%016" PRIx64 " jobs=%u", planner,
               cell->planner, own_count (cell->jobs));
+      leave_planner (cell);
       cell->planner = planner;
-      cell->planning = planner == cell->id;
-      if (!cell->planning)
-        pack_clear (cell->plan);
       own_ask_again (cell->jobs);
       cell_all_rooms_dirty (cell);
     }
--- a/lib/cell/rooms.c
+++ b/lib/cell/rooms.c
@@ -25,6 +25,22 @@
   cell->rooms_dirty = true;
 }
 
+void
+cell_withdraw_rooms (struct cell *cell)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, lease_workers (cell->leases));
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      Cellpb__Room room = CELLPB__ROOM__INIT;
+      room.worker = ((struct lease_worker *)value)->info.worker;
+      room.gone = true;
+      Cellpb__Envelope env = CELL_ENVELOPE (room, ROOM, &room);
+      cell_send (cell, cell->planner, &env);
+    }
+}
+
 static void
 report_room (struct cell *cell, const struct lease_worker *w, int64_t now_us)
 {
--- a/lib/own/job.c
+++ b/lib/own/job.c
@@ -235,6 +235,16 @@
     }
 }
 
+void
+own_withdraw (struct own_table *table)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, table->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    table->ops->drop (table->ctx, ((struct own_job *)value)->id);
+}
+
 void
 own_ask_again (struct own_table *table)
 {
--- a/lib/own/own.h
+++ b/lib/own/own.h
@@ -142,6 +142,8 @@
                        const struct lease_run_id *runs, unsigned n_runs);
 /* The planner has changed: all waiting tasks are asked for again.  */
 void own_ask_again (struct own_table *table);
+/* Takes all jobs back from the planner.  */
+void own_withdraw (struct own_table *table);
 /* Sends the requests of jobs that have changed; call at the end of a turn. */
 void own_flush (struct own_table *table);
 /* Deadlines and lapsed runs.  Call every LEASE_TICK_US.  */
--- a/lib/pack/choose.c
+++ b/lib/pack/choose.c
@@ -9,6 +9,9 @@
 #define COST_SLOW_PERCENT 100 /* for each percent above the estimate */
 /* A grant that no report confirms is dropped after this time.  */
 #define GRANT_TIMEOUT_US 250000
+/* Holders report each second; an older report is of one that reports to
+   another planner.  */
+#define ROOM_STALE_US 2500000
 
 bool
 pack_fits (struct pack_amount capacity, struct pack_amount used,
@@ -62,9 +65,11 @@
 }
 
 static bool
-allowed (const struct room *r, const struct job *job)
+allowed (const struct room *r, const struct job *job, int64_t now_us)
 {
   const struct pack_want *want = &job->want;
+  if (now_us - r->reported_us > ROOM_STALE_US)
+    return false;
   if (!r->r.usable || r->r.service != want->service)
     return false;
   if (want->required_label != 0 && !has_label (r, want->required_label))
@@ -99,7 +104,7 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       struct room *r = value;
-      if (!allowed (r, job))
+      if (!allowed (r, job, now_us))
         continue;
       expire_grants (r, now_us);
       struct pack_amount used = pack_room_used (r);
--- a/tests/cell_test.c
+++ b/tests/cell_test.c
@@ -266,6 +266,26 @@
   world_free (world);
 }
 
+/* Guards against jobs that wait for ever at a planner that does not plan: two
+   instances that don't hear each other see different planners.  */
+static void
+test_views_that_differ_still_plan (void)
+{
+  struct world *world = world_new (12, 3, 9, 3);
+  world_cut_pair (world, 0, 2, true);
+  world_cut_pair (world, 2, 0, true);
+  world_run_for (world, 2 * SECOND);
+  for (int i = 0; i < 3; i++)
+    {
+      struct world_job *job = world_submit (world, i, 4, 100000);
+      world_run_for (world, 400000);
+      CU_ASSERT_TRUE (job->answered);
+      CU_ASSERT_EQUAL (job->code, PL_OK);
+    }
+  check_faults (world, "views", 12);
+  world_free (world);
+}
+
 /* One random fault, or the end of one.  */
 static void
 disturb (struct world *world)
@@ -381,6 +401,7 @@
     { "a holder lost for a moment keeps its runs",
       test_a_holder_lost_for_a_moment_keeps_its_runs },
     { "replaced peers are forgotten", test_replaced_peers_are_forgotten },
+    { "views that differ still plan", test_views_that_differ_still_plan },
     { "soak", test_soak },
     CU_TEST_INFO_NULL,
   };
