Wait for the cancelled task's end before the golden session asks for the status

A cancellation is answered at once while its task is still being stopped at the worker, so that the status depends on which comes first. The compared text is the same as before.

--- a/tests/session/golden.sh
+++ b/tests/session/golden.sh
@@ -28,6 +28,15 @@
   "$BIN/papayaloft" --platform "http://$PLATFORM" --entry "$(entry_list)" "$@"
 }
 
+# Waits until no instance has a running task, for at most 5 s.
+wait_idle() {
+  local tries
+  for tries in $(seq 1 100); do
+    papayaloft status 2>&1 | grep -q '"running_tasks":[1-9]' || return 0
+    sleep 0.05
+  done
+}
+
 worker_faults() {
   local w
   for w in $(seq 1 "$WORKERS"); do
@@ -88,6 +97,8 @@
   wait $!
   say cat "$answers"
   say papayaloft cancel "$key.join"
+  # A cancellation is answered at once, while its task is still being stopped.
+  wait_idle
   say papayaloft status
   say papayaloft drain "${HTTP[brum-1]}"
   await_stop brum-1
