Say each thing once on the platform path: run identity, message parts, lost deadlines

Comparisons of runs, the parts of peer messages, the notice that a worker is not held any more, claims, and the choice between 'not run' and 'some ran' stood two to four times each. State that can be derived is gone (whether a look is out, whether the worker's clock is known, whether a registry entry has moved). The planner adds up the usable cores once a decision instead of once a refused job. lib/lease no longer uses the platform's name for the number of the last end. Behaviour is unchanged.

--- a/lib/cell/assign.c
+++ b/lib/cell/assign.c
@@ -123,13 +123,9 @@
   yield.worker = w->info.worker;
   yield.token = w->token;
   Cellpb__Envelope env = CELL_ENVELOPE (yield, YIELD, &yield);
-  Cellpb__Room room = CELLPB__ROOM__INIT;
-  room.worker = w->info.worker;
-  room.gone = true;
-  Cellpb__Envelope gone = CELL_ENVELOPE (room, ROOM, &room);
   pl_log (PL_EV_YIELD, "worker=%s to=%016" PRIx64 " runs=%u", w->id, holder,
           w->runs->len);
-  cell_send (cell, cell->planner, &gone);
+  cell_send_room_gone (cell, w->info.worker);
   cell->ops->release (cell->ctx, w);
   lease_yield (cell->leases, w);
   cell_send (cell, holder, &env);
@@ -206,11 +202,10 @@
       g_hash_table_insert (cell->workers, &known->info.worker, known);
     }
   known->removed = false;
-  bool moved = !pl_addr_eq (known->info.addr, info->addr)
-               || known->info.born_ms < info->born_ms;
   copy_info (known, info);
   struct lease_worker *w = lease_find (cell->leases, info->worker);
-  if (w != NULL && moved && w->info.born_ms < info->born_ms
+  /* Its next incarnation has another address.  */
+  if (w != NULL && w->info.born_ms < info->born_ms
       && !pl_addr_eq (w->info.addr, info->addr))
     {
       lease_gone (cell->leases, w);
--- a/lib/cell/beat.c
+++ b/lib/cell/beat.c
@@ -58,16 +58,6 @@
     g_ptr_array_add (pointers, &g_array_index (held, Cellpb__Held, i));
 }
 
-static void
-send_to_all (struct cell *cell, Cellpb__Envelope *env)
-{
-  GHashTableIter it;
-  gpointer value;
-  g_hash_table_iter_init (&it, cell->peers);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    cell_send_peer (cell, value, env);
-}
-
 void
 cell_send_beat (struct cell *cell, struct peer *to)
 {
@@ -94,5 +84,5 @@
   if (to != NULL)
     cell_send_peer (cell, to, &env);
   else
-    send_to_all (cell, &env);
+    cell_send_peers (cell, &env);
 }
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -92,7 +92,10 @@
 void cell_send (struct cell *cell, uint64_t to, Cellpb__Envelope *env);
 void cell_send_peer (struct cell *cell, struct peer *peer,
                      Cellpb__Envelope *env);
-void cell_send_beat (struct cell *cell, struct peer *peer);
+/* To all peers, alive or not, and not to ourselves.  */
+void cell_send_peers (struct cell *cell, Cellpb__Envelope *env);
+/* TO null: all peers.  */
+void cell_send_beat (struct cell *cell, struct peer *to);
 void cell_dispatch (struct cell *cell, uint64_t sender,
                     const Cellpb__Envelope *env);
 
@@ -112,6 +115,8 @@
 /* Tells the planner that it gets no more reports from here.  */
 void cell_withdraw_rooms (struct cell *cell);
 void cell_mark_room (struct cell *cell, uint64_t worker);
+/* Tells the planner that we don't hold WORKER any more.  */
+void cell_send_room_gone (struct cell *cell, uint64_t worker);
 
 /* Holder.  */
 extern const struct lease_ops cell_lease_ops;
@@ -136,3 +141,5 @@
 
 struct lease_run_id cell_run_id (const Cellpb__RunId *id);
 struct pack_amount cell_amount (const Cellpb__Amount *amount);
+Cellpb__RunId cell_pack_run_id (const struct lease_run_id *id);
+Cellpb__Amount cell_pack_amount (struct pack_amount amount);
--- a/lib/cell/hold.c
+++ b/lib/cell/hold.c
@@ -10,10 +10,7 @@
                  const struct lease_run_id *id, enum lease_end end,
                  int64_t took_us)
 {
-  Cellpb__RunId run = CELLPB__RUN_ID__INIT;
-  run.job = id->job;
-  run.index = id->index;
-  run.run = id->run;
+  Cellpb__RunId run = cell_pack_run_id (id);
   Cellpb__Ended msg = CELLPB__ENDED__INIT;
   msg.worker = worker;
   msg.id = &run;
@@ -75,10 +72,7 @@
   for (unsigned i = 0; i < n; i++)
     {
       const struct lease_run *run = g_ptr_array_index (w->runs, i);
-      Cellpb__RunId id = CELLPB__RUN_ID__INIT;
-      id.job = run->id.job;
-      id.index = run->id.index;
-      id.run = run->id.run;
+      Cellpb__RunId id = cell_pack_run_id (&run->id);
       g_array_append_val (runs, id);
     }
   for (unsigned i = 0; i < n; i++)
@@ -116,11 +110,7 @@
           : why == LEASE_REPLY_REBORN ? "reborn"
                                       : "gone");
   pl_count (PL_CTR_WORKERS_LOST_TOTAL, 1);
-  Cellpb__Room room = CELLPB__ROOM__INIT;
-  room.worker = w->info.worker;
-  room.gone = true;
-  Cellpb__Envelope env = CELL_ENVELOPE (room, ROOM, &room);
-  cell_send (cell, cell->planner, &env);
+  cell_send_room_gone (cell, w->info.worker);
   cell->ops->release (cell->ctx, w);
 }
 
--- a/lib/cell/member.c
+++ b/lib/cell/member.c
@@ -208,25 +208,31 @@
     cell_send_beat (cell, peer); /* it learns at once that we hear it */
 }
 
-void
-cell_link_up (struct cell *cell, void *link)
+static struct peer *
+peer_of_link (struct cell *cell, const void *link)
 {
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, cell->peers);
   while (g_hash_table_iter_next (&it, NULL, &value))
+    if (((struct peer *)value)->link == link)
+      return value;
+  return NULL;
+}
+
+void
+cell_link_up (struct cell *cell, void *link)
+{
+  struct peer *peer = peer_of_link (cell, link);
+  if (peer == NULL)
+    return;
+  peer->refused = false;
+  cell_send_beat (cell, peer);
+  /* Messages may have been lost with the former connection.  */
+  if (peer->id == cell->planner)
     {
-      struct peer *peer = value;
-      if (peer->link != link)
-        continue;
-      peer->refused = false;
-      cell_send_beat (cell, peer);
-      /* Messages may have been lost with the former connection.  */
-      if (peer->id == cell->planner)
-        {
-          own_ask_again (cell->jobs);
-          cell_all_rooms_dirty (cell);
-        }
+      own_ask_again (cell->jobs);
+      cell_all_rooms_dirty (cell);
     }
   cell->ops->wake (cell->ctx);
 }
@@ -234,15 +240,9 @@
 void
 cell_link_down (struct cell *cell, void *link, bool refused)
 {
-  GHashTableIter it;
-  gpointer value;
-  g_hash_table_iter_init (&it, cell->peers);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    {
-      struct peer *peer = value;
-      if (peer->link == link)
-        peer->refused = refused;
-    }
+  struct peer *peer = peer_of_link (cell, link);
+  if (peer != NULL)
+    peer->refused = refused;
 }
 
 void
--- a/lib/cell/msg.c
+++ b/lib/cell/msg.c
@@ -15,6 +15,26 @@
   return (struct pack_amount){ amount->cpu, amount->mem, amount->gpu };
 }
 
+Cellpb__RunId
+cell_pack_run_id (const struct lease_run_id *id)
+{
+  Cellpb__RunId msg = CELLPB__RUN_ID__INIT;
+  msg.job = id->job;
+  msg.index = id->index;
+  msg.run = id->run;
+  return msg;
+}
+
+Cellpb__Amount
+cell_pack_amount (struct pack_amount amount)
+{
+  Cellpb__Amount msg = CELLPB__AMOUNT__INIT;
+  msg.cpu = amount.cpu;
+  msg.mem = amount.mem;
+  msg.gpu = amount.gpu;
+  return msg;
+}
+
 static void
 send_self (struct cell *cell, const Cellpb__Envelope *env)
 {
@@ -37,15 +57,14 @@
                    (struct pl_str){ (const char *)data, len });
 }
 
-static void
-send_all (struct cell *cell, Cellpb__Envelope *env)
+void
+cell_send_peers (struct cell *cell, Cellpb__Envelope *env)
 {
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, cell->peers);
   while (g_hash_table_iter_next (&it, NULL, &value))
     cell_send_peer (cell, value, env);
-  send_self (cell, env);
 }
 
 void
@@ -54,7 +73,8 @@
   env->sender = cell->id;
   if (to == 0)
     {
-      send_all (cell, env);
+      cell_send_peers (cell, env);
+      send_self (cell, env);
       return;
     }
   if (to == cell->id)
--- a/lib/cell/plan.c
+++ b/lib/cell/plan.c
@@ -109,10 +109,7 @@
 {
   struct cell *cell = ctx;
   int64_t now_us = pl_now_us (cell->clock);
-  Cellpb__Amount size = CELLPB__AMOUNT__INIT;
-  size.cpu = want->size.cpu;
-  size.mem = want->size.mem;
-  size.gpu = want->size.gpu;
+  Cellpb__Amount size = cell_pack_amount (want->size);
   Cellpb__Ask msg = CELLPB__ASK__INIT;
   msg.job = want->job;
   msg.service = want->service;
@@ -158,14 +155,8 @@
 send_start (struct cell *cell, uint64_t holder, uint64_t worker,
             const struct lease_order *order, bool claim)
 {
-  Cellpb__RunId id = CELLPB__RUN_ID__INIT;
-  id.job = order->id.job;
-  id.index = order->id.index;
-  id.run = order->id.run;
-  Cellpb__Amount size = CELLPB__AMOUNT__INIT;
-  size.cpu = order->size.cpu;
-  size.mem = order->size.mem;
-  size.gpu = order->size.gpu;
+  Cellpb__RunId id = cell_pack_run_id (&order->id);
+  Cellpb__Amount size = cell_pack_amount (order->size);
   Cellpb__Start msg = CELLPB__START__INIT;
   msg.worker = worker;
   msg.id = &id;
@@ -199,10 +190,7 @@
          const struct lease_run_id *id)
 {
   struct cell *cell = ctx;
-  Cellpb__RunId run = CELLPB__RUN_ID__INIT;
-  run.job = id->job;
-  run.index = id->index;
-  run.run = id->run;
+  Cellpb__RunId run = cell_pack_run_id (id);
   Cellpb__Stop msg = CELLPB__STOP__INIT;
   msg.worker = worker;
   msg.id = &run;
--- a/lib/cell/rooms.c
+++ b/lib/cell/rooms.c
@@ -25,6 +25,16 @@
   cell->rooms_dirty = true;
 }
 
+void
+cell_send_room_gone (struct cell *cell, uint64_t worker)
+{
+  Cellpb__Room room = CELLPB__ROOM__INIT;
+  room.worker = worker;
+  room.gone = true;
+  Cellpb__Envelope env = CELL_ENVELOPE (room, ROOM, &room);
+  cell_send (cell, cell->planner, &env);
+}
+
 void
 cell_withdraw_rooms (struct cell *cell)
 {
@@ -32,13 +42,7 @@
   gpointer value;
   g_hash_table_iter_init (&it, lease_workers (cell->leases));
   while (g_hash_table_iter_next (&it, NULL, &value))
-    {
-      Cellpb__Room room = CELLPB__ROOM__INIT;
-      room.worker = ((struct lease_worker *)value)->info.worker;
-      room.gone = true;
-      Cellpb__Envelope env = CELL_ENVELOPE (room, ROOM, &room);
-      cell_send (cell, cell->planner, &env);
-    }
+    cell_send_room_gone (cell, ((struct lease_worker *)value)->info.worker);
 }
 
 static void
@@ -46,14 +50,8 @@
 {
   struct pack_room room;
   lease_room (w, cell->id, now_us, &room);
-  Cellpb__Amount capacity = CELLPB__AMOUNT__INIT;
-  capacity.cpu = room.capacity.cpu;
-  capacity.mem = room.capacity.mem;
-  capacity.gpu = room.capacity.gpu;
-  Cellpb__Amount used = CELLPB__AMOUNT__INIT;
-  used.cpu = room.used.cpu;
-  used.mem = room.used.mem;
-  used.gpu = room.used.gpu;
+  Cellpb__Amount capacity = cell_pack_amount (room.capacity);
+  Cellpb__Amount used = cell_pack_amount (room.used);
   Cellpb__Room msg = CELLPB__ROOM__INIT;
   msg.worker = room.worker;
   msg.token = room.token;
--- a/lib/lease/lease.h
+++ b/lib/lease/lease.h
@@ -20,6 +20,18 @@
   uint32_t run;
 };
 
+static inline bool
+lease_same_task (const struct lease_run_id *a, const struct lease_run_id *b)
+{
+  return a->job == b->job && a->index == b->index;
+}
+
+static inline bool
+lease_same_run (const struct lease_run_id *a, const struct lease_run_id *b)
+{
+  return lease_same_task (a, b) && a->run == b->run;
+}
+
 /* How a run ended for its owner.  */
 enum lease_end
 {
@@ -91,12 +103,10 @@
   enum lease_state state;
   int64_t token;
   int64_t clock_offset_ms; /* the worker's clock less ours */
-  bool clock_known;
-  int64_t last_seen;  /* number of the last end that was read */
-  bool look_out;      /* a look is outstanding */
-  bool look_renews;   /* it carries a lease */
-  int64_t look_us;    /* when it was sent */
-  int64_t renewed_us; /* when the latest order with a lease was sent */
+  int64_t last_end;        /* number of the last end that was read */
+  bool look_renews;        /* the latest look carries a lease */
+  int64_t look_us;         /* when it was sent */
+  int64_t renewed_us;      /* when the latest order with a lease was sent */
   int64_t answered_us;
   int64_t retry_us;   /* next look after a failure; 0: none */
   int64_t trouble_us; /* when the latest look got no answer; 0: never */
--- a/lib/lease/lease_priv.h
+++ b/lib/lease/lease_priv.h
@@ -16,6 +16,8 @@
                                   const struct lease_run_id *id);
 struct lease_run *lease_run_add (struct lease_worker *w,
                                  const struct lease_run_id *id);
+/* Time since RUN has started; 0 if that is not known.  */
+int64_t lease_took_us (const struct lease_run *run, int64_t now_us);
 /* Removes RUN and tells its owner.  */
 void lease_run_end (struct lease_table *table, struct lease_worker *w,
                     struct lease_run *run, enum lease_end end, int64_t now_us);
@@ -29,6 +31,10 @@
 void lease_lose (struct lease_table *table, struct lease_worker *w,
                  enum lease_reply why, enum lease_end end, int64_t now_us);
 
+/* Removes W because of REPLY, fenced or reborn.  */
+void lease_lose_by (struct lease_table *table, struct lease_worker *w,
+                    enum lease_reply reply, int64_t now_us);
+
 /* Sends the next look; with a lease if RENEW.  */
 void lease_look (struct lease_table *table, struct lease_worker *w, bool renew,
                  int64_t now_us);
--- a/lib/lease/look.c
+++ b/lib/lease/look.c
@@ -15,7 +15,8 @@
 int64_t
 lease_deadline_ms (const struct lease_worker *w, int64_t now_us)
 {
-  if (!w->clock_known || now_us - w->answered_us > STALE_ANSWER_US)
+  /* Before the first answer the worker's clock is not known.  */
+  if (w->state == LEASE_TAKING || now_us - w->answered_us > STALE_ANSWER_US)
     return 0;
   return now_us / 1000 + w->clock_offset_ms + LEASE_MAX_MS;
 }
@@ -25,7 +26,6 @@
             int64_t now_us)
 {
   int64_t deadline_ms = renew ? lease_deadline_ms (w, now_us) : 0;
-  w->look_out = true;
   w->look_renews = deadline_ms != 0;
   w->look_us = now_us;
   w->retry_us = 0;
@@ -73,9 +73,9 @@
            const struct lease_ended *ended, int64_t now_us)
 {
   struct lease_run *run = lease_run_find (w, &ended->id);
-  if (ended->number <= w->last_seen)
+  if (ended->number <= w->last_end)
     return;
-  w->last_seen = ended->number;
+  w->last_end = ended->number;
   if (run == NULL)
     {
       /* Left by an earlier holder.  */
@@ -86,9 +86,8 @@
   if (!w->look_renews)
     run->started_us = 0;
   if (ended->how == LEASE_HOW_DONE)
-    lease_health_good (&w->health,
-                       run->started_us > 0 ? now_us - run->started_us : 0,
-                       run->expect_us, now_us);
+    lease_health_good (&w->health, lease_took_us (run, now_us), run->expect_us,
+                       now_us);
   else if (ended->how == LEASE_HOW_FAILED)
     lease_strike (table, w, now_us);
   lease_run_end (table, w, run, end_of (ended->how), now_us);
@@ -117,12 +116,8 @@
            const struct lease_run_id *id)
 {
   for (unsigned i = 0; i < result->n_running; i++)
-    {
-      const struct lease_run_id *other = &result->running[i].id;
-      if (other->job == id->job && other->index == id->index
-          && other->run == id->run)
-        return true;
-    }
+    if (lease_same_run (&result->running[i].id, id))
+      return true;
   return false;
 }
 
@@ -155,7 +150,7 @@
   if (w->info.born_ms != 0)
     {
       lease_end_all (table, w, LEASE_STOPPED, now_us);
-      w->last_seen = 0;
+      w->last_end = 0;
     }
   w->info.born_ms = result->born_ms;
 }
@@ -168,7 +163,6 @@
   bool regained = w->state == LEASE_SILENT;
   check_incarnation (table, w, result, now_us);
   w->answered_us = now_us;
-  w->clock_known = true;
   w->clock_offset_ms = result->clock_ms - now_us / 1000;
   for (unsigned i = 0; i < result->n_ended; i++)
     apply_end (table, w, &result->ended[i], now_us);
@@ -190,17 +184,14 @@
   struct lease_worker *w = lease_find (table, worker);
   if (w == NULL || w->token != token)
     return;
-  w->look_out = false;
   switch (result->reply)
     {
     case LEASE_REPLY_OK:
       look_answered (table, w, result, now_us);
       break;
     case LEASE_REPLY_FENCED:
-      lease_lose (table, w, result->reply, LEASE_UNKNOWN, now_us);
-      break;
     case LEASE_REPLY_REBORN:
-      lease_lose (table, w, result->reply, LEASE_STOPPED, now_us);
+      lease_lose_by (table, w, result->reply, now_us);
       break;
     default:
       look_failed (table, w, now_us);
--- a/lib/lease/run.c
+++ b/lib/lease/run.c
@@ -34,8 +34,7 @@
   for (guint i = 0; i < w->runs->len; i++)
     {
       struct lease_run *run = g_ptr_array_index (w->runs, i);
-      if (run->id.job == id->job && run->id.index == id->index
-          && run->id.run == id->run)
+      if (lease_same_run (&run->id, id))
         return run;
     }
   return NULL;
@@ -56,6 +55,12 @@
   return run;
 }
 
+int64_t
+lease_took_us (const struct lease_run *run, int64_t now_us)
+{
+  return run->started_us > 0 ? now_us - run->started_us : 0;
+}
+
 void
 lease_run_end (struct lease_table *table, struct lease_worker *w,
                struct lease_run *run, enum lease_end end, int64_t now_us)
@@ -70,7 +75,7 @@
   };
   struct lease_run_id id = run->id;
   uint64_t owner = run->owner;
-  int64_t took_us = run->started_us > 0 ? now_us - run->started_us : 0;
+  int64_t took_us = lease_took_us (run, now_us);
   g_ptr_array_remove_fast (w->runs, run);
   pl_count (counters[end], 1);
   table->ops->ended (table->ctx, w, owner, &id, end, took_us);
@@ -123,7 +128,7 @@
     {
       /* An earlier run of the task that isn't settled yet.  */
       const struct lease_run *other = g_ptr_array_index (w->runs, i);
-      if (other->id.job == order->id.job && other->id.index == order->id.index)
+      if (lease_same_task (&other->id, &order->id))
         return false;
     }
   struct lease_run *run = lease_run_add (w, &order->id);
@@ -214,9 +219,7 @@
     {
       if (run != NULL)
         lease_run_end (table, w, run, LEASE_REJECTED, now_us);
-      lease_lose (table, w, reply,
-                  reply == LEASE_REPLY_REBORN ? LEASE_STOPPED : LEASE_UNKNOWN,
-                  now_us);
+      lease_lose_by (table, w, reply, now_us);
       return;
     }
   if (run == NULL)
@@ -246,9 +249,7 @@
     return;
   if (reply == LEASE_REPLY_FENCED || reply == LEASE_REPLY_REBORN)
     {
-      lease_lose (table, w, reply,
-                  reply == LEASE_REPLY_REBORN ? LEASE_STOPPED : LEASE_UNKNOWN,
-                  now_us);
+      lease_lose_by (table, w, reply, now_us);
       return;
     }
   struct lease_run *run = lease_run_find (w, id);
--- a/lib/lease/table.c
+++ b/lib/lease/table.c
@@ -109,11 +109,21 @@
   g_hash_table_remove (table->workers, &w->info.worker);
 }
 
+void
+lease_lose_by (struct lease_table *table, struct lease_worker *w,
+               enum lease_reply reply, int64_t now_us)
+{
+  /* Nothing of a former incarnation runs any more.  */
+  lease_lose (table, w, reply,
+              reply == LEASE_REPLY_REBORN ? LEASE_STOPPED : LEASE_UNKNOWN,
+              now_us);
+}
+
 void
 lease_gone (struct lease_table *table, struct lease_worker *w)
 {
   lease_lose (table, w, LEASE_REPLY_NONE, LEASE_STOPPED,
-              w->answered_us > w->renewed_us ? w->answered_us : w->renewed_us);
+              MAX (w->answered_us, w->renewed_us));
 }
 
 static bool
@@ -163,7 +173,7 @@
       w->health.ejected_us = 0;
       table->ops->changed (table->ctx, w);
     }
-  if (!w->look_out && w->retry_us != 0 && w->retry_us <= now_us)
+  if (w->retry_us != 0 && w->retry_us <= now_us)
     lease_look (table, w, false, now_us);
 }
 
--- a/lib/own/job.c
+++ b/lib/own/job.c
@@ -6,6 +6,7 @@
 #define UNSIZED_FACTOR 4
 /* An answer is worth something up to this many times its objective.  */
 #define LATE_FACTOR 3
+#define EXPIRED_RETRY_MS 1000 /* for a caller whose job no planner refused */
 
 static void
 job_free (void *data)
@@ -124,13 +125,21 @@
   for (unsigned i = 0; i < job->n_tasks; i++)
     {
       struct own_task *task = &job->tasks[i];
-      if (task->state != OWN_PLACED && task->state != OWN_UNSURE)
+      if (!own_is_out (task))
         continue;
       struct lease_run_id id = { job->id, i, task->run };
       table->ops->stop (table->ctx, task->holder, task->worker, &id);
     }
 }
 
+/* Ends the work for a job that is not completed.  */
+static void
+abandon (struct own_table *table, struct own_job *job)
+{
+  stop_tasks (table, job);
+  table->ops->drop (table->ctx, job->id);
+}
+
 static void
 count_answer (enum pl_code code)
 {
@@ -155,10 +164,7 @@
   count_answer (code);
   pl_observe (PL_HIST_RESPONSE, pl_now_us (table->clock) - job->arrival_us);
   if (code != PL_OK)
-    {
-      stop_tasks (table, job);
-      table->ops->drop (table->ctx, job->id);
-    }
+    abandon (table, job);
   table->ops->answer (table->ctx, job, &answer);
   g_hash_table_remove (table->jobs, &job->id);
 }
@@ -172,8 +178,7 @@
       own_finish (table, job, code, 0);
       return;
     }
-  stop_tasks (table, job);
-  table->ops->drop (table->ctx, job->id);
+  abandon (table, job);
   g_hash_table_remove (table->jobs, &job->id);
 }
 
@@ -193,7 +198,6 @@
   job->dirty = false;
   if (tasks->len == 0)
     return;
-  int64_t objective_us = objective_of (job, job->run_us);
   /* A job that declares more than its kind usually takes may be right: it is
      not given up for an estimate.  */
   int64_t late_us
@@ -206,7 +210,7 @@
     .per_worker = job->per_worker,
     .size = job->size,
     .run_us = job->run_us,
-    .objective_us = job->arrival_us + objective_us,
+    .objective_us = job->arrival_us + objective_of (job, job->run_us),
     .late_us = job->arrival_us + late_us,
     .deadline_us = job->deadline_us,
     .priority = job->priority,
@@ -256,16 +260,24 @@
   table->dirty = true;
 }
 
+/* Only a job of which nothing has started is said not to have run.  */
+static void
+miss_deadline (struct own_table *table, struct own_job *job,
+               int retry_after_ms)
+{
+  if (job->started)
+    own_finish (table, job, PL_DEADLINE_RAN, 0);
+  else
+    own_finish (table, job, PL_DEADLINE_LOST, retry_after_ms);
+}
+
 void
 own_refused (struct own_table *table, uint64_t id, int retry_after_ms)
 {
   struct own_job *job = own_find (table, id);
   if (job == NULL || job->dirty)
     return;
-  if (job->started)
-    own_finish (table, job, PL_DEADLINE_RAN, 0);
-  else
-    own_finish (table, job, PL_DEADLINE_LOST, retry_after_ms);
+  miss_deadline (table, job, retry_after_ms);
 }
 
 static void
@@ -273,9 +285,7 @@
 {
   if (now_us >= job->deadline_us)
     {
-      own_finish (table, job,
-                  job->started ? PL_DEADLINE_RAN : PL_DEADLINE_LOST,
-                  job->started ? 0 : 1000);
+      miss_deadline (table, job, EXPIRED_RETRY_MS);
       return;
     }
   for (unsigned i = 0; i < job->n_tasks; i++)
--- a/lib/own/own_priv.h
+++ b/lib/own/own_priv.h
@@ -13,6 +13,13 @@
   bool dirty;
 };
 
+/* Whether the task may be on a worker.  */
+static inline bool
+own_is_out (const struct own_task *task)
+{
+  return task->state == OWN_PLACED || task->state == OWN_UNSURE;
+}
+
 void own_task_again (struct own_table *table, struct own_job *job,
                      struct own_task *task);
 void own_finish (struct own_table *table, struct own_job *job,
--- a/lib/own/task.c
+++ b/lib/own/task.c
@@ -77,8 +77,7 @@
   if (job == NULL || id->index >= job->n_tasks)
     return;
   struct own_task *task = &job->tasks[id->index];
-  bool ours = task->state == OWN_PLACED || task->state == OWN_UNSURE;
-  if (!ours || task->run != id->run || task->worker != worker)
+  if (!own_is_out (task) || task->run != id->run || task->worker != worker)
     return;
   /* A former holder does not know what its successor found.  */
   if (end != LEASE_DONE && end != LEASE_FAILED && task->holder != holder)
@@ -130,6 +129,16 @@
     }
 }
 
+/* Tells the task's holder that its run is ours.  */
+static void
+claim (struct own_table *table, struct own_job *job, uint32_t index)
+{
+  struct own_task *task = &job->tasks[index];
+  task->state = OWN_PLACED;
+  struct lease_order order = own_order_of (job, index);
+  table->ops->claim (table->ctx, task->holder, task->worker, &order);
+}
+
 void
 own_holder_back (struct own_table *table, uint64_t holder)
 {
@@ -144,19 +153,17 @@
           struct own_task *task = &job->tasks[i];
           if (task->state != OWN_UNSURE || task->holder != holder)
             continue;
-          task->state = OWN_PLACED;
-          struct lease_order order = own_order_of (job, i);
-          table->ops->claim (table->ctx, holder, task->worker, &order);
+          claim (table, job, i);
         }
     }
 }
 
 static bool
-is_listed (const struct lease_run_id *runs, unsigned n_runs, uint64_t job,
-           uint32_t index, uint32_t run)
+is_listed (const struct lease_run_id *runs, unsigned n_runs,
+           const struct lease_run_id *id)
 {
   for (unsigned i = 0; i < n_runs; i++)
-    if (runs[i].job == job && runs[i].index == index && runs[i].run == run)
+    if (lease_same_run (&runs[i], id))
       return true;
   return false;
 }
@@ -171,19 +178,17 @@
       own_task_again (table, job, task);
       return;
     }
-  task->state = OWN_PLACED;
   task->holder = place->holder;
   task->token = place->token;
-  struct lease_order order = own_order_of (job, index);
-  table->ops->claim (table->ctx, place->holder, task->worker, &order);
+  claim (table, job, index);
 }
 
 /* Whether the task was last known on the worker under an earlier lease.  */
 static bool
 is_affected (const struct own_task *task, const struct own_place *place)
 {
-  bool placed = task->state == OWN_PLACED || task->state == OWN_UNSURE;
-  return placed && task->worker == place->worker && task->token < place->token;
+  return own_is_out (task) && task->worker == place->worker
+         && task->token < place->token;
 }
 
 void
@@ -196,9 +201,11 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       struct own_job *job = value;
-      for (unsigned i = 0; i < job->n_tasks; i++)
-        if (is_affected (&job->tasks[i], place))
-          task_moved (table, job, i, place,
-                      is_listed (runs, n_runs, job->id, i, job->tasks[i].run));
+      for (uint32_t i = 0; i < job->n_tasks; i++)
+        {
+          struct lease_run_id id = { job->id, i, job->tasks[i].run };
+          if (is_affected (&job->tasks[i], place))
+            task_moved (table, job, i, place, is_listed (runs, n_runs, &id));
+        }
     }
 }
--- a/lib/pack/pack.c
+++ b/lib/pack/pack.c
@@ -44,18 +44,9 @@
   return plan;
 }
 
-void
-pack_clear (struct pack_plan *plan)
-{
-  g_hash_table_remove_all (plan->by_id);
-  g_ptr_array_set_size (plan->jobs, 0);
-  g_hash_table_remove_all (plan->rooms);
-}
-
 void
 pack_free (struct pack_plan *plan)
 {
-  pack_clear (plan);
   g_hash_table_unref (plan->by_id);
   g_hash_table_unref (plan->rooms);
   g_ptr_array_unref (plan->jobs);
@@ -221,10 +212,10 @@
   return cpu;
 }
 
-/* Tells the owner that the job is not served.  */
+/* Tells the owner that the job is not served; CPU are the usable cores.  */
 static void
 refuse_job (struct pack_plan *plan, struct job *job, enum pack_reason reason,
-            int64_t ahead_us, int64_t now_us)
+            int64_t cpu, int64_t ahead_us, int64_t now_us)
 {
   struct pack_want want = job->want;
   struct pack_refusal refusal = {
@@ -232,7 +223,7 @@
     .retry_after_ms
     = RETRY_AFTER_MIN_MS + (int)(want.job % RETRY_AFTER_SPREAD_MS),
     .waiting = plan->jobs->len,
-    .usable_cpu = usable_cpu (plan),
+    .usable_cpu = cpu,
     .ahead_us = ahead_us,
     .slack_us = pack_latest_start (job) - now_us,
   };
@@ -241,13 +232,13 @@
 }
 
 static void
-refuse_hopeless (struct pack_plan *plan, int64_t now_us)
+refuse_hopeless (struct pack_plan *plan, int64_t cpu, int64_t now_us)
 {
   for (guint i = plan->jobs->len; i-- > 0;)
     {
       struct job *job = g_ptr_array_index (plan->jobs, i);
       if (job->waiting->len > 0 && pack_hopeless (job, now_us))
-        refuse_job (plan, job, PACK_HOPELESS, 0, now_us);
+        refuse_job (plan, job, PACK_HOPELESS, cpu, 0, now_us);
     }
 }
 
@@ -261,9 +252,8 @@
 /* Refuses jobs that the work queued before them keeps from starting in time.
    Jobs are in order.  */
 static void
-refuse_crowded_out (struct pack_plan *plan, int64_t now_us)
+refuse_crowded_out (struct pack_plan *plan, int64_t cpu, int64_t now_us)
 {
-  int64_t cpu = usable_cpu (plan);
   int64_t ahead = 0; /* thousandths of a core x microseconds */
   if (cpu == 0)
     return; /* the holders have not reported yet */
@@ -276,7 +266,7 @@
       if (job->waiting->len == 0)
         continue;
       if (!job->want.started && now_us + ahead / cpu > pack_latest_start (job))
-        refuse_job (plan, job, PACK_CROWDED, ahead / cpu, now_us);
+        refuse_job (plan, job, PACK_CROWDED, cpu, ahead / cpu, now_us);
       else
         ahead += (int64_t)job->waiting->len * job->want.size.cpu
                  * job->want.run_us;
@@ -286,13 +276,14 @@
 void
 pack_decide (struct pack_plan *plan, int64_t now_us)
 {
-  refuse_hopeless (plan, now_us);
   if (plan->jobs->len == 0)
     return;
+  int64_t cpu = usable_cpu (plan);
+  refuse_hopeless (plan, cpu, now_us);
   g_ptr_array_sort_with_data (plan->jobs, compare_jobs, &now_us);
   for (guint i = 0; i < plan->jobs->len; i++)
     place_job (plan, g_ptr_array_index (plan->jobs, i), now_us);
-  refuse_crowded_out (plan, now_us);
+  refuse_crowded_out (plan, cpu, now_us);
   for (guint i = plan->jobs->len; i-- > 0;)
     {
       struct job *job = g_ptr_array_index (plan->jobs, i);
--- a/lib/pack/pack.h
+++ b/lib/pack/pack.h
@@ -110,8 +110,6 @@
 void pack_forget_worker (struct pack_plan *plan, uint64_t worker,
                          uint64_t holder);
 void pack_forget_holder (struct pack_plan *plan, uint64_t holder);
-/* Drops everything; a new planner starts empty.  */
-void pack_clear (struct pack_plan *plan);
 void pack_request (struct pack_plan *plan, const struct pack_want *want,
                    int64_t now_us);
 /* The job needs nothing more.  */
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -35,7 +35,7 @@
   GBytes *frame;
   int64_t token;
   int64_t deadline_ms;
-  int64_t last_seen;
+  int64_t last_end;
   int wait_ms;
   bool no_answer;
   struct lease_run_id id;
@@ -261,7 +261,7 @@
         continue;
       world_advance_worker (world, w);
       for (guint k = 0; k < w->model.runs->len; k++)
-        if (model_same_task (
+        if (lease_same_task (
                 &g_array_index (w->model.runs, struct model_run, k).id, id))
           return true;
     }
@@ -424,7 +424,7 @@
   if (event->deadline_ms != 0)
     model_renew (&w->model, event->deadline_ms * 1000, world_now (world));
   world_wake_worker (world, w);
-  model_acknowledge (&w->model, event->last_seen);
+  model_acknowledge (&w->model, event->last_end);
   if (w->model.ended->len > 0 || event->wait_ms == 0)
     {
       world_send_look (world, event, LEASE_REPLY_OK, world_delay (world));
@@ -538,7 +538,7 @@
   struct world_event *event = world_call (in, w, world_look_reaches);
   event->deadline_ms = deadline_ms;
   event->wait_ms = wait_ms;
-  event->last_seen = w->last_seen;
+  event->last_end = w->last_end;
   world_schedule (in->world, event);
 }
 
--- a/tests/lease_test.c
+++ b/tests/lease_test.c
@@ -31,7 +31,7 @@
   sink->look_wait_ms = wait_ms;
   sink->looks++;
   sink->look_deadline_ms = deadline_ms;
-  sink->look_seen = w->last_seen;
+  sink->look_seen = w->last_end;
 }
 
 static void
--- a/tests/standin/standin-fleet/worker.c
+++ b/tests/standin/standin-fleet/worker.c
@@ -114,7 +114,7 @@
         continue;
       (void)model_advance (&other->model, clock_us (other));
       for (guint k = 0; k < other->model.runs->len; k++)
-        if (model_same_task (
+        if (lease_same_task (
                 &g_array_index (other->model.runs, struct model_run, k).id,
                 id))
           return true;
--- a/tests/worker_model.h
+++ b/tests/worker_model.h
@@ -68,12 +68,6 @@
   w->next_end = 0;
 }
 
-static inline bool
-model_same_task (const struct lease_run_id *a, const struct lease_run_id *b)
-{
-  return a->job == b->job && a->index == b->index;
-}
-
 static inline struct pack_amount
 model_used (const struct model_worker *w)
 {
@@ -140,7 +134,7 @@
     {
       const struct lease_run_id *other
           = &g_array_index (w->gone, struct lease_run_id, i);
-      if (model_same_task (other, id) && other->run >= id->run)
+      if (lease_same_task (other, id) && other->run >= id->run)
         return true;
     }
   return false;
@@ -152,7 +146,7 @@
   for (guint i = 0; i < w->runs->len; i++)
     {
       struct model_run *run = &g_array_index (w->runs, struct model_run, i);
-      if (model_same_task (&run->id, id) && run->id.run == id->run)
+      if (lease_same_run (&run->id, id))
         return run;
     }
   return NULL;
@@ -202,11 +196,11 @@
   return LEASE_REPLY_OK;
 }
 
-/* Forgets the ends up to LAST_SEEN.  */
+/* Forgets the ends up to LAST_END.  */
 static inline void
-model_acknowledge (struct model_worker *w, int64_t last_seen)
+model_acknowledge (struct model_worker *w, int64_t last_end)
 {
   for (guint i = w->ended->len; i-- > 0;)
-    if (g_array_index (w->ended, struct lease_ended, i).number <= last_seen)
+    if (g_array_index (w->ended, struct lease_ended, i).number <= last_end)
       g_array_remove_index (w->ended, i);
 }
