--- a/lib/net/link.c
+++ b/lib/net/link.c
@@ -2,7 +2,6 @@
    frame.  */
 #include "net_priv.h"
 
-#include <event2/listener.h>
 #include <string.h>
 
 #define MAX_FRAME_BYTES ((size_t)4 * 1024 * 1024) /* a whole configuration */
@@ -137,19 +136,13 @@
 net_hub_new (struct event_base *base, struct pl_addr listen,
              const struct net_hub_ops *ops, void *ctx, struct pl_err *err)
 {
-  struct sockaddr_in sin = net_sockaddr (listen);
   struct net_hub *hub = g_new0 (struct net_hub, 1);
   hub->base = base;
   hub->ops = ops;
   hub->ctx = ctx;
-  hub->listener = evconnlistener_new_bind (
-      base, on_accept, hub, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
-      (struct sockaddr *)&sin, sizeof sin);
+  hub->listener = net_listen (base, listen, on_accept, hub, err);
   if (hub->listener != NULL)
     return hub;
-  char text[PL_ADDR_TEXT];
-  pl_fail (err, PL_SYSTEM, "cannot listen on %s: %s",
-           pl_addr_text (listen, text), g_strerror (errno));
   g_free (hub);
   return NULL;
 }
--- a/lib/net/message.c
+++ b/lib/net/message.c
@@ -1,14 +1,8 @@
 /* Collects one HTTP message from the parser's callbacks.  */
 #include "net_priv.h"
 
-#include <netinet/tcp.h>
 #include <string.h>
 #include <strings.h>
-#include <sys/socket.h>
-
-/* Unacknowledged bytes end a connection after this time, so that a silent
-   path is noticed.  */
-#define USER_TIMEOUT_MS 2000
 
 static int
 append_bounded (struct net_message *message, GString *to, const char *at,
@@ -149,24 +143,3 @@
     }
   return true;
 }
-
-struct sockaddr_in
-net_sockaddr (struct pl_addr addr)
-{
-  return (struct sockaddr_in){
-    .sin_family = AF_INET,
-    .sin_port = htons (addr.port),
-    .sin_addr.s_addr = htonl (addr.ip),
-  };
-}
-
-void
-net_tune_socket (int fd)
-{
-  int on = 1;
-  int timeout = USER_TIMEOUT_MS;
-  /* Failure leaves the system's defaults, which are slower but correct.  */
-  (void)setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-  (void)setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
-                    sizeof timeout);
-}
--- a/lib/net/net_priv.h
+++ b/lib/net/net_priv.h
@@ -5,6 +5,7 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <event2/listener.h>
 #include <http_parser.h>
 #include <netinet/in.h>
 
@@ -35,5 +36,10 @@
 bool net_message_feed (struct net_message *message, struct evbuffer *input);
 
 struct sockaddr_in net_sockaddr (struct pl_addr addr);
+/* Listens on ADDR; null and ERR if that fails.  */
+struct evconnlistener *net_listen (struct event_base *base,
+                                   struct pl_addr addr,
+                                   evconnlistener_cb on_accept, void *ctx,
+                                   struct pl_err *err);
 /* Sets TCP_NODELAY and TCP_USER_TIMEOUT.  */
 void net_tune_socket (int fd);
--- a/lib/net/server.c
+++ b/lib/net/server.c
@@ -1,12 +1,10 @@
 /* HTTP/1.1 server: one request at a time on each connection.  */
 #include "net_priv.h"
 
-#include <event2/listener.h>
 #include <string.h>
 
-#define READ_HIGH_BYTES                                                       \
-  65536 /* unread input kept while a request is served                        \
-         */
+/* Unread input kept while a request is served.  */
+#define READ_HIGH_BYTES 65536
 
 struct net_exchange
 {
@@ -159,21 +157,15 @@
 net_server_new (struct event_base *base,
                 const struct net_server_config *config, struct pl_err *err)
 {
-  struct sockaddr_in sin = net_sockaddr (config->addr);
   struct net_server *server = g_new0 (struct net_server, 1);
   server->base = base;
   server->ops = config->ops;
   server->ctx = config->ctx;
   server->max_body = config->max_body;
   g_queue_init (&server->connections);
-  server->listener = evconnlistener_new_bind (
-      base, on_accept, server, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
-      (struct sockaddr *)&sin, sizeof sin);
+  server->listener = net_listen (base, config->addr, on_accept, server, err);
   if (server->listener != NULL)
     return server;
-  char text[PL_ADDR_TEXT];
-  pl_fail (err, PL_SYSTEM, "cannot listen on %s: %s",
-           pl_addr_text (config->addr, text), g_strerror (errno));
   g_free (server);
   return NULL;
 }
