--- a/tests/faults/lib.sh
+++ b/tests/faults/lib.sh
@@ -3,30 +3,7 @@
 
 . scripts/cluster.sh
 trap cleanup EXIT
-passed=0
-failed=0
-
-# expect WHAT COMMAND...: counts one check.
-expect() {
-  local what=$1
-  shift
-  if "$@"; then
-    passed=$((passed + 1))
-  else
-    failed=$((failed + 1))
-    printf 'FAILED %s: %s\n' "$what" "$*"
-  fi
-}
-
-# is WHAT GOT WANTED: counts a comparison of two words.
-is() {
-  if [ "$2" = "$3" ]; then
-    passed=$((passed + 1))
-  else
-    failed=$((failed + 1))
-    printf 'FAILED %s: got "%s", expected "%s"\n' "$1" "$2" "$3"
-  fi
-}
+. tests/checks.sh
 
 # check_load: waits for the background process "load" and checks its history,
 # DIR/history.log, and its report, DIR/report.json.
@@ -41,12 +18,6 @@
   is "no job without an answer" "$(jq .total.no_answer "$DIR/report.json")" 0
 }
 
-finish() {
-  printf '%s passed, %s failed\n' "$passed" "$failed"
-  [ "$failed" -eq 0 ]
-  exit
-}
-
 # setup INDEX...: platform, workers and a configuration of failure domains; the
 # domain with index N is called dN.  A function edit_note FILE may change the note.
 setup() {
--- a/tests/session/platform.sh
+++ b/tests/session/platform.sh
@@ -8,8 +8,7 @@
 NET=127.41.$((RANDOM % 200 + 1))
 STORE=$NET.1:9100
 declare -A PID
-passed=0
-failed=0
+. tests/checks.sh
 
 cleanup() {
   local name
@@ -21,16 +20,6 @@
 }
 trap cleanup EXIT
 
-# is WHAT GOT WANTED: counts a comparison of two words.
-is() {
-  if [ "$2" = "$3" ]; then
-    passed=$((passed + 1))
-  else
-    failed=$((failed + 1))
-    printf 'FAILED %s: got "%s", expected "%s"\n' "$1" "$2" "$3"
-  fi
-}
-
 # settings N ZONE: writes the settings file of instance N.
 settings() {
   cat >"$DIR/i$1.json" <<END
@@ -200,6 +189,5 @@
 is "settings are checked" "$(echo '{}' >"$DIR/bad.json"
   PAPAYALOFT_NODE_FILE=$DIR/bad.json "$BIN/papayaloft-platformd" >"$DIR/bad.log" 2>&1
   echo $?)" 1
-printf '%s passed, %s failed\n' "$passed" "$failed"
 [ "$failed" -eq 0 ] || tail -n 5 "$DIR"/i?.log
-[ "$failed" -eq 0 ]
+finish
