Count only the work before a job in its expected wait

Cause: bench-regress, "all jobs complete at half load", had jobs refused beside a build. The logs show code 200 (OVERLOADED) with wait_us about 3.2 s: the expected wait counted all queued work of the team over the instance's share of 52 slots. One job of 377 tasks was enough to refuse a job of 8 tasks of the same team, although the order puts the small one first.

Mend: each order gives the rank of a job and the queued work before a rank; admission uses that. The test replays the load on the paused clock and fails before the mend. test_admission's job now has an arrival time, without which it came before all others; its checks are the same.

--- a/lib/disp/finish.c
+++ b/lib/disp/finish.c
@@ -49,10 +49,9 @@
   enum pl_code code = code_of (job, states);
   int64_t retry_ms = 0;
   if (pl_code_info (code)->outcome == PL_OUTCOME_NOT_RUN)
-    retry_ms
-        = sched_wait_us (disp->sched, job->base.team, slot_mine (disp->slots))
-              / 1000
-          + 1;
+    retry_ms = sched_wait_us (disp->sched, &job->base, slot_mine (disp->slots))
+                   / 1000
+               + 1;
   struct job_reply *reply
       = job_reply_error (pl_str (job->req->key), code, retry_ms, job->detail,
                          states, job->n_tasks);
--- a/lib/sched/admit.c
+++ b/lib/sched/admit.c
@@ -6,16 +6,34 @@
 #define WAIT_SPANS 2
 #define RETRY_BURST_S 2 /* seconds of the least rate that may be saved up */
 
-/* Expected wait of a new job: the work ahead over the slots.  A team with a
-   small queue waits only for its own share.  */
+/* Queued work of JOB's team that comes before JOB in the order.  */
+static int64_t
+work_ahead_us (const struct sched *sched, const struct sched_job *job)
+{
+  int64_t rank = sched->order->rank (job);
+  int64_t sum = sched->order->ahead_us (sched->order, job->team, rank);
+  for (unsigned i = 0; i < sched->waiting->len; i++)
+    {
+      const struct sched_job *other = sched->waiting->pdata[i];
+      if (other->team == job->team && other->rank <= rank)
+        sum += other->queued_us;
+    }
+  return sum;
+}
+
+/* Expected wait of a new job: the work that comes before it in the order, over
+   the slots.  Work behind it, such as a much larger job of its team, does not
+   delay it.  A team with a small queue waits only for its own share.  */
 int64_t
-sched_wait_us (const struct sched *sched, const struct sched_team *team,
+sched_wait_us (const struct sched *sched, const struct sched_job *job,
                unsigned slots)
 {
   slots = MAX (slots, 1);
-  int64_t all = sched->queued_us / slots;
-  if (team->queued_us == sched->queued_us)
-    return all;
+  const struct sched_team *team = job->team;
+  int64_t ahead_us = work_ahead_us (sched, job);
+  int64_t others_us = sched->queued_us - team->queued_us;
+  if (others_us == 0)
+    return ahead_us / slots;
   int64_t weights = team->weight;
   GHashTableIter it;
   void *value;
@@ -26,8 +44,8 @@
       if (other != team && other->queued > 0)
         weights += other->weight;
     }
-  int64_t own = team->queued_us / slots * weights / team->weight;
-  return MIN (all, own);
+  int64_t own = ahead_us / slots * weights / team->weight;
+  return MIN ((ahead_us + others_us) / slots, own);
 }
 
 static bool
@@ -44,7 +62,7 @@
              int64_t deadline_us, unsigned slots, unsigned wide, bool sized,
              int64_t *retry_after_ms, int64_t *wait_us)
 {
-  int64_t wait = sched_wait_us (sched, job->team, slots);
+  int64_t wait = sched_wait_us (sched, job, slots);
   int64_t span = MAX (job->ideal_us, job->work_us / MAX (wide, 1));
   int64_t now = pl_now_us (sched->opts.clock);
   *wait_us = wait;
--- a/lib/sched/fifo.c
+++ b/lib/sched/fifo.c
@@ -6,6 +6,12 @@
   GSequence *jobs;
 };
 
+static int64_t
+fifo_rank (const struct sched_job *job)
+{
+  return job->arrival_us;
+}
+
 static int
 by_seq (gconstpointer a, gconstpointer b, gpointer user)
 {
@@ -38,6 +44,24 @@
   return g_sequence_iter_is_end (it) ? NULL : g_sequence_get (it);
 }
 
+/* All inserted work comes before a job that arrives now.  */
+static int64_t
+fifo_ahead_us (struct sched_order *base, const struct sched_team *team,
+               int64_t rank)
+{
+  (void)rank;
+  const struct fifo *fifo = (struct fifo *)base;
+  int64_t sum = 0;
+  GSequenceIter *it = g_sequence_get_begin_iter (fifo->jobs);
+  for (; !g_sequence_iter_is_end (it); it = g_sequence_iter_next (it))
+    {
+      const struct sched_job *job = g_sequence_get (it);
+      if (job->team == team)
+        sum += job->queued_us;
+    }
+  return sum;
+}
+
 static void
 fifo_charge (struct sched_order *order, struct sched_team *team,
              int64_t size_us)
@@ -58,9 +82,11 @@
 {
   struct fifo *fifo = g_new (struct fifo, 1);
   *fifo = (struct fifo){
-    .base = { .insert = fifo_insert,
+    .base = { .rank = fifo_rank,
+              .insert = fifo_insert,
               .remove = fifo_remove,
               .first = fifo_first,
+              .ahead_us = fifo_ahead_us,
               .charge = fifo_charge,
               .free = fifo_free },
     .jobs = g_sequence_new (NULL),
--- a/lib/sched/plsched.h
+++ b/lib/sched/plsched.h
@@ -43,7 +43,8 @@
 
   GPtrArray *queued; /* longest task last; set by sched_add */
   GSequenceIter *place;
-  int64_t rank;
+  int64_t queued_us; /* sum of its queued tasks */
+  int64_t rank;      /* in its team */
   uint64_t seq;
   bool ready;
   bool skipped;
@@ -52,9 +53,14 @@
 /* An order of jobs.  FIRST must not return a skipped job.  */
 struct sched_order
 {
+  /* Rank of JOB in its team; the least comes first.  */
+  int64_t (*rank) (const struct sched_job *job);
   void (*insert) (struct sched_order *order, struct sched_job *job);
   void (*remove) (struct sched_order *order, struct sched_job *job);
   struct sched_job *(*first) (struct sched_order *order);
+  /* Inserted work of TEAM whose rank is at most RANK.  */
+  int64_t (*ahead_us) (struct sched_order *order,
+                       const struct sched_team *team, int64_t rank);
   /* A task of TEAM was bound, or (SIZE_US 0) has ended.  */
   void (*charge) (struct sched_order *order, struct sched_team *team,
                   int64_t size_us);
@@ -110,8 +116,9 @@
                           unsigned tasks, int64_t deadline_us, unsigned slots,
                           unsigned wide, bool sized, int64_t *retry_after_ms,
                           int64_t *wait_us);
-int64_t sched_wait_us (const struct sched *sched,
-                       const struct sched_team *team, unsigned slots);
+/* Expected wait of JOB, which is not queued yet, for its first slot.  */
+int64_t sched_wait_us (const struct sched *sched, const struct sched_job *job,
+                       unsigned slots);
 
 /* The retry budget: a share of the starts, and a least rate.  */
 void sched_count_start (struct sched *sched);
--- a/lib/sched/queue.c
+++ b/lib/sched/queue.c
@@ -23,6 +23,7 @@
   sched->teams
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, team_free);
   sched->skipped = g_ptr_array_new ();
+  sched->waiting = g_ptr_array_new ();
   sched->retry_at_us = pl_now_us (opts->clock);
   sched->retry_tokens = opts->retry_min_per_s;
   return sched;
@@ -36,6 +37,7 @@
   sched->order->free (sched->order);
   g_hash_table_unref (sched->teams);
   g_ptr_array_unref (sched->skipped);
+  g_ptr_array_unref (sched->waiting);
   g_free (sched);
 }
 
@@ -74,6 +76,7 @@
   sched->queued_us += size_us;
   job->team->queued += (unsigned)n;
   job->team->queued_us += size_us;
+  job->queued_us += size_us;
   if (job->ready)
     sched->runnable += (unsigned)n;
 }
@@ -83,6 +86,8 @@
            struct sched_task **tasks, unsigned n)
 {
   job->queued = g_ptr_array_sized_new (n);
+  job->queued_us = 0;
+  job->rank = sched->order->rank (job);
   job->seq = sched->next_seq++;
   job->ready = false;
   job->skipped = false;
@@ -94,6 +99,7 @@
       account (sched, job, 1, tasks[i]->size_us);
     }
   g_ptr_array_sort (job->queued, by_size);
+  g_ptr_array_add (sched->waiting, job);
 }
 
 void
@@ -102,6 +108,7 @@
   if (job->ready)
     return;
   job->ready = true;
+  g_ptr_array_remove_fast (sched->waiting, job);
   sched->runnable += job->queued->len;
   if (job->queued->len > 0)
     sched->order->insert (sched->order, job);
@@ -118,6 +125,8 @@
   if (job->skipped)
     g_ptr_array_remove_fast (sched->skipped, job);
   job->skipped = false;
+  if (!job->ready)
+    g_ptr_array_remove_fast (sched->waiting, job);
   for (unsigned i = 0; i < n; i++)
     {
       const struct sched_task *task = job->queued->pdata[i];
--- a/lib/sched/slowdown.c
+++ b/lib/sched/slowdown.c
@@ -51,6 +51,17 @@
   team->place = g_sequence_insert_sorted (list, team, by_vtime, NULL);
 }
 
+/* The time at which its slowdown reaches the target.  The mean of the longest
+   task and of the total work is the weight that orders by work times ideal,
+   which lowers the mean slowdown.  */
+static int64_t
+slowdown_rank (const struct sched_job *job)
+{
+  double span = sqrt ((double)job->ideal_us
+                      * (double)MAX (job->ideal_us, job->work_us / SPREAD));
+  return job->arrival_us + TARGET * (int64_t)span;
+}
+
 static void
 slowdown_insert (struct sched_order *base, struct sched_job *job)
 {
@@ -62,11 +73,6 @@
   /* A team that was idle gets no credit for that time.  */
   if (idle && team->vtime < order->vtime)
     team->vtime = order->vtime;
-  /* The mean of the longest task and of the total work is the weight that
-     orders by work times ideal, which lowers the mean slowdown.  */
-  double span = sqrt ((double)job->ideal_us
-                      * (double)MAX (job->ideal_us, job->work_us / SPREAD));
-  job->rank = job->arrival_us + TARGET * (int64_t)span;
   job->place = g_sequence_insert_sorted (team->jobs, job, by_rank, NULL);
   if (idle)
     settle (order, team);
@@ -95,6 +101,25 @@
   return g_sequence_get (g_sequence_get_begin_iter (team->jobs));
 }
 
+static int64_t
+slowdown_ahead_us (struct sched_order *base, const struct sched_team *team,
+                   int64_t rank)
+{
+  (void)base;
+  if (team->jobs == NULL)
+    return 0;
+  int64_t sum = 0;
+  GSequenceIter *it = g_sequence_get_begin_iter (team->jobs);
+  for (; !g_sequence_iter_is_end (it); it = g_sequence_iter_next (it))
+    {
+      const struct sched_job *job = g_sequence_get (it);
+      if (job->rank > rank)
+        break;
+      sum += job->queued_us;
+    }
+  return sum;
+}
+
 static void
 slowdown_charge (struct sched_order *base, struct sched_team *team,
                  int64_t size_us)
@@ -120,9 +145,11 @@
 {
   struct slowdown *order = g_new (struct slowdown, 1);
   *order = (struct slowdown){
-    .base = { .insert = slowdown_insert,
+    .base = { .rank = slowdown_rank,
+              .insert = slowdown_insert,
               .remove = slowdown_remove,
               .first = slowdown_first,
+              .ahead_us = slowdown_ahead_us,
               .charge = slowdown_charge,
               .free = slowdown_free },
     .teams = g_sequence_new (NULL),
--- a/tests/sched_test.c
+++ b/tests/sched_test.c
@@ -229,7 +229,9 @@
 admit (struct fix *f, const char *team, unsigned quota, int64_t deadline_us,
        unsigned tasks)
 {
-  struct sched_job job = { .ideal_us = 100000, .work_us = 100000 };
+  struct sched_job job = { .arrival_us = f->clock.now_us,
+                           .ideal_us = 100000,
+                           .work_us = 100000 };
   job.team = sched_team (f->sched, team, 1, quota);
   int64_t retry_ms;
   int64_t wait_us;
@@ -260,6 +262,73 @@
   clean (&f, u, 50);
 }
 
+/* A job of N tasks of SIZE_US for admission.  */
+static enum pl_code
+admit_job (struct fix *f, const char *team, int64_t size_us, unsigned n,
+           unsigned slots, int64_t *wait_us)
+{
+  struct sched_job job = { .arrival_us = f->clock.now_us,
+                           .ideal_us = size_us,
+                           .work_us = size_us * n,
+                           .team = sched_team (f->sched, team, 2, 0) };
+  int64_t retry_ms;
+  return sched_admit (f->sched, &job, n, f->clock.now_us + 30000000, slots,
+                      2 * slots, true, &retry_ms, wait_us);
+}
+
+/* Queues a job of N equal tasks at TASKS.  */
+static void
+add_wide (struct fix *f, struct sched_job *job, struct sched_task *tasks,
+          const char *team, int64_t size_us, unsigned n)
+{
+  g_autofree struct sched_task **list = g_new (struct sched_task *, n);
+  *job = (struct sched_job){ .arrival_us = f->clock.now_us,
+                             .ideal_us = size_us,
+                             .work_us = size_us * n,
+                             .team = sched_team (f->sched, team, 2, 0) };
+  for (unsigned i = 0; i < n; i++)
+    {
+      tasks[i] = (struct sched_task){ .size_us = size_us };
+      list[i] = &tasks[i];
+    }
+  sched_add (f->sched, job, list, n);
+}
+
+/* Guards against the refusal of small jobs of a team of which one of the
+   largest jobs was queued just before.  The order puts them before it, so that
+   they do not wait for it.  Load: 377 tasks of 450 ms on 52 slots, then jobs
+   of 8 tasks, as bench-regress has them at half load beside a build.  */
+static void
+test_admission_behind_large_job (void)
+{
+  struct fix f;
+  struct sched_job large[2];
+  g_autofree struct sched_task *tasks = g_new (struct sched_task, 2 * 377);
+  int64_t wait_us;
+  fix_init (&f, "slowdown");
+  add_wide (&f, &large[0], tasks, "studio", 450000, 377);
+  /* The same before and after its permit.  */
+  CU_ASSERT_EQUAL (admit_job (&f, "studio", 250000, 8, 52, &wait_us), PL_OK);
+  CU_ASSERT_EQUAL (wait_us, 0);
+  sched_ready (f.sched, &large[0]);
+  CU_ASSERT_EQUAL (admit_job (&f, "studio", 250000, 8, 52, &wait_us), PL_OK);
+  CU_ASSERT_EQUAL (wait_us, 0);
+  /* A job that comes after it in the order waits for it.  */
+  add_wide (&f, &large[1], tasks + 377, "studio", 450000, 377);
+  sched_ready (f.sched, &large[1]);
+  CU_ASSERT_EQUAL (admit_job (&f, "studio", 450000, 377, 52, &wait_us),
+                   PL_OVERLOADED);
+  CU_ASSERT_EQUAL (wait_us, 2 * 377 * 450000LL / 52);
+  /* So does a small one that arrives when they have waited for long.  */
+  pl_manual_clock_advance (&f.clock, 20000000);
+  CU_ASSERT_EQUAL (admit_job (&f, "studio", 250000, 8, 52, &wait_us),
+                   PL_OVERLOADED);
+  sched_drop (f.sched, &large[0]);
+  sched_drop (f.sched, &large[1]);
+  CU_ASSERT_EQUAL (admit_job (&f, "studio", 250000, 8, 52, &wait_us), PL_OK);
+  sched_free (f.sched);
+}
+
 static void
 test_retry_budget (void)
 {
@@ -289,6 +358,7 @@
     { "skip and again", test_skip_and_again },
     { "sizes", test_sizes },
     { "admission", test_admission },
+    { "admission behind a large job", test_admission_behind_large_job },
     { "retry budget", test_retry_budget },
     CU_TEST_INFO_NULL,
   };
