Plan with a margin, pass over slow workers, learn how far declared run times tell

Queues of one service no longer refuse jobs of another.

Three of the new tests of pack_test fail on the earlier planner.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 # What the event-driven daemon needs; it is linked with nothing else, because
 # each library that is loaded costs memory on every machine.
 LEAN_PKGS = glib-2.0 jansson libevent_core libprotobuf-c libxxhash
-LEAN_LIBS = $(shell pkg-config --libs $(LEAN_PKGS)) -lhttp_parser
+LEAN_LIBS = $(shell pkg-config --libs $(LEAN_PKGS)) -lhttp_parser -lm
 CSTD = -std=gnu11
 WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
        -Wno-missing-field-initializers -Werror
--- a/lib/disp/result.c
+++ b/lib/disp/result.c
@@ -32,7 +32,8 @@
       slot_good (disp->slots, worker, job->kind);
       slot_learn (disp->slots, worker, result->run_us, task->base.size_us);
       sched_sizes_learn (disp->sizes, job->req->service, job->req->kind,
-                         job->req->team, result->run_us);
+                         job->req->team, task->base.declared_us,
+                         result->run_us);
       return;
     case RUN_NOT_SENT:
       if (unreachable)
--- a/lib/own/task.c
+++ b/lib/own/task.c
@@ -53,7 +53,8 @@
   if (took_us > 0)
     {
       pl_observe (PL_HIST_RUN, took_us);
-      sched_sizes_learn (table->sizes, job->service, job->route, "", took_us);
+      sched_sizes_learn (table->sizes, job->service, job->route, "",
+                         job->declared_us, took_us);
     }
   if (++job->n_ended == job->n_tasks)
     own_finish (table, job, PL_OK, 0);
--- a/lib/pack/choose.c
+++ b/lib/pack/choose.c
@@ -78,6 +78,29 @@
          || count_placed (job, r->r.worker) < want->per_worker;
 }
 
+static bool
+has_room (struct room *r, const struct job *job, int64_t now_us)
+{
+  expire_grants (r, now_us);
+  return pack_fits (r->r.capacity, pack_room_used (r), job->want.size);
+}
+
+bool
+pack_takes (struct room *r, const struct job *job, int64_t now_us)
+{
+  return allowed (r, job, now_us) && has_room (r, job, now_us);
+}
+
+/* Whether a task of JOB that starts on R now is likely to end in time.  */
+static bool
+in_time (const struct room *r, const struct job *job, int64_t now_us)
+{
+  if (r->r.slowness <= 100)
+    return true;
+  int64_t run_us = job->want.run_us * r->r.slowness / 100;
+  return now_us + run_us <= job->want.objective_us;
+}
+
 /* Best fit: the less is left over, the better.  */
 static int64_t
 cost (const struct room *r, const struct job *job, struct pack_amount used)
@@ -93,11 +116,28 @@
   return c + (int64_t)count_placed (job, r->r.worker) * COST_SAME_JOB;
 }
 
+/* The cheapest room of a kind so far.  */
+struct best
+{
+  struct room *room;
+  int64_t cost;
+};
+
+static void
+consider (struct best *best, struct room *r, int64_t cost_of_r)
+{
+  if (best->room == NULL || cost_of_r < best->cost)
+    *best = (struct best){ r, cost_of_r };
+}
+
+/* A worker on which the task would end too late is passed over while one that
+   is fast enough, though full now, may still take the task in time.  */
 struct room *
 pack_choose (struct pack_plan *plan, const struct job *job, int64_t now_us)
 {
-  struct room *best = NULL;
-  int64_t best_cost = INT64_MAX;
+  struct best fast = { 0 };
+  struct best any = { 0 };
+  bool can_wait = false;
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, plan->rooms);
@@ -106,16 +146,17 @@
       struct room *r = value;
       if (!allowed (r, job, now_us))
         continue;
-      expire_grants (r, now_us);
-      struct pack_amount used = pack_room_used (r);
-      if (!pack_fits (r->r.capacity, used, job->want.size))
+      bool fast_enough = in_time (r, job, now_us);
+      can_wait |= fast_enough;
+      if (!has_room (r, job, now_us))
         continue;
-      int64_t c = cost (r, job, used);
-      if (c < best_cost)
-        {
-          best = r;
-          best_cost = c;
-        }
+      int64_t c = cost (r, job, pack_room_used (r));
+      consider (&any, r, c);
+      if (fast_enough)
+        consider (&fast, r, c);
     }
-  return best;
+  if (fast.room != NULL)
+    return fast.room;
+  can_wait &= now_us <= pack_latest_start (job);
+  return can_wait ? NULL : any.room;
 }
--- a/lib/pack/order.c
+++ b/lib/pack/order.c
@@ -3,11 +3,17 @@
 
 /* Answer's way from the last task's end to the caller.  */
 #define ANSWER_US 4000
+/* Run times are estimates: this part of one more is planned for, as far as it
+   leaves half of the slack.  */
+#define MARGIN_PERCENT 25
 
 int64_t
 pack_latest_start (const struct job *job)
 {
-  return job->want.objective_us - job->want.run_us - ANSWER_US;
+  const struct pack_want *want = &job->want;
+  int64_t latest_us = want->objective_us - want->run_us - ANSWER_US;
+  int64_t slack_us = MAX (latest_us - job->arrival_us, 0);
+  return latest_us - MIN (want->run_us * MARGIN_PERCENT / 100, slack_us / 2);
 }
 
 bool
--- a/lib/pack/pack.c
+++ b/lib/pack/pack.c
@@ -3,6 +3,11 @@
 
 #include <string.h>
 
+/* Least part of the cores, one in so many, that works off the queue.  */
+#define LEAST_USED_PART 2
+/* For so long after a refusal the work ahead counts for more.  */
+#define CROWDED_US 500000
+#define CROWDED_PERCENT 200
 /* A refused caller comes back after the wait of the queue, spread so that
    refused callers don't return together.  */
 #define RETRY_AFTER_MIN_MS 1000
@@ -31,10 +36,22 @@
   g_free (job);
 }
 
+const struct pack_policy pack_policy_default
+    = { .order = pack_order, .choose = pack_choose, .refuses = true };
+
 struct pack_plan *
 pack_new (const struct pack_ops *ops, void *ctx)
+{
+  return pack_new_with (&pack_policy_default, ops, ctx);
+}
+
+struct pack_plan *
+pack_new_with (const struct pack_policy *policy, const struct pack_ops *ops,
+               void *ctx)
 {
   struct pack_plan *plan = g_new0 (struct pack_plan, 1);
+  plan->policy = policy;
+  plan->crowded_us = INT64_MIN / 2;
   plan->ops = ops;
   plan->ctx = ctx;
   plan->rooms
@@ -186,7 +203,7 @@
 {
   while (job->waiting->len > 0)
     {
-      struct room *r = pack_choose (plan, job, now_us);
+      struct room *r = plan->policy->choose (plan, job, now_us);
       if (r == NULL)
         return;
       uint32_t index = g_array_index (job->waiting, uint32_t, 0);
@@ -195,27 +212,56 @@
     }
 }
 
-/* Cores of all usable workers, in thousandths.  */
-static int64_t
-usable_cpu (struct pack_plan *plan)
+/* The usable workers of one service and the work that waits for them.  */
+struct backlog
+{
+  int64_t cpu;      /* thousandths of a core */
+  int64_t used_cpu; /* of them, grants included */
+  int64_t ahead;    /* waiting, thousandths of a core x microseconds */
+};
+
+/* Service -> struct backlog.  */
+static GHashTable *
+count_rooms (struct pack_plan *plan)
 {
-  int64_t cpu = 0;
+  GHashTable *backlogs
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, plan->rooms);
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
-      const struct room *r = value;
-      if (r->r.usable)
-        cpu += r->r.capacity.cpu;
+      struct room *r = value;
+      if (!r->r.usable)
+        continue;
+      struct backlog *b = g_hash_table_lookup (backlogs, &r->r.service);
+      if (b == NULL)
+        {
+          b = g_new0 (struct backlog, 1);
+          g_hash_table_insert (backlogs, &r->r.service, b);
+        }
+      b->cpu += r->r.capacity.cpu;
+      b->used_cpu += pack_room_used (r).cpu;
     }
-  return cpu;
+  return backlogs;
 }
 
-/* Tells the owner that the job is not served; CPU are the usable cores.  */
+/* Time until the work ahead is started: the cores that tasks fill now, since
+   tasks of mixed sizes never fill all of them, work it off.  While there is
+   too much of it, later jobs that come first in the order add to it.  */
+static int64_t
+ahead_us (const struct pack_plan *plan, const struct backlog *b,
+          int64_t now_us)
+{
+  int64_t cpu = MAX (b->used_cpu, b->cpu / LEAST_USED_PART);
+  bool crowded = now_us - plan->crowded_us < CROWDED_US;
+  return b->ahead * (crowded ? CROWDED_PERCENT : 100) / 100 / cpu;
+}
+
+/* Tells the owner that the job is not served.  B may be null.  */
 static void
 refuse_job (struct pack_plan *plan, struct job *job, enum pack_reason reason,
-            int64_t cpu, int64_t ahead_us, int64_t now_us)
+            const struct backlog *b, int64_t now_us)
 {
   struct pack_want want = job->want;
   struct pack_refusal refusal = {
@@ -223,40 +269,36 @@
     .retry_after_ms
     = RETRY_AFTER_MIN_MS + (int)(want.job % RETRY_AFTER_SPREAD_MS),
     .waiting = plan->jobs->len,
-    .usable_cpu = cpu,
-    .ahead_us = ahead_us,
+    .usable_cpu = b == NULL ? 0 : b->cpu,
+    .ahead_us = b == NULL ? 0 : ahead_us (plan, b, now_us),
     .slack_us = pack_latest_start (job) - now_us,
   };
   job_remove (plan, job);
   plan->ops->refuse (plan->ctx, &want, &refusal);
 }
 
-static void
-refuse_hopeless (struct pack_plan *plan, int64_t cpu, int64_t now_us)
+/* The order of a policy at a time.  */
+struct sorting
 {
-  for (guint i = plan->jobs->len; i-- > 0;)
-    {
-      struct job *job = g_ptr_array_index (plan->jobs, i);
-      if (job->waiting->len > 0 && pack_hopeless (job, now_us))
-        refuse_job (plan, job, PACK_HOPELESS, cpu, 0, now_us);
-    }
-}
+  const struct pack_policy *policy;
+  int64_t now_us;
+};
 
 static gint
-compare_jobs (gconstpointer a, gconstpointer b, gpointer now_us)
+compare_jobs (gconstpointer a, gconstpointer b, gpointer user)
 {
-  return pack_order (*(struct job *const *)a, *(struct job *const *)b,
-                     *(int64_t *)now_us);
+  const struct sorting *sorting = user;
+  return sorting->policy->order (*(struct job *const *)a,
+                                 *(struct job *const *)b, sorting->now_us);
 }
 
-/* Refuses jobs that the work queued before them keeps from starting in time.
-   Jobs are in order.  */
+/* Refuses jobs that can't end in time, and, if the policy does so, jobs that
+   the work queued before them keeps from starting in time.  Jobs are in
+   order.  */
 static void
-refuse_crowded_out (struct pack_plan *plan, int64_t cpu, int64_t now_us)
+refuse_jobs (struct pack_plan *plan, int64_t now_us)
 {
-  int64_t ahead = 0; /* thousandths of a core x microseconds */
-  if (cpu == 0)
-    return; /* the holders have not reported yet */
+  g_autoptr (GHashTable) backlogs = count_rooms (plan);
   /* Refusals change the plan's list.  */
   g_autoptr (GPtrArray) jobs = g_ptr_array_new ();
   g_ptr_array_extend (jobs, plan->jobs, NULL, NULL);
@@ -265,11 +307,33 @@
       struct job *job = g_ptr_array_index (jobs, i);
       if (job->waiting->len == 0)
         continue;
-      if (!job->want.started && now_us + ahead / cpu > pack_latest_start (job))
-        refuse_job (plan, job, PACK_CROWDED, cpu, ahead / cpu, now_us);
+      /* None: the holders have not reported yet.  */
+      struct backlog *b = g_hash_table_lookup (backlogs, &job->want.service);
+      if (pack_hopeless (job, now_us))
+        refuse_job (plan, job, PACK_HOPELESS, b, now_us);
+      else if (b == NULL || !plan->policy->refuses)
+        continue;
+      else if (!job->want.started
+               && now_us + ahead_us (plan, b, now_us)
+                      > pack_latest_start (job))
+        {
+          refuse_job (plan, job, PACK_CROWDED, b, now_us);
+          plan->crowded_us = now_us;
+        }
       else
-        ahead += (int64_t)job->waiting->len * job->want.size.cpu
-                 * job->want.run_us;
+        b->ahead += (int64_t)job->waiting->len * job->want.size.cpu
+                    * job->want.run_us;
+    }
+}
+
+static void
+drop_placed (struct pack_plan *plan)
+{
+  for (guint i = plan->jobs->len; i-- > 0;)
+    {
+      struct job *job = g_ptr_array_index (plan->jobs, i);
+      if (job->waiting->len == 0)
+        job_remove (plan, job);
     }
 }
 
@@ -278,18 +342,16 @@
 {
   if (plan->jobs->len == 0)
     return;
-  int64_t cpu = usable_cpu (plan);
-  refuse_hopeless (plan, cpu, now_us);
-  g_ptr_array_sort_with_data (plan->jobs, compare_jobs, &now_us);
+  struct sorting sorting = { plan->policy, now_us };
+  g_ptr_array_sort_with_data (plan->jobs, compare_jobs, &sorting);
   for (guint i = 0; i < plan->jobs->len; i++)
-    place_job (plan, g_ptr_array_index (plan->jobs, i), now_us);
-  refuse_crowded_out (plan, cpu, now_us);
-  for (guint i = plan->jobs->len; i-- > 0;)
     {
       struct job *job = g_ptr_array_index (plan->jobs, i);
-      if (job->waiting->len == 0)
-        job_remove (plan, job);
+      if (!pack_hopeless (job, now_us))
+        place_job (plan, job, now_us);
     }
+  refuse_jobs (plan, now_us);
+  drop_placed (plan);
 }
 
 unsigned
--- a/lib/pack/pack_priv.h
+++ b/lib/pack/pack_priv.h
@@ -27,16 +27,39 @@
   uint64_t seq;
 };
 
+/* How jobs are ordered and placed.  */
+struct pack_policy
+{
+  /* Order of waiting jobs.  */
+  int (*order) (const struct job *a, const struct job *b, int64_t now_us);
+  /* A room for a task of JOB, null if none has enough left.  */
+  struct room *(*choose) (struct pack_plan *plan, const struct job *job,
+                          int64_t now_us);
+  /* Whether jobs are refused that the queue keeps from starting in time.  */
+  bool refuses;
+};
+
+extern const struct pack_policy pack_policy_default;
+/* Baselines: the order of arrival, and a random worker or the better of two
+   random ones; nothing is refused before it is hopeless.  */
+extern const struct pack_policy pack_policy_random;
+extern const struct pack_policy pack_policy_two;
+
 struct pack_plan
 {
+  const struct pack_policy *policy;
   const struct pack_ops *ops;
   void *ctx;
   GHashTable *rooms; /* worker -> struct room */
   GPtrArray *jobs;   /* struct job, unordered between decisions */
   GHashTable *by_id; /* job -> struct job */
   uint64_t next_seq;
+  int64_t crowded_us; /* latest refusal of a job that was crowded out */
 };
 
+struct pack_plan *pack_new_with (const struct pack_policy *policy,
+                                 const struct pack_ops *ops, void *ctx);
+
 /* Room that grants and runs of R take.  */
 struct pack_amount pack_room_used (const struct room *r);
 
@@ -47,6 +70,9 @@
 /* Whether the job can't end in time even if it started now.  */
 bool pack_hopeless (const struct job *job, int64_t now_us);
 
+/* Whether R may take a task of JOB now and has enough left.  Drops grants that
+   have timed out.  */
+bool pack_takes (struct room *r, const struct job *job, int64_t now_us);
 /* The best room for a task of JOB, null if none has enough left.  */
 struct room *pack_choose (struct pack_plan *plan, const struct job *job,
                           int64_t now_us);
--- a/lib/sched/plsched.h
+++ b/lib/sched/plsched.h
@@ -128,10 +128,13 @@
 struct sched_sizes;
 struct sched_sizes *sched_sizes_new (struct pl_clock *clock);
 void sched_sizes_free (struct sched_sizes *sizes);
+/* DECLARED_US, here and below, is 0 if nothing was declared.  */
 void sched_sizes_learn (struct sched_sizes *sizes, const char *service,
-                        const char *kind, const char *team, int64_t run_us);
-/* DECLARED_US is 0 if nothing was declared.  SIZED (may be null) is set if
-   the estimate is fresh enough to refuse a job for it.  */
+                        const char *kind, const char *team,
+                        int64_t declared_us, int64_t run_us);
+/* The usual run time, changed as far as declared sizes have proved to tell
+   anything.  SIZED (may be null) is set if the estimate is fresh enough to
+   refuse a job for it.  */
 int64_t sched_sizes_get (struct sched_sizes *sizes, const char *service,
                          const char *kind, const char *team,
                          int64_t declared_us, bool *sized);
--- a/lib/sched/sizes.c
+++ b/lib/sched/sizes.c
@@ -1,15 +1,31 @@
 #include "plsched.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define RING 32          /* run times from which a kind's median is taken */
-#define STALE_US 5000000 /* age after which no job is refused for its size */
-#define CLAMP_FACTOR 10  /* bound of an estimate against the kind's median */
-#define SMOOTH 16        /* run times that an estimate remembers */
+#define RING 32           /* run times from which a kind's median is taken */
+#define STALE_US 5000000  /* age after which no job is refused for its size */
+#define CLAMP_FACTOR 10   /* bound of an estimate against the kind's median */
+#define SMOOTH 16         /* run times that an estimate remembers */
+#define TRUST_SMOOTH 128  /* pairs that the trust in declared sizes remembers \
+                           */
+#define TRUST_SAMPLES 16  /* pairs before declared sizes are trusted */
+#define TRUST_SPREAD 1e-4 /* variance below which all declare the same */
+
+/* How run times follow declared sizes: moments of their logarithms.  */
+struct pairs
+{
+  uint64_t count;
+  double declared;
+  double run;
+  double variance; /* of the declared sizes */
+  double covariance;
+};
 
 struct entry
 {
+  struct pairs pairs;
   uint64_t count;
   int64_t mean_us;
   int64_t learnt_us; /* time of the latest sample */
@@ -57,7 +73,36 @@
 }
 
 static void
-learn (struct sched_sizes *sizes, char *key, int64_t run_us)
+learn_pair (struct pairs *pairs, int64_t declared_us, int64_t run_us)
+{
+  double x = log ((double)declared_us);
+  double y = log ((double)run_us);
+  pairs->count++;
+  double part = 1.0 / (double)MIN (pairs->count, TRUST_SMOOTH);
+  double off = x - pairs->declared;
+  pairs->declared += part * off;
+  pairs->run += part * (y - pairs->run);
+  /* One factor from before the update of its mean, one from after it.  */
+  pairs->variance += part * (off * (x - pairs->declared) - pairs->variance);
+  pairs->covariance += part * (off * (y - pairs->run) - pairs->covariance);
+}
+
+/* Factor on the usual run time for a job that declares DECLARED_US: the slope
+   of the regression of run times on declared sizes says how much of a
+   difference to the usual declaration is believed.  */
+static double
+declared_factor (const struct pairs *pairs, int64_t declared_us)
+{
+  if (declared_us <= 0 || pairs->count < TRUST_SAMPLES
+      || pairs->variance < TRUST_SPREAD)
+    return 1;
+  double trust = CLAMP (pairs->covariance / pairs->variance, 0, 1);
+  return exp (trust * (log ((double)declared_us) - pairs->declared));
+}
+
+static void
+learn (struct sched_sizes *sizes, char *key, int64_t declared_us,
+       int64_t run_us)
 {
   struct entry *entry = g_hash_table_lookup (sizes->entries, key);
   if (entry == NULL)
@@ -65,6 +110,8 @@
       entry = g_new0 (struct entry, 1);
       g_hash_table_insert (sizes->entries, g_strdup (key), entry);
     }
+  if (declared_us > 0)
+    learn_pair (&entry->pairs, declared_us, run_us);
   entry->ring[entry->count % RING] = run_us;
   entry->count++;
   int64_t n = MIN ((int64_t)entry->count, SMOOTH);
@@ -81,12 +128,13 @@
 
 void
 sched_sizes_learn (struct sched_sizes *sizes, const char *service,
-                   const char *kind, const char *team, int64_t run_us)
+                   const char *kind, const char *team, int64_t declared_us,
+                   int64_t run_us)
 {
   g_autofree char *narrow = key_of (service, kind, team);
   g_autofree char *wide = key_of (service, kind, NULL);
-  learn (sizes, narrow, MAX (run_us, 1));
-  learn (sizes, wide, MAX (run_us, 1));
+  learn (sizes, narrow, declared_us, MAX (run_us, 1));
+  learn (sizes, wide, declared_us, MAX (run_us, 1));
 }
 
 int64_t
@@ -103,7 +151,10 @@
      declaration or an old estimate can be corrected.  */
   if (sized != NULL)
     *sized = learnt && pl_now_us (sizes->clock) - own->learnt_us < STALE_US;
-  int64_t size = learnt ? own->mean_us : declared_us;
+  int64_t size = declared_us;
+  if (learnt)
+    size = (int64_t)((double)own->mean_us
+                     * declared_factor (&own->pairs, declared_us));
   bool bounded = all != NULL && all->count >= SCHED_SAMPLES;
   if (size == 0)
     size = bounded ? all->median_us : SCHED_DEFAULT_US;
--- a/tests/pack_test.c
+++ b/tests/pack_test.c
@@ -1,5 +1,5 @@
 /* Tests of lib/pack: each replays a pattern of load on explicit times.  */
-#include "pack.h"
+#include "pack_load.h"
 #include "test.h"
 
 #include <string.h>
@@ -285,6 +285,199 @@
   pack_free (plan);
 }
 
+static void
+report_speed (struct pack_plan *plan, uint64_t worker, int32_t used,
+              uint32_t slowness, int64_t now_us)
+{
+  struct pack_room room = {
+    .worker = worker,
+    .holder = 1,
+    .service = 1,
+    .domain = 1,
+    .capacity = { 16000, 131072, 0 },
+    .used = { used, 0, 0 },
+    .usable = true,
+    .slowness = slowness,
+  };
+  pack_report (plan, &room, now_us);
+}
+
+/* A third of the workers turns slow: guards against tasks that are placed
+   there and miss the objective, while a full worker frees its cores in time.
+ */
+static void
+test_slow_workers_are_passed_over (void)
+{
+  struct sink sink = { 0 };
+  struct pack_plan *plan = pack_new (&ops, &sink);
+  report_speed (plan, 1, 14000, 100, 0);
+  report_speed (plan, 2, 0, 400, 0);
+  request (plan, 10, 1, 14000, 200 * MS, 0);
+  pack_decide (plan, 0);
+  CU_ASSERT_EQUAL (sink.grants, 0);
+  report_speed (plan, 1, 0, 100, 50 * MS);
+  pack_decide (plan, 50 * MS);
+  CU_ASSERT_EQUAL (sink.grants, 1);
+  CU_ASSERT_EQUAL (sink.workers[0], 1);
+  pack_free (plan);
+}
+
+/* Guards against a wait for fast workers where there are none, and against a
+   job that is refused although a slow worker is free when it gets late.  */
+static void
+test_slow_workers_are_better_than_none (void)
+{
+  struct sink sink = { 0 };
+  struct pack_plan *plan = pack_new (&ops, &sink);
+  report_speed (plan, 2, 0, 400, 0);
+  request (plan, 10, 1, 14000, 200 * MS, 0);
+  pack_decide (plan, 0);
+  CU_ASSERT_EQUAL (sink.grants, 1);
+  report_speed (plan, 1, 14000, 100, 0);
+  report_speed (plan, 2, 0, 400, 0);
+  request (plan, 11, 1, 14000, 200 * MS, 0);
+  pack_release (plan, 2, pack_tag (10, 0));
+  pack_decide (plan, 0);
+  CU_ASSERT_EQUAL (sink.grants, 1);
+  pack_decide (plan, 180 * MS);
+  CU_ASSERT_EQUAL (sink.grants, 2);
+  CU_ASSERT_EQUAL (sink.refusals, 0);
+  pack_free (plan);
+}
+
+/* Guards against refusals for a queue of another service's workers.  */
+static void
+test_a_queue_delays_its_own_service_only (void)
+{
+  struct sink sink = { 0 };
+  struct pack_plan *plan = pack_new (&ops, &sink);
+  report (plan, 1, 16000, 14000);
+  struct pack_room other = {
+    .worker = 2,
+    .holder = 1,
+    .service = 2,
+    .domain = 1,
+    .capacity = { 16000, 131072, 0 },
+    .used = { 14000, 0, 0 },
+    .usable = true,
+    .slowness = 100,
+  };
+  pack_report (plan, &other, 0);
+  for (uint64_t job = 1; job <= 3; job++)
+    request (plan, job, 1, 14000, 100 * MS, 0);
+  uint32_t task = 0;
+  struct pack_want want = {
+    .job = 11,
+    .owner = 7,
+    .service = 2,
+    .domain = 1,
+    .size = { 14000, 64, 0 },
+    .run_us = 100 * MS,
+    .objective_us = 225 * MS,
+    .late_us = 675 * MS,
+    .deadline_us = 900 * MS,
+    .n_tasks = 1,
+    .n = 1,
+    .tasks = &task,
+  };
+  pack_request (plan, &want, 0);
+  pack_decide (plan, 0);
+  for (unsigned i = 0; i < sink.refusals; i++)
+    CU_ASSERT_NOT_EQUAL (sink.refused[i], 11);
+  CU_ASSERT_EQUAL (pack_waiting (plan), 2);
+  pack_free (plan);
+}
+
+#define EVEN 0.1 /* no kind and no domain is more than this under the whole   \
+                  */
+
+static void
+check_even (const struct load_result *r)
+{
+  for (unsigned i = 0; i < LOAD_KINDS; i++)
+    CU_ASSERT (load_share (&r->kinds[i]) > load_share (&r->all) - EVEN);
+  for (unsigned i = 0; i < LOAD_DOMAINS; i++)
+    CU_ASSERT (load_share (&r->domains[i]) > load_share (&r->all) - EVEN);
+}
+
+static void
+print_result (const char *load, const char *policy,
+              const struct load_result *r)
+{
+  printf ("%-14s %-8s credit %.3f, kinds %.3f %.3f %.3f, late %.3f, refused "
+          "%.3f, of it late %.3f\n",
+          load, policy, load_share (&r->all), load_share (&r->kinds[0]),
+          load_share (&r->kinds[1]), load_share (&r->kinds[2]),
+          (double)r->all.late / r->all.asked,
+          (double)r->all.refused / r->all.asked, r->late_refusals);
+}
+
+/* Plays C under the planner's policy and both baselines: it must be better
+   than each and serve kinds and domains alike.  */
+static struct load_result
+compare_policies (const char *name, const struct load_case *c)
+{
+  struct load_result result = load_play (c, &pack_policy_default);
+  struct load_result random = load_play (c, &pack_policy_random);
+  struct load_result two = load_play (c, &pack_policy_two);
+  print_result (name, "planner", &result);
+  print_result (name, "random", &random);
+  print_result (name, "two", &two);
+  CU_ASSERT (load_share (&result.all) > load_share (&random.all));
+  CU_ASSERT (load_share (&result.all) > load_share (&two.all));
+  check_even (&result);
+  return result;
+}
+
+/* The target for the credit of a day.  */
+#define CREDIT_TARGET 0.9
+
+static void
+test_usual_load (void)
+{
+  static const struct load_case c = { .seconds = 20, .rate = 0.85, .seed = 1 };
+  struct load_result r = compare_policies ("usual load", &c);
+  CU_ASSERT (load_share (&r.all) >= CREDIT_TARGET);
+}
+
+/* Guards against an order that serves all jobs late, and against one that
+   serves one kind at the cost of another.  */
+static void
+test_overload (void)
+{
+  static const struct load_case c = { .seconds = 20, .rate = 1.3, .seed = 2 };
+  compare_policies ("overload", &c);
+}
+
+static void
+test_bursts (void)
+{
+  static const struct load_burst bursts[] = {
+    { -1, 1.6, 2, 6 },
+    { 1, 3.0, 8, 11 },
+    { 0, 3.0, 13, 16 },
+    { 2, 2.5, 18, 21 },
+  };
+  static const struct load_case c = { .seconds = 24,
+                                      .rate = 0.9,
+                                      .bursts = bursts,
+                                      .n_bursts = G_N_ELEMENTS (bursts),
+                                      .seed = 4 };
+  compare_policies ("bursts", &c);
+}
+
+static void
+test_slow_third (void)
+{
+  static const struct load_case c = { .seconds = 20,
+                                      .rate = 0.9,
+                                      .slow_share = 0.3,
+                                      .slow_factor = 4,
+                                      .slow_known = true,
+                                      .seed = 5 };
+  compare_policies ("a third slow", &c);
+}
+
 int
 main (void)
 {
@@ -306,6 +499,15 @@
     { "tasks are spread as asked", test_tasks_are_spread_as_asked },
     { "a lost holder takes its rooms along",
       test_a_lost_holder_takes_its_rooms_along },
+    { "slow workers are passed over", test_slow_workers_are_passed_over },
+    { "slow workers are better than none",
+      test_slow_workers_are_better_than_none },
+    { "a queue delays its own service only",
+      test_a_queue_delays_its_own_service_only },
+    { "usual load", test_usual_load },
+    { "overload", test_overload },
+    { "bursts", test_bursts },
+    { "a third slow", test_slow_third },
     CU_TEST_INFO_NULL,
   };
   return test_run ("pack_test", tests);
--- a/tests/sched_test.c
+++ b/tests/sched_test.c
@@ -2,6 +2,8 @@
 #include "plsched.h"
 #include "test.h"
 
+#include <math.h>
+
 #define MANY 20000
 
 struct fix
@@ -211,7 +213,7 @@
   CU_ASSERT_EQUAL (sched_sizes_get (sizes, "s", "k", "t", 7000, &sized), 7000);
   CU_ASSERT_FALSE (sized);
   for (int i = 0; i < SCHED_SAMPLES; i++)
-    sched_sizes_learn (sizes, "s", "k", "t", 100000);
+    sched_sizes_learn (sizes, "s", "k", "t", 0, 100000);
   CU_ASSERT_EQUAL (sched_sizes_get (sizes, "s", "k", "t", 7000, &sized),
                    100000);
   CU_ASSERT (sized);
@@ -225,6 +227,54 @@
   sched_sizes_free (sizes);
 }
 
+/* Learns N run times around 100 ms from declared ones that are 10 times as
+   long and follow the run times to the power of SLOPE.  */
+static struct sched_sizes *
+learn_declared (struct pl_clock *clock, double slope, unsigned n)
+{
+  struct sched_sizes *sizes = sched_sizes_new (clock);
+  for (unsigned i = 0; i < n; i++)
+    {
+      double off = i % 2 == 0 ? 2 : 0.5;
+      sched_sizes_learn (sizes, "s", "k", "t", (int64_t)(1000000 * off),
+                         (int64_t)(100000 * pow (off, slope)));
+    }
+  return sizes;
+}
+
+static int64_t
+estimate (struct sched_sizes *sizes, int64_t declared_us)
+{
+  return sched_sizes_get (sizes, "s", "k", "t", declared_us, NULL);
+}
+
+/* Guards against estimates that ignore what callers declare, so that long jobs
+   are started too late, and against ones that believe what tells nothing.  */
+static void
+test_declared_sizes (void)
+{
+  struct pl_manual_clock clock;
+  pl_manual_clock_init (&clock, 1);
+  struct sched_sizes *right = learn_declared (&clock.base, 1, 128);
+  int64_t usual_us = estimate (right, 0);
+  int64_t twice_us = estimate (right, 2000000);
+  CU_ASSERT (twice_us > usual_us * 19 / 10 && twice_us < usual_us * 21 / 10);
+  int64_t half_us = estimate (right, 500000);
+  CU_ASSERT (half_us > usual_us * 4 / 10 && half_us < usual_us * 6 / 10);
+  sched_sizes_free (right);
+  struct sched_sizes *partly = learn_declared (&clock.base, 0.5, 128);
+  usual_us = estimate (partly, 0);
+  twice_us = estimate (partly, 2000000);
+  CU_ASSERT (twice_us > usual_us * 13 / 10 && twice_us < usual_us * 15 / 10);
+  sched_sizes_free (partly);
+  struct sched_sizes *useless = learn_declared (&clock.base, 0, 128);
+  CU_ASSERT_EQUAL (estimate (useless, 9000000), estimate (useless, 0));
+  sched_sizes_free (useless);
+  struct sched_sizes *few = learn_declared (&clock.base, 1, SCHED_SAMPLES);
+  CU_ASSERT_EQUAL (estimate (few, 9000000), estimate (few, 0));
+  sched_sizes_free (few);
+}
+
 static enum pl_code
 admit (struct fix *f, const char *team, unsigned quota, int64_t deadline_us,
        unsigned tasks)
@@ -357,6 +407,7 @@
     { "cost", test_cost },
     { "skip and again", test_skip_and_again },
     { "sizes", test_sizes },
+    { "declared sizes", test_declared_sizes },
     { "admission", test_admission },
     { "admission behind a large job", test_admission_behind_large_job },
     { "retry budget", test_retry_budget },
