--- a/lib/sched/sizes.c
+++ b/lib/sched/sizes.c
@@ -4,11 +4,12 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define RING 32           /* run times from which a kind's median is taken */
-#define STALE_US 5000000  /* age after which no job is refused for its size */
-#define CLAMP_FACTOR 10   /* bound of an estimate against the kind's median */
-#define SMOOTH 16         /* run times that an estimate remembers */
-#define TRUST_SMOOTH 128  /* pairs that the trust in declared sizes remembers \
+#define RING 32          /* run times from which a kind's median is taken */
+#define STALE_US 5000000 /* age after which no job is refused for its size */
+#define CLAMP_FACTOR 10  /* bound of an estimate against the kind's median */
+#define SMOOTH 16        /* run times that an estimate remembers */
+#define TRUST_SMOOTH                                                          \
+  128                     /* pairs that the trust in declared sizes remembers \
                            */
 #define TRUST_SAMPLES 16  /* pairs before declared sizes are trusted */
 #define TRUST_SPREAD 1e-4 /* variance below which all declare the same */
--- a/tests/sched_test.c
+++ b/tests/sched_test.c
@@ -312,6 +312,8 @@
   clean (&f, u, 50);
 }
 
+#define WIDE 377 /* tasks of the largest job */
+
 /* A job of N tasks of SIZE_US for admission.  */
 static enum pl_code
 admit_job (struct fix *f, const char *team, int64_t size_us, unsigned n,
@@ -353,10 +355,11 @@
 {
   struct fix f;
   struct sched_job large[2];
-  g_autofree struct sched_task *tasks = g_new (struct sched_task, 2 * 377);
+  g_autofree struct sched_task *tasks
+      = g_new (struct sched_task, (gsize)2 * WIDE);
   int64_t wait_us;
   fix_init (&f, "slowdown");
-  add_wide (&f, &large[0], tasks, "studio", 450000, 377);
+  add_wide (&f, &large[0], tasks, "studio", 450000, WIDE);
   /* The same before and after its permit.  */
   CU_ASSERT_EQUAL (admit_job (&f, "studio", 250000, 8, 52, &wait_us), PL_OK);
   CU_ASSERT_EQUAL (wait_us, 0);
@@ -364,11 +367,11 @@
   CU_ASSERT_EQUAL (admit_job (&f, "studio", 250000, 8, 52, &wait_us), PL_OK);
   CU_ASSERT_EQUAL (wait_us, 0);
   /* A job that comes after it in the order waits for it.  */
-  add_wide (&f, &large[1], tasks + 377, "studio", 450000, 377);
+  add_wide (&f, &large[1], tasks + WIDE, "studio", 450000, WIDE);
   sched_ready (f.sched, &large[1]);
-  CU_ASSERT_EQUAL (admit_job (&f, "studio", 450000, 377, 52, &wait_us),
+  CU_ASSERT_EQUAL (admit_job (&f, "studio", 450000, WIDE, 52, &wait_us),
                    PL_OVERLOADED);
-  CU_ASSERT_EQUAL (wait_us, 2 * 377 * 450000LL / 52);
+  CU_ASSERT_EQUAL (wait_us, 2LL * WIDE * 450000 / 52);
   /* So does a small one that arrives when they have waited for long.  */
   pl_manual_clock_advance (&f.clock, 20000000);
   CU_ASSERT_EQUAL (admit_job (&f, "studio", 250000, 8, 52, &wait_us),
