Hear peers that are back at once; keep no worker without a holder after a meeting

(1) An instance that was up first had an attempt to connect to each dark peer, which waits 500 ms for its timeout; since two instances use each other only when both hear, the groups of the early and the late ones heard each other after 330 ms, later than the 250 ms for which a new instance listens, and took the same workers. (2) Of two holders the fenced one left the worker alone for 4 s, while the other one, after the groups had met, yielded it to just that one. (3) The hand-over was ignored where the successor still had its former, fenced lease.

Mend: a beat of a peer that does not hear us begins our attempt anew (at most each 50 ms); a fenced holder that hears of the higher token from a peer asks again after 300 ms instead of 4 s; a yield ends a stale lease. Each has a test in cell_test that fails without it (emulated attempts to connect through a cut now wait for their timeout as real ones do).

Ruled out: slow learning of run times after the restart (slowness 60 to 120 percent as before), ejections (none).

--- a/lib/cell/assign.c
+++ b/lib/cell/assign.c
@@ -239,9 +239,15 @@
 {
   struct known_worker *known
       = g_hash_table_lookup (cell->workers, &msg->worker);
-  if (known == NULL || known->removed || cell->draining
-      || lease_find (cell->leases, msg->worker) != NULL)
+  if (known == NULL || known->removed || cell->draining)
     return;
+  int64_t now_us = pl_now_us (cell->clock);
+  struct lease_worker *w = lease_find (cell->leases, msg->worker);
+  if (w != NULL && w->token > msg->token)
+    return;
+  /* A lease of ours from before was ended by the sender's.  */
+  if (w != NULL)
+    lease_fenced (cell->leases, w, now_us);
   known->token_seen = MAX (known->token_seen, msg->token);
-  take (cell, known, pl_now_us (cell->clock));
+  take (cell, known, now_us);
 }
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -21,6 +21,8 @@
   /* Opens a link to a peer that is kept open until it is closed.  */
   void *(*connect) (void *ctx, struct pl_addr addr);
   void (*disconnect) (void *ctx, void *link);
+  /* The peer can be reached: an attempt to connect LINK begins anew.  */
+  void (*redial) (void *ctx, void *link);
   void (*send) (void *ctx, void *link, struct pl_str frame);
   /* Asks for a call of cell_turn soon.  */
   void (*wake) (void *ctx);
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -16,8 +16,9 @@
 struct peer
 {
   struct pl_addr addr;
-  void *link;  /* outgoing */
-  uint64_t id; /* incarnation, 0: not heard yet */
+  void *link;        /* outgoing */
+  int64_t redial_us; /* latest attempt that was begun anew */
+  uint64_t id;       /* incarnation, 0: not heard yet */
   char *name;
   uint64_t domain;
   int64_t heard_us;     /* last beat */
@@ -115,6 +116,8 @@
 /* Tells the planner that it gets no more reports from here.  */
 void cell_withdraw_rooms (struct cell *cell);
 void cell_mark_room (struct cell *cell, uint64_t worker);
+void cell_saw_token (struct cell *cell, struct known_worker *known,
+                     int64_t token);
 /* Tells the planner that we don't hold WORKER any more.  */
 void cell_send_room_gone (struct cell *cell, uint64_t worker);
 
--- a/lib/cell/hold.c
+++ b/lib/cell/hold.c
@@ -4,6 +4,32 @@
 /* A worker that another holder has fenced off is left alone for a while, so
    that two holders that don't hear each other don't take turns.  */
 #define FENCED_RETRY_US 4000000
+/* If the new holder is heard, its beats tell by then what it holds.  */
+#define HEARD_RETRY_US 300000
+
+/* A peer uses TOKEN on the worker.  The peer is heard, so that there is no
+   need to leave the worker alone for longer.  */
+void
+cell_saw_token (struct cell *cell, struct known_worker *known, int64_t token)
+{
+  if (token <= known->token_seen)
+    return;
+  known->token_seen = token;
+  int64_t retry_us = pl_now_us (cell->clock) + HEARD_RETRY_US;
+  known->retry_us = MIN (known->retry_us, retry_us);
+}
+
+/* Time after which a worker may be taken that W has lost to another holder. */
+static int64_t
+fenced_retry_us (const struct known_worker *known,
+                 const struct lease_worker *w)
+{
+  /* Our token was too low from the start because the former holder's clock is
+     ahead.  */
+  if (w->state == LEASE_TAKING && known->fences < 4)
+    return 0;
+  return known->token_seen > w->token ? HEARD_RETRY_US : FENCED_RETRY_US;
+}
 
 void
 cell_send_ended (struct cell *cell, uint64_t to, uint64_t worker,
@@ -97,12 +123,8 @@
       = g_hash_table_lookup (cell->workers, &w->info.worker);
   if (known != NULL && why == LEASE_REPLY_FENCED)
     {
-      /* Either a peer has taken over, or our token was too low from the
-         start because the former holder's clock was ahead.  */
-      bool too_low = w->state == LEASE_TAKING && known->fences < 4;
+      known->retry_us = pl_now_us (cell->clock) + fenced_retry_us (known, w);
       known->fences++;
-      known->retry_us
-          = pl_now_us (cell->clock) + (too_low ? 0 : FENCED_RETRY_US);
     }
   pl_log (PL_EV_WORKER_LOST, "worker=%s token=%" PRId64 " reason=%s", w->id,
           w->token,
@@ -195,7 +217,7 @@
   struct known_worker *known
       = g_hash_table_lookup (cell->workers, &msg->worker);
   if (known != NULL)
-    known->token_seen = MAX (known->token_seen, msg->token);
+    cell_saw_token (cell, known, msg->token);
   g_autoptr (GArray) runs
       = g_array_new (FALSE, FALSE, sizeof (struct lease_run_id));
   for (size_t i = 0; i < msg->n_runs; i++)
--- a/lib/cell/member.c
+++ b/lib/cell/member.c
@@ -1,6 +1,9 @@
 /* Membership: who is alive, and who plans.  */
 #include "cell_priv.h"
 
+/* A connection across regions is set up in less than this.  */
+#define REDIAL_US 50000
+
 static uint64_t
 addr_key (struct pl_addr addr)
 {
@@ -136,7 +139,7 @@
       g_hash_table_insert (peer->held, key, token);
       struct known_worker *known = g_hash_table_lookup (cell->workers, key);
       if (known != NULL)
-        known->token_seen = MAX (known->token_seen, *token);
+        cell_saw_token (cell, known, *token);
     }
 }
 
@@ -172,6 +175,18 @@
   cell_send_peer (cell, peer, &env);
 }
 
+/* The peer is up and does not hear us: our attempt to connect may be from the
+   time when it was down and wait for its timeout.  */
+static void
+redial (struct cell *cell, struct peer *peer)
+{
+  int64_t now_us = pl_now_us (cell->clock);
+  if (peer->hears_us || now_us - peer->redial_us < REDIAL_US)
+    return;
+  peer->redial_us = now_us;
+  cell->ops->redial (cell->ctx, peer->link);
+}
+
 void
 cell_beat_arrived (struct cell *cell, uint64_t sender,
                    const Cellpb__Beat *beat)
@@ -197,6 +212,7 @@
   if (peer->draining != beat->draining || peer->ready != beat->ready)
     cell->view_dirty = true;
   peer->hears_us = names_us (cell, beat);
+  redial (cell, peer);
   peer->draining = beat->draining;
   peer->ready = beat->ready;
   peer->config_version = beat->config_version;
--- a/lib/lease/lease.h
+++ b/lib/lease/lease.h
@@ -195,6 +195,9 @@
                    const struct lease_info *info);
 /* Gives the worker up for a successor; its runs go on.  */
 void lease_yield (struct lease_table *table, struct lease_worker *w);
+/* Another holder has used a higher token.  */
+void lease_fenced (struct lease_table *table, struct lease_worker *w,
+                   int64_t now_us);
 /* The worker has left for good: nothing runs there any more.  */
 void lease_gone (struct lease_table *table, struct lease_worker *w);
 struct lease_worker *lease_find (struct lease_table *table, uint64_t worker);
--- a/lib/lease/table.c
+++ b/lib/lease/table.c
@@ -119,6 +119,13 @@
               now_us);
 }
 
+void
+lease_fenced (struct lease_table *table, struct lease_worker *w,
+              int64_t now_us)
+{
+  lease_lose_by (table, w, LEASE_REPLY_FENCED, now_us);
+}
+
 void
 lease_gone (struct lease_table *table, struct lease_worker *w)
 {
--- a/lib/net/link.c
+++ b/lib/net/link.c
@@ -159,6 +159,17 @@
   return link;
 }
 
+void
+net_link_redial (struct net_link *link)
+{
+  if (!link->outgoing || link->up)
+    return;
+  if (link->bev != NULL)
+    bufferevent_free (link->bev);
+  evtimer_del (link->retry);
+  open_outgoing (link);
+}
+
 void
 net_link_close (struct net_link *link)
 {
--- a/lib/net/net.h
+++ b/lib/net/net.h
@@ -118,6 +118,9 @@
 /* Opens an outgoing link and keeps it open.  */
 struct net_link *net_hub_connect (struct net_hub *hub, struct pl_addr addr);
 void net_link_close (struct net_link *link);
+/* Begins anew if LINK is outgoing and not connected: the peer is known to be
+   reachable, while an attempt from before may wait for its timeout.  */
+void net_link_redial (struct net_link *link);
 void net_link_send (struct net_link *link, struct pl_str frame);
 void net_link_set_user (struct net_link *link, void *user);
 void *net_link_user (const struct net_link *link);
--- a/tests/cell_test.c
+++ b/tests/cell_test.c
@@ -1,5 +1,6 @@
 /* Tests of lib/cell: instances, holders and planner in an emulated deployment
    on a manual clock.  */
+#include "cell_priv.h"
 #include "cell_world.h"
 #include "test.h"
 
@@ -53,6 +54,132 @@
   world_free (world);
 }
 
+/* Cuts all instances off from each other, both ways.  */
+static void
+cut_all (struct world *world)
+{
+  for (int a = 0; a < world->n_instances; a++)
+    for (int b = 0; b < world->n_instances; b++)
+      world_cut_pair (world, a, b, a != b);
+}
+
+/* Heals the pairs one after another in random order.  */
+static void
+heal_pairs (struct world *world, int64_t gap_us)
+{
+  int n = world->n_instances;
+  for (int left = n * (n - 1) / 2; left > 0; left--)
+    {
+      int a;
+      int b;
+      do
+        {
+          a = (int)world_between (world, 0, n - 1);
+          b = (int)world_between (world, 0, n - 1);
+        }
+      while (a == b || !world->cut[a][b]);
+      world_cut_pair (world, a, b, false);
+      world_cut_pair (world, b, a, false);
+      world_run_for (world, gap_us);
+    }
+}
+
+/* All instances start after a loss of power and hear each other by and by, so
+   that several take the same workers.  Guards against workers that nobody
+   holds for seconds after that.  */
+static void
+test_groups_that_start_apart_share_soon (void)
+{
+  for (uint64_t seed = 1; seed <= 40; seed++)
+    {
+      struct world *world = world_new (seed, 6, 24, 3);
+      cut_all (world);
+      world_run_for (world, world_between (world, 100000, 400000));
+      heal_pairs (world, world_between (world, 1000, 30000));
+      world_run_for (world, SECOND);
+      CU_ASSERT_EQUAL (count_held (world), 24);
+      check_faults (world, "apart", seed);
+      world_free (world);
+    }
+}
+
+/* A worker that instance 0 holds, with its lease.  */
+static struct lease_worker *
+first_lease (struct world *world)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (
+      &it, lease_workers (cell_leases (world->instances[0].cell)));
+  return g_hash_table_iter_next (&it, NULL, &value) ? value : NULL;
+}
+
+/* Guards against a hand-over that is lost because the successor does not know
+   yet that its own former lease was fenced.  */
+static void
+test_a_yield_ends_a_stale_lease (void)
+{
+  struct world *world = world_new (8, 2, 6, 1);
+  world_run_for (world, SECOND);
+  struct lease_worker *w = first_lease (world);
+  uint64_t worker = w->info.worker;
+  Cellpb__Yield yield = CELLPB__YIELD__INIT;
+  yield.worker = worker;
+  yield.token = w->token + 5000;
+  struct cell *cell = world->instances[0].cell;
+  cell_on_yield (cell, &yield);
+  world_run_for (world, 100000);
+  w = lease_find (cell_leases (cell), worker);
+  CU_ASSERT_FATAL (w != NULL);
+  CU_ASSERT (w->token > yield.token);
+  CU_ASSERT_EQUAL (w->state, LEASE_HELD);
+  /* A late one of before changes nothing.  */
+  int64_t token = w->token;
+  cell_on_yield (cell, &yield);
+  CU_ASSERT_EQUAL (lease_find (cell_leases (cell), worker)->token, token);
+  world_free (world);
+}
+
+/* Guards against a worker that nobody holds for 4 s, because its former holder
+   leaves it alone although it hears that the peer that fenced it has let it
+   go.  */
+static void
+test_a_worker_that_a_heard_peer_let_go_is_taken_soon (void)
+{
+  struct world *world = world_new (9, 2, 6, 1);
+  world_run_for (world, SECOND);
+  struct cell *cell = world->instances[0].cell;
+  struct lease_worker *w = first_lease (world);
+  uint64_t worker = w->info.worker;
+  Cellpb__Taken taken = CELLPB__TAKEN__INIT;
+  taken.worker = worker;
+  taken.token = w->token + 5000;
+  cell_on_taken (cell, world->instances[1].life, &taken);
+  lease_fenced (cell_leases (cell), w, world_now (world));
+  CU_ASSERT_PTR_NULL (lease_find (cell_leases (cell), worker));
+  world_run_for (world, 600000);
+  CU_ASSERT_PTR_NOT_NULL (lease_find (cell_leases (cell), worker));
+  world_free (world);
+}
+
+/* Guards against an attempt to connect from the time when a peer was down that
+   keeps both from hearing each other until its timeout.  */
+static void
+test_a_peer_that_is_back_is_heard_at_once (void)
+{
+  struct world *world = world_new (7, 2, 6, 1);
+  world_run_for (world, SECOND);
+  world_kill (world, 1, true);
+  world_cut_pair (world, 0, 1, true); /* its machine is without power */
+  world_run_for (world, SECOND);
+  world_cut_pair (world, 0, 1, false);
+  world_boot (world, 1);
+  world_run_for (world, 100000);
+  CU_ASSERT_EQUAL (cell_peers_alive (world->instances[0].cell), 1);
+  CU_ASSERT_EQUAL (cell_peers_alive (world->instances[1].cell), 1);
+  world_free (world);
+}
+
 /* Guards against a job lost with the holder of its workers.  */
 static void
 test_jobs_survive_the_death_of_a_holder (void)
@@ -385,6 +512,13 @@
   CU_TestInfo tests[] = {
     { "every worker is held once", test_every_worker_is_held_once },
     { "a wide job uses all workers", test_a_wide_job_uses_all_workers },
+    { "groups that start apart share soon",
+      test_groups_that_start_apart_share_soon },
+    { "a yield ends a stale lease", test_a_yield_ends_a_stale_lease },
+    { "a worker that a heard peer let go is taken soon",
+      test_a_worker_that_a_heard_peer_let_go_is_taken_soon },
+    { "a peer that is back is heard at once",
+      test_a_peer_that_is_back_is_heard_at_once },
     { "jobs survive the death of a holder",
       test_jobs_survive_the_death_of_a_holder },
     { "a draining instance hands its workers over",
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -46,6 +46,7 @@
 static const struct cell_ops world_cell_ops = {
   .connect = world_on_connect,
   .disconnect = world_on_disconnect,
+  .redial = world_on_redial,
   .send = world_on_send,
   .wake = world_on_wake,
   .wall_ms = world_on_wall_ms,
--- a/tests/world_base.h
+++ b/tests/world_base.h
@@ -16,6 +16,8 @@
 #define WORLD_STOP_US 50000
 #define WORLD_ORDER_TIMEOUT_US 200000
 #define WORLD_RECONNECT_US 100000
+/* An attempt to connect through a cut waits for so long.  */
+#define WORLD_CONNECT_TIMEOUT_US 500000
 #define WORLD_RESEND_US 1300000 /* a caller sends a lost job again */
 #define WORLD_JOB_DEADLINE_US 4000000
 #define PL_CODE_LIMIT 700 /* above every result code */
@@ -35,6 +37,7 @@
   int64_t deadline_ms;
   int64_t last_end;
   int wait_ms;
+  unsigned attempt; /* of the link */
   bool no_answer;
   struct lease_run_id id;
   struct pack_amount size;
@@ -63,6 +66,7 @@
   int from;
   struct pl_addr addr;
   bool up;
+  unsigned attempt; /* that is being made */
 };
 
 struct world_instance
--- a/tests/world_links.h
+++ b/tests/world_links.h
@@ -25,9 +25,12 @@
   struct world_instance *in = &world->instances[event->from];
   struct world_link *link
       = g_ptr_array_index (in->links, (guint)event->wait_ms);
+  if (event->attempt != link->attempt)
+    return;
   struct world_instance *to = &world->instances[event->to];
-  if (to->cell != NULL && !world->cut[event->from][event->to]
-      && !world->cut[event->to][event->from])
+  bool cut = world->cut[event->from][event->to]
+             || world->cut[event->to][event->from];
+  if (to->cell != NULL && !cut)
     {
       link->up = true;
       cell_link_up (cell, link);
@@ -35,7 +38,8 @@
       return;
     }
   struct world_event *again = g_memdup2 (event, sizeof *event);
-  again->at_us = world_now (world) + WORLD_RECONNECT_US;
+  again->at_us = world_now (world) + WORLD_RECONNECT_US
+                 + (cut ? WORLD_CONNECT_TIMEOUT_US : 0);
   again->seq = world->seq++;
   world_schedule (world, again);
 }
@@ -50,9 +54,20 @@
   event->to = world_instance_at (world, link->addr);
   event->life = in->life;
   event->wait_ms = (int)index;
+  event->attempt = ++link->attempt;
   world_schedule (world, event);
 }
 
+static void
+world_on_redial (void *ctx, void *opaque)
+{
+  struct world_instance *in = ctx;
+  struct world_link *link = opaque;
+  guint index;
+  if (!link->up && g_ptr_array_find (in->links, link, &index))
+    world_open_link (in->world, in, index);
+}
+
 static void *
 world_on_connect (void *ctx, struct pl_addr addr)
 {
