--- a/tests/cell_test.c
+++ b/tests/cell_test.c
@@ -130,9 +130,9 @@
   cell_on_yield (cell, &yield);
   world_run_for (world, 100000);
   w = lease_find (cell_leases (cell), worker);
-  CU_ASSERT_FATAL (w != NULL);
-  CU_ASSERT (w->token > yield.token);
-  CU_ASSERT_EQUAL (w->state, LEASE_HELD);
+  CU_ASSERT (w != NULL && w->token > yield.token && w->state == LEASE_HELD);
+  if (w == NULL)
+    return;
   /* A late one of before changes nothing.  */
   int64_t token = w->token;
   cell_on_yield (cell, &yield);
