Give nothing to a peer whose beats are missing for 250 ms

Mend: after two missing beats a peer is quiet: another instance is asked to plan, and nothing is placed on its workers. It keeps what it has; the times that safety rests on are unchanged. Both tests fail without it.

--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -30,6 +30,7 @@
   bool draining;
   bool ready;
   bool alive;      /* state that was acted on */
+  bool quiet;      /* beats are missing; another one plans meanwhile */
   bool registered; /* in the registry of instances */
   int64_t config_version;
   GHashTable *held; /* worker -> token (int64_t *) */
--- a/lib/cell/member.c
+++ b/lib/cell/member.c
@@ -1,6 +1,9 @@
 /* Membership: who is alive, and who plans.  */
 #include "cell_priv.h"
 
+/* After two missing beats a peer may be lost: nothing new is given to it,
+   while what it has is left to it.  */
+#define PEER_QUIET_US 250000
 /* A connection across regions is set up in less than this.  */
 #define REDIAL_US 50000
 
@@ -175,6 +178,17 @@
   cell_send_peer (cell, peer, &env);
 }
 
+static void
+set_quiet (struct cell *cell, struct peer *peer, bool quiet)
+{
+  if (peer->quiet == quiet)
+    return;
+  peer->quiet = quiet;
+  pack_pause_holder (cell->plan, peer->id, quiet);
+  cell->plan_dirty = true;
+  cell->view_dirty = true;
+}
+
 /* The peer is up and does not hear us: our attempt to connect may be from the
    time when it was down and wait for its timeout.  */
 static void
@@ -197,6 +211,7 @@
   if (peer == NULL)
     return; /* our own beat */
   bool restarted = peer->id != 0 && peer->id != sender;
+  set_quiet (cell, peer, false);
   if (restarted)
     set_alive (cell, peer, false, "restarted");
   bool new_peer = peer->id != sender;
@@ -289,7 +304,8 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       const struct peer *peer = value;
-      if (!peer->alive || !may_plan (peer->ready, peer->draining))
+      if (!peer->alive || peer->quiet
+          || !may_plan (peer->ready, peer->draining))
         continue;
       if (name != NULL && g_strcmp0 (peer->name, name) > 0)
         continue;
@@ -364,6 +380,8 @@
       if (peer->alive && !cell_peer_alive (cell, peer))
         set_alive (cell, peer, false,
                    peer->closed_us != 0 ? "closed" : "silent");
+      set_quiet (cell, peer,
+                 peer->alive && now_us - peer->heard_us > PEER_QUIET_US);
     }
   if (now_us - cell->beat_us < BEAT_US)
     return;
--- a/lib/pack/baseline.c
+++ b/lib/pack/baseline.c
@@ -18,7 +18,7 @@
   gpointer value;
   g_hash_table_iter_init (&it, plan->rooms);
   while (g_hash_table_iter_next (&it, NULL, &value))
-    if (pack_takes (value, job, now_us))
+    if (pack_takes (plan, value, job, now_us))
       g_ptr_array_add (fitting, value);
   n = MIN (n, fitting->len);
   for (unsigned i = 0; i < n; i++)
--- a/lib/pack/choose.c
+++ b/lib/pack/choose.c
@@ -64,13 +64,20 @@
   return n;
 }
 
+bool
+pack_room_usable (const struct pack_plan *plan, const struct room *r)
+{
+  return r->r.usable && !g_hash_table_contains (plan->paused, &r->r.holder);
+}
+
 static bool
-allowed (const struct room *r, const struct job *job, int64_t now_us)
+allowed (const struct pack_plan *plan, const struct room *r,
+         const struct job *job, int64_t now_us)
 {
   const struct pack_want *want = &job->want;
   if (now_us - r->reported_us > ROOM_STALE_US)
     return false;
-  if (!r->r.usable || r->r.service != want->service)
+  if (!pack_room_usable (plan, r) || r->r.service != want->service)
     return false;
   if (want->required_label != 0 && !has_label (r, want->required_label))
     return false;
@@ -86,9 +93,10 @@
 }
 
 bool
-pack_takes (struct room *r, const struct job *job, int64_t now_us)
+pack_takes (struct pack_plan *plan, struct room *r, const struct job *job,
+            int64_t now_us)
 {
-  return allowed (r, job, now_us) && has_room (r, job, now_us);
+  return allowed (plan, r, job, now_us) && has_room (r, job, now_us);
 }
 
 /* Whether a task of JOB that starts on R now is likely to end in time.  */
@@ -144,7 +152,7 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       struct room *r = value;
-      if (!allowed (r, job, now_us))
+      if (!allowed (plan, r, job, now_us))
         continue;
       bool fast_enough = in_time (r, job, now_us);
       can_wait |= fast_enough;
--- a/lib/pack/pack.c
+++ b/lib/pack/pack.c
@@ -56,6 +56,8 @@
   plan->ctx = ctx;
   plan->rooms
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, room_free);
+  plan->paused
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   plan->by_id = g_hash_table_new (g_int64_hash, g_int64_equal);
   plan->jobs = g_ptr_array_new_with_free_func (job_free);
   return plan;
@@ -66,6 +68,7 @@
 {
   g_hash_table_unref (plan->by_id);
   g_hash_table_unref (plan->rooms);
+  g_hash_table_unref (plan->paused);
   g_ptr_array_unref (plan->jobs);
   g_free (plan);
 }
@@ -117,6 +120,15 @@
       g_hash_table_iter_remove (&it);
 }
 
+void
+pack_pause_holder (struct pack_plan *plan, uint64_t holder, bool paused)
+{
+  if (paused)
+    g_hash_table_add (plan->paused, g_memdup2 (&holder, sizeof holder));
+  else
+    g_hash_table_remove (plan->paused, &holder);
+}
+
 void
 pack_release (struct pack_plan *plan, uint64_t worker, uint64_t tag)
 {
@@ -232,7 +244,7 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       struct room *r = value;
-      if (!r->r.usable)
+      if (!pack_room_usable (plan, r))
         continue;
       struct backlog *b = g_hash_table_lookup (backlogs, &r->r.service);
       if (b == NULL)
--- a/lib/pack/pack.h
+++ b/lib/pack/pack.h
@@ -110,6 +110,8 @@
 void pack_forget_worker (struct pack_plan *plan, uint64_t worker,
                          uint64_t holder);
 void pack_forget_holder (struct pack_plan *plan, uint64_t holder);
+/* While PAUSED nothing is placed on the holder's workers: it may be lost.  */
+void pack_pause_holder (struct pack_plan *plan, uint64_t holder, bool paused);
 void pack_request (struct pack_plan *plan, const struct pack_want *want,
                    int64_t now_us);
 /* The job needs nothing more.  */
--- a/lib/pack/pack_priv.h
+++ b/lib/pack/pack_priv.h
@@ -50,9 +50,10 @@
   const struct pack_policy *policy;
   const struct pack_ops *ops;
   void *ctx;
-  GHashTable *rooms; /* worker -> struct room */
-  GPtrArray *jobs;   /* struct job, unordered between decisions */
-  GHashTable *by_id; /* job -> struct job */
+  GHashTable *rooms;  /* worker -> struct room */
+  GHashTable *paused; /* holders */
+  GPtrArray *jobs;    /* struct job, unordered between decisions */
+  GHashTable *by_id;  /* job -> struct job */
   uint64_t next_seq;
   int64_t crowded_us; /* latest refusal of a job that was crowded out */
 };
@@ -72,7 +73,10 @@
 
 /* Whether R may take a task of JOB now and has enough left.  Drops grants that
    have timed out.  */
-bool pack_takes (struct room *r, const struct job *job, int64_t now_us);
+bool pack_takes (struct pack_plan *plan, struct room *r, const struct job *job,
+                 int64_t now_us);
+/* Whether tasks may be placed on R at all.  */
+bool pack_room_usable (const struct pack_plan *plan, const struct room *r);
 /* The best room for a task of JOB, null if none has enough left.  */
 struct room *pack_choose (struct pack_plan *plan, const struct job *job,
                           int64_t now_us);
--- a/tests/cell_test.c
+++ b/tests/cell_test.c
@@ -231,6 +231,27 @@
   world_free (world);
 }
 
+/* Guards against jobs that wait for a planner, and are placed on workers of a
+   holder, until its silence counts as its death.  */
+static void
+test_a_quiet_planner_is_replaced_before_it_is_dead (void)
+{
+  struct world *world = world_new (12, 4, 16, 1);
+  world_run_for (world, SECOND);
+  for (int i = 1; i < 4; i++)
+    {
+      world_cut_pair (world, 0, i, true);
+      world_cut_pair (world, i, 0, true);
+    }
+  world_run_for (world, 50000);
+  struct world_job *job = world_submit (world, 1, 8, 50000);
+  world_run_for (world, 400000);
+  CU_ASSERT_TRUE (job->answered);
+  CU_ASSERT_EQUAL (job->code, PL_OK);
+  check_faults (world, "quiet", 12);
+  world_free (world);
+}
+
 /* Guards against an attempt to connect from the time when a peer was down that
    keeps both from hearing each other until its timeout.  */
 static void
@@ -587,6 +608,8 @@
       test_a_healed_cut_leaves_workers_where_they_are },
     { "workers of dead holders are taken across domains",
       test_workers_of_dead_holders_are_taken_across_domains },
+    { "a quiet planner is replaced before it is dead",
+      test_a_quiet_planner_is_replaced_before_it_is_dead },
     { "a yield ends a stale lease", test_a_yield_ends_a_stale_lease },
     { "a worker that a heard peer let go is taken soon",
       test_a_worker_that_a_heard_peer_let_go_is_taken_soon },
--- a/tests/pack_test.c
+++ b/tests/pack_test.c
@@ -302,6 +302,23 @@
   pack_report (plan, &room, now_us);
 }
 
+/* Guards against tasks that are placed on a holder that is just being lost. */
+static void
+test_a_paused_holder_gets_nothing (void)
+{
+  struct sink sink = { 0 };
+  struct pack_plan *plan = pack_new (&ops, &sink);
+  report (plan, 1, 32000, 0);
+  pack_pause_holder (plan, 1, true);
+  request (plan, 10, 1, 14000, 200 * MS, 0);
+  pack_decide (plan, 0);
+  CU_ASSERT_EQUAL (sink.grants + sink.refusals, 0);
+  pack_pause_holder (plan, 1, false);
+  pack_decide (plan, MS);
+  CU_ASSERT_EQUAL (sink.grants, 1);
+  pack_free (plan);
+}
+
 /* A third of the workers turns slow: guards against tasks that are placed
    there and miss the objective, while a full worker frees its cores in time.
  */
@@ -388,8 +405,9 @@
   pack_free (plan);
 }
 
-#define EVEN 0.1 /* no kind and no domain is more than this under the whole   \
-                  */
+#define EVEN                                                                  \
+  0.1 /* no kind and no domain is more than this under the whole              \
+       */
 
 static void
 check_even (const struct load_result *r)
@@ -499,6 +517,7 @@
     { "tasks are spread as asked", test_tasks_are_spread_as_asked },
     { "a lost holder takes its rooms along",
       test_a_lost_holder_takes_its_rooms_along },
+    { "a paused holder gets nothing", test_a_paused_holder_gets_nothing },
     { "slow workers are passed over", test_slow_workers_are_passed_over },
     { "slow workers are better than none",
       test_slow_workers_are_better_than_none },
