Refuse at once where a service has no workers; let a draining instance alone serve

Mend: a service whose jobs have found no usable worker for 500 ms gets no-room refusals at once, until a worker is reported. A draining instance that hears no other one takes its workers back and serves. Tests: pack_test, cell_test (both fail without).

--- a/lib/cell/assign.c
+++ b/lib/cell/assign.c
@@ -31,7 +31,8 @@
 }
 
 /* The instance that should hold the worker: the one of highest weight in its
-   failure domain, or of all if the domain has none.  0: nobody.  */
+   failure domain, or of all if the domain has none.  While nobody else is
+   there, a draining instance serves its callers itself.  0: nobody.  */
 static uint64_t
 choose_holder (struct cell *cell, const struct known_worker *known)
 {
@@ -61,6 +62,8 @@
       best_weight = w;
       best_near = near;
     }
+  if (best == 0 && cell->ready)
+    best = cell->id;
   return best;
 }
 
--- a/lib/cell/plan.c
+++ b/lib/cell/plan.c
@@ -93,9 +93,9 @@
   pl_log (PL_EV_SHED,
           "key=%016" PRIx64 " reason=%s waiting=%u usable_cpu=%" PRId64
           " ahead_us=%" PRId64 " slack_us=%" PRId64 " retry_after_ms=%d",
-          want->job, refusal->reason == PACK_HOPELESS ? "hopeless" : "crowded",
-          refusal->waiting, refusal->usable_cpu, refusal->ahead_us,
-          refusal->slack_us, refusal->retry_after_ms);
+          want->job, pack_reason_name (refusal->reason), refusal->waiting,
+          refusal->usable_cpu, refusal->ahead_us, refusal->slack_us,
+          refusal->retry_after_ms);
   cell_send (cell, want->owner, &env);
 }
 
--- a/lib/pack/pack.c
+++ b/lib/pack/pack.c
@@ -5,6 +5,10 @@
 
 /* Least part of the cores, one in so many, that works off the queue.  */
 #define LEAST_USED_PART 2
+/* A service without a usable worker for so long is likely to stay without one:
+   the workers of a dead holder have been taken by then, unless its
+   registration has to lapse.  */
+#define NO_ROOM_US 500000
 /* For so long after a refusal the work ahead counts for more.  */
 #define CROWDED_US 500000
 #define CROWDED_PERCENT 200
@@ -58,6 +62,8 @@
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, room_free);
   plan->paused
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  plan->lacking
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   plan->by_id = g_hash_table_new (g_int64_hash, g_int64_equal);
   plan->jobs = g_ptr_array_new_with_free_func (job_free);
   return plan;
@@ -69,6 +75,7 @@
   g_hash_table_unref (plan->by_id);
   g_hash_table_unref (plan->rooms);
   g_hash_table_unref (plan->paused);
+  g_hash_table_unref (plan->lacking);
   g_ptr_array_unref (plan->jobs);
   g_free (plan);
 }
@@ -96,6 +103,8 @@
     }
   r->r = *room;
   r->reported_us = now_us;
+  if (room->usable)
+    g_hash_table_remove (plan->lacking, &room->service);
   for (guint i = r->grants->len; i-- > 0;)
     if (reports_run (room, g_array_index (r->grants, struct grant, i).tag))
       g_array_remove_index_fast (r->grants, i);
@@ -270,6 +279,36 @@
   return b->ahead * (crowded ? CROWDED_PERCENT : 100) / 100 / cpu;
 }
 
+/* Whether jobs of SERVICE, for which B was counted, have found no usable
+   worker for too long.  */
+static bool
+lacks_workers (struct pack_plan *plan, uint64_t service,
+               const struct backlog *b, int64_t now_us)
+{
+  if (b != NULL)
+    {
+      g_hash_table_remove (plan->lacking, &service);
+      return false;
+    }
+  const int64_t *since_us = g_hash_table_lookup (plan->lacking, &service);
+  if (since_us != NULL)
+    return now_us - *since_us > NO_ROOM_US;
+  g_hash_table_insert (plan->lacking, g_memdup2 (&service, sizeof service),
+                       g_memdup2 (&now_us, sizeof now_us));
+  return false;
+}
+
+const char *
+pack_reason_name (enum pack_reason reason)
+{
+  static const char *const names[] = {
+    [PACK_HOPELESS] = "hopeless",
+    [PACK_CROWDED] = "crowded",
+    [PACK_NO_ROOM] = "no-room",
+  };
+  return names[reason];
+}
+
 /* Tells the owner that the job is not served.  B may be null.  */
 static void
 refuse_job (struct pack_plan *plan, struct job *job, enum pack_reason reason,
@@ -319,10 +358,13 @@
       struct job *job = g_ptr_array_index (jobs, i);
       if (job->waiting->len == 0)
         continue;
-      /* None: the holders have not reported yet.  */
+      /* None: the holders have not reported, or there are none.  */
       struct backlog *b = g_hash_table_lookup (backlogs, &job->want.service);
+      bool lacking = lacks_workers (plan, job->want.service, b, now_us);
       if (pack_hopeless (job, now_us))
         refuse_job (plan, job, PACK_HOPELESS, b, now_us);
+      else if (lacking && !job->want.started)
+        refuse_job (plan, job, PACK_NO_ROOM, b, now_us);
       else if (b == NULL || !plan->policy->refuses)
         continue;
       else if (!job->want.started
--- a/lib/pack/pack.h
+++ b/lib/pack/pack.h
@@ -78,8 +78,11 @@
 {
   PACK_HOPELESS, /* can't end in time even if it started now */
   PACK_CROWDED,  /* the work queued before it takes too long */
+  PACK_NO_ROOM,  /* its service has had no usable worker for a while */
 };
 
+const char *pack_reason_name (enum pack_reason reason);
+
 /* Why a job is refused, and what decided it.  */
 struct pack_refusal
 {
--- a/lib/pack/pack_priv.h
+++ b/lib/pack/pack_priv.h
@@ -50,10 +50,11 @@
   const struct pack_policy *policy;
   const struct pack_ops *ops;
   void *ctx;
-  GHashTable *rooms;  /* worker -> struct room */
-  GHashTable *paused; /* holders */
-  GPtrArray *jobs;    /* struct job, unordered between decisions */
-  GHashTable *by_id;  /* job -> struct job */
+  GHashTable *rooms;   /* worker -> struct room */
+  GHashTable *paused;  /* holders */
+  GPtrArray *jobs;     /* struct job, unordered between decisions */
+  GHashTable *by_id;   /* job -> struct job */
+  GHashTable *lacking; /* service -> since when no worker was found */
   uint64_t next_seq;
   int64_t crowded_us; /* latest refusal of a job that was crowded out */
 };
--- a/tests/cell_test.c
+++ b/tests/cell_test.c
@@ -306,6 +306,30 @@
   world_free (world);
 }
 
+/* The only instance of a domain drains and is cut off, its workers handed over
+   to the other side.  Guards against callers that are refused until it ends,
+   next to workers that nobody else reaches.  */
+static void
+test_a_draining_instance_alone_serves (void)
+{
+  struct world *world = world_new (13, 4, 16, 4);
+  world_run_for (world, SECOND);
+  cell_drain (world->instances[0].cell);
+  world_run_for (world, 200000);
+  CU_ASSERT_EQUAL (cell_held_workers (world->instances[0].cell), 0);
+  world_cut_domain (world, 0, true);
+  world_run_for (world, 3 * SECOND / 2);
+  struct world_job *job = world_submit (world, 0, 4, 100000);
+  world_run_for (world, 300000);
+  CU_ASSERT_TRUE (job->answered && job->code == PL_OK);
+  world_cut_domain (world, 0, false);
+  world_run_for (world, SECOND);
+  CU_ASSERT_EQUAL (cell_held_workers (world->instances[0].cell), 0);
+  CU_ASSERT_EQUAL (count_held (world), 16);
+  check_faults (world, "draining", 13);
+  world_free (world);
+}
+
 /* Guards against a cut-off failure domain that stops serving.  */
 static void
 test_a_cut_off_domain_serves_with_its_own_workers (void)
@@ -610,6 +634,8 @@
       test_workers_of_dead_holders_are_taken_across_domains },
     { "a quiet planner is replaced before it is dead",
       test_a_quiet_planner_is_replaced_before_it_is_dead },
+    { "a draining instance alone serves",
+      test_a_draining_instance_alone_serves },
     { "a yield ends a stale lease", test_a_yield_ends_a_stale_lease },
     { "a worker that a heard peer let go is taken soon",
       test_a_worker_that_a_heard_peer_let_go_is_taken_soon },
--- a/tests/pack_test.c
+++ b/tests/pack_test.c
@@ -319,6 +319,34 @@
   pack_free (plan);
 }
 
+/* A draining instance is cut off after it has handed its workers over.  Guards
+   against callers that wait for three times their objective there.  */
+static void
+test_jobs_without_any_worker_are_refused (void)
+{
+  struct sink sink = { 0 };
+  struct pack_plan *plan = pack_new (&ops, &sink);
+  request (plan, 10, 1, 14000, 900 * MS, 0);
+  pack_decide (plan, 0);
+  pack_decide (plan, 400 * MS);
+  CU_ASSERT_EQUAL (sink.refusals, 0); /* workers may still be reported */
+  pack_decide (plan, 520 * MS);
+  CU_ASSERT_EQUAL (sink.refusals, 1);
+  request (plan, 11, 1, 14000, 900 * MS, 530 * MS);
+  pack_decide (plan, 530 * MS);
+  CU_ASSERT_EQUAL (sink.refusals, 2);
+  report (plan, 1, 16000, 0);
+  request (plan, 12, 1, 14000, 900 * MS, 540 * MS);
+  pack_decide (plan, 540 * MS);
+  CU_ASSERT_EQUAL (sink.grants, 1);
+  /* Its workers are lost: others may take them.  */
+  pack_forget_holder (plan, 1);
+  request (plan, 13, 1, 14000, 900 * MS, 600 * MS);
+  pack_decide (plan, 600 * MS);
+  CU_ASSERT_EQUAL (sink.refusals, 2);
+  pack_free (plan);
+}
+
 /* A third of the workers turns slow: guards against tasks that are placed
    there and miss the objective, while a full worker frees its cores in time.
  */
@@ -518,6 +546,8 @@
     { "a lost holder takes its rooms along",
       test_a_lost_holder_takes_its_rooms_along },
     { "a paused holder gets nothing", test_a_paused_holder_gets_nothing },
+    { "jobs without any worker are refused",
+      test_jobs_without_any_worker_are_refused },
     { "slow workers are passed over", test_slow_workers_are_passed_over },
     { "slow workers are better than none",
       test_slow_workers_are_better_than_none },
