Order the files of lib/disp in layers

finish, lend, submit, thread and tick called each other both ways. A script over the calls between the files finds no circle; disp_in.h lists them in order. Behaviour unchanged: tests of disp, peer and http pass.

--- a/lib/disp/disp_in.h
+++ b/lib/disp/disp_in.h
@@ -125,24 +125,29 @@
   return pl_now_us (disp->opts.clock);
 }
 
+/* The files in layers; each calls only those above it.  */
+
+/* msg.c */
 struct disp_msg *disp_msg_new (struct disp *disp,
                                void (*run) (struct disp *disp,
                                             struct disp_msg *msg));
 void disp_post (struct disp *disp, struct disp_msg *msg);
 
-/* control.c */
-/* A sign that this instance has seen itself.  */
-void disp_sign (struct disp *disp, struct pl_addr addr, const char *sign);
-
-/* submit.c */
-void disp_permit_ask (struct disp *disp, struct disp_job *job);
-void disp_reply_code (job_done_fn *done, void *user, struct pl_str key,
-                      enum pl_code code, const char *detail);
-
-/* finish.c */
+/* state.c */
 enum job_task_state disp_known (const struct disp_task *task);
 /* Whether any task may have started.  */
 bool disp_started (const struct disp_job *job);
+
+/* refresh.c */
+/* Takes the snapshots in force.  */
+void disp_refresh (struct disp *disp);
+
+/* timer.c */
+/* Sorts JOB in by the time at which it needs attention next.  */
+void disp_arm (struct disp *disp, struct disp_job *job);
+void disp_disarm (struct disp_job *job);
+
+/* finish.c */
 /* Ends JOB early for CAUSE; replies when its running tasks have ended, or at
    once if NOW is set.  */
 void disp_end (struct disp *disp, struct disp_job *job, enum pl_code cause,
@@ -154,21 +159,24 @@
 void disp_finish (struct disp *disp, struct disp_job *job);
 void disp_job_free (struct disp *disp, struct disp_job *job);
 
-/* place.c */
-void disp_place (struct disp *disp);
+/* permit.c */
+void disp_permit_ask (struct disp *disp, struct disp_job *job);
 
-/* result.c */
-void disp_result (struct disp *disp, struct disp_msg *msg);
+/* control.c */
+/* A sign that this instance has seen itself.  */
+void disp_sign (struct disp *disp, struct pl_addr addr, const char *sign);
 
 /* lend.c */
 void disp_lend_turn (struct disp *disp);
 void disp_lend_tick (struct disp *disp);
 
+/* place.c */
+void disp_place (struct disp *disp);
+
+/* result.c */
+void disp_result (struct disp *disp, struct disp_msg *msg);
+
 /* tick.c */
-/* Sorts JOB in by the time at which it needs attention next.  */
-void disp_arm (struct disp *disp, struct disp_job *job);
-void disp_disarm (struct disp_job *job);
-void disp_refresh (struct disp *disp);
 /* Does what is due.  */
 void disp_tick (struct disp *disp);
 /* Time until something is due.  */
--- a/lib/disp/permit.c
+++ b/lib/disp/permit.c
@@ -1,5 +1,13 @@
 #include "disp_in.h"
 
+void
+disp_permit_ask (struct disp *disp, struct disp_job *job)
+{
+  job->resend_us = disp_now (disp) + disp->opts.conf->permit_resend_ms * 1000;
+  disp->opts.peers->permit (disp->opts.peers, job->witness, job->hash,
+                            job->epoch);
+}
+
 static void
 permit_result (struct disp *disp, struct disp_msg *msg)
 {
--- a/lib/disp/submit.c
+++ b/lib/disp/submit.c
@@ -4,9 +4,9 @@
 
 #define REFUSED_RETRY_MS 100 /* when nothing better is known */
 
-void
-disp_reply_code (job_done_fn *done, void *user, struct pl_str key,
-                 enum pl_code code, const char *detail)
+static void
+reply_code (job_done_fn *done, void *user, struct pl_str key,
+            enum pl_code code, const char *detail)
 {
   struct job_reply *reply = job_reply_error (key, code, 0, detail, NULL, 0);
   done (reply, user);
@@ -130,14 +130,6 @@
   return false;
 }
 
-void
-disp_permit_ask (struct disp *disp, struct disp_job *job)
-{
-  job->resend_us = disp_now (disp) + disp->opts.conf->permit_resend_ms * 1000;
-  disp->opts.peers->permit (disp->opts.peers, job->witness, job->hash,
-                            job->epoch);
-}
-
 static void
 enqueue (struct disp *disp, struct disp_job *job)
 {
@@ -246,18 +238,18 @@
   struct pl_err err;
   if (!claim_key_parse (text, &key, &err))
     {
-      disp_reply_code (msg->done, msg->user, text, err.code, err.text);
+      reply_code (msg->done, msg->user, text, err.code, err.text);
       return;
     }
   if (!authority (disp, &key))
     {
-      disp_reply_code (msg->done, msg->user, text, PL_UNKNOWN_OWNER, NULL);
+      reply_code (msg->done, msg->user, text, PL_UNKNOWN_OWNER, NULL);
       return;
     }
   if (too_late (disp, &key, text))
     {
-      disp_reply_code (msg->done, msg->user, text, PL_HANDED_OVER_UNSEEN,
-                       "the instance stops");
+      reply_code (msg->done, msg->user, text, PL_HANDED_OVER_UNSEEN,
+                  "the instance stops");
       return;
     }
   struct claim_record *record = NULL;
@@ -275,14 +267,14 @@
       reply_record (record, text, msg->done, msg->user);
       return;
     case CLAIM_REUSED:
-      disp_reply_code (msg->done, msg->user, text, PL_KEY_REUSED, NULL);
+      reply_code (msg->done, msg->user, text, PL_KEY_REUSED, NULL);
       return;
     case CLAIM_NOT_ISSUED:
-      disp_reply_code (msg->done, msg->user, text, PL_KEY_NOT_ISSUED, NULL);
+      reply_code (msg->done, msg->user, text, PL_KEY_NOT_ISSUED, NULL);
       return;
     default:
       pl_count (PL_CTR_JOBS_UNKNOWN_TOTAL, 1);
-      disp_reply_code (msg->done, msg->user, text, PL_UNKNOWN_FORGOTTEN, NULL);
+      reply_code (msg->done, msg->user, text, PL_UNKNOWN_FORGOTTEN, NULL);
     }
 }
 
@@ -355,7 +347,7 @@
     }
   if (code != PL_OK)
     {
-      disp_reply_code (msg->done, msg->user, text, code, NULL);
+      reply_code (msg->done, msg->user, text, code, NULL);
       return NULL;
     }
   if (found == CLAIM_RUNNING)
--- a/lib/disp/thread.c
+++ b/lib/disp/thread.c
@@ -4,37 +4,6 @@
 
 #define BATCH 512 /* messages between two rounds of placement */
 
-static void
-run_msg (struct pl_item *item, void *owner)
-{
-  struct disp_msg *msg = (struct disp_msg *)item;
-  msg->run (owner, msg);
-  if (msg->req != NULL)
-    job_req_unref (msg->req);
-  if (msg->chunk != NULL)
-    g_bytes_unref (msg->chunk);
-  g_free (msg->key);
-  g_free (msg->lots);
-  g_free (msg);
-}
-
-struct disp_msg *
-disp_msg_new (struct disp *disp,
-              void (*run) (struct disp *disp, struct disp_msg *msg))
-{
-  struct disp_msg *msg = g_new0 (struct disp_msg, 1);
-  msg->base.run = run_msg;
-  msg->run = run;
-  msg->at_us = disp_now (disp);
-  return msg;
-}
-
-void
-disp_post (struct disp *disp, struct disp_msg *msg)
-{
-  pl_mbox_post (disp->mbox, &msg->base);
-}
-
 static void
 drain (struct disp *disp, int64_t wait_us, unsigned most)
 {
--- a/lib/disp/tick.c
+++ b/lib/disp/tick.c
@@ -3,44 +3,6 @@
 #define IDLE_WAIT_US 50000   /* longest wait without a message */
 #define BUDGET_WAIT_US 50000 /* before the retry budget is asked again */
 
-static int
-by_due (gconstpointer a, gconstpointer b, gpointer user)
-{
-  (void)user;
-  const struct disp_job *x = a;
-  const struct disp_job *y = b;
-  return (x->due_us > y->due_us) - (x->due_us < y->due_us);
-}
-
-static int64_t
-next_due (const struct disp_job *job)
-{
-  if (job->cause != PL_OK)
-    return job->grace_us;
-  int64_t due = job->deadline_us;
-  if (job->running == 0 && job->latest_us < due && !disp_started (job))
-    due = job->latest_us;
-  if (!job->permitted)
-    due = MIN (due, MIN (job->resend_us, job->give_up_us));
-  return due;
-}
-
-void
-disp_disarm (struct disp_job *job)
-{
-  if (job->timer != NULL)
-    g_sequence_remove (job->timer);
-  job->timer = NULL;
-}
-
-void
-disp_arm (struct disp *disp, struct disp_job *job)
-{
-  disp_disarm (job);
-  job->due_us = next_due (job);
-  job->timer = g_sequence_insert_sorted (disp->timers, job, by_due, NULL);
-}
-
 /* Does what JOB needs now.  */
 static void
 attend (struct disp *disp, struct disp_job *job, int64_t now)
@@ -111,22 +73,6 @@
     }
 }
 
-/* Takes the snapshots in force; true if one has changed.  */
-void
-disp_refresh (struct disp *disp)
-{
-  struct pl_shared *conf = pl_slot_get (disp->opts.note_slot);
-  struct pl_shared *view = pl_slot_get (disp->opts.memb_slot);
-  bool same = conf == (struct pl_shared *)disp->conf
-              && view == (struct pl_shared *)disp->view;
-  pl_shared_unref ((struct pl_shared *)disp->conf);
-  pl_shared_unref ((struct pl_shared *)disp->view);
-  disp->conf = (struct note_conf *)conf;
-  disp->view = (struct memb_view *)view;
-  if (!same)
-    slot_update (disp->slots, disp->conf, disp->view);
-}
-
 static void
 publish_status (struct disp *disp)
 {
