--- a/lib/pack/order.c
+++ b/lib/pack/order.c
@@ -23,6 +23,10 @@
   return now_us + job->want.run_us / 2 + ANSWER_US > limit;
 }
 
+/* Among jobs that have to start at about the same time the priority decides. A
+   wider step would serve the last kind far less than the others.  */
+#define PRIORITY_STEP_US 20000
+
 /* 0: some of its work is paid for already; 1: may still meet its objective; 2:
    can only be late.  */
 static int
@@ -45,6 +49,15 @@
   int by_rank = compare (rank (a, now_us), rank (b, now_us));
   if (by_rank != 0)
     return by_rank;
-  int by_start = compare (pack_latest_start (a), pack_latest_start (b));
+  int64_t start_a = pack_latest_start (a);
+  int64_t start_b = pack_latest_start (b);
+  int by_step
+      = compare (start_a / PRIORITY_STEP_US, start_b / PRIORITY_STEP_US);
+  if (by_step != 0)
+    return by_step;
+  int by_priority = compare (a->want.priority, b->want.priority);
+  if (by_priority != 0)
+    return by_priority;
+  int by_start = compare (start_a, start_b);
   return by_start != 0 ? by_start : compare ((int64_t)a->seq, (int64_t)b->seq);
 }
--- a/tests/pack_test.c
+++ b/tests/pack_test.c
@@ -319,6 +319,40 @@
   pack_free (plan);
 }
 
+/* Guards against a priority that decides nothing: of two jobs that have to
+   start at about the same time the one of the lower number comes first.  */
+static void
+test_priority_decides_at_equal_urgency (void)
+{
+  struct sink sink = { 0 };
+  struct pack_plan *plan = pack_new (&ops, &sink);
+  report (plan, 1, 16000, 0);
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      uint32_t task = 0;
+      struct pack_want want = {
+        .job = 10 + i,
+        .owner = 7,
+        .service = 1,
+        .domain = 1,
+        .size = { 14000, 64, 0 },
+        .run_us = 100 * MS,
+        .objective_us = (600 + 5 * (int64_t)i) * MS,
+        .late_us = 1800 * MS,
+        .deadline_us = 1800 * MS,
+        .priority = 1 - i,
+        .n_tasks = 1,
+        .n = 1,
+        .tasks = &task,
+      };
+      pack_request (plan, &want, 0);
+    }
+  pack_decide (plan, 0);
+  CU_ASSERT_EQUAL (sink.grants, 1);
+  CU_ASSERT_EQUAL (sink.jobs[0], 11);
+  pack_free (plan);
+}
+
 /* A draining instance is cut off after it has handed its workers over.  Guards
    against callers that wait for three times their objective there.  */
 static void
@@ -546,6 +580,8 @@
     { "a lost holder takes its rooms along",
       test_a_lost_holder_takes_its_rooms_along },
     { "a paused holder gets nothing", test_a_paused_holder_gets_nothing },
+    { "priority decides at equal urgency",
+      test_priority_decides_at_equal_urgency },
     { "jobs without any worker are refused",
       test_jobs_without_any_worker_are_refused },
     { "slow workers are passed over", test_slow_workers_are_passed_over },
