--- a/tests/net_test.c
+++ b/tests/net_test.c
@@ -363,6 +363,43 @@
   net_link_close (dead);
 }
 
+/* Plays until *COUNT is not 0, for 5 s at most.  */
+static void
+play_until (struct bench *bench, const unsigned *count)
+{
+  for (int turns = 0; *count == 0 && turns < 250; turns++)
+    play (bench, TURN_US);
+}
+
+/* Guards against a second connection of a link that is dialled anew: while the
+   next attempt is due the link is connected once, and when it is connected it
+   stays so.  */
+static void
+test_a_link_is_dialled_anew (void)
+{
+  struct bench here = { .base = event_base_new () };
+  struct bench there = { .base = here.base };
+  struct pl_err err = { 0 };
+  struct pl_addr here_addr = { own_ip (), PORT + 4 };
+  struct pl_addr there_addr = { own_ip (), PORT + 5 };
+  struct net_hub *hub
+      = net_hub_new (here.base, here_addr, &hub_ops, &here, &err);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (hub);
+  struct net_link *link = net_hub_connect (hub, there_addr);
+  play_until (&here, &here.refused);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (
+      net_hub_new (here.base, there_addr, &hub_ops, &there, &err));
+  net_link_redial (link);
+  net_link_redial (link);
+  play_until (&here, &here.up);
+  net_link_redial (link);
+  net_link_send (link, pl_str ("one"));
+  play_until (&here, &there.frames);
+  CU_ASSERT_EQUAL (here.up, 1);
+  CU_ASSERT_STRING_EQUAL (there.frame, "one");
+  net_link_close (link);
+}
+
 int
 main (void)
 {
@@ -383,6 +420,7 @@
       test_a_pause_does_not_lose_an_answer },
     { "links carry frames and tell their end",
       test_links_carry_frames_and_tell_their_end },
+    { "a link is dialled anew", test_a_link_is_dialled_anew },
     CU_TEST_INFO_NULL,
   };
   return test_run ("net_test", tests);
