Tell whether a request was sent by the bytes that have left

The client took the connect event as the sign that something was sent. That event is deferred: libevent writes the first bytes before it. If the process finds the new connection ready and the 40 ms of the order over in the same turn, the request is sent, the time-out comes next, and the call ends as not sent.

Mend: a request counts as not sent only if all its bytes are still in the connection's buffer.

--- a/lib/net/client.c
+++ b/lib/net/client.c
@@ -16,7 +16,7 @@
   struct net_message message;
   GList link; /* in the pool's list of connections */
   bool busy;
-  bool connected;
+  size_t request_bytes; /* given to the connection */
   net_response_fn done;
   void *arg;
 };
@@ -38,12 +38,22 @@
   g_free (call);
 }
 
+/* Whether any byte of the request may have left.  The event that tells of a
+   new connection is no measure: it is deferred, and comes after the first
+   bytes.  */
+static bool
+may_be_sent (const struct net_call *call)
+{
+  size_t left = evbuffer_get_length (bufferevent_get_output (call->bev));
+  return left < call->request_bytes;
+}
+
 /* Ends the connection and its request, if any, without a response.  */
 static void
 call_fail (struct net_call *call)
 {
   bool busy = call->busy;
-  struct net_response resp = { .status = 0, .sent = call->connected };
+  struct net_response resp = { .status = 0, .sent = may_be_sent (call) };
   net_response_fn done = call->done;
   void *arg = call->arg;
   call_free (call);
@@ -100,7 +110,6 @@
   struct net_call *call = arg;
   if (what & BEV_EVENT_CONNECTED)
     {
-      call->connected = true;
       net_tune_socket (bufferevent_getfd (bev));
       return;
     }
@@ -185,6 +194,7 @@
                          send->body.len);
   evbuffer_add (out, "\r\n", 2);
   evbuffer_add (out, send->body.data, send->body.len);
+  call->request_bytes = evbuffer_get_length (out);
   struct timeval tv
       = { send->timeout_us / 1000000, send->timeout_us % 1000000 };
   evtimer_add (call->timer, &tv);
--- a/tests/net_test.c
+++ b/tests/net_test.c
@@ -303,6 +303,56 @@
   net_pool_free (pool);
 }
 
+/* Plays until *COUNT is not 0, for 5 s at most.  */
+static void
+play_until (struct bench *bench, const unsigned *count)
+{
+  for (int turns = 0; *count == 0 && turns < 250; turns++)
+    play (bench, TURN_US);
+}
+
+/* A listening socket without a program behind it.  */
+static int
+listen_silently (struct pl_addr at)
+{
+  struct sockaddr_in sin = { .sin_family = AF_INET,
+                             .sin_port = htons (at.port),
+                             .sin_addr.s_addr = htonl (at.ip) };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  CU_ASSERT_EQUAL_FATAL (bind (fd, (struct sockaddr *)&sin, sizeof sin), 0);
+  CU_ASSERT_EQUAL_FATAL (listen (fd, 8), 0);
+  return fd;
+}
+
+/* A process that was not scheduled finds its new connection ready and its
+   time-out due in the same turn.  Guards against a request that is sent then
+   and reported as not sent: a task that is started on the word of that runs
+   twice.  */
+static void
+test_a_request_sent_at_its_timeout_counts_as_sent (void)
+{
+  struct bench bench = { .base = event_base_new () };
+  struct pl_addr at = { own_ip (), PORT + 6 };
+  int listener = listen_silently (at);
+  struct net_pool *pool = net_pool_new (bench.base, at);
+  struct net_send send = { .method = "POST",
+                           .target = "/a",
+                           .timeout_us = 1000,
+                           .done = on_response,
+                           .arg = &bench };
+  net_pool_send (pool, &send);
+  g_usleep (10000);
+  play_until (&bench, &bench.responses);
+  CU_ASSERT_EQUAL (bench.last.status, 0);
+  int fd = accept (listener, NULL, NULL);
+  char bytes[64];
+  bool arrived = fd >= 0 && read (fd, bytes, sizeof bytes) > 0;
+  CU_ASSERT_EQUAL (bench.last.sent, arrived);
+  net_pool_free (pool);
+  close (fd);
+  close (listener);
+}
+
 static void
 on_frame (void *ctx, struct net_link *link, struct pl_str frame)
 {
@@ -363,14 +413,6 @@
   net_link_close (dead);
 }
 
-/* Plays until *COUNT is not 0, for 5 s at most.  */
-static void
-play_until (struct bench *bench, const unsigned *count)
-{
-  for (int turns = 0; *count == 0 && turns < 250; turns++)
-    play (bench, TURN_US);
-}
-
 /* Guards against a second connection of a link that is dialled anew: while the
    next attempt is due the link is connected once, and when it is connected it
    stays so.  */
@@ -418,6 +460,8 @@
       test_failures_tell_whether_something_was_sent },
     { "a pause does not lose an answer",
       test_a_pause_does_not_lose_an_answer },
+    { "a request sent at its timeout counts as sent",
+      test_a_request_sent_at_its_timeout_counts_as_sent },
     { "links carry frames and tell their end",
       test_links_carry_frames_and_tell_their_end },
     { "a link is dialled anew", test_a_link_is_dialled_anew },
