--- a/lib/cell/assign.c
+++ b/lib/cell/assign.c
@@ -15,6 +15,8 @@
    alone for so long after it was reached: if the partition has healed, the
    holder is heard by then.  */
 #define SETTLE_US 400000
+/* An older answer does not tell that the worker can be reached.  */
+#define REACHED_US 800000
 /* Raises the token above that of a holder whose clock is ahead.  */
 #define FENCE_STEP_MS 10000
 
@@ -192,7 +194,7 @@
                   int64_t now_us)
 {
   int64_t since_us = now_us - known->reachable_us;
-  if (known->reachable_us == 0 || since_us > 2 * SETTLE_US)
+  if (known->reachable_us == 0 || since_us > REACHED_US)
     probe (cell, known, now_us);
   else if (since_us > SETTLE_US)
     take (cell, known, now_us);
--- a/lib/pack/pack.c
+++ b/lib/pack/pack.c
@@ -55,14 +55,13 @@
 {
   struct pack_plan *plan = g_new0 (struct pack_plan, 1);
   plan->policy = policy;
-  plan->crowded_us = INT64_MIN / 2;
   plan->ops = ops;
   plan->ctx = ctx;
   plan->rooms
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, room_free);
   plan->paused
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
-  plan->lacking
+  plan->services
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   plan->by_id = g_hash_table_new (g_int64_hash, g_int64_equal);
   plan->jobs = g_ptr_array_new_with_free_func (job_free);
@@ -75,7 +74,7 @@
   g_hash_table_unref (plan->by_id);
   g_hash_table_unref (plan->rooms);
   g_hash_table_unref (plan->paused);
-  g_hash_table_unref (plan->lacking);
+  g_hash_table_unref (plan->services);
   g_ptr_array_unref (plan->jobs);
   g_free (plan);
 }
@@ -89,6 +88,18 @@
   return false;
 }
 
+static struct service *
+service_of (struct pack_plan *plan, uint64_t key)
+{
+  struct service *service = g_hash_table_lookup (plan->services, &key);
+  if (service != NULL)
+    return service;
+  service = g_new (struct service, 1);
+  *service = (struct service){ .crowded_us = INT64_MIN / 2 };
+  g_hash_table_insert (plan->services, g_memdup2 (&key, sizeof key), service);
+  return service;
+}
+
 void
 pack_report (struct pack_plan *plan, const struct pack_room *room,
              int64_t now_us)
@@ -104,7 +115,7 @@
   r->r = *room;
   r->reported_us = now_us;
   if (room->usable)
-    g_hash_table_remove (plan->lacking, &room->service);
+    service_of (plan, room->service)->lacking_us = 0;
   for (guint i = r->grants->len; i-- > 0;)
     if (reports_run (room, g_array_index (r->grants, struct grant, i).tag))
       g_array_remove_index_fast (r->grants, i);
@@ -271,31 +282,25 @@
    tasks of mixed sizes never fill all of them, work it off.  While there is
    too much of it, later jobs that come first in the order add to it.  */
 static int64_t
-ahead_us (const struct pack_plan *plan, const struct backlog *b,
+ahead_us (const struct service *service, const struct backlog *b,
           int64_t now_us)
 {
   int64_t cpu = MAX (b->used_cpu, b->cpu / LEAST_USED_PART);
-  bool crowded = now_us - plan->crowded_us < CROWDED_US;
+  bool crowded = now_us - service->crowded_us < CROWDED_US;
   return b->ahead * (crowded ? CROWDED_PERCENT : 100) / 100 / cpu;
 }
 
 /* Whether jobs of SERVICE, for which B was counted, have found no usable
    worker for too long.  */
 static bool
-lacks_workers (struct pack_plan *plan, uint64_t service,
-               const struct backlog *b, int64_t now_us)
+lacks_workers (struct service *service, const struct backlog *b,
+               int64_t now_us)
 {
   if (b != NULL)
-    {
-      g_hash_table_remove (plan->lacking, &service);
-      return false;
-    }
-  const int64_t *since_us = g_hash_table_lookup (plan->lacking, &service);
-  if (since_us != NULL)
-    return now_us - *since_us > NO_ROOM_US;
-  g_hash_table_insert (plan->lacking, g_memdup2 (&service, sizeof service),
-                       g_memdup2 (&now_us, sizeof now_us));
-  return false;
+    service->lacking_us = 0;
+  else if (service->lacking_us == 0)
+    service->lacking_us = MAX (now_us, 1);
+  return b == NULL && now_us - service->lacking_us > NO_ROOM_US;
 }
 
 const char *
@@ -315,13 +320,14 @@
             const struct backlog *b, int64_t now_us)
 {
   struct pack_want want = job->want;
+  const struct service *service = service_of (plan, want.service);
   struct pack_refusal refusal = {
     .reason = reason,
     .retry_after_ms
     = RETRY_AFTER_MIN_MS + (int)(want.job % RETRY_AFTER_SPREAD_MS),
     .waiting = plan->jobs->len,
     .usable_cpu = b == NULL ? 0 : b->cpu,
-    .ahead_us = b == NULL ? 0 : ahead_us (plan, b, now_us),
+    .ahead_us = b == NULL ? 0 : ahead_us (service, b, now_us),
     .slack_us = pack_latest_start (job) - now_us,
   };
   job_remove (plan, job);
@@ -360,7 +366,8 @@
         continue;
       /* None: the holders have not reported, or there are none.  */
       struct backlog *b = g_hash_table_lookup (backlogs, &job->want.service);
-      bool lacking = lacks_workers (plan, job->want.service, b, now_us);
+      struct service *service = service_of (plan, job->want.service);
+      bool lacking = lacks_workers (service, b, now_us);
       if (pack_hopeless (job, now_us))
         refuse_job (plan, job, PACK_HOPELESS, b, now_us);
       else if (lacking && !job->want.started)
@@ -368,11 +375,11 @@
       else if (b == NULL || !plan->policy->refuses)
         continue;
       else if (!job->want.started
-               && now_us + ahead_us (plan, b, now_us)
+               && now_us + ahead_us (service, b, now_us)
                       > pack_latest_start (job))
         {
           refuse_job (plan, job, PACK_CROWDED, b, now_us);
-          plan->crowded_us = now_us;
+          service->crowded_us = now_us;
         }
       else
         b->ahead += (int64_t)job->waiting->len * job->want.size.cpu
--- a/lib/pack/pack_priv.h
+++ b/lib/pack/pack_priv.h
@@ -45,18 +45,24 @@
 extern const struct pack_policy pack_policy_random;
 extern const struct pack_policy pack_policy_two;
 
+/* What is remembered of a service between decisions.  */
+struct service
+{
+  int64_t lacking_us; /* since when no usable worker was found; 0: one was */
+  int64_t crowded_us; /* latest refusal of a job that was crowded out */
+};
+
 struct pack_plan
 {
   const struct pack_policy *policy;
   const struct pack_ops *ops;
   void *ctx;
-  GHashTable *rooms;   /* worker -> struct room */
-  GHashTable *paused;  /* holders */
-  GPtrArray *jobs;     /* struct job, unordered between decisions */
-  GHashTable *by_id;   /* job -> struct job */
-  GHashTable *lacking; /* service -> since when no worker was found */
+  GHashTable *rooms;    /* worker -> struct room */
+  GHashTable *paused;   /* holders */
+  GPtrArray *jobs;      /* struct job, unordered between decisions */
+  GHashTable *by_id;    /* job -> struct job */
+  GHashTable *services; /* service -> struct service */
   uint64_t next_seq;
-  int64_t crowded_us; /* latest refusal of a job that was crowded out */
 };
 
 struct pack_plan *pack_new_with (const struct pack_policy *policy,
--- a/tests/pack_load.h
+++ b/tests/pack_load.h
@@ -404,6 +404,7 @@
     .by_id = g_hash_table_new (g_int64_hash, g_int64_equal),
     .ends = g_sequence_new (g_free),
   };
+  g_random_set_seed (c->seed); /* the baselines draw from it */
   int64_t report_us = LOAD_S;
   guint next = 0;
   load_set_up (&l, policy, &ops);
