Walk tasks, claims and queued work in one piece of code each

- lib/own: three nested loops over all tasks of all jobs share an iterator.
- lib/cell: one pass over the peers' claims of a worker instead of two, for every worker and tick.
- lib/sched: both orders share the sum over queued jobs; the regression of declared sizes is kept only where it is read.
- lib/pack: a room's use is added up once for a choice, and rooms are not counted when no task is left waiting.

--- a/lib/cell/assign.c
+++ b/lib/cell/assign.c
@@ -89,11 +89,19 @@
   return silence_us < PEER_DEAD_US;
 }
 
-/* Whether another instance claims the worker and may be at work on it.  */
-static bool
-claimed_elsewhere (struct cell *cell, const struct known_worker *known,
-                   int64_t now_us)
+/* What peers have said of a worker.  */
+enum claim
+{
+  CLAIM_NONE,
+  CLAIM_SILENT, /* of one that is silent and has not certainly ended */
+  CLAIM_LIVE,   /* of one that may be at work on it */
+};
+
+static enum claim
+find_claim (struct cell *cell, const struct known_worker *known,
+            int64_t now_us)
 {
+  enum claim claim = CLAIM_NONE;
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, cell->peers);
@@ -103,29 +111,11 @@
       if (!g_hash_table_contains (peer->held, &known->info.worker))
         continue;
       if (peer->alive || may_be_at_work (cell, peer, now_us))
-        return true;
-    }
-  return false;
-}
-
-/* Whether the worker's holder may live on the other side of a partition: the
-   worker belongs to another failure domain, and a silent peer held it.  */
-static bool
-may_be_cut_off (struct cell *cell, const struct known_worker *known)
-{
-  if (known->info.domain == cell->domain)
-    return false;
-  GHashTableIter it;
-  gpointer value;
-  g_hash_table_iter_init (&it, cell->peers);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    {
-      const struct peer *peer = value;
-      if (g_hash_table_contains (peer->held, &known->info.worker)
-          && !has_ended (peer))
-        return true;
+        return CLAIM_LIVE;
+      if (!has_ended (peer))
+        claim = CLAIM_SILENT;
     }
-  return false;
+  return claim;
 }
 
 static int64_t
@@ -217,10 +207,13 @@
       return;
     }
   if (holder != cell->id || known->retry_us > now_us
-      || now_us - cell->ready_us < LISTEN_US
-      || claimed_elsewhere (cell, known, now_us))
+      || now_us - cell->ready_us < LISTEN_US)
+    return;
+  enum claim claim = find_claim (cell, known, now_us);
+  if (claim == CLAIM_LIVE)
     return;
-  if (may_be_cut_off (cell, known))
+  /* In another failure domain the holder may live behind a partition.  */
+  if (claim == CLAIM_SILENT && known->info.domain != cell->domain)
     take_from_silent (cell, known, now_us);
   else
     take (cell, known, now_us);
--- a/lib/own/task.c
+++ b/lib/own/task.c
@@ -109,24 +109,51 @@
     }
 }
 
+/* Walks through the tasks of all jobs.  */
+struct task_iter
+{
+  GHashTableIter jobs;
+  struct own_job *job;
+  uint32_t index; /* of the task that was returned last */
+};
+
+static void
+iter_init (struct task_iter *it, struct own_table *table)
+{
+  it->job = NULL;
+  g_hash_table_iter_init (&it->jobs, table->jobs);
+}
+
+/* The next task, null after the last one.  */
+static struct own_task *
+iter_next (struct task_iter *it)
+{
+  if (it->job != NULL && ++it->index < it->job->n_tasks)
+    return &it->job->tasks[it->index];
+  gpointer job;
+  while (g_hash_table_iter_next (&it->jobs, NULL, &job))
+    {
+      it->job = job;
+      it->index = 0;
+      if (it->job->n_tasks > 0)
+        return &it->job->tasks[0];
+    }
+  return NULL;
+}
+
 void
 own_holder_lost (struct own_table *table, uint64_t holder, int64_t heard_us)
 {
   int64_t until_us = heard_us + UNSURE_US;
-  GHashTableIter it;
-  gpointer value;
-  g_hash_table_iter_init (&it, table->jobs);
-  while (g_hash_table_iter_next (&it, NULL, &value))
+  struct task_iter it;
+  struct own_task *task;
+  iter_init (&it, table);
+  while ((task = iter_next (&it)) != NULL)
     {
-      struct own_job *job = value;
-      for (unsigned i = 0; i < job->n_tasks; i++)
-        {
-          struct own_task *task = &job->tasks[i];
-          if (task->state != OWN_PLACED || task->holder != holder)
-            continue;
-          task->state = OWN_UNSURE;
-          task->until_us = until_us;
-        }
+      if (task->state != OWN_PLACED || task->holder != holder)
+        continue;
+      task->state = OWN_UNSURE;
+      task->until_us = until_us;
     }
 }
 
@@ -143,20 +170,12 @@
 void
 own_holder_back (struct own_table *table, uint64_t holder)
 {
-  GHashTableIter it;
-  gpointer value;
-  g_hash_table_iter_init (&it, table->jobs);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    {
-      struct own_job *job = value;
-      for (uint32_t i = 0; i < job->n_tasks; i++)
-        {
-          struct own_task *task = &job->tasks[i];
-          if (task->state != OWN_UNSURE || task->holder != holder)
-            continue;
-          claim (table, job, i);
-        }
-    }
+  struct task_iter it;
+  const struct own_task *task;
+  iter_init (&it, table);
+  while ((task = iter_next (&it)) != NULL)
+    if (task->state == OWN_UNSURE && task->holder == holder)
+      claim (table, it.job, it.index);
 }
 
 static bool
@@ -196,17 +215,14 @@
 own_worker_taken (struct own_table *table, const struct own_place *place,
                   const struct lease_run_id *runs, unsigned n_runs)
 {
-  GHashTableIter it;
-  gpointer value;
-  g_hash_table_iter_init (&it, table->jobs);
-  while (g_hash_table_iter_next (&it, NULL, &value))
+  struct task_iter it;
+  const struct own_task *task;
+  iter_init (&it, table);
+  while ((task = iter_next (&it)) != NULL)
     {
-      struct own_job *job = value;
-      for (uint32_t i = 0; i < job->n_tasks; i++)
-        {
-          struct lease_run_id id = { job->id, i, job->tasks[i].run };
-          if (is_affected (&job->tasks[i], place))
-            task_moved (table, job, i, place, is_listed (runs, n_runs, &id));
-        }
+      struct lease_run_id id = { it.job->id, it.index, task->run };
+      if (is_affected (task, place))
+        task_moved (table, it.job, it.index, place,
+                    is_listed (runs, n_runs, &id));
     }
 }
--- a/lib/pack/choose.c
+++ b/lib/pack/choose.c
@@ -85,18 +85,22 @@
          || count_placed (job, r->r.worker) < want->per_worker;
 }
 
+/* Whether R has enough left for a task of JOB; USED is what is taken there. */
 static bool
-has_room (struct room *r, const struct job *job, int64_t now_us)
+has_room (struct room *r, const struct job *job, int64_t now_us,
+          struct pack_amount *used)
 {
   expire_grants (r, now_us);
-  return pack_fits (r->r.capacity, pack_room_used (r), job->want.size);
+  *used = pack_room_used (r);
+  return pack_fits (r->r.capacity, *used, job->want.size);
 }
 
 bool
 pack_takes (struct pack_plan *plan, struct room *r, const struct job *job,
             int64_t now_us)
 {
-  return allowed (plan, r, job, now_us) && has_room (r, job, now_us);
+  struct pack_amount used;
+  return allowed (plan, r, job, now_us) && has_room (r, job, now_us, &used);
 }
 
 /* Whether a task of JOB that starts on R now is likely to end in time.  */
@@ -156,9 +160,10 @@
         continue;
       bool fast_enough = in_time (r, job, now_us);
       can_wait |= fast_enough;
-      if (!has_room (r, job, now_us))
+      struct pack_amount used;
+      if (!has_room (r, job, now_us, &used))
         continue;
-      int64_t c = cost (r, job, pack_room_used (r));
+      int64_t c = cost (r, job, used);
       consider (&any, r, c);
       if (fast_enough)
         consider (&fast, r, c);
--- a/lib/pack/pack.c
+++ b/lib/pack/pack.c
@@ -349,21 +349,34 @@
                                  *(struct job *const *)b, sorting->now_us);
 }
 
+/* The jobs with waiting tasks, in order.  A list of its own: refusals change
+   the plan's.  */
+static GPtrArray *
+waiting_jobs (const struct pack_plan *plan)
+{
+  GPtrArray *jobs = g_ptr_array_new ();
+  for (guint i = 0; i < plan->jobs->len; i++)
+    {
+      struct job *job = g_ptr_array_index (plan->jobs, i);
+      if (job->waiting->len > 0)
+        g_ptr_array_add (jobs, job);
+    }
+  return jobs;
+}
+
 /* Refuses jobs that can't end in time, and, if the policy does so, jobs that
    the work queued before them keeps from starting in time.  Jobs are in
    order.  */
 static void
 refuse_jobs (struct pack_plan *plan, int64_t now_us)
 {
+  g_autoptr (GPtrArray) jobs = waiting_jobs (plan);
+  if (jobs->len == 0)
+    return;
   g_autoptr (GHashTable) backlogs = count_rooms (plan);
-  /* Refusals change the plan's list.  */
-  g_autoptr (GPtrArray) jobs = g_ptr_array_new ();
-  g_ptr_array_extend (jobs, plan->jobs, NULL, NULL);
   for (guint i = 0; i < jobs->len; i++)
     {
       struct job *job = g_ptr_array_index (jobs, i);
-      if (job->waiting->len == 0)
-        continue;
       /* None: the holders have not reported, or there are none.  */
       struct backlog *b = g_hash_table_lookup (backlogs, &job->want.service);
       struct service *service = service_of (plan, job->want.service);
--- a/lib/sched/fifo.c
+++ b/lib/sched/fifo.c
@@ -1,4 +1,4 @@
-#include "plsched.h"
+#include "sched_in.h"
 
 struct fifo
 {
@@ -6,10 +6,12 @@
   GSequence *jobs;
 };
 
+/* All jobs that are queued come before one that arrives now.  */
 static int64_t
 fifo_rank (const struct sched_job *job)
 {
-  return job->arrival_us;
+  (void)job;
+  return 0;
 }
 
 static int
@@ -44,22 +46,11 @@
   return g_sequence_iter_is_end (it) ? NULL : g_sequence_get (it);
 }
 
-/* All inserted work comes before a job that arrives now.  */
 static int64_t
-fifo_ahead_us (struct sched_order *base, const struct sched_team *team,
+fifo_ahead_us (struct sched_order *order, const struct sched_team *team,
                int64_t rank)
 {
-  (void)rank;
-  const struct fifo *fifo = (struct fifo *)base;
-  int64_t sum = 0;
-  GSequenceIter *it = g_sequence_get_begin_iter (fifo->jobs);
-  for (; !g_sequence_iter_is_end (it); it = g_sequence_iter_next (it))
-    {
-      const struct sched_job *job = g_sequence_get (it);
-      if (job->team == team)
-        sum += job->queued_us;
-    }
-  return sum;
+  return sched_work_before (((struct fifo *)order)->jobs, team, rank);
 }
 
 static void
--- a/lib/sched/queue.c
+++ b/lib/sched/queue.c
@@ -57,6 +57,23 @@
   return team;
 }
 
+int64_t
+sched_work_before (GSequence *jobs, const struct sched_team *team,
+                   int64_t rank)
+{
+  int64_t sum = 0;
+  GSequenceIter *it = g_sequence_get_begin_iter (jobs);
+  for (; !g_sequence_iter_is_end (it); it = g_sequence_iter_next (it))
+    {
+      const struct sched_job *job = g_sequence_get (it);
+      if (job->rank > rank)
+        break;
+      if (job->team == team)
+        sum += job->queued_us;
+    }
+  return sum;
+}
+
 /* The longest task is last and so taken first.  */
 static int
 by_size (gconstpointer a, gconstpointer b)
--- a/lib/sched/sched_in.h
+++ b/lib/sched/sched_in.h
@@ -3,6 +3,11 @@
 
 #include "plsched.h"
 
+/* Queued work of TEAM in JOBS whose rank is at most RANK; JOBS are in order of
+   their ranks.  */
+int64_t sched_work_before (GSequence *jobs, const struct sched_team *team,
+                           int64_t rank);
+
 struct sched
 {
   struct sched_opts opts;
--- a/lib/sched/sizes.c
+++ b/lib/sched/sizes.c
@@ -101,9 +101,8 @@
   return exp (trust * (log ((double)declared_us) - pairs->declared));
 }
 
-static void
-learn (struct sched_sizes *sizes, char *key, int64_t declared_us,
-       int64_t run_us)
+static struct entry *
+learn (struct sched_sizes *sizes, char *key, int64_t run_us)
 {
   struct entry *entry = g_hash_table_lookup (sizes->entries, key);
   if (entry == NULL)
@@ -111,20 +110,19 @@
       entry = g_new0 (struct entry, 1);
       g_hash_table_insert (sizes->entries, g_strdup (key), entry);
     }
-  if (declared_us > 0)
-    learn_pair (&entry->pairs, declared_us, run_us);
   entry->ring[entry->count % RING] = run_us;
   entry->count++;
   int64_t n = MIN ((int64_t)entry->count, SMOOTH);
   entry->mean_us += (run_us - entry->mean_us) / n;
   entry->learnt_us = pl_now_us (sizes->clock);
   if (entry->count > SCHED_SAMPLES && entry->count % SCHED_SAMPLES != 0)
-    return;
+    return entry;
   int64_t sorted[RING];
   size_t held = MIN (entry->count, RING);
   memcpy (sorted, entry->ring, held * sizeof *sorted);
   qsort (sorted, held, sizeof *sorted, by_value);
   entry->median_us = sorted[held / 2];
+  return entry;
 }
 
 void
@@ -134,8 +132,11 @@
 {
   g_autofree char *narrow = key_of (service, kind, team);
   g_autofree char *wide = key_of (service, kind, NULL);
-  learn (sizes, narrow, declared_us, MAX (run_us, 1));
-  learn (sizes, wide, declared_us, MAX (run_us, 1));
+  run_us = MAX (run_us, 1);
+  struct entry *own = learn (sizes, narrow, run_us);
+  if (declared_us > 0)
+    learn_pair (&own->pairs, declared_us, run_us);
+  learn (sizes, wide, run_us);
 }
 
 int64_t
--- a/lib/sched/slowdown.c
+++ b/lib/sched/slowdown.c
@@ -2,7 +2,7 @@
    queueing; inside a team, jobs are ordered by the time at which their
    slowdown reaches a target.  That time depends on the arrival, so every job
    comes first after a bounded wait.  */
-#include "plsched.h"
+#include "sched_in.h"
 
 #include <math.h>
 
@@ -106,18 +106,7 @@
                    int64_t rank)
 {
   (void)base;
-  if (team->jobs == NULL)
-    return 0;
-  int64_t sum = 0;
-  GSequenceIter *it = g_sequence_get_begin_iter (team->jobs);
-  for (; !g_sequence_iter_is_end (it); it = g_sequence_iter_next (it))
-    {
-      const struct sched_job *job = g_sequence_get (it);
-      if (job->rank > rank)
-        break;
-      sum += job->queued_us;
-    }
-  return sum;
+  return team->jobs == NULL ? 0 : sched_work_before (team->jobs, team, rank);
 }
 
 static void
