--- a/lib/cell/rooms.c
+++ b/lib/cell/rooms.c
@@ -91,7 +91,7 @@
         continue;
       known->dirty = false;
       struct lease_worker *w = lease_find (cell->leases, known->info.worker);
-      if (w != NULL)
+      if (w != NULL && w->token != LEASE_PROBE_TOKEN)
         report_room (cell, w, now_us);
     }
 }
--- a/tests/cell_test.c
+++ b/tests/cell_test.c
@@ -2,6 +2,7 @@
    on a manual clock.  */
 #include "cell_priv.h"
 #include "cell_world.h"
+#include "pack_priv.h"
 #include "test.h"
 
 #define SECOND ((int64_t)1000000)
@@ -217,6 +218,34 @@
     }
 }
 
+/* The planner is told of rooms by their holders only.  Guards against a probe
+   that is reported as a room without use and hides the holder's own report
+   after a cut.  */
+static void
+test_a_probe_is_not_reported_as_a_room (void)
+{
+  struct world *world = world_new (14, 2, 8, 2);
+  world_run_for (world, SECOND);
+  world_cut_domain (world, 0, true);
+  world_run_for (world, SECOND);
+  unregister_domain (world, 0, false);
+  world_run_for (world, SECOND);
+  struct cell *cell = world->instances[1].cell;
+  unsigned probes = 0;
+  unsigned rooms = 0;
+  for (int i = 0; i < world->n_workers; i++)
+    {
+      uint64_t key = world->workers[i].key;
+      const struct lease_worker *w = lease_find (cell_leases (cell), key);
+      bool probe = w != NULL && w->token == LEASE_PROBE_TOKEN;
+      probes += probe;
+      rooms += probe && g_hash_table_contains (cell->plan->rooms, &key);
+    }
+  CU_ASSERT (probes > 0);
+  CU_ASSERT_EQUAL (rooms, 0);
+  world_free (world);
+}
+
 /* Guards against workers of a failure domain without power that nobody takes:
    they answer, and their holders are silent for good.  */
 static void
@@ -630,6 +659,8 @@
       test_groups_that_start_apart_share_soon },
     { "a healed cut leaves workers where they are",
       test_a_healed_cut_leaves_workers_where_they_are },
+    { "a probe is not reported as a room",
+      test_a_probe_is_not_reported_as_a_room },
     { "workers of dead holders are taken across domains",
       test_workers_of_dead_holders_are_taken_across_domains },
     { "a quiet planner is replaced before it is dead",
