net: bytes that answer no request close their connection; callers that leave behind unread input are seen

Cause: a client connection that was kept after a response left further bytes in its input buffer, and the next request took them as its answer: a worker's doubled answer to one start could pass for the answer to another. Bytes that arrived after the response, before the event loop ran again, had the same effect. A server connection whose request waits stops reading at 64 KiB of unread input, and so did not notice that the caller had closed.

Change: the client closes a connection with bytes behind its response, with bytes before any of the request was sent, or with bytes or an end waiting on the socket when it is to be used again (one recv with MSG_PEEK a reused connection); event UNSOLICITED. The server awaits EV_CLOSED while it does not read.

Ruled out: a limit on pipelined input, which would end callers that may pipeline a large body. Answers on a connection can't be told apart by content: HTTP/1.1 numbers none.

Removed: NET_MAX_HEADERS and struct net_header, which nothing used.

--- a/lib/net/client.c
+++ b/lib/net/client.c
@@ -1,9 +1,12 @@
 /* Pool of HTTP/1.1 client connections to one address.  A connection carries
-   one request at a time.  It is closed after a failure or a timeout: a late
-   response must not be taken for that of the next request.  */
+   one request at a time.  It is closed after a failure or a timeout, and when
+   bytes arrive that belong to no request: a late or doubled response must not
+   be taken for that of the next request.  */
 #include "net_priv.h"
 
+#include <errno.h>
 #include <string.h>
+#include <sys/socket.h>
 
 /* A page of the store's listing has up to 1 MB.  */
 #define MAX_RESPONSE_BYTES ((size_t)2 * 1024 * 1024)
@@ -61,6 +64,21 @@
     done (arg, &resp);
 }
 
+static void
+log_unsolicited (const struct net_client_conn *conn)
+{
+  char addr[PL_ADDR_TEXT];
+  size_t n = evbuffer_get_length (bufferevent_get_input (conn->bev));
+  pl_log (PL_EV_UNSOLICITED, "address=%s bytes=%zu",
+          pl_addr_text (conn->pool->addr, addr), n);
+}
+
+static bool
+has_unread_input (const struct net_client_conn *conn)
+{
+  return evbuffer_get_length (bufferevent_get_input (conn->bev)) > 0;
+}
+
 static void
 conn_complete (struct net_client_conn *conn)
 {
@@ -71,7 +89,10 @@
   };
   net_response_fn done = conn->done;
   void *arg = conn->arg;
-  bool keep_alive = http_should_keep_alive (&conn->message.parser);
+  bool excess = has_unread_input (conn);
+  bool keep_alive = http_should_keep_alive (&conn->message.parser) && !excess;
+  if (excess)
+    log_unsolicited (conn);
   /* The callback may send the next request on this connection, which reuses
      the message; the body must stay valid until the callback returns.  */
   GString *body = conn->message.body;
@@ -94,9 +115,11 @@
 on_read (struct bufferevent *bev, void *arg)
 {
   struct net_client_conn *conn = arg;
-  if (!conn->busy)
+  /* Bytes that arrive while no byte of a request was sent answer nothing.  */
+  if (!conn->busy || !may_have_been_sent (conn))
     {
-      conn_free (conn); /* unsolicited bytes */
+      log_unsolicited (conn);
+      conn_fail (conn);
       return;
     }
   if (!net_message_feed (&conn->message, bufferevent_get_input (bev)))
@@ -172,12 +195,40 @@
   return conn;
 }
 
+/* Whether an idle connection has received bytes since its last response, or
+   has ended.  The event that tells so may not have been handled yet.  */
+static bool
+is_stale (const struct net_client_conn *conn)
+{
+  char byte;
+  if (has_unread_input (conn))
+    return true;
+  ssize_t n = recv (bufferevent_getfd (conn->bev), &byte, sizeof byte,
+                    MSG_PEEK | MSG_DONTWAIT);
+  return n >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+/* An idle connection, or null.  Closes the stale ones.  */
+static struct net_client_conn *
+find_idle (struct net_pool *pool)
+{
+  while (pool->connections.head != NULL)
+    {
+      struct net_client_conn *conn = pool->connections.head->data;
+      if (conn->busy)
+        return NULL;
+      if (!is_stale (conn))
+        return conn;
+      conn_free (conn);
+    }
+  return NULL;
+}
+
 void
 net_pool_send (struct net_pool *pool, const struct net_client_request *request)
 {
-  struct net_client_conn *conn
-      = pool->connections.head == NULL ? NULL : pool->connections.head->data;
-  if (conn == NULL || conn->busy)
+  struct net_client_conn *conn = find_idle (pool);
+  if (conn == NULL)
     conn = conn_open (pool);
   conn->busy = true;
   conn->done = request->done;
--- a/lib/net/net.h
+++ b/lib/net/net.h
@@ -9,13 +9,6 @@
 
 #include <event2/event.h>
 
-/* A header field of a request.  Names are case-insensitive.  */
-struct net_header
-{
-  char *name;
-  char *value;
-};
-
 /* HTTP server.  */
 
 struct net_server;
--- a/lib/net/net_priv.h
+++ b/lib/net/net_priv.h
@@ -10,7 +10,6 @@
 #include <http_parser.h>
 #include <netinet/in.h>
 
-#define NET_MAX_HEADERS 64 /* not used */
 /* Limit of the target, and likewise of all header fields together.  */
 #define NET_MAX_HEADER_BYTES 16384
 
--- a/lib/net/server.c
+++ b/lib/net/server.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 /* Unread input of a connection while a request is served; then reading
-   stops.  */
+   stops, and the end of the connection is awaited apart from it.  */
 #define MAX_UNREAD_BYTES 65536
 
 /* A connection and its current request.  */
@@ -13,6 +13,7 @@
 {
   struct net_server *server;
   struct bufferevent *bev;
+  struct event *closed; /* the caller has closed; null while reading goes on */
   struct net_message message;
   GList node; /* in the server's list of connections */
   void *user;
@@ -36,6 +37,8 @@
 exchange_free (struct net_exchange *exchange)
 {
   g_queue_unlink (&exchange->server->connections, &exchange->node);
+  if (exchange->closed != NULL)
+    event_free (exchange->closed);
   bufferevent_free (exchange->bev);
   net_message_clear (&exchange->message);
   g_free (exchange);
@@ -59,16 +62,42 @@
     exchange_free (exchange);
 }
 
+static void
+abort_exchange (struct net_exchange *exchange)
+{
+  if (exchange->busy)
+    exchange->server->ops->aborted (exchange->server->ctx, exchange);
+  exchange_free (exchange);
+}
+
 static void
 on_event (struct bufferevent *bev, short events, void *arg)
 {
   (void)bev;
+  if (events & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT))
+    abort_exchange (arg);
+}
+
+static void
+on_closed (evutil_socket_t fd, short events, void *arg)
+{
+  (void)fd;
+  (void)events;
   struct net_exchange *exchange = arg;
-  if ((events & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) == 0)
-    return;
+  /* Between requests, reading goes on and finds the end by itself.  */
   if (exchange->busy)
-    exchange->server->ops->aborted (exchange->server->ctx, exchange);
-  exchange_free (exchange);
+    abort_exchange (exchange);
+}
+
+/* Watches for the end of a connection whose unread input is not read on.  */
+static void
+await_close (struct net_exchange *exchange)
+{
+  if (exchange->closed == NULL)
+    exchange->closed
+        = event_new (exchange->server->base, bufferevent_getfd (exchange->bev),
+                     EV_CLOSED, on_closed, exchange);
+  event_add (exchange->closed, NULL);
 }
 
 static const char *
@@ -119,9 +148,9 @@
 static void
 process_input (struct net_exchange *exchange)
 {
+  struct evbuffer *in = bufferevent_get_input (exchange->bev);
   while (!exchange->busy && !exchange->close_after_reply)
     {
-      struct evbuffer *in = bufferevent_get_input (exchange->bev);
       if (!net_message_feed (&exchange->message, in))
         {
           reject_malformed (exchange);
@@ -141,6 +170,8 @@
                                       &request);
       exchange->in_callback = false;
     }
+  if (exchange->busy && evbuffer_get_length (in) >= MAX_UNREAD_BYTES)
+    await_close (exchange);
 }
 
 static void
--- a/tests/net_test.c
+++ b/tests/net_test.c
@@ -12,6 +12,8 @@
 #define LOOPBACK 0x7f2a0000u /* 127.42.0.0/16 */
 #define LOOP_US 20000
 #define TIMEOUT_US 100000L
+/* More than the server reads ahead, and less than socket buffers take.  */
+#define UNREAD_BYTES 150000
 
 struct fixture
 {
@@ -183,6 +185,27 @@
   CU_ASSERT_EQUAL (net_server_count_connections (fixture.server), 0);
 }
 
+/* Guards against work for a caller that has closed its connection after it had
+   sent more pipelined input than the server reads while it is busy.  */
+static void
+test_a_disconnect_behind_unread_input_is_reported (void)
+{
+  struct fixture fixture;
+  fixture_init (&fixture);
+  int fd = connect_socket ();
+  g_autofree char *unread = g_strnfill (UNREAD_BYTES, 'x');
+  send_text (fd, "POST /a HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+  run_loop (&fixture, LOOP_US);
+  CU_ASSERT_PTR_NOT_NULL (fixture.pending);
+  send_text (fd, unread);
+  run_loop (&fixture, LOOP_US);
+  CU_ASSERT_EQUAL (fixture.disconnects, 0);
+  close (fd);
+  run_loop (&fixture, LOOP_US);
+  CU_ASSERT_EQUAL (fixture.disconnects, 1);
+  CU_ASSERT_EQUAL (net_server_count_connections (fixture.server), 0);
+}
+
 /* Guards against a server that accepts oversized bodies or bytes that are not
    HTTP.  */
 static void
@@ -333,6 +356,60 @@
   return fd;
 }
 
+/* An answer with bytes behind it, which would pass for the next answer.  */
+static const char two_answers[]
+    = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none"
+      "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale";
+#define FIRST_ANSWER_BYTES (sizeof two_answers - 1 - 43)
+
+/* Accepts a connection and reads the request that has arrived on it.  */
+static int
+accept_and_read (int listener)
+{
+  int fd = accept (listener, NULL, NULL);
+  char bytes[512];
+  CU_ASSERT_TRUE_FATAL (fd >= 0);
+  CU_ASSERT_TRUE (read (fd, bytes, sizeof bytes) > 0);
+  return fd;
+}
+
+/* Guards against bytes behind a complete response that are taken as the answer
+   to the next request of the same connection.  They may come with the
+   response, or after it, before the next request is sent.  */
+static void
+test_bytes_behind_a_response_answer_no_request (void)
+{
+  for (int late = 0; late < 2; late++)
+    {
+      struct fixture fixture = { .base = event_base_new () };
+      struct pl_addr at = { process_ip (), (uint16_t)(PORT + 7 + late) };
+      int listener = listen_without_accept (at);
+      struct net_pool *pool = net_pool_new (fixture.base, at);
+      send_request (&fixture, pool, "POST");
+      run_loop (&fixture, LOOP_US);
+      int fd = accept_and_read (listener);
+      size_t first = late ? FIRST_ANSWER_BYTES : sizeof two_answers - 1;
+      CU_ASSERT_EQUAL (write (fd, two_answers, first), (ssize_t)first);
+      run_loop (&fixture, LOOP_US);
+      CU_ASSERT_EQUAL (fixture.responses, 1);
+      CU_ASSERT_STRING_EQUAL (fixture.last_response_body, "one");
+      /* The event loop doesn't run between the arrival of the late bytes and
+         the next request.  */
+      if (late)
+        send_text (fd, two_answers + first);
+      send_request (&fixture, pool, "POST");
+      run_loop (&fixture, LOOP_US);
+      CU_ASSERT_STRING_NOT_EQUAL (fixture.last_response_body, "stale");
+      /* Sent on another connection, or reported as not sent.  */
+      CU_ASSERT (fixture.responses == 1
+                 || (fixture.last_response.status == 0
+                     && !fixture.last_response.sent));
+      net_pool_free (pool);
+      close (fd);
+      close (listener);
+    }
+}
+
 /* When a process was not scheduled for a while, its new connection is ready
    and the request's timeout is due in the same iteration of the event loop.
    Guards against a request that is sent in that iteration and reported as not
@@ -462,6 +539,8 @@
       test_pipelined_requests_are_served_in_order },
     { "a disconnect before the reply is reported",
       test_a_disconnect_before_the_reply_is_reported },
+    { "a disconnect behind unread input is reported",
+      test_a_disconnect_behind_unread_input_is_reported },
     { "invalid requests are rejected and closed",
       test_invalid_requests_are_rejected_and_closed },
     { "draining closes idle connections only",
@@ -474,6 +553,8 @@
       test_a_response_read_after_its_timeout_is_kept },
     { "a request sent at its timeout counts as sent",
       test_a_request_sent_at_its_timeout_counts_as_sent },
+    { "bytes behind a response answer no request",
+      test_bytes_behind_a_response_answer_no_request },
     { "links carry frames and report their end",
       test_links_carry_frames_and_report_their_end },
     { "a link reconnects on demand", test_a_link_reconnects_on_demand },
