cell, planner, owner: bounds per worker survive retries and new planners; messages are checked

Cause: the planner forgot where a job's tasks were as soon as all were granted, and a new planner never knew it, so that the bound of tasks per worker started over on a retry. Workers that report cpu 0 or 1 made queueing_delay_us divide by zero (SIGFPE). Start, Stop and Ended were accepted from sender 0, numbers were used unchecked, and while no planner was chosen each message to it went to all instances.

Change: the owner's request says where the other tasks are (only if the job has a bound) and how old the job is; the owner checks the bound at each grant, and requests anew when a task has ended. A worker without cores is not usable. lib/cell/check.c checks every message; a link has one sender. Messages to an unknown planner are not sent: all requests and reports go to the next one.

Ruled out: keeping the planner's job entry until the owner drops it, which costs a message for each job and does not survive the planner.

--- a/lib/cell/cell.pb-c.c
+++ b/lib/cell/cell.pb-c.c
@@ -1055,7 +1055,7 @@
   (ProtobufCMessageInit) cellpb__amount__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__ask__field_descriptors[14] =
+static const ProtobufCFieldDescriptor cellpb__ask__field_descriptors[17] =
 {
   {
     "job",
@@ -1225,13 +1225,52 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "age_us",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Ask, age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "placed_task",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cellpb__Ask, n_placed_task),
+    offsetof(Cellpb__Ask, placed_task),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "placed_worker",
+    17,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Cellpb__Ask, n_placed_worker),
+    offsetof(Cellpb__Ask, placed_worker),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cellpb__ask__field_indices_by_name[] = {
+  14,   /* field[14] = age_us */
   9,   /* field[9] = deadline_us */
   0,   /* field[0] = job */
   8,   /* field[8] = late_us */
   7,   /* field[7] = objective_us */
   4,   /* field[4] = per_worker */
+  15,   /* field[15] = placed_task */
+  16,   /* field[16] = placed_worker */
   3,   /* field[3] = preferred_label */
   10,   /* field[10] = priority */
   2,   /* field[2] = required_label */
@@ -1245,7 +1284,7 @@
 static const ProtobufCIntRange cellpb__ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor cellpb__ask__descriptor =
 {
@@ -1255,7 +1294,7 @@
   "Cellpb__Ask",
   "cellpb",
   sizeof(Cellpb__Ask),
-  14,
+  17,
   cellpb__ask__field_descriptors,
   cellpb__ask__field_indices_by_name,
   1,  cellpb__ask__number_ranges,
--- a/lib/cell/cell.pb-c.h
+++ b/lib/cell/cell.pb-c.h
@@ -140,10 +140,21 @@
   uint32_t width;
   size_t n_tasks;
   uint32_t *tasks;
+  /*
+   * since the owner received the job
+   */
+  int64_t age_us;
+  /*
+   * Where the other tasks are, in parallel; only sent if per_worker is not 0.
+   */
+  size_t n_placed_task;
+  uint32_t *placed_task;
+  size_t n_placed_worker;
+  uint64_t *placed_worker;
 };
 #define CELLPB__ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cellpb__ask__descriptor) \
-    , 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL }
 
 
 /*
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -69,7 +69,7 @@
   struct owner_table *jobs;
   struct planner_state *planner; /* in use while this instance plans */
   /* The instance that plans.  0: it was lost and the next one is not chosen
-     yet; a message to the planner goes to all instances then.  */
+     yet.  */
   uint64_t planner_id;
   bool plan_due; /* planner_schedule must be called */
   bool ready;
@@ -83,7 +83,6 @@
   int64_t config_version;
   GBytes *config;
   GQueue inbox; /* GBytes of messages of this instance to itself */
-  bool in_turn;
 };
 
 /* Peers: failure detection and the choice of the planner (member.c),
@@ -105,6 +104,9 @@
 
 /* Messages (msg.c).  TO 0: all peers, alive or not, and this instance.  */
 void cell_send (struct cell *cell, uint64_t to, Cellpb__Envelope *env);
+/* Sends nothing while no planner is chosen: all requests and reports are sent
+   to the next one.  */
+void cell_send_to_planner (struct cell *cell, Cellpb__Envelope *env);
 void cell_send_to_peer (struct cell *cell, struct peer *peer,
                         Cellpb__Envelope *env);
 /* To all peers, alive or not, without this instance.  */
@@ -114,6 +116,10 @@
 void cell_dispatch (struct cell *cell, uint64_t sender,
                     const Cellpb__Envelope *env);
 
+/* Whether a message has the parts that its handler needs, with values that it
+   can compute with (check.c).  */
+bool cell_is_valid (const Cellpb__Envelope *env);
+
 #define CELL_ENVELOPE(field, tag, message)                                    \
   {                                                                           \
     PROTOBUF_C_MESSAGE_INIT (&cellpb__envelope__descriptor),                  \
--- /dev/null
+++ b/lib/cell/check.c
@@ -0,0 +1,115 @@
+/* Checks of messages before they are handled.  A message of another build, or
+   of a process that is no instance, must neither stop this one nor make it
+   compute with values out of range.  */
+#include "cell_priv.h"
+
+/* Longest time in a message.  A job lasts seconds.  */
+#define MAX_TIME_US ((int64_t)24 * 3600 * 1000000)
+/* Bound of clocks and fencing tokens: sums of a few of them don't overflow. */
+#define MAX_MAGNITUDE ((int64_t)1 << 60)
+
+static bool
+is_time (int64_t us)
+{
+  return us >= -MAX_TIME_US && us <= MAX_TIME_US;
+}
+
+static bool
+is_duration (int64_t us)
+{
+  return us >= 0 && us <= MAX_TIME_US;
+}
+
+static bool
+is_token (int64_t token)
+{
+  return token >= 0 && token <= MAX_MAGNITUDE;
+}
+
+/* Null stands for nothing.  Sums of a few amounts don't overflow.  */
+static bool
+is_amount (const Cellpb__Amount *amount)
+{
+  return amount == NULL
+         || (amount->cpu >= 0 && amount->cpu <= PLANNER_MAX_AMOUNT
+             && amount->mem >= 0 && amount->mem <= PLANNER_MAX_AMOUNT
+             && amount->gpu >= 0 && amount->gpu <= PLANNER_MAX_AMOUNT);
+}
+
+static bool
+are_tasks (const uint32_t *tasks, size_t n, uint32_t width)
+{
+  for (size_t i = 0; i < n; i++)
+    if (tasks[i] >= width)
+      return false;
+  return n <= width;
+}
+
+static bool
+is_ask (const Cellpb__Ask *ask)
+{
+  return ask->width <= OWNER_MAX_TASKS
+         && are_tasks (ask->tasks, ask->n_tasks, ask->width)
+         && are_tasks (ask->placed_task, ask->n_placed_task, ask->width)
+         && ask->n_placed_task == ask->n_placed_worker && is_amount (ask->size)
+         && is_duration (ask->run_us) && is_duration (ask->age_us)
+         && is_time (ask->objective_us) && is_time (ask->late_us)
+         && is_time (ask->deadline_us);
+}
+
+static bool
+is_ended (const Cellpb__Ended *ended)
+{
+  return ended->id != NULL && ended->end >= LEASE_END_DONE
+         && ended->end <= LEASE_END_UNKNOWN && is_duration (ended->took_us);
+}
+
+static bool
+is_start (const Cellpb__Start *start)
+{
+  return start->id != NULL && is_amount (start->size)
+         && is_duration (start->expect_us) && is_token (start->token);
+}
+
+static bool
+is_beat (const Cellpb__Beat *beat)
+{
+  for (size_t i = 0; i < beat->n_held; i++)
+    if (!is_token (beat->held[i]->token))
+      return false;
+  return beat->port != 0 && beat->port <= UINT16_MAX;
+}
+
+bool
+cell_is_valid (const Cellpb__Envelope *env)
+{
+  if (env->sender == 0 || env->sent_us < -MAX_MAGNITUDE
+      || env->sent_us > MAX_MAGNITUDE)
+    return false;
+  switch (env->body_case)
+    {
+    case CELLPB__ENVELOPE__BODY_BEAT:
+      return is_beat (env->beat);
+    case CELLPB__ENVELOPE__BODY_ASK:
+      return is_ask (env->ask);
+    case CELLPB__ENVELOPE__BODY_GRANT:
+      return is_token (env->grant->token);
+    case CELLPB__ENVELOPE__BODY_REFUSE:
+      return env->refuse->retry_after_ms >= 0;
+    case CELLPB__ENVELOPE__BODY_START:
+      return is_start (env->start);
+    case CELLPB__ENVELOPE__BODY_STOP:
+      return env->stop->id != NULL;
+    case CELLPB__ENVELOPE__BODY_ENDED:
+      return is_ended (env->ended);
+    case CELLPB__ENVELOPE__BODY_ROOM:
+      return is_amount (env->room->capacity) && is_amount (env->room->used)
+             && is_token (env->room->token);
+    case CELLPB__ENVELOPE__BODY_TAKEN:
+      return is_token (env->taken->token);
+    case CELLPB__ENVELOPE__BODY_YIELD:
+      return is_token (env->yield->token);
+    default:
+      return true;
+    }
+}
--- a/lib/cell/msg.c
+++ b/lib/cell/msg.c
@@ -87,6 +87,13 @@
     cell_send_to_peer (cell, peer, env);
 }
 
+void
+cell_send_to_planner (struct cell *cell, Cellpb__Envelope *env)
+{
+  if (cell->planner_id != 0)
+    cell_send (cell, cell->planner_id, env);
+}
+
 static void
 on_config (struct cell *cell, const Cellpb__Config *msg)
 {
@@ -156,31 +163,17 @@
     }
 }
 
-/* Whether the optional parts that the handlers dereference are present.  */
-static bool
-is_complete (const Cellpb__Envelope *env)
-{
-  switch (env->body_case)
-    {
-    case CELLPB__ENVELOPE__BODY_START:
-      return env->start->id != NULL;
-    case CELLPB__ENVELOPE__BODY_STOP:
-      return env->stop->id != NULL;
-    case CELLPB__ENVELOPE__BODY_ENDED:
-      return env->ended->id != NULL;
-    default:
-      return env->sender != 0;
-    }
-}
-
 void
 cell_receive_frame (struct cell *cell, uint64_t *link_peer,
                     struct pl_str frame)
 {
   Cellpb__Envelope *env = cellpb__envelope__unpack (
       NULL, frame.len, (const uint8_t *)frame.data);
-  if (env == NULL || !is_complete (env))
+  /* All frames of a link come from the process that has opened it.  */
+  if (env == NULL || !cell_is_valid (env)
+      || (*link_peer != 0 && *link_peer != env->sender))
     {
+      pl_count (PL_CTR_PEER_MESSAGES_DROPPED_TOTAL, 1);
       pl_log (PL_EV_MSG_BAD, "from=%016" PRIx64 " reason=malformed bytes=%zu",
               *link_peer, frame.len);
       if (env != NULL)
--- a/lib/cell/plan.c
+++ b/lib/cell/plan.c
@@ -6,6 +6,14 @@
 cell_on_ask (struct cell *cell, uint64_t sender, const Cellpb__Ask *msg)
 {
   int64_t now_us = pl_now_us (cell->clock);
+  g_autoptr (GArray) placed
+      = g_array_new (FALSE, FALSE, sizeof (struct planner_placed));
+  for (size_t i = 0; i < msg->n_placed_task; i++)
+    {
+      struct planner_placed entry
+          = { msg->placed_task[i], msg->placed_worker[i] };
+      g_array_append_val (placed, entry);
+    }
   struct planner_request request = {
     .job = msg->job,
     .owner = sender,
@@ -15,6 +23,7 @@
     .preferred_label = msg->preferred_label,
     .per_worker = msg->per_worker,
     .size = cell_decode_amount (msg->size),
+    .arrival_us = now_us - msg->age_us,
     .run_us = msg->run_us,
     .objective_us = now_us + msg->objective_us,
     .late_us = now_us + msg->late_us,
@@ -24,11 +33,13 @@
     .n_tasks = msg->width,
     .n_waiting = (unsigned)msg->n_tasks,
     .waiting = msg->tasks,
+    .n_placed = placed->len,
+    .placed = (const struct planner_placed *)(void *)placed->data,
   };
   const struct peer *peer = cell_find_peer (cell, sender);
   if (peer != NULL)
     request.domain = peer->domain;
-  planner_put_request (cell->planner, &request, now_us);
+  planner_put_request (cell->planner, &request);
   cell->plan_due = true;
 }
 
@@ -111,6 +122,13 @@
   struct cell *cell = ctx;
   int64_t now_us = pl_now_us (cell->clock);
   Cellpb__Amount size = cell_encode_amount (request->size);
+  g_autofree uint32_t *placed_tasks = g_new (uint32_t, request->n_placed);
+  g_autofree uint64_t *placed_workers = g_new (uint64_t, request->n_placed);
+  for (unsigned i = 0; i < request->n_placed; i++)
+    {
+      placed_tasks[i] = request->placed[i].index;
+      placed_workers[i] = request->placed[i].worker;
+    }
   Cellpb__Ask msg = CELLPB__ASK__INIT;
   msg.job = request->job;
   msg.service = request->service;
@@ -127,8 +145,13 @@
   msg.width = request->n_tasks;
   msg.tasks = (uint32_t *)request->waiting;
   msg.n_tasks = request->n_waiting;
+  msg.age_us = now_us - request->arrival_us;
+  msg.placed_task = placed_tasks;
+  msg.n_placed_task = request->n_placed;
+  msg.placed_worker = placed_workers;
+  msg.n_placed_worker = request->n_placed;
   Cellpb__Envelope env = CELL_ENVELOPE (ask, ASK, &msg);
-  cell_send (cell, cell->planner_id, &env);
+  cell_send_to_planner (cell, &env);
 }
 
 static void
@@ -138,7 +161,7 @@
   Cellpb__Drop msg = CELLPB__DROP__INIT;
   msg.job = job;
   Cellpb__Envelope env = CELL_ENVELOPE (drop, DROP, &msg);
-  cell_send (cell, cell->planner_id, &env);
+  cell_send_to_planner (cell, &env);
 }
 
 static void
@@ -149,7 +172,7 @@
   msg.worker = worker;
   msg.tag = tag;
   Cellpb__Envelope env = CELL_ENVELOPE (release, RELEASE, &msg);
-  cell_send (cell, cell->planner_id, &env);
+  cell_send_to_planner (cell, &env);
 }
 
 static void
--- a/lib/cell/report.c
+++ b/lib/cell/report.c
@@ -33,7 +33,7 @@
   room.worker = worker;
   room.gone = true;
   Cellpb__Envelope env = CELL_ENVELOPE (room, ROOM, &room);
-  cell_send (cell, cell->planner_id, &env);
+  cell_send_to_planner (cell, &env);
 }
 
 void
@@ -67,7 +67,7 @@
   msg.runs = report.runs;
   msg.n_runs = report.n_runs;
   Cellpb__Envelope env = CELL_ENVELOPE (room, ROOM, &msg);
-  cell_send (cell, cell->planner_id, &env);
+  cell_send_to_planner (cell, &env);
 }
 
 void
--- a/lib/owner/job.c
+++ b/lib/owner/job.c
@@ -194,14 +194,28 @@
   return (int64_t)((double)run_us * job->stretch) + job->target_us;
 }
 
+/* Collects the tasks to request a worker for, and where the others are.  */
+static void
+collect_tasks (const struct owner_job *job, GArray *waiting, GArray *placed)
+{
+  for (uint32_t i = 0; i < job->n_tasks; i++)
+    {
+      const struct owner_task *task = &job->tasks[i];
+      struct planner_placed entry = { i, task->worker };
+      if (task->state == OWNER_TASK_WAITING && task->retry_at_us == 0)
+        g_array_append_val (waiting, i);
+      else if (job->per_worker != 0 && owner_task_is_assigned (task))
+        g_array_append_val (placed, entry);
+    }
+}
+
 static void
 send_request (struct owner_table *table, struct owner_job *job)
 {
   g_autoptr (GArray) tasks = g_array_new (FALSE, FALSE, sizeof (uint32_t));
-  for (uint32_t i = 0; i < job->n_tasks; i++)
-    if (job->tasks[i].state == OWNER_TASK_WAITING
-        && job->tasks[i].retry_at_us == 0)
-      g_array_append_val (tasks, i);
+  g_autoptr (GArray) placed
+      = g_array_new (FALSE, FALSE, sizeof (struct planner_placed));
+  collect_tasks (job, tasks, placed);
   job->dirty = false;
   if (tasks->len == 0)
     return;
@@ -217,6 +231,7 @@
     .preferred_label = job->preferred_label,
     .per_worker = job->per_worker,
     .size = job->size,
+    .arrival_us = job->arrival_us,
     .run_us = job->run_us,
     .objective_us = job->arrival_us + time_to_objective_us (job, job->run_us),
     .late_us = job->arrival_us + late_us,
@@ -226,6 +241,8 @@
     .n_tasks = job->n_tasks,
     .n_waiting = tasks->len,
     .waiting = (const uint32_t *)(void *)tasks->data,
+    .n_placed = placed->len,
+    .placed = (const struct planner_placed *)(void *)placed->data,
   };
   table->ops->ask (table->ctx, &request);
 }
--- a/lib/owner/owner.h
+++ b/lib/owner/owner.h
@@ -15,6 +15,8 @@
 #include "planner.h"
 #include "plsched.h"
 
+#define OWNER_MAX_TASKS 4096 /* of one job */
+
 /* A job as submitted by a caller: one step of equal tasks.  SERVICE_KEY and
    the labels are hashes of names.  */
 struct owner_submission
--- a/lib/owner/owner_priv.h
+++ b/lib/owner/owner_priv.h
@@ -20,6 +20,8 @@
   return task->state == OWNER_TASK_PLACED || task->state == OWNER_TASK_UNKNOWN;
 }
 
+/* Sends the request of JOB anew with the next flush.  */
+void owner_request_again (struct owner_table *table, struct owner_job *job);
 /* Requests a worker for TASK again.  */
 void owner_requeue_task (struct owner_table *table, struct owner_job *job,
                          struct owner_task *task);
--- a/lib/owner/task.c
+++ b/lib/owner/task.c
@@ -14,13 +14,31 @@
    that an earlier attempt at the job has used.  */
 #define RUN_NUMBER_STEP 16
 
+void
+owner_request_again (struct owner_table *table, struct owner_job *job)
+{
+  job->dirty = true;
+  table->dirty = true;
+}
+
 void
 owner_requeue_task (struct owner_table *table, struct owner_job *job,
                     struct owner_task *task)
 {
   task->state = OWNER_TASK_WAITING;
-  job->dirty = true;
-  table->dirty = true;
+  owner_request_again (table, job);
+}
+
+/* Whether WORKER has as many tasks of JOB as it may have.  The planner may not
+   know all of them, for instance after it has changed.  */
+static bool
+is_bound_reached (const struct owner_job *job, uint64_t worker)
+{
+  unsigned n = 0;
+  for (unsigned i = 0; job->per_worker != 0 && i < job->n_tasks; i++)
+    n += owner_task_is_assigned (&job->tasks[i])
+         && job->tasks[i].worker == worker;
+  return job->per_worker != 0 && n >= job->per_worker;
 }
 
 void
@@ -28,11 +46,14 @@
                 const struct owner_placement *placement)
 {
   struct owner_job *job = owner_find_job (table, id);
-  if (job == NULL || index >= job->n_tasks
-      || job->tasks[index].state != OWNER_TASK_WAITING)
+  bool waiting = job != NULL && index < job->n_tasks
+                 && job->tasks[index].state == OWNER_TASK_WAITING;
+  if (!waiting || is_bound_reached (job, placement->worker))
     {
       table->ops->release (table->ctx, placement->worker,
                            planner_task_tag (id, index));
+      if (waiting)
+        owner_requeue_task (table, job, &job->tasks[index]);
       return;
     }
   struct owner_task *task = &job->tasks[index];
@@ -63,6 +84,8 @@
     }
   if (++job->n_ended == job->n_tasks)
     owner_finish_job (table, job, PL_OK, 0);
+  else if (job->per_worker != 0)
+    owner_request_again (table, job); /* its worker may take another task */
 }
 
 static void
--- a/lib/planner/baseline.c
+++ b/lib/planner/baseline.c
@@ -8,18 +8,19 @@
   return (a->seq > b->seq) - (a->seq < b->seq);
 }
 
-/* Draws up to N random workers that can take a task of JOB, possibly the same
-   one twice; returns their number.  */
+/* Draws up to N random workers that can take task INDEX of JOB, possibly the
+   same one twice; returns their number.  */
 static unsigned
 draw_workers (struct planner_state *planner, const struct job *job,
-              int64_t now_us, struct worker_entry **workers, unsigned n)
+              uint32_t index, int64_t now_us, struct worker_entry **workers,
+              unsigned n)
 {
   g_autoptr (GPtrArray) fitting = g_ptr_array_new ();
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, planner->workers);
   while (g_hash_table_iter_next (&it, NULL, &value))
-    if (planner_worker_can_take (planner, value, job, now_us))
+    if (planner_worker_can_take (planner, value, job, index, now_us))
       g_ptr_array_add (fitting, value);
   n = MIN (n, fitting->len);
   for (unsigned i = 0; i < n; i++)
@@ -29,19 +30,20 @@
 
 static struct worker_entry *
 choose_random (struct planner_state *planner, const struct job *job,
-               int64_t now_us)
+               uint32_t index, int64_t now_us)
 {
   struct worker_entry *worker;
-  return draw_workers (planner, job, now_us, &worker, 1) == 1 ? worker : NULL;
+  return draw_workers (planner, job, index, now_us, &worker, 1) == 1 ? worker
+                                                                     : NULL;
 }
 
 /* Of two random workers, the one with more free CPU.  */
 static struct worker_entry *
 choose_p2c (struct planner_state *planner, const struct job *job,
-            int64_t now_us)
+            uint32_t index, int64_t now_us)
 {
   struct worker_entry *workers[2];
-  unsigned n = draw_workers (planner, job, now_us, workers, 2);
+  unsigned n = draw_workers (planner, job, index, now_us, workers, 2);
   if (n < 2)
     return n == 0 ? NULL : workers[0];
   int32_t left[2];
--- a/lib/planner/choose.c
+++ b/lib/planner/choose.c
@@ -60,12 +60,17 @@
   return false;
 }
 
+/* The number of tasks of JOB on WORKER, without task INDEX.  */
 static unsigned
-count_tasks_on (const struct job *job, uint64_t worker)
+count_others_on (const struct job *job, uint32_t index, uint64_t worker)
 {
   unsigned n = 0;
-  for (guint i = 0; i < job->placed_on->len; i++)
-    n += g_array_index (job->placed_on, uint64_t, i) == worker;
+  for (guint i = 0; i < job->placed->len; i++)
+    {
+      const struct planner_placed *placed
+          = &g_array_index (job->placed, struct planner_placed, i);
+      n += placed->worker == worker && placed->index != index;
+    }
   return n;
 }
 
@@ -73,13 +78,13 @@
 planner_worker_usable (const struct planner_state *planner,
                        const struct worker_entry *w)
 {
-  return w->report.usable
+  return w->report.usable && w->report.capacity.cpu > 0
          && !g_hash_table_contains (planner->paused, &w->report.holder);
 }
 
 static bool
 is_eligible (const struct planner_state *planner, const struct worker_entry *w,
-             const struct job *job, int64_t now_us)
+             const struct job *job, uint32_t index, int64_t now_us)
 {
   const struct planner_request *request = &job->request;
   if (now_us - w->reported_us > REPORT_STALE_US)
@@ -90,7 +95,8 @@
   if (request->required_label != 0 && !has_label (w, request->required_label))
     return false;
   return request->per_worker == 0
-         || count_tasks_on (job, w->report.worker) < request->per_worker;
+         || count_others_on (job, index, w->report.worker)
+                < request->per_worker;
 }
 
 /* Whether a task of JOB fits on W.  Sets USED to what is taken there.  */
@@ -105,10 +111,10 @@
 
 bool
 planner_worker_can_take (struct planner_state *planner, struct worker_entry *w,
-                         const struct job *job, int64_t now_us)
+                         const struct job *job, uint32_t index, int64_t now_us)
 {
   struct planner_resources used;
-  return is_eligible (planner, w, job, now_us)
+  return is_eligible (planner, w, job, index, now_us)
          && has_free_capacity (w, job, now_us, &used);
 }
 
@@ -126,7 +132,7 @@
 /* Best fit: the less CPU stays free on W, the lower the cost.  */
 static int64_t
 placement_cost (const struct worker_entry *w, const struct job *job,
-                struct planner_resources used)
+                uint32_t index, struct planner_resources used)
 {
   const struct planner_request *request = &job->request;
   int64_t cost = w->report.capacity.cpu - used.cpu - request->size.cpu;
@@ -138,7 +144,8 @@
   if (w->report.slowness > 100)
     cost += (int64_t)(w->report.slowness - 100) * COST_SLOW_PERCENT;
   return cost
-         + (int64_t)count_tasks_on (job, w->report.worker) * COST_SAME_JOB;
+         + (int64_t)count_others_on (job, index, w->report.worker)
+               * COST_SAME_JOB;
 }
 
 /* The cheapest worker so far.  */
@@ -160,7 +167,7 @@
    fast enough worker that is full now may still take the task in time.  */
 struct worker_entry *
 planner_choose_worker (struct planner_state *planner, const struct job *job,
-                       int64_t now_us)
+                       uint32_t index, int64_t now_us)
 {
   struct candidate fast = { 0 };
   struct candidate any = { 0 };
@@ -171,14 +178,14 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       struct worker_entry *w = value;
-      if (!is_eligible (planner, w, job, now_us))
+      if (!is_eligible (planner, w, job, index, now_us))
         continue;
       bool fast_enough = meets_objective (w, job, now_us);
       can_wait |= fast_enough;
       struct planner_resources used;
       if (!has_free_capacity (w, job, now_us, &used))
         continue;
-      int64_t cost = placement_cost (w, job, used);
+      int64_t cost = placement_cost (w, job, index, used);
       keep_cheaper (&any, w, cost);
       if (fast_enough)
         keep_cheaper (&fast, w, cost);
--- a/lib/planner/order.c
+++ b/lib/planner/order.c
@@ -14,7 +14,7 @@
   const struct planner_request *request = &job->request;
   int64_t latest_us
       = request->objective_us - request->run_us - ANSWER_DELAY_US;
-  int64_t slack_us = MAX (latest_us - job->arrival_us, 0);
+  int64_t slack_us = MAX (latest_us - request->arrival_us, 0);
   return latest_us
          - MIN (request->run_us * MARGIN_PERCENT / 100, slack_us / 2);
 }
--- a/lib/planner/planner.c
+++ b/lib/planner/planner.c
@@ -5,6 +5,8 @@
 
 /* At least one core in this many is assumed to work off the queue.  */
 #define MIN_BUSY_DIVISOR 2
+/* Bound of the expected delay, far above that of any job.  */
+#define MAX_DELAY_US ((int64_t)24 * 3600 * 1000000)
 /* A service without a usable worker for this long is likely to stay without
    one: other instances have taken the workers of a dead holder by then, unless
    they must wait until its registration expires.  */
@@ -37,7 +39,7 @@
 {
   struct job *job = data;
   g_array_unref (job->waiting);
-  g_array_unref (job->placed_on);
+  g_array_unref (job->placed);
   g_free (job);
 }
 
@@ -176,24 +178,63 @@
   g_ptr_array_remove_fast (planner->jobs, job);
 }
 
+static bool
+is_waiting (const struct planner_request *request, uint32_t index)
+{
+  for (unsigned i = 0; i < request->n_waiting; i++)
+    if (request->waiting[i] == index)
+      return true;
+  return false;
+}
+
+/* Takes over where the tasks of a job are.  The request may have been sent
+   before the owner received a grant: tasks that it lists as waiting stay where
+   they were granted until they are granted again.  */
+static void
+update_placed (struct job *job, const struct planner_request *request)
+{
+  if (request->per_worker == 0)
+    return;
+  for (guint i = job->placed->len; i-- > 0;)
+    if (!is_waiting (
+            request,
+            g_array_index (job->placed, struct planner_placed, i).index))
+      g_array_remove_index_fast (job->placed, i);
+  g_array_append_vals (job->placed, request->placed, request->n_placed);
+}
+
+static void
+record_placed (struct job *job, uint32_t index, uint64_t worker)
+{
+  struct planner_placed placed = { index, worker };
+  for (guint i = 0; i < job->placed->len; i++)
+    if (g_array_index (job->placed, struct planner_placed, i).index == index)
+      {
+        g_array_index (job->placed, struct planner_placed, i) = placed;
+        return;
+      }
+  g_array_append_val (job->placed, placed);
+}
+
 void
 planner_put_request (struct planner_state *planner,
-                     const struct planner_request *request, int64_t now_us)
+                     const struct planner_request *request)
 {
   struct job *job = g_hash_table_lookup (planner->by_id, &request->job);
   if (job == NULL)
     {
       job = g_new0 (struct job, 1);
       job->waiting = g_array_new (FALSE, FALSE, sizeof (uint32_t));
-      job->placed_on = g_array_new (FALSE, FALSE, sizeof (uint64_t));
-      job->arrival_us = now_us;
+      job->placed = g_array_new (FALSE, FALSE, sizeof (struct planner_placed));
       job->seq = planner->next_seq++;
       job->request.job = request->job;
       g_ptr_array_add (planner->jobs, job);
       g_hash_table_insert (planner->by_id, &job->request.job, job);
     }
+  update_placed (job, request);
   job->request = *request;
   job->request.waiting = NULL;
+  job->request.placed = NULL;
   g_array_set_size (job->waiting, 0);
   g_array_append_vals (job->waiting, request->waiting, request->n_waiting);
 }
@@ -229,11 +270,11 @@
   struct planner_placement placement = {
     .report = &w->report,
     .used = planner_worker_used (w),
-    .waited_us = now_us - job->arrival_us,
+    .waited_us = now_us - job->request.arrival_us,
     .report_age_us = now_us - w->reported_us,
   };
   g_array_append_val (w->grants, grant);
-  g_array_append_val (job->placed_on, w->report.worker);
+  record_placed (job, index, w->report.worker);
   job->request.started = true;
   planner->ops->grant (planner->ctx, &job->request, index, &placement);
 }
@@ -244,10 +285,11 @@
 {
   while (job->waiting->len > 0)
     {
-      struct worker_entry *w = planner->policy->choose (planner, job, now_us);
+      uint32_t index = g_array_index (job->waiting, uint32_t, 0);
+      struct worker_entry *w
+          = planner->policy->choose (planner, job, index, now_us);
       if (w == NULL)
         return;
-      uint32_t index = g_array_index (job->waiting, uint32_t, 0);
       g_array_remove_index (job->waiting, 0);
       place_task (planner, job, w, index, now_us);
     }
@@ -256,9 +298,9 @@
 /* The usable workers of one service and the work that waits for them.  */
 struct backlog
 {
-  int64_t cpu;         /* capacity, thousandths of a core */
-  int64_t used_cpu;    /* of it, by runs and grants */
-  int64_t queued_work; /* thousandths of a core x microseconds */
+  int64_t cpu;        /* capacity, thousandths of a core */
+  int64_t used_cpu;   /* of it, by runs and grants */
+  double queued_work; /* thousandths of a core x microseconds */
 };
 
 /* Returns a table service -> struct backlog with the capacity of all usable
@@ -296,9 +338,10 @@
 queueing_delay_us (const struct service *service, const struct backlog *b,
                    int64_t now_us)
 {
-  int64_t cpu = MAX (b->used_cpu, b->cpu / MIN_BUSY_DIVISOR);
+  int64_t cpu = MAX (MAX (b->used_cpu, b->cpu / MIN_BUSY_DIVISOR), 1);
   bool crowded = now_us - service->last_crowded_us < CROWDED_PERIOD_US;
-  return b->queued_work * (crowded ? CROWDED_QUEUE_PERCENT : 100) / 100 / cpu;
+  double work = b->queued_work * (crowded ? CROWDED_QUEUE_PERCENT : 100) / 100;
+  return (int64_t)MIN (work / (double)cpu, (double)MAX_DELAY_US);
 }
 
 /* Whether SERVICE has had no usable worker for too long.  B is its backlog,
@@ -412,8 +455,8 @@
           service->last_crowded_us = now_us;
         }
       else
-        b->queued_work += (int64_t)job->waiting->len * job->request.size.cpu
-                          * job->request.run_us;
+        b->queued_work += (double)job->waiting->len * job->request.size.cpu
+                          * (double)job->request.run_us;
     }
 }
 
--- a/lib/planner/planner.h
+++ b/lib/planner/planner.h
@@ -13,6 +13,9 @@
 
 #define PLANNER_MAX_LABELS 4
 #define PLANNER_MAX_RUNS 64 /* in the report of one worker */
+/* Bound of each of a worker's or a task's resources, so that the sum of all
+   runs of a worker doesn't overflow.  */
+#define PLANNER_MAX_AMOUNT (1 << 24)
 
 /* What a task needs or a worker has.  */
 struct planner_resources
@@ -50,6 +53,13 @@
   unsigned n_runs;
 };
 
+/* A task and the worker where it runs or may run.  */
+struct planner_placed
+{
+  uint32_t index;
+  uint64_t worker;
+};
+
 /* An owner's request of workers for the waiting tasks of one job; it replaces
    the former one.  Times are absolute.  */
 struct planner_request
@@ -62,6 +72,7 @@
   uint64_t preferred_label;
   uint32_t per_worker; /* tasks of the job on one worker; 0: no limit */
   struct planner_resources size; /* of one task */
+  int64_t arrival_us;            /* when the owner received the job */
   int64_t run_us;                /* expected run time of a task */
   int64_t objective_us;          /* an answer has its full value until then */
   int64_t deadline_us;           /* an answer has no value after this */
@@ -71,6 +82,9 @@
   unsigned n_tasks;              /* of the whole job */
   unsigned n_waiting;
   const uint32_t *waiting; /* indexes of tasks */
+  /* Where the other tasks are; only needed if PER_WORKER is not 0.  */
+  unsigned n_placed;
+  const struct planner_placed *placed;
 };
 
 /* The worker for a task, and the figures behind the choice, for the log.  */
@@ -78,7 +92,7 @@
 {
   const struct planner_worker_report *report;
   struct planner_resources used; /* before the task, grants included */
-  int64_t waited_us;             /* since the job was queued */
+  int64_t waited_us;             /* since the owner received the job */
   int64_t report_age_us;         /* of the holder's report */
 };
 
@@ -133,8 +147,7 @@
                            bool paused);
 /* Adds a job, or replaces its request.  */
 void planner_put_request (struct planner_state *planner,
-                          const struct planner_request *request,
-                          int64_t now_us);
+                          const struct planner_request *request);
 /* JOB needs no more workers.  Ignored if OWNER is not its owner.  */
 void planner_remove_job (struct planner_state *planner, uint64_t job,
                          uint64_t owner);
--- a/lib/planner/planner_priv.h
+++ b/lib/planner/planner_priv.h
@@ -23,9 +23,8 @@
 {
   struct planner_request request; /* its array of tasks is WAITING below */
   GArray *waiting;                /* indexes of tasks (uint32_t) */
-  GArray *placed_on;              /* worker of each granted task (uint64_t) */
-  int64_t arrival_us;             /* when it was queued */
-  uint64_t seq;                   /* order of arrival */
+  GArray *placed; /* tasks on workers (struct planner_placed) */
+  uint64_t seq;   /* order of the first requests */
 };
 
 /* How jobs are ordered, placed and refused.  */
@@ -33,9 +32,10 @@
 {
   /* Order of the queue, as for qsort.  */
   int (*compare) (const struct job *a, const struct job *b, int64_t now_us);
-  /* Returns a worker for a task of JOB, null if the task has to wait.  */
+  /* Returns a worker for task INDEX of JOB, null if the task has to wait.  */
   struct worker_entry *(*choose) (struct planner_state *planner,
-                                  const struct job *job, int64_t now_us);
+                                  const struct job *job, uint32_t index,
+                                  int64_t now_us);
   /* Whether jobs are refused that would start too late because of the work
      queued before them.  */
   bool sheds_load;
@@ -85,16 +85,16 @@
    half of its estimated run time.  */
 bool planner_is_hopeless (const struct job *job, int64_t now_us);
 
-/* Whether a task of JOB may be placed on W and fits there.  Drops grants that
-   have timed out.  */
+/* Whether task INDEX of JOB may be placed on W and fits there.  Drops grants
+   that have timed out.  */
 bool planner_worker_can_take (struct planner_state *planner,
                               struct worker_entry *w, const struct job *job,
-                              int64_t now_us);
+                              uint32_t index, int64_t now_us);
 /* Whether tasks of any job may be placed on W.  */
 bool planner_worker_usable (const struct planner_state *planner,
                             const struct worker_entry *w);
-/* The worker for a task of JOB under the default policy, null if the task has
-   to wait.  */
+/* The worker for task INDEX of JOB under the default policy, null if the task
+   has to wait.  */
 struct worker_entry *planner_choose_worker (struct planner_state *planner,
                                             const struct job *job,
-                                            int64_t now_us);
+                                            uint32_t index, int64_t now_us);
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -361,6 +361,7 @@
         (int32_t)world_random_between (world, 11000, 20000), 64, 0
       };
       job->run_us = run_us;
+      job->per_worker = world->per_worker;
       g_hash_table_insert (world->jobs, &job->id, job);
     }
   if (owner_find_job (cell_jobs (in->cell), id) != NULL)
@@ -376,6 +377,7 @@
     .service_key = 1,
     .spec = pl_str ("spec"),
     .n_tasks = job->n_tasks,
+    .per_worker = job->per_worker,
     .size = job->size,
     .declared_us = job->run_us,
     .stretch = 1.6,
--- a/tests/owner_test.c
+++ b/tests/owner_test.c
@@ -16,6 +16,7 @@
 {
   unsigned requests;
   unsigned requested_tasks;
+  unsigned placed_tasks; /* listed by the latest request */
   unsigned drops;
   unsigned releases;
   unsigned starts;
@@ -32,6 +33,7 @@
   struct calls *calls = ctx;
   calls->requests++;
   calls->requested_tasks = request->n_waiting;
+  calls->placed_tasks = request->n_placed;
 }
 
 static void
@@ -165,6 +167,30 @@
   owner_table_free (fixture.table);
 }
 
+/* Guards against more tasks on a worker than the job allows, granted by a
+   planner that does not know where the job's other tasks are, and against
+   tasks that wait for ever although a task has ended on the worker.  */
+static void
+test_bound_per_worker_is_kept (void)
+{
+  struct fixture fixture;
+  fixture_init (&fixture, 3);
+  fixture.job->per_worker = 1;
+  grant (&fixture, 0, 1);
+  grant (&fixture, 1, 1);
+  CU_ASSERT_EQUAL (fixture.calls.starts, 1);
+  CU_ASSERT_EQUAL (fixture.calls.releases, 1);
+  owner_flush_requests (fixture.table);
+  CU_ASSERT_EQUAL (fixture.calls.requested_tasks, 2);
+  CU_ASSERT_EQUAL (fixture.calls.placed_tasks, 1);
+  end_run (&fixture, 0, 1, LEASE_END_DONE);
+  owner_flush_requests (fixture.table);
+  CU_ASSERT_EQUAL (fixture.calls.placed_tasks, 0);
+  grant (&fixture, 1, 1);
+  CU_ASSERT_EQUAL (fixture.calls.starts, 2);
+  owner_table_free (fixture.table);
+}
+
 /* Guards against started jobs, or those of other routes, in the number of jobs
    that wait.  */
 static void
@@ -366,6 +392,7 @@
   CU_TestInfo tests[] = {
     { "a job is answered after all its tasks",
       test_answer_waits_for_all_tasks },
+    { "the bound per worker is kept", test_bound_per_worker_is_kept },
     { "unstarted jobs are counted", test_unstarted_jobs_are_counted },
     { "a started job is not answered as not run",
       test_started_job_is_not_answered_as_not_run },
--- a/tests/planner_load.h
+++ b/tests/planner_load.h
@@ -245,6 +245,7 @@
     .service = 1,
     .domain = job->domain + 1,
     .size = { job->cpu, 64, 0 },
+    .arrival_us = job->at_us,
     .run_us = run_us,
     .objective_us = job->at_us + objective_us,
     .late_us = job->at_us + LOAD_LATE_FACTOR * objective_us,
@@ -256,7 +257,7 @@
     .n_waiting = job->n_waiting,
     .waiting = job->waiting,
   };
-  planner_put_request (load->planner, &request, load->now_us);
+  planner_put_request (load->planner, &request);
 }
 
 static int
--- a/tests/planner_test.c
+++ b/tests/planner_test.c
@@ -78,6 +78,7 @@
     .service = 1,
     .domain = 1,
     .size = { cpu, 64, 0 },
+    .arrival_us = now_us,
     .run_us = run_us,
     .objective_us = now_us + objective_us,
     .late_us = now_us + 3 * objective_us,
@@ -93,7 +94,7 @@
              int32_t cpu, int64_t run_us, int64_t now_us)
 {
   struct planner_request request = make_request (job, n, cpu, run_us, now_us);
-  planner_put_request (planner, &request, now_us);
+  planner_put_request (planner, &request);
 }
 
 /* Guards against granting more than a worker's cores between two reports of
@@ -112,6 +113,63 @@
   planner_free (planner);
 }
 
+/* Guards against a division by zero while the only workers of a service report
+   one thousandth of a core, or none.  */
+static void
+test_workers_without_cores_run_nothing (void)
+{
+  for (int32_t cpu = 0; cpu < 2; cpu++)
+    {
+      struct decisions decisions = { 0 };
+      struct planner_state *planner = planner_new (&ops, &decisions);
+      report_worker (planner, 1, cpu, 0);
+      put_request (planner, 10, 1, 14000, 60 * MS, 0);
+      planner_schedule (planner, 0);
+      put_request (planner, 11, 1, 14000, 900 * MS, 600 * MS);
+      planner_schedule (planner, 600 * MS);
+      CU_ASSERT_EQUAL (decisions.grants, 0);
+      CU_ASSERT_EQUAL (planner_count_jobs (planner) + decisions.refusals, 2);
+      planner_free (planner);
+    }
+}
+
+/* Guards against a bound of tasks per worker that starts over when a task is
+   requested again after all tasks had been granted, and against one that
+   forgets a grant which the owner had not received when it sent its request.
+ */
+static void
+test_the_bound_per_worker_holds_on_a_retry (void)
+{
+  struct decisions decisions = { 0 };
+  struct planner_state *planner = planner_new (&ops, &decisions);
+  report_worker (planner, 1, 48000, 0);
+  report_worker (planner, 2, 48000, 20000);
+  struct planner_request request = make_request (10, 2, 14000, 900 * MS, 0);
+  request.per_worker = 1;
+  planner_put_request (planner, &request);
+  planner_schedule (planner, 0);
+  CU_ASSERT_EQUAL_FATAL (decisions.grants, 2);
+  CU_ASSERT_NOT_EQUAL (decisions.workers[0], decisions.workers[1]);
+  /* Task 1 was rejected; task 0 runs on the worker of its grant.  */
+  static const uint32_t second[] = { 1 };
+  struct planner_placed placed = { 0, decisions.workers[0] };
+  request.n_waiting = 1;
+  request.waiting = second;
+  request.n_placed = 1;
+  request.placed = &placed;
+  planner_release_grant (planner, decisions.workers[1],
+                         planner_task_tag (10, 1));
+  planner_put_request (planner, &request);
+  struct planner_worker_report report
+      = make_report (decisions.workers[0], 48000, 30000);
+  report.runs[report.n_runs++] = planner_task_tag (10, 0);
+  planner_update_worker (planner, &report, 10 * MS);
+  planner_schedule (planner, 10 * MS);
+  CU_ASSERT_EQUAL_FATAL (decisions.grants, 3);
+  CU_ASSERT_EQUAL (decisions.workers[2], decisions.workers[1]);
+  planner_free (planner);
+}
+
 /* Guards against small tasks that break up the large free capacity of a
    worker: a task of 14 cores fits best in the rest of a worker of 32 cores. */
 static void
@@ -262,7 +320,7 @@
   struct planner_request request = make_request (1, 2, 1000, MS, 0);
   request.per_worker = 1;
   report_worker (planner, 1, 32000, 0);
-  planner_put_request (planner, &request, 0);
+  planner_put_request (planner, &request);
   planner_schedule (planner, 0);
   CU_ASSERT_EQUAL (decisions.grants, 1);
   report_worker (planner, 2, 32000, 0);
@@ -328,7 +386,7 @@
       request.late_us = 1800 * MS;
       request.deadline_us = 1800 * MS;
       request.priority = 1 - i;
-      planner_put_request (planner, &request, 0);
+      planner_put_request (planner, &request);
     }
   planner_schedule (planner, 0);
   CU_ASSERT_EQUAL (decisions.grants, 1);
@@ -424,7 +482,7 @@
   request.objective_us = 225 * MS;
   request.late_us = 675 * MS;
   request.deadline_us = 900 * MS;
-  planner_put_request (planner, &request, 0);
+  planner_put_request (planner, &request);
   planner_schedule (planner, 0);
   for (unsigned i = 0; i < decisions.refusals; i++)
     CU_ASSERT_NOT_EQUAL (decisions.refused[i], 11);
@@ -545,6 +603,10 @@
   CU_TestInfo tests[] = {
     { "grants count until they are reported",
       test_grants_count_until_they_are_reported },
+    { "workers without cores run nothing",
+      test_workers_without_cores_run_nothing },
+    { "the bound per worker holds on a retry",
+      test_the_bound_per_worker_holds_on_a_retry },
     { "the best fit is taken", test_the_best_fit_is_taken },
     { "jobs that can meet their objective go first",
       test_jobs_that_can_meet_their_objective_go_first },
--- a/tests/world_base.h
+++ b/tests/world_base.h
@@ -87,13 +87,13 @@
 {
   uint64_t id;
   unsigned n_tasks;
+  uint32_t per_worker; /* tasks on one worker; 0: no bound */
   struct planner_resources size;
   int64_t run_us;
   int instance; /* that it was submitted to last */
   uint64_t incarnation;
   int64_t lost_us; /* when the end of its instance was noticed; 0: not */
   bool answered;
-  bool refused;
   enum pl_code code;
 };
 
@@ -114,6 +114,7 @@
   GPtrArray *delayed_frames; /* struct world_event */
   bool registry_down;
   double late_order_share; /* of orders carried out 2 to 12 s later */
+  uint32_t per_worker;     /* bound of the jobs submitted next; 0: none */
   GHashTable *jobs;        /* id -> struct world_job */
   unsigned starts;
   unsigned answers[WORLD_CODE_LIMIT];
@@ -121,6 +122,11 @@
   unsigned double_starts;   /* of a task that runs on another worker */
   unsigned overfull_starts; /* above the capacity of the worker */
   unsigned false_refusals;  /* DEADLINE_LOST of jobs that had started */
+  unsigned crowded_starts;  /* above a job's bound of tasks per worker */
+  unsigned frames;          /* sent between instances */
+  /* Receives a copy of each frame that is sent; may be null.  */
+  void (*on_frame) (struct world *world, GBytes *frame);
+  void *user; /* of ON_FRAME */
   char first_violation[256];
 };
 
--- a/tests/world_links.h
+++ b/tests/world_links.h
@@ -34,6 +34,7 @@
   if (to->cell != NULL && !cut)
     {
       link->up = true;
+      to->link_peers[event->from] = 0; /* a new connection */
       cell_outgoing_link_up (cell, link);
       world_process_queued (world, event->from);
       return;
@@ -49,6 +50,8 @@
 world_open_link (struct world *world, struct world_instance *in, guint index)
 {
   struct world_link *link = g_ptr_array_index (in->links, index);
+  if (world_instance_at (world, link->addr) < 0)
+    return; /* no machine has this address */
   struct world_event *event
       = world_new_event (world, world_random_delay (world), world_try_link);
   event->from = in->index;
@@ -126,5 +129,8 @@
   event->to = to;
   event->incarnation = world->instances[to].incarnation;
   event->frame = g_bytes_new (frame.data, frame.len);
+  world->frames++;
+  if (world->on_frame != NULL)
+    world->on_frame (world, event->frame);
   world_schedule (world, event);
 }
--- a/tests/world_workers.h
+++ b/tests/world_workers.h
@@ -69,6 +69,18 @@
   return false;
 }
 
+/* Whether more tasks of the job run on the worker than the job allows.  */
+static inline bool
+world_exceeds_bound (struct world *world, const struct world_worker *w,
+                     uint64_t id)
+{
+  const struct world_job *job = g_hash_table_lookup (world->jobs, &id);
+  unsigned n = 0;
+  for (guint i = 0; i < w->model.runs->len; i++)
+    n += g_array_index (w->model.runs, struct model_run, i).id.job == id;
+  return job != NULL && job->per_worker != 0 && n > job->per_worker;
+}
+
 static inline void
 world_check_start (struct world *world, struct world_worker *w,
                    const struct world_event *event)
@@ -88,6 +100,11 @@
       world->overfull_starts++;
       world_record_violation (world, "LIMIT", event->id.job, event->id.index);
     }
+  if (world_exceeds_bound (world, w, event->id.job))
+    {
+      world->crowded_starts++;
+      world_record_violation (world, "BOUND", event->id.job, event->id.index);
+    }
 }
 
 static inline enum lease_reply
