platform: submissions and workers' answers are decoded apart from I/O and checked

Cause: a row of a worker's list that could not be read was left out, so that its run counted as ended and was started again while it ran; strrchr could return null; numbers of a submission were cut to 32 bits, so that a task of negative size made room on a full worker. A registry entry with cpu 0 named a worker.

platform_test 5 -> 11 tests, 10,000 damaged inputs a kind. Ruled out: skipping the row and keeping the run, which hides the fault.

--- a/Makefile
+++ b/Makefile
@@ -66,7 +66,8 @@
 $(BUILD)/bin/plat_test: TEST_LIBS += $(LIB)
 
 # The test of papayaloft-platformd links the parts of the daemon that it calls.
-$(BUILD)/bin/platform_test: $(BUILD)/platform/decode.o $(BUILD)/platform/settings.o
+$(BUILD)/bin/platform_test: $(addprefix $(BUILD)/platform/,answer.o decode.o \
+  settings.o submission.o)
 $(BUILD)/bin/platform_test: TEST_LIBS += $(LIB)
 
 # Regenerates the committed sources from schema/; needs protoc-c and awk.
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -7,7 +7,7 @@
 #include <string.h>
 #include <unistd.h>
 
-#define MUTATIONS 3000
+#define MUTATIONS 10000 /* of each kind of input */
 
 static const char worker_text[]
     = "{\"service\":\"s\",\"address\":\"10.128.0.9:8080\",\"zone\":\"brum\","
@@ -70,6 +70,10 @@
     "\"state\":\"ready\",\"capacity\":{\"cpu\":\"1\",\"mem_mb\":1}}",
     "{\"service\":\"s\",\"address\":\"10.1.1.1\",\"zone\":\"b\","
     "\"state\":\"ready\",\"capacity\":{\"cpu\":1,\"mem_mb\":1}}",
+    "{\"service\":\"s\",\"address\":\"10.1.1.1:1\",\"zone\":\"b\","
+    "\"state\":\"ready\",\"capacity\":{\"cpu\":0,\"mem_mb\":1}}",
+    "{\"service\":\"s\",\"address\":\"10.1.1.1:1\",\"zone\":\"b\","
+    "\"state\":\"ready\",\"capacity\":{\"cpu\":4294967297,\"mem_mb\":1}}",
     "{\"service\":5,\"address\":\"10.1.1.1:1\",\"zone\":\"b\","
     "\"state\":\"ready\",\"capacity\":{\"cpu\":1,\"mem_mb\":1}}",
     "{\"service\":\"s\",\"address\":\"10.1.1.1:1\",\"zone\":\"b\","
@@ -146,6 +150,171 @@
   CU_ASSERT_FALSE (load_settings ("nonsense", &settings, &err));
 }
 
+static const char submission_text[]
+    = "{\"spec\":\"text\",\"best_effort\":true,\"steps\":[{\"count\":4,"
+      "\"cpu\":500,\"mem_mb\":256,\"gpu\":1,\"estimated_ms\":900,"
+      "\"requirements\":\"a\",\"data_rack\":\"r1-3\",\"anti_affinity\":2}]}";
+
+/* Guards against misread members of a submission.  */
+static void
+test_submission_is_decoded (void)
+{
+  struct pf_submission submission;
+  struct pl_err err = { 0 };
+  CU_ASSERT_TRUE_FATAL (
+      pf_decode_submission (pl_str (submission_text), &submission, &err));
+  CU_ASSERT_STRING_EQUAL (submission.spec, "text");
+  CU_ASSERT_EQUAL (submission.n_tasks, 4);
+  CU_ASSERT_EQUAL (submission.size.cpu, 500);
+  CU_ASSERT_EQUAL (submission.size.mem, 256);
+  CU_ASSERT_EQUAL (submission.size.gpu, 1);
+  CU_ASSERT_EQUAL (submission.declared_us, 900000);
+  CU_ASSERT_EQUAL (submission.per_worker, 2);
+  CU_ASSERT_EQUAL (submission.required_label, cell_name_hash (pl_str ("a")));
+  CU_ASSERT_EQUAL (submission.preferred_label,
+                   cell_name_hash (pl_str ("r1-3")));
+  pf_submission_clear (&submission);
+}
+
+/* Guards against numbers out of range that are cut to 32 bits: a task of
+   negative size makes room on a full worker, and 4294967297 tasks become
+   one.  */
+static void
+test_submissions_out_of_range_are_refused (void)
+{
+  static const struct
+  {
+    const char *body;
+    enum pl_code code;
+  } cases[] = {
+    { "nonsense", PL_BAD_JSON },
+    { "{\"best_effort\":true}", PL_BAD_JSON },
+    { "{\"best_effort\":true,\"steps\":[{\"count\":0}]}", PL_TOO_MANY_TASKS },
+    { "{\"best_effort\":true,\"steps\":[{\"count\":4097}]}",
+      PL_TOO_MANY_TASKS },
+    { "{\"best_effort\":true,\"steps\":[{\"count\":4294967297}]}",
+      PL_BAD_REQUEST },
+    { "{\"best_effort\":true,\"steps\":[{\"count\":1,\"cpu\":-5}]}",
+      PL_BAD_REQUEST },
+    { "{\"best_effort\":true,\"steps\":[{\"count\":1,\"mem_mb\":1.5}]}",
+      PL_BAD_REQUEST },
+    { "{\"best_effort\":true,\"steps\":[{\"count\":1,\"gpu\":\"1\"}]}",
+      PL_BAD_REQUEST },
+    { "{\"best_effort\":true,\"steps\":[{\"count\":1,"
+      "\"estimated_ms\":9223372036854775807}]}",
+      PL_BAD_REQUEST },
+    { "{\"best_effort\":true,\"steps\":[{\"count\":1},{\"count\":1}]}",
+      PL_NOT_SERVED },
+    { "{\"best_effort\":true,\"steps\":[{\"count\":1,\"gang\":true}]}",
+      PL_NOT_SERVED },
+    { "{\"steps\":[{\"count\":1}]}", PL_NOT_SERVED },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct pf_submission submission;
+      struct pl_err err = { 0 };
+      CU_ASSERT_FALSE (
+          pf_decode_submission (pl_str (cases[i].body), &submission, &err));
+      CU_ASSERT_EQUAL (err.code, cases[i].code);
+    }
+}
+
+static const char poll_text[]
+    = "{\"clock_ms\":482113,\"born\":77,\"running\":["
+      "[\"5c0e7a21d94b36f8.0.0.17\",2,\"00\",41]],\"ended\":["
+      "[58,\"5c0e7a21d94b36f8.0.0.9\",1,\"done\",\"\"],"
+      "[59,\"5c0e7a21d94b36f8.0.0.10\",1,\"failed\",\"\"]]}";
+
+static struct net_response
+response (int status, const char *body)
+{
+  return (struct net_response){ status, true, pl_str (body) };
+}
+
+/* Guards against misread rows of a worker's answer.  */
+static void
+test_poll_answer_is_decoded (void)
+{
+  struct net_response resp = response (200, poll_text);
+  struct pf_poll_answer answer;
+  struct pl_err err = { 0 };
+  CU_ASSERT_TRUE_FATAL (pf_decode_poll_answer (&resp, &answer, &err));
+  const struct lease_poll_result *result = &answer.result;
+  CU_ASSERT_EQUAL (result->reply, LEASE_REPLY_OK);
+  CU_ASSERT_EQUAL (result->clock_ms, 482113);
+  CU_ASSERT_EQUAL (result->incarnation_ms, 77);
+  CU_ASSERT_EQUAL_FATAL (result->n_running, 1);
+  CU_ASSERT_EQUAL (result->running[0].id.job, 0x5c0e7a21d94b36f8u);
+  CU_ASSERT_EQUAL (result->running[0].id.index, 17);
+  CU_ASSERT_EQUAL (result->running[0].id.run, 2);
+  CU_ASSERT_EQUAL_FATAL (result->n_ended, 2);
+  CU_ASSERT_EQUAL (result->ended[0].number, 58);
+  CU_ASSERT_EQUAL (result->ended[0].outcome, LEASE_OUTCOME_DONE);
+  CU_ASSERT_EQUAL (result->ended[1].outcome, LEASE_OUTCOME_FAILED);
+  pf_poll_answer_clear (&answer);
+}
+
+/* Guards against an answer with a row that can't be read: the row was left
+   out, its run counted as ended and was started again while it was running. */
+static void
+test_malformed_poll_answers_count_as_none (void)
+{
+  static const char *const bad[] = {
+    "",
+    "[]",
+    "{}",
+    "{\"clock_ms\":-1}",
+    "{\"clock_ms\":9223372036854775807}",
+    "{\"clock_ms\":1,\"running\":{}}",
+    "{\"clock_ms\":1,\"running\":[[\"5c0e7a21d94b36f8.0.0.17\"]]}",
+    "{\"clock_ms\":1,\"running\":[[\"5c0e7a21d94b36f8xx\",1]]}",
+    "{\"clock_ms\":1,\"running\":[[\"5c0e7a21d94b36f8.0.0.1\",-1]]}",
+    "{\"clock_ms\":1,\"ended\":[[\"58\",\"5c0e7a21d94b36f8.0.0.9\",1,"
+    "\"done\"]]}",
+    "{\"clock_ms\":1,\"ended\":[[58,\"5c0e7a21d94b36f8.0.0.9\",1]]}",
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (bad); i++)
+    {
+      struct net_response resp = response (200, bad[i]);
+      struct pf_poll_answer answer;
+      struct pl_err err = { 0 };
+      CU_ASSERT_FALSE (pf_decode_poll_answer (&resp, &answer, &err));
+      CU_ASSERT_EQUAL (answer.result.reply, LEASE_REPLY_NO_ANSWER);
+      CU_ASSERT_EQUAL (answer.result.n_running, 0);
+      pf_poll_answer_clear (&answer);
+    }
+}
+
+/* Guards against an order that counts as refused, and is given to another
+   worker, although it may be carried out.  */
+static void
+test_replies_to_orders_are_told_apart (void)
+{
+  static const struct
+  {
+    int status;
+    bool sent;
+    const char *body;
+    enum lease_reply reply;
+  } cases[] = {
+    { 0, true, "", LEASE_REPLY_NO_ANSWER },
+    { 0, false, "", LEASE_REPLY_NOT_SENT },
+    { 200, true, "not json", LEASE_REPLY_OK },
+    { 409, true, "{\"reason\":\"fence\"}", LEASE_REPLY_FENCED },
+    { 409, true, "{\"reason\":\"old\"}", LEASE_REPLY_OLD_RUN },
+    { 409, true, "{\"reason\":\"late\"}", LEASE_REPLY_EXPIRED },
+    { 409, true, "{\"reason\":7}", LEASE_REPLY_REFUSED },
+    { 421, true, "", LEASE_REPLY_RESTARTED },
+    { 503, true, "", LEASE_REPLY_REFUSED },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct net_response resp
+          = { cases[i].status, cases[i].sent, pl_str (cases[i].body) };
+      CU_ASSERT_EQUAL (pf_decode_order_reply (&resp), cases[i].reply);
+    }
+}
+
 /* Returns TEXT with some bytes changed.  */
 static char *
 mutate (const char *text, GRand *rand)
@@ -183,6 +352,31 @@
   g_rand_free (rand);
 }
 
+/* The same for submissions and for workers' answers.  */
+static void
+test_damaged_jobs_and_answers_do_no_harm (void)
+{
+  GRand *rand = g_rand_new_with_seed (42);
+  unsigned refused = 0;
+  for (unsigned i = 0; i < MUTATIONS; i++)
+    {
+      struct pf_submission submission;
+      struct pf_poll_answer answer;
+      struct pl_err err = { 0 };
+      g_autofree char *body = mutate (submission_text, rand);
+      g_autofree char *text = mutate (poll_text, rand);
+      struct net_response resp = response (200, text);
+      if (pf_decode_submission (pl_str (body), &submission, &err))
+        pf_submission_clear (&submission);
+      else
+        refused++;
+      refused += !pf_decode_poll_answer (&resp, &answer, &err);
+      pf_poll_answer_clear (&answer);
+    }
+  CU_ASSERT_TRUE (refused > MUTATIONS / 2);
+  g_rand_free (rand);
+}
+
 int
 main (void)
 {
@@ -192,7 +386,17 @@
       test_malformed_worker_entries_are_rejected },
     { "the longest matching prefix wins", test_longest_matching_prefix_wins },
     { "settings are checked", test_settings_are_checked },
+    { "a submission is decoded", test_submission_is_decoded },
+    { "submissions out of range are refused",
+      test_submissions_out_of_range_are_refused },
+    { "a poll answer is decoded", test_poll_answer_is_decoded },
+    { "malformed poll answers count as none",
+      test_malformed_poll_answers_count_as_none },
+    { "replies to orders are told apart",
+      test_replies_to_orders_are_told_apart },
     { "damaged input does no harm", test_damaged_input_does_no_harm },
+    { "damaged jobs and answers do no harm",
+      test_damaged_jobs_and_answers_do_no_harm },
     CU_TEST_INFO_NULL,
   };
   return test_run ("platform_test", tests);
