cell: the planner is one of the instances with the most processor time

Cause: the planner was the live instance with the smallest name, whatever its machine.

Change: heartbeats carry the machine's share of a core from the settings; choose_planner takes the largest share, then the smallest name. An instance of the former build sends none and counts as 0.

--- a/lib/cell/beat.c
+++ b/lib/cell/beat.c
@@ -84,6 +84,7 @@
   beat.draining = cell->draining;
   beat.ready = cell->ready;
   beat.config_version = cell->config_version;
+  beat.cpu_share = cell->cpu_share;
   Cellpb__Envelope env = CELL_ENVELOPE (beat, BEAT, &beat);
   if (to != NULL)
     cell_send_to_peer (cell, to, &env);
--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -49,6 +49,7 @@
   cell->domain_name = g_strdup (config->domain);
   cell->domain = cell_name_hash (pl_str (config->domain));
   cell->addr = config->addr;
+  cell->cpu_share = config->cpu_share;
   cell->peers = table_new (g_free, peer_free);
   cell->workers = table_new (NULL, worker_free);
   cell->leases = lease_table_new (&cell_lease_ops, cell);
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -60,6 +60,9 @@
   const char *name;
   const char *domain;
   struct pl_addr addr; /* where peers connect */
+  /* Processor time that this machine has, in thousandths of a core.  The
+     planner is one of the instances with the most.  */
+  uint32_t cpu_share;
 };
 
 struct cell *cell_new (const struct cell_config *config,
--- a/lib/cell/cell.pb-c.c
+++ b/lib/cell/cell.pb-c.c
@@ -823,7 +823,7 @@
   (ProtobufCMessageInit) cellpb__held__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__beat__field_descriptors[11] =
+static const ProtobufCFieldDescriptor cellpb__beat__field_descriptors[12] =
 {
   {
     "name",
@@ -957,9 +957,22 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cpu_share",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Beat, cpu_share),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cellpb__beat__field_indices_by_name[] = {
   8,   /* field[8] = config_version */
+  11,   /* field[11] = cpu_share */
   1,   /* field[1] = domain */
   4,   /* field[4] = draining */
   6,   /* field[6] = heard */
@@ -974,7 +987,7 @@
 static const ProtobufCIntRange cellpb__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor cellpb__beat__descriptor =
 {
@@ -984,7 +997,7 @@
   "Cellpb__Beat",
   "cellpb",
   sizeof(Cellpb__Beat),
-  11,
+  12,
   cellpb__beat__field_descriptors,
   cellpb__beat__field_indices_by_name,
   1,  cellpb__beat__number_ranges,
--- a/lib/cell/cell.pb-c.h
+++ b/lib/cell/cell.pb-c.h
@@ -83,10 +83,14 @@
   uint32_t *known_ip;
   size_t n_known_port;
   uint32_t *known_port;
+  /*
+   * of the sender's machine, thousandths of a core
+   */
+  uint32_t cpu_share;
 };
 #define CELLPB__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cellpb__beat__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0 }
 
 
 /*
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -24,6 +24,7 @@
   uint64_t id;          /* incarnation; 0: not heard yet */
   char *name;
   uint64_t domain;
+  uint32_t cpu_share;       /* thousandths of a core; 0: not known */
   int64_t heard_us;         /* last heartbeat */
   int64_t link_closed_us;   /* when its link to us was closed; 0: open */
   bool refuses_connections; /* at its address, when last tried */
@@ -63,6 +64,7 @@
   char *domain_name;
   uint64_t domain;
   struct pl_addr addr;
+  uint32_t cpu_share;  /* thousandths of a core */
   GHashTable *peers;   /* address -> struct peer */
   GHashTable *workers; /* hash of its name -> struct known_worker */
   struct lease_table *leases;
--- a/lib/cell/member.c
+++ b/lib/cell/member.c
@@ -1,8 +1,9 @@
 /* Membership: which peers are alive, and which instance plans.
 
    A peer is alive while its heartbeats arrive and list this instance.  The
-   planner is the live instance with the smallest name; each instance chooses
-   it by itself, so that two may plan for a while.  */
+   planner is the live instance with the most processor time, and of these the
+   one with the smallest name; each instance chooses it by itself, so that two
+   may plan for a while.  */
 #include "cell_priv.h"
 
 /* After two missing heartbeats a peer is suspected: it is not chosen as
@@ -236,8 +237,10 @@
   peer->heard_us = pl_now_us (cell->clock);
   peer->link_closed_us = 0;
   peer->refuses_connections = false;
-  if (peer->draining != beat->draining || peer->ready != beat->ready)
+  if (peer->draining != beat->draining || peer->ready != beat->ready
+      || peer->cpu_share != beat->cpu_share)
     cell->membership_changed = true;
+  peer->cpu_share = beat->cpu_share;
   peer->hears_this_instance = lists_this_instance (cell, beat);
   reconnect_if_unheard (cell, peer);
   peer->draining = beat->draining;
@@ -302,12 +305,15 @@
   return ready && !draining;
 }
 
-/* The instance with the smallest name among the live ones that are ready and
-   neither draining nor suspected; this one if there is none.  */
+/* The best planner among the live instances that are ready and neither
+   draining nor suspected; this one if there is none.  Planning takes more
+   processor time than all else: on a small machine it delays every job, and
+   that machine's own watch of the registry.  */
 static uint64_t
 choose_planner (struct cell *cell)
 {
   uint64_t best = cell->id;
+  uint32_t cpu_share = cell->cpu_share;
   const char *name
       = may_plan (cell->ready, cell->draining) ? cell->name : NULL;
   GHashTableIter it;
@@ -319,9 +325,13 @@
       if (!peer->alive || peer->suspected
           || !may_plan (peer->ready, peer->draining))
         continue;
-      if (name != NULL && g_strcmp0 (peer->name, name) > 0)
+      if (name != NULL
+          && (peer->cpu_share < cpu_share
+              || (peer->cpu_share == cpu_share
+                  && g_strcmp0 (peer->name, name) > 0)))
         continue;
       best = peer->id;
+      cpu_share = peer->cpu_share;
       name = peer->name;
     }
   return best;
--- a/tests/cell_test.c
+++ b/tests/cell_test.c
@@ -275,6 +275,41 @@
   world_free (world);
 }
 
+static void
+check_planner (struct world *world, int planner)
+{
+  for (int i = 0; i < world->n_instances; i++)
+    if (world->instances[i].cell != NULL)
+      CU_ASSERT_EQUAL (world->instances[i].cell->planner_id,
+                       world->instances[planner].incarnation);
+}
+
+/* Guards against a planner on the smallest machine, on which every job waits
+   for it: the planner was the instance with the smallest name.  */
+static void
+test_the_planner_has_the_most_processor_time (void)
+{
+  struct world *world = world_new (24, 4, 12, 2);
+  static const uint32_t shares[] = { 120, 250, 500, 500 };
+  world_run_for (world, SECOND);
+  for (int i = 0; i < 4; i++)
+    {
+      world_kill (world, i, false);
+      world->instances[i].cpu_share = shares[i];
+      world_run_for (world, SECOND);
+      world_boot (world, i);
+    }
+  world_run_for (world, SECOND);
+  check_planner (world, 2);
+  world_kill (world, 2, false);
+  world_run_for (world, SECOND);
+  check_planner (world, 3);
+  world_kill (world, 3, false);
+  world_run_for (world, SECOND);
+  check_planner (world, 1);
+  world_free (world);
+}
+
 /* Guards against jobs that wait for a silent planner, or are placed on workers
    of a silent holder, until the peer is treated as lost.  */
 static void
@@ -859,6 +894,8 @@
       test_a_probe_is_not_reported_to_the_planner },
     { "workers of dead holders are taken across domains",
       test_workers_of_dead_holders_are_taken_across_domains },
+    { "the planner has the most processor time",
+      test_the_planner_has_the_most_processor_time },
     { "a suspected planner is replaced before it is lost",
       test_a_suspected_planner_is_replaced_before_it_is_lost },
     { "a cut-off draining instance serves",
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -119,6 +119,7 @@
     .name = name,
     .domain = world_domain (in->domain),
     .addr = world_addr (index),
+    .cpu_share = in->cpu_share,
   };
   in->cell = cell_new (&config, &world_cell_ops, in);
   for (int i = 0; i < world->n_instances; i++)
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -31,7 +31,7 @@
       "\"listen\":{\"front\":\"10.1.0.13:8161\","
       "\"readiness\":\"10.1.0.13:8167\"},\"internal_ports\":[7720,7735],"
       "\"seeds\":[\"10.1.0.13:8166\",\"bad\",\"10.2.0.30:8166\"],"
-      "\"bounds\":{\"grace_s\":4.5},"
+      "\"bounds\":{\"grace_s\":4.5},\"limits\":{\"cpu_share\":0.12},"
       "\"platform\":{\"address\":\"10.200.1.7:8169\"},\"new_field\":{}}";
 
 /* Guards against misread members of a worker's entry.  */
@@ -144,6 +144,7 @@
   CU_ASSERT_EQUAL (settings.n_seeds, 2);
   CU_ASSERT_EQUAL (settings.seeds[1].port, 7720);
   CU_ASSERT_EQUAL (settings.grace_us, 4500000);
+  CU_ASSERT_EQUAL (settings.cpu_share, 120);
   pf_settings_clear (&settings);
   CU_ASSERT_FALSE (load_settings ("{\"node_name\":\"x\"}", &settings, &err));
   CU_ASSERT_EQUAL (err.code, PL_SETTING_INVALID);
--- a/tests/world_base.h
+++ b/tests/world_base.h
@@ -78,6 +78,7 @@
   int domain;
   struct cell *cell; /* null while it is down */
   uint64_t incarnation;
+  uint32_t cpu_share; /* thousandths of a core */
   bool frozen;
   uint64_t link_peers[WORLD_MAX_INSTANCES]; /* ids of incoming links' peers */
   GPtrArray *links;
