slot, entry, version, logs: faults noticed earlier

- set_expiry kept an older expiry: slots that a peer lent again after a recall were never used. slot_choose with a random policy could pick the worker to avoid although another was free. slot_test on the former sources: 11 passed, 2 failed with 173 checks; now 13 passed.
- entry_new leaked its mutex, condition and published pointers when it failed; entry_free is shared with the planned stop.
- Members that nothing read are gone.

--- a/cmd/papayaload/main.c
+++ b/cmd/papayaload/main.c
@@ -9,7 +9,7 @@
 
 #define EXIT_USAGE 2
 
-const char *argp_program_version = "papayaload 0.1.0";
+const char *argp_program_version = "papayaload " PL_VERSION;
 
 enum load_option
 {
--- a/cmd/papayaloft/cmd.h
+++ b/cmd/papayaloft/cmd.h
@@ -10,7 +10,6 @@
 
 #include <jansson.h>
 
-#define CMD_VERSION "0.1.0"
 #define MAX_ENTRIES 256
 
 /* Exit codes; the man page lists them.  */
--- a/cmd/papayaloft/main.c
+++ b/cmd/papayaloft/main.c
@@ -5,6 +5,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+const char *argp_program_version = "papayaloft " PL_VERSION;
+
 struct subcommand
 {
   const char *name;
--- a/cmd/papayaloft/version.c
+++ b/cmd/papayaloft/version.c
@@ -7,6 +7,6 @@
 cmd_version (const struct cmd *cmd)
 {
   (void)cmd;
-  puts ("papayaloft " CMD_VERSION);
+  puts ("papayaloft " PL_VERSION);
   return CMD_DONE;
 }
--- a/cmd/papayaloftd/main.c
+++ b/cmd/papayaloftd/main.c
@@ -16,7 +16,7 @@
 #define OPTION_BASE 256 /* keys of the settings' long options */
 #define OPTION_CHECK 'c'
 
-const char *argp_program_version = "papayaloftd 0.1.0";
+const char *argp_program_version = "papayaloftd " PL_VERSION;
 
 struct args
 {
--- a/lib/base/pl.h
+++ b/lib/base/pl.h
@@ -12,6 +12,8 @@
 #include "counters.gen.h"
 #include "events.gen.h"
 
+#define PL_VERSION "0.3.0" /* of all programs, built together */
+
 /* A length-counted string; DATA need not end in a null byte.  */
 struct pl_str
 {
--- a/lib/cell/hold.c
+++ b/lib/cell/hold.c
@@ -213,7 +213,7 @@
                            : lease_start (cell->leases, w, &order, now_us));
   pl_log (PL_EV_RUN_START,
           "job=%016" PRIx64 " task=%u run=%u worker=%s owner=%016" PRIx64
-          " claim=%d ok=%d held=%u answer_age_ms=%" PRId64,
+          " claim=%d ok=%d runs=%u answer_age_ms=%" PRId64,
           order.id.job, order.id.index, order.id.run, w == NULL ? "-" : w->id,
           sender, msg->claim, ok, w == NULL ? 0 : w->runs->len,
           w == NULL ? 0 : (now_us - w->answered_us) / 1000);
--- a/lib/entry/entry.c
+++ b/lib/entry/entry.c
@@ -215,6 +215,18 @@
   return true;
 }
 
+void
+entry_free (struct entry *entry)
+{
+  g_hash_table_unref (entry->leaving_workers);
+  g_array_unref (entry->seeds);
+  pl_rcu_ptr_publish (&entry->note_conf_ptr, NULL);
+  pl_rcu_ptr_publish (&entry->memb_view_ptr, NULL);
+  g_mutex_clear (&entry->lock);
+  g_cond_clear (&entry->drain_requested);
+  g_free (entry);
+}
+
 struct entry *
 entry_new (const struct conf *conf, struct pl_err *err)
 {
@@ -260,8 +272,6 @@
     disp_free (entry->disp);
   if (entry->peer != NULL)
     peer_free (entry->peer);
-  g_hash_table_unref (entry->leaving_workers);
-  g_array_unref (entry->seeds);
-  g_free (entry);
+  entry_free (entry);
   return NULL;
 }
--- a/lib/entry/impl.h
+++ b/lib/entry/impl.h
@@ -35,6 +35,8 @@
   gint peers_known; /* atomic; see entry_knows_peers */
 };
 
+/* Frees ENTRY and its state once its modules are stopped.  */
+void entry_free (struct entry *entry);
 /* Serves a request here if this instance is the authority for the key, else
    forwards it to the authority.  FORWARDED says that a peer has forwarded the
    request; it is then not forwarded again.  */
--- a/lib/entry/stop.c
+++ b/lib/entry/stop.c
@@ -72,14 +72,8 @@
   peer_stop (entry->peer);
   disp_free (entry->disp);
   peer_free (entry->peer);
-  g_hash_table_unref (entry->leaving_workers);
-  g_array_unref (entry->seeds);
-  pl_rcu_ptr_publish (&entry->note_conf_ptr, NULL);
-  pl_rcu_ptr_publish (&entry->memb_view_ptr, NULL);
   pl_log (PL_EV_STOP, "unfinished=%u cut=%u handed_over=%s", unfinished, cut,
           handed_over ? "yes" : "no");
-  g_mutex_clear (&entry->lock);
-  g_cond_clear (&entry->drain_requested);
-  g_free (entry);
+  entry_free (entry);
   return cut + unfinished;
 }
--- a/lib/lease/health.c
+++ b/lib/lease/health.c
@@ -41,13 +41,14 @@
 eject (struct lease_worker *w, int64_t now_us)
 {
   struct lease_health *health = &w->health;
+  unsigned failures = health->failures;
   unsigned doublings = MIN (health->ejections, EJECT_MAX_DOUBLINGS);
   health->failures = 0;
   health->ejected_until_us = now_us + ((int64_t)EJECT_BASE_US << doublings);
   health->ejections++;
   pl_count (PL_CTR_WORKERS_EJECTED_TOTAL, 1);
   pl_log (PL_EV_EJECT, "worker=%s failures=%u until_ms=%" PRId64, w->id,
-          health->ejections, health->ejected_until_us / 1000);
+          failures, health->ejected_until_us / 1000);
 }
 
 void
--- a/lib/memb/digest.c
+++ b/lib/memb/digest.c
@@ -18,7 +18,6 @@
   if (heard <= entry->heard_us)
     return;
   entry->heard_us = heard;
-  entry->known_by_digest = true;
   /* A digest names no witness, and the witness that the last heartbeat named
      may have stopped since.  */
   entry->peer.witness = 0;
@@ -43,7 +42,6 @@
     return;
   struct memb_entry *entry = memb_entry_find (table, member->id);
   entry->heard_us = now - member->age_us;
-  entry->known_by_digest = true;
 }
 
 static bool
--- a/lib/memb/table.c
+++ b/lib/memb/table.c
@@ -109,7 +109,6 @@
   entry->peer = *reported;
   entry->peer.state = MEMB_ALIVE;
   entry->heard_us = pl_now_us (table->opts.clock);
-  entry->known_by_digest = false;
   if (up)
     memb_set_state (table, entry, MEMB_ALIVE, MEMB_CHANGE_UP);
   return true;
--- a/lib/memb/table.h
+++ b/lib/memb/table.h
@@ -7,8 +7,7 @@
 {
   struct memb_peer peer;
   int64_t heard_us;
-  bool unresponsive;    /* see memb_set_unresponsive */
-  bool known_by_digest; /* heard_us comes from a digest, not a heartbeat */
+  bool unresponsive; /* see memb_set_unresponsive */
 };
 
 struct memb_heir_entry
--- a/lib/plat/feed.c
+++ b/lib/plat/feed.c
@@ -315,7 +315,7 @@
   g_cond_broadcast (&feed->cond);
   g_mutex_unlock (&feed->lock);
   if (change)
-    pl_log (PL_EV_WATCH, "role=%s", on ? "watch" : "poll");
+    pl_log (PL_EV_WATCH, "role=%s", on ? "watcher" : "reader");
 }
 
 void
--- a/lib/slot/choose.c
+++ b/lib/slot/choose.c
@@ -104,6 +104,22 @@
   return a->in_use < b->in_use;
 }
 
+/* A worker that may get the task now, other than AVOID; null if there is none.
+   Begins at the worker START.  */
+static struct slot_worker *
+find_other (struct slot_table *table, unsigned start, int64_t memory_mb,
+            const struct slot_worker *avoid)
+{
+  unsigned n = table->workers->len;
+  for (unsigned i = 0; i < n; i++)
+    {
+      struct slot_worker *worker = slot_worker_at (table, (start + i) % n);
+      if (worker != avoid && can_take (table, worker, memory_mb, false))
+        return worker;
+    }
+  return NULL;
+}
+
 struct slot_worker *
 slot_choose (struct slot_table *table, int64_t memory_mb, bool avoid_slow,
              const struct slot_worker *avoid)
@@ -132,7 +148,11 @@
       if (!fastest)
         at = (unsigned)g_rand_int_range (table->rand, 0, (gint32)n);
     }
-  return best;
+  if (fastest || (best != NULL && best != avoid))
+    return best;
+  /* The random policies may have found AVOID only, or no worker.  */
+  struct slot_worker *other = find_other (table, at, memory_mb, avoid);
+  return other != NULL ? other : best;
 }
 
 void
@@ -174,5 +194,4 @@
   double ratio = (double)run_us / (double)MAX (estimate_us, 1);
   ratio = CLAMP (ratio, 1 / MAX_RATIO, MAX_RATIO);
   worker->slowness += SPEED_WEIGHT * (ratio - worker->slowness);
-  worker->n_runs++;
 }
--- a/lib/slot/lend.c
+++ b/lib/slot/lend.c
@@ -72,15 +72,16 @@
                          table->peers->len - 1);
 }
 
-/* Sets the end of use of the slots borrowed from peer ID, unless it is set. */
+/* Sets the end of use of the slots borrowed from peer ID.  A grant that is
+   added to earlier ones is used as long as the latest allows.  */
 static void
 set_expiry (GArray *holds, claim_instance_id id, int64_t expires_us)
 {
   for (unsigned i = 0; i < holds->len; i++)
     {
       struct slot_hold *hold = &g_array_index (holds, struct slot_hold, i);
-      if (hold->id == id && hold->expires_us == 0)
-        hold->expires_us = expires_us;
+      if (hold->id == id)
+        hold->expires_us = MAX (hold->expires_us, expires_us);
     }
 }
 
--- a/lib/slot/slot.h
+++ b/lib/slot/slot.h
@@ -69,7 +69,6 @@
   unsigned n_expired;    /* of N_BORROWED: take no new task */
   int64_t idle_since_us; /* since when borrowed slots are free; 0: none is */
   double slowness; /* run time over estimate, smoothed; 1: as estimated */
-  unsigned n_runs;
 
   enum slot_health health;
   double failure_streak;    /* weighted failures in a row */
--- a/tests/planner_load.h
+++ b/tests/planner_load.h
@@ -52,7 +52,6 @@
   double slow_share;  /* share of each domain's workers that are slow */
   double slow_factor; /* factor on the run times of these */
   bool slow_known;    /* their holders report it */
-  double trust;       /* exponent of the declared run time in the estimate */
   uint32_t seed;
 };
 
--- a/tests/slot_test.c
+++ b/tests/slot_test.c
@@ -32,7 +32,8 @@
 }
 
 static void
-fixture_init (struct fixture *f, unsigned sharers)
+fixture_init_choice (struct fixture *f, unsigned sharers,
+                     enum slot_choice choice)
 {
   *f = (struct fixture){ .sharers = { SELF, PEER } };
   pl_manual_clock_init (&f->clock, 1000000000);
@@ -51,7 +52,7 @@
   struct slot_opts opts = { .clock = &f->clock.base,
                             .self = SELF,
                             .domain = "d",
-                            .choice = SLOT_CHOOSE_FASTEST,
+                            .choice = choice,
                             .seed = 7,
                             .share_raise_us = 1000000,
                             .lend_idle_us = 100000 };
@@ -60,6 +61,12 @@
   advance_ms (f, 1000);
 }
 
+static void
+fixture_init (struct fixture *f, unsigned sharers)
+{
+  fixture_init_choice (f, sharers, SLOT_CHOOSE_FASTEST);
+}
+
 /* Guards against two instances that use the same slot while shares change.  */
 static void
 test_shares (void)
@@ -124,6 +131,31 @@
   slot_table_free (f.table);
 }
 
+/* The same for the policies that look at one or two random workers.  */
+static void
+test_random_choices_avoid_the_failed_worker (void)
+{
+  static const enum slot_choice choices[]
+      = { SLOT_CHOOSE_RANDOM, SLOT_CHOOSE_TWO_RANDOM };
+  for (size_t c = 0; c < G_N_ELEMENTS (choices); c++)
+    {
+      struct fixture f;
+      fixture_init_choice (&f, 1, choices[c]);
+      struct slot_worker *dead = slot_worker_at (f.table, 0);
+      /* Only the worker to avoid and one other have free slots.  */
+      for (unsigned i = 2; i < WORKERS; i++)
+        while (slot_free_count (slot_worker_at (f.table, i)) > 0)
+          slot_take (f.table, slot_worker_at (f.table, i), 0);
+      for (unsigned i = 0; i < 100; i++)
+        CU_ASSERT_PTR_EQUAL (slot_choose (f.table, 0, false, dead),
+                             slot_worker_at (f.table, 1));
+      while (slot_free_count (slot_worker_at (f.table, 1)) > 0)
+        slot_take (f.table, slot_worker_at (f.table, 1), 0);
+      CU_ASSERT_PTR_EQUAL (slot_choose (f.table, 0, false, dead), dead);
+      slot_table_free (f.table);
+    }
+}
+
 /* Records 30 failures on each worker but the last one.  */
 static void
 fail_most (struct fixture *f, bool unreachable)
@@ -312,6 +344,30 @@
   slot_table_free (f.table);
 }
 
+/* Guards against a grant that can't be used because slots of the same worker,
+   lent by the same peer, were recalled before.  */
+static void
+test_a_grant_after_a_recall_is_used (void)
+{
+  struct fixture f;
+  fixture_init (&f, 2);
+  g_autoptr (GArray) refused
+      = g_array_new (FALSE, FALSE, sizeof (struct slot_worker_slots));
+  struct slot_worker *worker = slot_worker_at (f.table, 0);
+  struct slot_worker_slots item = { worker->addr, 2 };
+  unsigned own = slot_free_count (worker);
+  slot_accept_grant (f.table, PEER, &item, 1, refused);
+  while (slot_free_count (worker) > 0)
+    slot_take (f.table, worker, 0); /* the borrowed slots can't be returned */
+  slot_open_peer_request (f.table, PEER, 2);
+  advance_ms (&f, 10);
+  slot_accept_grant (f.table, PEER, &item, 1, refused);
+  advance_ms (&f, 10);
+  CU_ASSERT_EQUAL (slot_free_count (worker), 2);
+  CU_ASSERT_EQUAL (worker->in_use, own + 2);
+  slot_table_free (f.table);
+}
+
 /* Guards against a second request while one is open, a grant from a peer that
    is not live, and borrowed slots that are kept for too long.  */
 static void
@@ -365,6 +421,9 @@
     { "shares", test_shares },
     { "choice", test_choice },
     { "avoid failed worker", test_avoid_failed_worker },
+    { "random choices avoid the failed worker",
+      test_random_choices_avoid_the_failed_worker },
+    { "a grant after a recall is used", test_a_grant_after_a_recall_is_used },
     { "ejection", test_ejection },
     { "bad kind", test_bad_kind },
     { "leaving", test_leaving },
