--- a/tests/cell_test.c
+++ b/tests/cell_test.c
@@ -1,40 +1,11 @@
 /* Tests of lib/cell: several instances and workers in the emulated deployment
-   of cell_world.h.  check_violations fails a test if a task ran twice at the
-   same time, a worker exceeded its capacity, or a job was answered as not run
-   although it had started.  */
+   of cell_world.h.  */
+#include "cell_checks.h"
 #include "cell_priv.h"
-#include "cell_world.h"
 #include "planner_priv.h"
-#include "test.h"
 
-#define SECOND ((int64_t)1000000)
 #define SOAK_SEEDS 40
 
-static void
-check_violations (struct world *world, const char *name, uint64_t seed)
-{
-  if (world->first_violation[0] != '\0' || world->false_refusals > 0)
-    fprintf (stderr,
-             "%s seed %" PRIu64 ": %s; twice %u over %u false %u bound %u\n",
-             name, seed, world->first_violation, world->double_starts,
-             world->overfull_starts, world->false_refusals,
-             world->crowded_starts);
-  CU_ASSERT_EQUAL (world->double_starts, 0);
-  CU_ASSERT_EQUAL (world->overfull_starts, 0);
-  CU_ASSERT_EQUAL (world->false_refusals, 0);
-  CU_ASSERT_EQUAL (world->crowded_starts, 0);
-}
-
-static unsigned
-count_held (struct world *world)
-{
-  unsigned n = 0;
-  for (int i = 0; i < world->n_instances; i++)
-    if (world->instances[i].cell != NULL)
-      n += cell_count_held_workers (world->instances[i].cell);
-  return n;
-}
-
 /* Guards against workers without a holder, or with two, after a start without
    faults.  */
 static void
@@ -643,129 +614,6 @@
     }
 }
 
-/* Frames as they were sent, to be damaged.  */
-#define SAMPLE_FRAMES 400
-
-static void
-keep_frame (struct world *world, GBytes *frame)
-{
-  GPtrArray *samples = world->user;
-  if (samples->len < SAMPLE_FRAMES)
-    g_ptr_array_add (samples, g_bytes_ref (frame));
-  else
-    {
-      guint i = world->frames % SAMPLE_FRAMES;
-      g_bytes_unref (samples->pdata[i]);
-      samples->pdata[i] = g_bytes_ref (frame);
-    }
-}
-
-/* Changes, removes or adds some bytes of FRAME.  */
-static GByteArray *
-damage (struct world *world, GBytes *frame)
-{
-  gsize len;
-  const uint8_t *data = g_bytes_get_data (frame, &len);
-  GByteArray *copy = g_byte_array_new ();
-  g_byte_array_append (copy, data, (guint)len);
-  for (int64_t n = world_random_between (world, 1, 4); n > 0; n--)
-    {
-      guint at = (guint)world_random_between (world, 0, copy->len - 1);
-      int64_t kind = world_random_between (world, 0, 9);
-      if (kind == 0 && copy->len > 1)
-        g_byte_array_set_size (copy, at + 1);
-      else if (kind == 1)
-        memset (copy->data + at, 0xff, copy->len - at);
-      else
-        copy->data[at] = (uint8_t)world_random (world);
-    }
-  return copy;
-}
-
-#define DAMAGED_FRAMES 40000
-
-/* Guards against a damaged, truncated or forged message that ends the process
-   or, with the sanitizers, is computed with out of range; and against an
-   instance that no longer serves its callers afterwards.  */
-static void
-test_damaged_frames_end_no_instance (void)
-{
-  struct world *world = world_new (21, 4, 12, 2);
-  g_autoptr (GPtrArray) samples
-      = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
-  world->user = samples;
-  world->on_frame = keep_frame;
-  world_run_for (world, SECOND);
-  for (unsigned i = 0; i < DAMAGED_FRAMES; i++)
-    {
-      if (i % 400 == 0)
-        {
-          (void)world_submit (world, (int)(i / 400) % 4, 3, 100000);
-          world_run_for (world, 20000);
-        }
-      uint64_t link_peer = 0;
-      GByteArray *frame = damage (
-          world, samples->pdata[world_random (world) % samples->len]);
-      cell_receive_frame (
-          world->instances[0].cell, &link_peer,
-          (struct pl_str){ (const char *)frame->data, frame->len });
-      world_process_queued (world, 0);
-      g_byte_array_unref (frame);
-    }
-  world_run_for (world, 10 * SECOND);
-  struct world_job *job = world_submit (world, 0, 3, 100000);
-  world_run_for (world, SECOND);
-  CU_ASSERT_TRUE (job->answered);
-  CU_ASSERT_EQUAL (job->code, PL_OK);
-  world_free (world);
-}
-
-/* Returns a frame with a message to stop a run, sent by SENDER.  */
-static GByteArray *
-pack_stop (uint64_t sender)
-{
-  Cellpb__RunId run = CELLPB__RUN_ID__INIT;
-  Cellpb__Stop stop = CELLPB__STOP__INIT;
-  stop.id = &run;
-  Cellpb__Envelope env = CELL_ENVELOPE (stop, STOP, &stop);
-  env.sender = sender;
-  GByteArray *frame = g_byte_array_new ();
-  g_byte_array_set_size (frame,
-                         (guint)cellpb__envelope__get_packed_size (&env));
-  cellpb__envelope__pack (&env, frame->data);
-  return frame;
-}
-
-/* Guards against messages without a sender, which count as those of an unknown
-   planner or owner, and against a link that changes its sender.  */
-static void
-test_a_link_has_one_sender (void)
-{
-  struct world *world = world_new (22, 2, 6, 2);
-  world_run_for (world, SECOND);
-  static const struct
-  {
-    uint64_t link_peer;
-    uint64_t sender;
-    bool dropped;
-  } cases[]
-      = { { 0, 0, true }, { 7, 0, true }, { 7, 8, true }, { 7, 7, false } };
-  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
-    {
-      uint64_t link_peer = cases[i].link_peer;
-      int64_t before = pl_counter (PL_CTR_PEER_MESSAGES_DROPPED_TOTAL);
-      GByteArray *frame = pack_stop (cases[i].sender);
-      cell_receive_frame (
-          world->instances[0].cell, &link_peer,
-          (struct pl_str){ (const char *)frame->data, frame->len });
-      int64_t dropped
-          = pl_counter (PL_CTR_PEER_MESSAGES_DROPPED_TOTAL) - before;
-      CU_ASSERT_EQUAL (dropped, cases[i].dropped);
-      g_byte_array_unref (frame);
-    }
-  world_free (world);
-}
-
 /* Guards against a storm while the planner is lost: a message to the planner
    went to all instances.  */
 static void
@@ -925,8 +773,6 @@
       test_instances_with_different_planners_still_plan },
     { "the bound per worker holds while planners change",
       test_the_bound_per_worker_holds_while_planners_change },
-    { "damaged frames end no instance", test_damaged_frames_end_no_instance },
-    { "a link has one sender", test_a_link_has_one_sender },
     { "nothing is sent to an unknown planner",
       test_nothing_is_sent_to_an_unknown_planner },
     { "soak", test_soak },
--- a/tests/faults/conf-mutants.sh
+++ b/tests/faults/conf-mutants.sh
@@ -18,7 +18,7 @@
   [ "$ONLY" = "  " ] || [[ $ONLY == *" $name "* ]] || return
   rm -rf "$COPY/tree"
   mkdir "$COPY/tree"
-  cp -a Makefile schema lib cmd tests scripts docs build "$COPY/tree"
+  cp -a Makefile schema lib cmd platform tests scripts docs build "$COPY/tree"
   while [ $# -gt 0 ]; do
     sed -i -E "$2" "$COPY/tree/$1"
     cmp -s "$1" "$COPY/tree/$1" && { echo "$name: no change in $1"; exit 2; }
--- a/tests/faults/mutants.sh
+++ b/tests/faults/mutants.sh
@@ -43,7 +43,7 @@
 }
 
 mkdir "$scratch/tree"
-cp -a Makefile build cmd lib schema scripts tests "$scratch/tree"
+cp -a Makefile build cmd lib platform schema scripts tests "$scratch/tree"
 printf '%-26s %-10s %s\n' mutant script result
 for name in "${names[@]}"; do
   result=$(run_mutant "$name")
--- a/tests/net_test.c
+++ b/tests/net_test.c
@@ -64,6 +64,18 @@
    connections of the test before may still be open.  */
 static struct pl_addr addr = { LOOPBACK, PORT };
 
+/* Returns an event loop.  It stays referenced to the end of the process, as
+   in the daemon, with the servers and links of its test.  */
+static struct event_base *
+new_loop (void)
+{
+  static GPtrArray *loops;
+  if (loops == NULL)
+    loops = g_ptr_array_new ();
+  g_ptr_array_add (loops, event_base_new ());
+  return loops->pdata[loops->len - 1];
+}
+
 /* An address for this process: tests of another build may run at the same
    time.  */
 static uint32_t
@@ -81,7 +93,7 @@
   struct net_server_config config
       = { .addr = addr, .ops = &server_ops, .ctx = fixture, .max_body = 1000 };
   struct pl_err err = { 0 };
-  *fixture = (struct fixture){ .base = event_base_new () };
+  *fixture = (struct fixture){ .base = new_loop () };
   fixture->server = net_server_new (fixture->base, &config, &err);
   CU_ASSERT_PTR_NOT_NULL_FATAL (fixture->server);
 }
@@ -381,7 +393,7 @@
 {
   for (int late = 0; late < 2; late++)
     {
-      struct fixture fixture = { .base = event_base_new () };
+      struct fixture fixture = { .base = new_loop () };
       struct pl_addr at = { process_ip (), (uint16_t)(PORT + 7 + late) };
       int listener = listen_without_accept (at);
       struct net_pool *pool = net_pool_new (fixture.base, at);
@@ -417,7 +429,7 @@
 static void
 test_a_request_sent_at_its_timeout_counts_as_sent (void)
 {
-  struct fixture fixture = { .base = event_base_new () };
+  struct fixture fixture = { .base = new_loop () };
   struct pl_addr at = { process_ip (), PORT + 6 };
   int listener = listen_without_accept (at);
   struct net_pool *pool = net_pool_new (fixture.base, at);
@@ -478,7 +490,7 @@
 static void
 test_links_carry_frames_and_report_their_end (void)
 {
-  struct fixture fixture = { .base = event_base_new () };
+  struct fixture fixture = { .base = new_loop () };
   struct pl_err err = { 0 };
   struct pl_addr here = { process_ip (), PORT + 2 };
   struct pl_addr unused_addr = { process_ip (), PORT + 3 };
@@ -507,7 +519,7 @@
 static void
 test_a_link_reconnects_on_demand (void)
 {
-  struct fixture here = { .base = event_base_new () };
+  struct fixture here = { .base = new_loop () };
   struct fixture there = { .base = here.base };
   struct pl_err err = { 0 };
   struct pl_addr here_addr = { process_ip (), PORT + 4 };
--- a/tests/world_base.h
+++ b/tests/world_base.h
@@ -114,9 +114,10 @@
   bool delay_cut_frames;     /* frames of a cut link arrive when it heals */
   GPtrArray *delayed_frames; /* struct world_event */
   bool registry_down;
-  double late_order_share; /* of orders carried out 2 to 12 s later */
-  uint32_t per_worker;     /* bound of the jobs submitted next; 0: none */
-  GHashTable *jobs;        /* id -> struct world_job */
+  double late_order_share;  /* of orders carried out 2 to 12 s later */
+  double lost_answer_share; /* of calls carried out without an answer */
+  uint32_t per_worker;      /* bound of the jobs submitted next; 0: none */
+  GHashTable *jobs;         /* id -> struct world_job */
   unsigned starts;
   unsigned answers[WORLD_CODE_LIMIT];
   unsigned complete;
--- a/tests/world_workers.h
+++ b/tests/world_workers.h
@@ -191,6 +191,12 @@
                         enum lease_reply reply, int64_t delay_us)
 {
   struct world_worker *w = &world->workers[poll->to];
+  if (reply != LEASE_REPLY_NO_ANSWER
+      && world_random_chance (world, world->lost_answer_share))
+    {
+      reply = LEASE_REPLY_NO_ANSWER;
+      delay_us = WORLD_CALL_TIMEOUT_US;
+    }
   struct world_poll_answer *answer = g_new0 (struct world_poll_answer, 1);
   answer->base = *poll;
   answer->base.at_us = world_now (world) + delay_us;
@@ -314,6 +320,8 @@
       = reached ? apply (world, w, event) : LEASE_REPLY_NO_ANSWER;
   if (event->no_answer)
     return;
+  if (world_random_chance (world, world->lost_answer_share))
+    reply = LEASE_REPLY_NO_ANSWER;
   world_schedule_reply (world, event, reply,
                         reply == LEASE_REPLY_NO_ANSWER
                             ? WORLD_CALL_TIMEOUT_US
