--- a/tests/world_base.h
+++ b/tests/world_base.h
@@ -22,7 +22,8 @@
 /* After this time callers submit the jobs of an ended instance again.  */
 #define WORLD_RESEND_US 1300000
 #define WORLD_JOB_DEADLINE_US 4000000
-#define WORLD_CODE_LIMIT 700 /* above every result code */
+#define WORLD_UNKNOWN_RUN_US 100000 /* of a job that no caller submitted */
+#define WORLD_CODE_LIMIT 700        /* above every result code */
 
 struct world;
 
