--- a/Makefile
+++ b/Makefile
@@ -69,6 +69,9 @@
 $(BUILD)/bin/platform_test: $(addprefix $(BUILD)/platform/,answer.o decode.o \
   settings.o submission.o)
 $(BUILD)/bin/platform_test: TEST_LIBS += $(LIB)
+$(BUILD)/bin/platform_store_test: $(addprefix $(BUILD)/platform/,decode.o \
+  settings.o store.o)
+$(BUILD)/bin/platform_store_test: TEST_LIBS += $(LIB)
 
 # Regenerates the committed sources from schema/; needs protoc-c and awk.
 generate:
--- a/lib/cell/assign.c
+++ b/lib/cell/assign.c
@@ -310,6 +310,14 @@
   cell->ops->wake (cell->ctx);
 }
 
+bool
+cell_is_worker_registered (const struct cell *cell, uint64_t worker)
+{
+  const struct known_worker *known
+      = g_hash_table_lookup (cell->workers, &worker);
+  return known != NULL && !known->removed;
+}
+
 /* A worker that is no longer registered may still answer and run tasks: it
    gets no more starts, and is given up when nothing runs there.  */
 void
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -81,6 +81,9 @@
 /* Sets whether an instance is registered at ADDR.  */
 void cell_set_instance_registered (struct cell *cell, struct pl_addr addr,
                                    bool registered);
+bool cell_is_worker_registered (const struct cell *cell, uint64_t worker);
+bool cell_is_instance_registered (const struct cell *cell,
+                                  struct pl_addr addr);
 /* Sets whether what is known here of the registry is complete and up to date.
    If not, a silent peer's registration does not show that it is running.  */
 void cell_set_registry_fresh (struct cell *cell, bool fresh);
--- a/lib/cell/member.c
+++ b/lib/cell/member.c
@@ -20,7 +20,7 @@
 }
 
 static struct peer *
-find_peer_at (struct cell *cell, struct pl_addr addr)
+find_peer_at (const struct cell *cell, struct pl_addr addr)
 {
   uint64_t key = addr_key (addr);
   return g_hash_table_lookup (cell->peers, &key);
@@ -79,6 +79,13 @@
     peer->registered = registered;
 }
 
+bool
+cell_is_instance_registered (const struct cell *cell, struct pl_addr addr)
+{
+  const struct peer *peer = find_peer_at (cell, addr);
+  return peer != NULL && peer->registered;
+}
+
 /* Stops the runs that the peer owns on workers held here, and drops the peer
    as holder, owner and planner.  */
 static void
--- a/lib/cell/plan.c
+++ b/lib/cell/plan.c
@@ -122,12 +122,12 @@
   struct cell *cell = ctx;
   int64_t now_us = pl_now_us (cell->clock);
   Cellpb__Amount size = cell_encode_amount (request->size);
-  g_autofree uint32_t *placed_tasks = g_new (uint32_t, request->n_placed);
-  g_autofree uint64_t *placed_workers = g_new (uint64_t, request->n_placed);
+  g_autoptr (GArray) tasks = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  g_autoptr (GArray) workers = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   for (unsigned i = 0; i < request->n_placed; i++)
     {
-      placed_tasks[i] = request->placed[i].index;
-      placed_workers[i] = request->placed[i].worker;
+      g_array_append_val (tasks, request->placed[i].index);
+      g_array_append_val (workers, request->placed[i].worker);
     }
   Cellpb__Ask msg = CELLPB__ASK__INIT;
   msg.job = request->job;
@@ -146,10 +146,10 @@
   msg.tasks = (uint32_t *)request->waiting;
   msg.n_tasks = request->n_waiting;
   msg.age_us = now_us - request->arrival_us;
-  msg.placed_task = placed_tasks;
-  msg.n_placed_task = request->n_placed;
-  msg.placed_worker = placed_workers;
-  msg.n_placed_worker = request->n_placed;
+  msg.placed_task = (uint32_t *)(void *)tasks->data;
+  msg.n_placed_task = tasks->len;
+  msg.placed_worker = (uint64_t *)(void *)workers->data;
+  msg.n_placed_worker = workers->len;
   Cellpb__Envelope env = CELL_ENVELOPE (ask, ASK, &msg);
   cell_send_to_planner (cell, &env);
 }
--- /dev/null
+++ b/tests/platform_store_test.c
@@ -0,0 +1,239 @@
+/* Tests of platform/store.c against a store of a few lines, over loopback.  */
+#include "../platform/pf.h"
+#include "test.h"
+
+#include <string.h>
+#include <unistd.h>
+
+#define PORT 18931
+#define LOOPBACK 0x7f2b0000u /* 127.43.0.0/16 */
+
+struct fixture
+{
+  struct pf pf;
+  struct net_server *server;
+  const char *listing;        /* the store's answer to each listing */
+  unsigned listings;          /* calls so far */
+  struct net_exchange *watch; /* the call that waits; may be null */
+  unsigned configs;
+};
+
+static struct fixture *current;
+
+/* Parts of the daemon that the store's watch calls.  */
+
+void
+pf_apply_config (struct pf *pf, struct pl_str text)
+{
+  (void)pf;
+  (void)text;
+  current->configs++;
+}
+
+void
+pf_registration_key_removed (struct pf_registration *registration,
+                             const char *key)
+{
+  (void)registration;
+  (void)key;
+}
+
+static void *
+on_connect (void *ctx, struct pl_addr addr)
+{
+  (void)addr;
+  return ctx;
+}
+
+static void
+on_link (void *ctx, void *link)
+{
+  (void)ctx;
+  (void)link;
+}
+
+static void
+on_wake (void *ctx)
+{
+  (void)ctx;
+}
+
+static const struct cell_ops cell_ops
+    = { .connect = on_connect, .disconnect = on_link, .wake = on_wake };
+
+static void
+on_request (void *ctx, struct net_exchange *exchange,
+            const struct net_request *request)
+{
+  struct fixture *f = ctx;
+  if (request->target.len >= 9
+      && memcmp (request->target.data, "/kv-range", 9) == 0)
+    {
+      f->listings++;
+      net_reply (exchange, 200, "application/json", pl_str (f->listing), 0);
+    }
+  else
+    f->watch = exchange;
+}
+
+static void
+on_aborted (void *ctx, struct net_exchange *exchange)
+{
+  struct fixture *f = ctx;
+  if (f->watch == exchange)
+    f->watch = NULL;
+}
+
+static const struct net_server_ops server_ops
+    = { .request = on_request, .aborted = on_aborted };
+
+static void
+run_loop (struct fixture *f, long us)
+{
+  struct timeval tv = { us / 1000000, us % 1000000 };
+  event_base_loopexit (f->pf.base, &tv);
+  event_base_dispatch (f->pf.base);
+}
+
+/* Runs the loop and the watch's timers for MS.  */
+static void
+run_ms (struct fixture *f, int ms)
+{
+  for (int i = 0; i < ms; i += 20)
+    {
+      run_loop (f, 20000);
+      pf_store_watch_tick (f->pf.store_watch);
+    }
+}
+
+static void
+fixture_init (struct fixture *f, const char *listing)
+{
+  static uint16_t next_port;
+  struct pl_addr addr = { LOOPBACK + ((uint32_t)getpid () & 0xffff),
+                          (uint16_t)(PORT + next_port++) };
+  struct pl_err err = { 0 };
+  *f = (struct fixture){ .listing = listing };
+  current = f;
+  f->pf.base = event_base_new ();
+  f->pf.clock = pl_clock_real ();
+  f->pf.settings.store = addr;
+  struct cell_config cell = { .clock = f->pf.clock,
+                              .id = 1,
+                              .name = "i0",
+                              .domain = "a",
+                              .addr = { LOOPBACK, 7000 } };
+  f->pf.cell = cell_new (&cell, &cell_ops, f);
+  struct net_server_config server
+      = { .addr = addr, .ops = &server_ops, .ctx = f, .max_body = 1000 };
+  f->server = net_server_new (f->pf.base, &server, &err);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (f->server);
+  f->pf.store_watch = pf_store_watch_new (&f->pf);
+}
+
+/* {"service":"s","address":"10.128.0.9:8080","zone":"a","state":"ready",
+    "capacity":{"cpu":16000,"mem_mb":32768}}  */
+#define WORKER                                                                \
+  "{\"key\":\"servers/w1\",\"value\":"                                        \
+  "\"eyJzZXJ2aWNlIjoicyIsImFkZHJlc3MiOiIxMC4xMjguMC45OjgwODAiLCJ6b25lIjoiYSI" \
+  "sInN0YXRlIjoicmVhZHkiLCJjYXBhY2l0eSI6eyJjcHUiOjE2MDAwLCJtZW1fbWIiOjMyNzY4" \
+  "fX0=\",\"revision\":4}"
+/* 10.0.0.7:7000 and 10.0.0.8:7000 */
+#define INSTANCES                                                             \
+  "{\"key\":\"papayaloft/instances/a\",\"value\":\"MTAuMC4wLjc6NzAwMA==\"},"  \
+  "{\"key\":\"papayaloft/instances/b\",\"value\":\"MTAuMC4wLjg6NzAwMA==\"}"
+
+static const char all[] = "{\"items\":[" WORKER "," INSTANCES
+                          "],\"truncated\":false,\"current_rev\":9}";
+
+static bool
+knows_worker (struct fixture *f)
+{
+  uint64_t worker = cell_name_hash (pl_str ("w1"));
+  return cell_is_worker_registered (f->pf.cell, worker);
+}
+
+static bool
+is_registered (struct fixture *f, uint32_t last)
+{
+  return cell_is_instance_registered (
+      f->pf.cell, (struct pl_addr){ 0x0a000000u + last, 7000 });
+}
+
+/* Answers the watch that its history is no longer available.  */
+static void
+lose_history (struct fixture *f)
+{
+  CU_ASSERT_PTR_NOT_NULL_FATAL (f->watch);
+  net_reply (f->watch, 410, NULL, pl_str (""), 0);
+  f->watch = NULL;
+}
+
+/* Guards against an answer that is no listing, which counted as an empty one:
+   all workers were given up 2.2 s later.  */
+static void
+test_an_answer_without_items_removes_nothing (void)
+{
+  static const char *const odd[] = { "{}",
+                                     "[]",
+                                     "null",
+                                     "{\"items\":{},\"current_rev\":12}",
+                                     "{\"items\":[]}",
+                                     "{\"items\":[],\"current_rev\":-1}" };
+  struct fixture f;
+  fixture_init (&f, all);
+  run_ms (&f, 500);
+  CU_ASSERT_TRUE_FATAL (knows_worker (&f));
+  f.listing = odd[0];
+  lose_history (&f);
+  for (size_t i = 0; i < G_N_ELEMENTS (odd); i++)
+    {
+      unsigned before = f.listings;
+      f.listing = odd[i];
+      for (int tries = 0; f.listings == before && tries < 100; tries++)
+        run_ms (&f, 20);
+      run_ms (&f, 40);
+      CU_ASSERT_FALSE (pf_store_watch_is_current (f.pf.store_watch));
+    }
+  run_ms (&f, 2600);
+  CU_ASSERT_TRUE (knows_worker (&f));
+  f.listing = all;
+  run_ms (&f, 1800);
+  CU_ASSERT_TRUE (pf_store_watch_is_current (f.pf.store_watch));
+}
+
+/* Guards against an instance that stays registered for ever because it left
+   while the store's history was lost: as a silent peer it would be waited for
+   at each change.  */
+static void
+test_an_instance_that_left_unseen_is_not_registered (void)
+{
+  struct fixture f;
+  fixture_init (&f, all);
+  run_ms (&f, 60);
+  CU_ASSERT_TRUE (is_registered (&f, 7));
+  CU_ASSERT_TRUE (is_registered (&f, 8));
+  f.listing
+      = "{\"items\":[" WORKER ",{\"key\":\"papayaloft/instances/a\",\"value\":"
+        "\"MTAuMC4wLjc6NzAwMA==\"}],\"truncated\":false,\"current_rev\":20}";
+  run_ms (&f, 500);
+  lose_history (&f);
+  run_ms (&f, 200);
+  CU_ASSERT_TRUE (is_registered (&f, 7));
+  CU_ASSERT_FALSE (is_registered (&f, 8));
+  CU_ASSERT_TRUE (knows_worker (&f));
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = {
+    { "an answer without items removes nothing",
+      test_an_answer_without_items_removes_nothing },
+    { "an instance that left unseen is not registered",
+      test_an_instance_that_left_unseen_is_not_registered },
+    CU_TEST_INFO_NULL,
+  };
+  pl_log_init ("text", "error");
+  return test_run ("platform_store_test", tests);
+}
