--- a/tests/cell_test.c
+++ b/tests/cell_test.c
@@ -421,6 +421,36 @@
   world_free (world);
 }
 
+/* Guards against a start for an owner that is lost or was never heard: nothing
+   would stop the run.  */
+static void
+test_starts_of_a_lost_owner_are_refused (void)
+{
+  struct world *world = world_new (25, 2, 6, 1);
+  world_run_for (world, SECOND);
+  struct lease_worker *w = any_lease (world);
+  struct world_job *job = world_submit (world, 1, 0, 100000);
+  Cellpb__RunId id = CELLPB__RUN_ID__INIT;
+  id.job = job->id;
+  id.run = 1;
+  Cellpb__Start start = CELLPB__START__INIT;
+  start.worker = w->info.worker;
+  start.id = &id;
+  start.token = w->token;
+  struct cell *cell = world->instances[0].cell;
+  uint64_t owner = world->instances[1].incarnation;
+  world_set_frozen (world, 1, true);
+  world_run_for (world, SECOND);
+  cell_on_start (cell, owner, &start);
+  cell_on_start (cell, owner + 2, &start);
+  world_run_for (world, 100000);
+  CU_ASSERT_EQUAL (world->starts, 0);
+  cell_on_start (cell, cell->id, &start);
+  world_run_for (world, 100000);
+  CU_ASSERT_EQUAL (world->starts, 1);
+  world_free (world);
+}
+
 /* Guards against a task that its owner starts a second time because of a
    message about an earlier lease: frames that a cut link delayed arrive after
    it has healed.  */
@@ -761,6 +791,8 @@
       test_a_cut_off_domain_serves_with_its_own_workers },
     { "starts of an unheard owner are refused",
       test_starts_of_an_unheard_owner_are_refused },
+    { "starts of a lost owner are refused",
+      test_starts_of_a_lost_owner_are_refused },
     { "late frames start nothing twice",
       test_late_frames_start_nothing_twice },
     { "a restart of all recovers", test_a_restart_of_all_recovers },
