net: an empty segment is not passed to the HTTP parser

Cause: http_parser takes 0 bytes for the end of the connection. With an empty segment at the head of the input, which a buffer may keep, the parser made no progress and net_message_feed did not return: one connection stopped the whole process. Found by the new test of damaged HTTP (10,000 requests and 10,000 responses, cut at random places), which did not end on the former source.

Change: the loop looks at the length of the input and at its first segment that has bytes. Not shown: that libevent leaves such a segment when it reads from a socket.

--- a/lib/net/message.c
+++ b/lib/net/message.c
@@ -132,11 +132,14 @@
 {
   while (!message->complete)
     {
-      struct evbuffer_iovec segment;
-      if (evbuffer_peek (input, -1, NULL, &segment, 1) < 1)
+      if (evbuffer_get_length (input) == 0)
         return true;
-      size_t used = http_parser_execute (&message->parser, &settings,
-                                         segment.iov_base, segment.iov_len);
+      /* The parser takes 0 bytes for the end of the connection: an empty first
+         segment must not be passed to it.  */
+      const char *data = (const char *)evbuffer_pullup (input, 1);
+      size_t used
+          = http_parser_execute (&message->parser, &settings, data,
+                                 evbuffer_get_contiguous_space (input));
       enum http_errno error = HTTP_PARSER_ERRNO (&message->parser);
       /* After the pause in on_complete, the bytes of the next message stay in
          the input.  */
--- a/tests/net_test.c
+++ b/tests/net_test.c
@@ -1,6 +1,6 @@
 /* Tests of lib/net: HTTP server, HTTP client and framed links, over
    loopback.  */
-#include "net.h"
+#include "net_priv.h"
 #include "test.h"
 
 #include <arpa/inet.h>
@@ -451,6 +451,52 @@
   close (listener);
 }
 
+#define MUTATIONS 10000 /* of each kind */
+
+/* Parses TEXT, cut at a random place, as a message of TYPE.  */
+static bool
+parse (enum http_parser_type type, const GString *text, GRand *rand)
+{
+  struct net_message message;
+  struct evbuffer *input = evbuffer_new ();
+  size_t cut = (size_t)g_rand_int_range (rand, 0, (gint32)text->len + 1);
+  net_message_init (&message, type, 1000);
+  evbuffer_add (input, text->str, cut);
+  bool ok = net_message_feed (&message, input);
+  evbuffer_add (input, text->str + cut, text->len - cut);
+  ok = ok && net_message_feed (&message, input);
+  (void)net_message_header (&message, "Host");
+  CU_ASSERT_TRUE (message.body->len <= 1000);
+  net_message_clear (&message);
+  evbuffer_free (input);
+  return ok;
+}
+
+/* Guards against crashes and memory errors on damaged HTTP, with the
+   sanitizers.  */
+static void
+test_damaged_messages_do_no_harm (void)
+{
+  static const char *const texts[]
+      = { "POST /a/5c0e7a21d94b36f8 HTTP/1.1\r\nHost: x.example\r\n"
+          "Content-Type: application/json\r\nContent-Length: 5\r\n\r\nhello",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX: y\r\n\r\n"
+          "5\r\nhello\r\n0\r\n\r\n" };
+  GRand *rand = g_rand_new_with_seed (43);
+  unsigned refused = 0;
+  for (unsigned i = 0; i < 2 * MUTATIONS; i++)
+    {
+      g_autoptr (GString) text = g_string_new (texts[i % 2]);
+      for (int n = g_rand_int_range (rand, 1, 6); n > 0; n--)
+        text->str[g_rand_int_range (rand, 0, (gint32)text->len)]
+            = (char)g_rand_int_range (rand, 0, 256);
+      refused
+          += !parse (i % 2 == 0 ? HTTP_REQUEST : HTTP_RESPONSE, text, rand);
+    }
+  CU_ASSERT_TRUE (refused > 0);
+  g_rand_free (rand);
+}
+
 static void
 on_frame (void *ctx, struct net_link *link, struct pl_str frame)
 {
@@ -567,6 +613,7 @@
       test_a_request_sent_at_its_timeout_counts_as_sent },
     { "bytes behind a response answer no request",
       test_bytes_behind_a_response_answer_no_request },
+    { "damaged messages do no harm", test_damaged_messages_do_no_harm },
     { "links carry frames and report their end",
       test_links_carry_frames_and_report_their_end },
     { "a link reconnects on demand", test_a_link_reconnects_on_demand },
