--- a/lib/cell/check.c
+++ b/lib/cell/check.c
@@ -3,8 +3,11 @@
    compute with values out of range.  */
 #include "cell_priv.h"
 
-/* Longest time in a message.  A job lasts seconds.  */
-#define MAX_TIME_US ((int64_t)24 * 3600 * 1000000)
+/* Longest time in a message: more than a caller's longest deadline, 2^31 ms,
+   and than the objective of a task that is declared to run for a day.  */
+#define MAX_TIME_US ((int64_t)1000 * 24 * 3600 * 1000000)
+/* With it, a run time of MAX_TIME_US times the slowness does not overflow.  */
+#define MAX_SLOWNESS 100000 /* percent */
 /* Bound of clocks and fencing tokens: sums of a few of them don't overflow. */
 #define MAX_MAGNITUDE ((int64_t)1 << 60)
 
@@ -104,7 +107,8 @@
       return is_ended (env->ended);
     case CELLPB__ENVELOPE__BODY_ROOM:
       return is_amount (env->room->capacity) && is_amount (env->room->used)
-             && is_token (env->room->token);
+             && is_token (env->room->token)
+             && env->room->slowness <= MAX_SLOWNESS;
     case CELLPB__ENVELOPE__BODY_TAKEN:
       return is_token (env->taken->token);
     case CELLPB__ENVELOPE__BODY_YIELD:
--- a/tests/cell_fault_test.c
+++ b/tests/cell_fault_test.c
@@ -313,6 +313,23 @@
   world_free (world);
 }
 
+/* Guards against a request that is dropped, so that its job gets no answer,
+   because its caller waits for as long as a caller can say.  */
+static void
+test_the_longest_deadline_is_accepted (void)
+{
+  Cellpb__Ask ask = CELLPB__ASK__INIT;
+  ask.width = 1;
+  ask.deadline_us = (int64_t)INT32_MAX * 1000;
+  ask.objective_us = (int64_t)24 * 3600 * SECOND * 8 / 5;
+  ask.late_us = 3 * ask.objective_us;
+  Cellpb__Envelope env = CELL_ENVELOPE (ask, ASK, &ask);
+  env.sender = 1;
+  CU_ASSERT_TRUE (cell_is_valid (&env));
+  ask.deadline_us = INT64_MAX;
+  CU_ASSERT_FALSE (cell_is_valid (&env));
+}
+
 /* Returns a frame with a message to stop a run, sent by SENDER.  */
 static GByteArray *
 pack_stop (uint64_t sender)
@@ -375,6 +392,8 @@
     { "an old configuration is replaced after a restart",
       test_an_old_configuration_is_replaced_after_a_restart },
     { "damaged frames end no instance", test_damaged_frames_end_no_instance },
+    { "the longest deadline is accepted",
+      test_the_longest_deadline_is_accepted },
     { "a link has one sender", test_a_link_has_one_sender },
     { "lost answers repeat nothing", test_lost_answers_repeat_nothing },
     CU_TEST_INFO_NULL,
