--- a/lib/net/client.c
+++ b/lib/net/client.c
@@ -212,9 +212,11 @@
 static struct net_client_conn *
 find_idle (struct net_pool *pool)
 {
-  while (pool->connections.head != NULL)
+  GList *next;
+  for (GList *l = pool->connections.head; l != NULL; l = next)
     {
-      struct net_client_conn *conn = pool->connections.head->data;
+      struct net_client_conn *conn = l->data;
+      next = l->next;
       if (conn->busy)
         return NULL;
       if (!is_stale (conn))
