--- a/lib/net/client.c
+++ b/lib/net/client.c
@@ -149,8 +149,8 @@
   /* If the process was not scheduled for a while, the response may have
      arrived in time and be unread.  */
   struct evbuffer *in = bufferevent_get_input (conn->bev);
-  if (evbuffer_get_length (in) > 0 && net_message_feed (&conn->message, in)
-      && conn->message.complete)
+  if (may_have_been_sent (conn) && evbuffer_get_length (in) > 0
+      && net_message_feed (&conn->message, in) && conn->message.complete)
     conn_complete (conn);
   else
     conn_fail (conn);
@@ -221,6 +221,8 @@
         return NULL;
       if (!is_stale (conn))
         return conn;
+      if (has_unread_input (conn))
+        log_unsolicited (conn);
       conn_free (conn);
     }
   return NULL;
--- a/tests/faults/mutants/malformed-list-accepted.sed
+++ b/tests/faults/mutants/malformed-list-accepted.sed
@@ -1,4 +1,4 @@
 # file: platform/answer.c
 # test: platform_test
-# The rows of a malformed list of runs are left out.
+# change: the rows of a malformed list of runs are left out
 s/^  return rows == NULL || json_is_array (rows);/  return true;/
--- a/tests/faults/mutants/placed-tasks-forgotten.sed
+++ b/tests/faults/mutants/placed-tasks-forgotten.sed
@@ -1,4 +1,4 @@
 # file: lib/planner/planner.c
 # test: planner_test
-# The planner forgets where the other tasks of a job are.
+# change: the planner forgets where the other tasks of a job are
 s/^  g_array_append_vals (job->placed, .*//
--- a/tests/faults/mutants/sender-not-checked.sed
+++ b/tests/faults/mutants/sender-not-checked.sed
@@ -1,4 +1,4 @@
 # file: lib/cell/check.c
 # test: cell_fault_test
-# Messages without a sender are handled.
+# change: messages without a sender are handled
 s/env->sender == 0 || //
--- a/tests/faults/mutants/silent-run-restarted.sed
+++ b/tests/faults/mutants/silent-run-restarted.sed
@@ -1,4 +1,4 @@
 # file: lib/owner/task.c
 # test: cell_fault_test
-# A task is started again at once when its holder is silent.
+# change: a task is started again at once when its holder is silent
 s/^#define RUN_EXPIRY_US .*/#define RUN_EXPIRY_US 0/
