lease, cell: why a run has ended and how a worker fell silent are logged

RUN_END end=stopped stood for four things: a stop, a lease that expired in silence, a worker that restarted, one that left the registry. RUN_END now has cause, whether the start was acknowledged, and the run's age; WORKER_SILENT says how the latest poll failed, a refused connection apart. No decision changes.

--- a/lib/cell/hold.c
+++ b/lib/cell/hold.c
@@ -77,17 +77,29 @@
 }
 
 static void
-on_ended (void *ctx, struct lease_worker *w, uint64_t owner,
-          const struct lease_run_id *id, enum lease_end end, int64_t took_us)
+on_ended (void *ctx, struct lease_worker *w, const struct lease_run_end *end)
 {
   struct cell *cell = ctx;
   pl_log (PL_EV_RUN_END,
-          "job=%016" PRIx64 " task=%u run=%u worker=%s end=%s took_us=%" PRId64
+          "job=%016" PRIx64 " task=%u run=%u worker=%s end=%s cause=%s"
+          " acknowledged=%d took_us=%" PRId64 " age_us=%" PRId64
           " slowness=%u",
-          id->job, id->index, id->run, w->id, lease_end_name (end), took_us,
-          w->health.slowness);
+          end->id.job, end->id.index, end->id.run, w->id,
+          lease_end_name (end->end), lease_cause_name (end->cause),
+          end->acknowledged, end->took_us, end->age_us, w->health.slowness);
   cell_mark_report_due (cell, w->info.worker);
-  cell_send_ended (cell, owner, w->info.worker, id, end, took_us);
+  cell_send_ended (cell, end->owner, w->info.worker, &end->id, end->end,
+                   end->took_us);
+}
+
+static void
+on_silent (void *ctx, struct lease_worker *w, enum lease_reply reply,
+           int64_t silence_us)
+{
+  (void)ctx;
+  pl_log (PL_EV_WORKER_SILENT,
+          "worker=%s reply=%s silence_ms=%" PRId64 " runs=%u", w->id,
+          lease_reply_name (reply), silence_us / 1000, w->runs->len);
 }
 
 static void
@@ -164,6 +176,7 @@
   .start = pass_start,
   .stop = pass_stop,
   .ended = on_ended,
+  .silent = on_silent,
   .taken = on_taken,
   .lost = on_lost,
   .changed = on_changed,
--- a/lib/lease/lease.h
+++ b/lib/lease/lease.h
@@ -52,6 +52,31 @@
 
 const char *lease_end_name (enum lease_end end);
 
+/* How it is known that a run has ended.  */
+enum lease_cause
+{
+  LEASE_CAUSE_ANSWER, /* the worker has listed the end or refused the start */
+  LEASE_CAUSE_UNLISTED,  /* the worker does not list the run any more */
+  LEASE_CAUSE_EXPIRED,   /* the worker was silent until the lease expired */
+  LEASE_CAUSE_RESTARTED, /* another incarnation of the worker answers */
+  LEASE_CAUSE_REMOVED,   /* the registry shows that the worker has ended */
+  LEASE_CAUSE_FENCED,    /* not known: another holder has the worker */
+};
+
+const char *lease_cause_name (enum lease_cause cause);
+
+/* The end of a run.  */
+struct lease_run_end
+{
+  struct lease_run_id id;
+  uint64_t owner; /* 0: not known */
+  enum lease_end end;
+  enum lease_cause cause;
+  int64_t took_us;   /* run time; 0: not known */
+  int64_t age_us;    /* since its start was sent or it was found; 0: unknown */
+  bool acknowledged; /* the worker has shown that the run had started */
+};
+
 enum lease_run_state
 {
   LEASE_RUN_STARTING,
@@ -152,15 +177,18 @@
 enum lease_reply
 {
   LEASE_REPLY_OK,
-  LEASE_REPLY_FENCED,    /* another holder has used a higher token */
-  LEASE_REPLY_OLD_RUN,   /* run number not above one that has ended there */
-  LEASE_REPLY_EXPIRED,   /* the lease in the order had expired on arrival */
-  LEASE_REPLY_REFUSED,   /* the worker did nothing, for another reason */
-  LEASE_REPLY_RESTARTED, /* another incarnation answers there */
-  LEASE_REPLY_NOT_SENT,  /* no connection: nothing was sent */
-  LEASE_REPLY_NO_ANSWER, /* no answer: it may be carried out later */
+  LEASE_REPLY_FENCED,      /* another holder has used a higher token */
+  LEASE_REPLY_OLD_RUN,     /* run number not above one that has ended there */
+  LEASE_REPLY_EXPIRED,     /* the lease in the order had expired on arrival */
+  LEASE_REPLY_REFUSED,     /* the worker did nothing, for another reason */
+  LEASE_REPLY_RESTARTED,   /* another incarnation answers there */
+  LEASE_REPLY_NOT_SENT,    /* no connection: nothing was sent */
+  LEASE_REPLY_NO_LISTENER, /* the connection was refused: nothing was sent */
+  LEASE_REPLY_NO_ANSWER,   /* no answer: it may be carried out later */
 };
 
+const char *lease_reply_name (enum lease_reply reply);
+
 struct lease_poll_result
 {
   enum lease_reply reply;
@@ -186,10 +214,12 @@
                  const struct lease_run *run, int64_t deadline_ms);
   void (*stop) (void *ctx, struct lease_worker *w,
                 const struct lease_run_id *id);
-  /* Run ID of OWNER (0: unknown) has ended.  */
-  void (*ended) (void *ctx, struct lease_worker *w, uint64_t owner,
-                 const struct lease_run_id *id, enum lease_end end,
-                 int64_t took_us);
+  void (*ended) (void *ctx, struct lease_worker *w,
+                 const struct lease_run_end *end);
+  /* The worker has not answered polls for a while; REPLY is the result of the
+     latest one.  */
+  void (*silent) (void *ctx, struct lease_worker *w, enum lease_reply reply,
+                  int64_t silence_us);
   /* The worker is held now; W->runs lists what runs there, without owners.  */
   void (*taken) (void *ctx, struct lease_worker *w);
   /* The worker is no longer held; W is freed after the call.  REASON is
--- a/lib/lease/lease_priv.h
+++ b/lib/lease/lease_priv.h
@@ -21,19 +21,18 @@
 int64_t lease_run_time_us (const struct lease_run *run, int64_t now_us);
 /* Removes RUN and tells its owner.  */
 void lease_end_run (struct lease_table *table, struct lease_worker *w,
-                    struct lease_run *run, enum lease_end end, int64_t now_us);
+                    struct lease_run *run, enum lease_end end,
+                    enum lease_cause cause, int64_t now_us);
 /* Ends all runs of W the same way.  */
 void lease_end_all_runs (struct lease_table *table, struct lease_worker *w,
-                         enum lease_end end, int64_t now_us);
+                         enum lease_end end, enum lease_cause cause,
+                         int64_t now_us);
 /* Orders RUN to stop.  The run is removed when a later poll shows that it has
    ended.  */
 void lease_order_stop (struct lease_table *table, struct lease_worker *w,
                        struct lease_run *run, int64_t now_us);
-/* Reports all runs of W as ended with END and W as lost, and removes W.  */
-void lease_drop_worker (struct lease_table *table, struct lease_worker *w,
-                        enum lease_reply reason, enum lease_end end,
-                        int64_t now_us);
-/* The same because of REPLY, LEASE_REPLY_FENCED or LEASE_REPLY_RESTARTED.  */
+/* Reports all runs of W as ended and W as lost, and removes W, because of
+   REPLY, LEASE_REPLY_FENCED or LEASE_REPLY_RESTARTED.  */
 void lease_drop_for_reply (struct lease_table *table, struct lease_worker *w,
                            enum lease_reply reply, int64_t now_us);
 
--- a/lib/lease/poll.c
+++ b/lib/lease/poll.c
@@ -45,16 +45,18 @@
    that it expires at a known time.  */
 static void
 on_poll_failed (struct lease_table *table, struct lease_worker *w,
-                int64_t now_us)
+                enum lease_reply reply, int64_t now_us)
 {
   if (w->state != LEASE_WORKER_SILENT
       && now_us - w->answered_us > EXPIRY_US / 2)
     {
       w->state = LEASE_WORKER_SILENT;
+      table->ops->silent (table->ctx, w, reply, now_us - w->answered_us);
       table->ops->changed (table->ctx, w);
     }
   if (now_us - w->renewed_us > EXPIRY_US)
-    lease_end_all_runs (table, w, LEASE_END_STOPPED, now_us);
+    lease_end_all_runs (table, w, LEASE_END_STOPPED, LEASE_CAUSE_EXPIRED,
+                        now_us);
   w->poll_lost_us = now_us;
   pl_count (PL_CTR_LOOKS_LOST_TOTAL, 1);
   w->next_poll_us
@@ -86,8 +88,13 @@
   if (run == NULL)
     {
       /* The run was started by an earlier holder.  */
-      table->ops->ended (table->ctx, w, 0, &end->id,
-                         end_of_outcome (end->outcome), 0);
+      struct lease_run_end run_end = {
+        .id = end->id,
+        .end = end_of_outcome (end->outcome),
+        .cause = LEASE_CAUSE_ANSWER,
+        .acknowledged = true,
+      };
+      table->ops->ended (table->ctx, w, &run_end);
       return;
     }
   /* Only a poll that was waiting when the run ended shows when that was;
@@ -99,7 +106,8 @@
                           run->expect_us, now_us);
   else if (end->outcome == LEASE_OUTCOME_FAILED)
     lease_record_failure (table, w, now_us);
-  lease_end_run (table, w, run, end_of_outcome (end->outcome), now_us);
+  lease_end_run (table, w, run, end_of_outcome (end->outcome),
+                 LEASE_CAUSE_ANSWER, now_us);
 }
 
 /* Applies an entry of the list of runs.  A run that is not known is added
@@ -149,7 +157,8 @@
       bool vanished = run->state == LEASE_RUN_RUNNING && run->started_us > 0
                       && run->started_us <= w->polled_us;
       if (stopped || vanished)
-        lease_end_run (table, w, run, LEASE_END_STOPPED, now_us);
+        lease_end_run (table, w, run, LEASE_END_STOPPED, LEASE_CAUSE_UNLISTED,
+                       now_us);
     }
 }
 
@@ -164,7 +173,8 @@
     return;
   if (w->info.incarnation_ms != 0)
     {
-      lease_end_all_runs (table, w, LEASE_END_STOPPED, now_us);
+      lease_end_all_runs (table, w, LEASE_END_STOPPED, LEASE_CAUSE_RESTARTED,
+                          now_us);
       w->last_end = 0;
     }
   w->info.incarnation_ms = result->incarnation_ms;
@@ -209,6 +219,6 @@
       lease_drop_for_reply (table, w, result->reply, now_us);
       break;
     default:
-      on_poll_failed (table, w, now_us);
+      on_poll_failed (table, w, result->reply, now_us);
     }
 }
--- a/lib/lease/run.c
+++ b/lib/lease/run.c
@@ -16,6 +16,34 @@
   return end < G_N_ELEMENTS (names) && names[end] != NULL ? names[end] : "?";
 }
 
+const char *
+lease_cause_name (enum lease_cause cause)
+{
+  static const char *const names[] = {
+    [LEASE_CAUSE_ANSWER] = "answer",   [LEASE_CAUSE_UNLISTED] = "unlisted",
+    [LEASE_CAUSE_EXPIRED] = "expired", [LEASE_CAUSE_RESTARTED] = "restarted",
+    [LEASE_CAUSE_REMOVED] = "removed", [LEASE_CAUSE_FENCED] = "fenced",
+  };
+  return names[cause];
+}
+
+const char *
+lease_reply_name (enum lease_reply reply)
+{
+  static const char *const names[] = {
+    [LEASE_REPLY_OK] = "ok",
+    [LEASE_REPLY_FENCED] = "fenced",
+    [LEASE_REPLY_OLD_RUN] = "old-run",
+    [LEASE_REPLY_EXPIRED] = "expired",
+    [LEASE_REPLY_REFUSED] = "refused",
+    [LEASE_REPLY_RESTARTED] = "restarted",
+    [LEASE_REPLY_NOT_SENT] = "not-sent",
+    [LEASE_REPLY_NO_LISTENER] = "no-listener",
+    [LEASE_REPLY_NO_ANSWER] = "no-answer",
+  };
+  return names[reply];
+}
+
 static void
 run_free (void *data)
 {
@@ -65,7 +93,8 @@
 
 void
 lease_end_run (struct lease_table *table, struct lease_worker *w,
-               struct lease_run *run, enum lease_end end, int64_t now_us)
+               struct lease_run *run, enum lease_end end,
+               enum lease_cause cause, int64_t now_us)
 {
   static const enum pl_counter counters[] = {
     [LEASE_END_DONE] = PL_CTR_RUNS_DONE_TOTAL,
@@ -75,22 +104,28 @@
     [LEASE_END_OLD_RUN] = PL_CTR_RUN_STARTS_REFUSED_TOTAL,
     [LEASE_END_UNKNOWN] = PL_CTR_RUNS_UNKNOWN_TOTAL,
   };
-  struct lease_run_id id = run->id;
-  uint64_t owner = run->owner;
-  int64_t took_us = lease_run_time_us (run, now_us);
+  struct lease_run_end run_end = {
+    .id = run->id,
+    .owner = run->owner,
+    .end = end,
+    .cause = cause,
+    .took_us = lease_run_time_us (run, now_us),
+    .age_us = now_us - run->added_us,
+    .acknowledged = run->started_us > 0 || run->state == LEASE_RUN_RUNNING,
+  };
   g_ptr_array_remove_fast (w->runs, run);
   pl_count (counters[end], 1);
-  table->ops->ended (table->ctx, w, owner, &id, end, took_us);
+  table->ops->ended (table->ctx, w, &run_end);
 }
 
 void
 lease_end_all_runs (struct lease_table *table, struct lease_worker *w,
-                    enum lease_end end, int64_t now_us)
+                    enum lease_end end, enum lease_cause cause, int64_t now_us)
 {
   while (w->runs->len > 0)
     {
       struct lease_run *run = g_ptr_array_index (w->runs, w->runs->len - 1);
-      lease_end_run (table, w, run, end, now_us);
+      lease_end_run (table, w, run, end, cause, now_us);
     }
 }
 
@@ -196,15 +231,19 @@
   switch (reply)
     {
     case LEASE_REPLY_OLD_RUN:
-      lease_end_run (table, w, run, LEASE_END_OLD_RUN, now_us);
+      lease_end_run (table, w, run, LEASE_END_OLD_RUN, LEASE_CAUSE_ANSWER,
+                     now_us);
       break;
     case LEASE_REPLY_NOT_SENT:
+    case LEASE_REPLY_NO_LISTENER:
     case LEASE_REPLY_REFUSED:
       lease_record_failure (table, w, now_us);
-      lease_end_run (table, w, run, LEASE_END_REJECTED, now_us);
+      lease_end_run (table, w, run, LEASE_END_REJECTED, LEASE_CAUSE_ANSWER,
+                     now_us);
       break;
     case LEASE_REPLY_EXPIRED:
-      lease_end_run (table, w, run, LEASE_END_REJECTED, now_us);
+      lease_end_run (table, w, run, LEASE_END_REJECTED, LEASE_CAUSE_ANSWER,
+                     now_us);
       break;
     default:
       /* No answer: the run may have started, or may start later.  */
@@ -224,7 +263,8 @@
   if (reply == LEASE_REPLY_FENCED || reply == LEASE_REPLY_RESTARTED)
     {
       if (run != NULL)
-        lease_end_run (table, w, run, LEASE_END_REJECTED, now_us);
+        lease_end_run (table, w, run, LEASE_END_REJECTED, LEASE_CAUSE_ANSWER,
+                       now_us);
       lease_drop_for_reply (table, w, reply, now_us);
       return;
     }
@@ -241,7 +281,8 @@
   if (run->state == LEASE_RUN_STARTING)
     on_start_failed (table, w, run, reply, now_us);
   else if (run->state == LEASE_RUN_STOPPING && reply != LEASE_REPLY_NO_ANSWER)
-    lease_end_run (table, w, run, LEASE_END_REJECTED, now_us);
+    lease_end_run (table, w, run, LEASE_END_REJECTED, LEASE_CAUSE_ANSWER,
+                   now_us);
   table->ops->changed (table->ctx, w);
 }
 
--- a/lib/lease/table.c
+++ b/lib/lease/table.c
@@ -101,11 +101,13 @@
   g_hash_table_remove (table->workers, &w->info.worker);
 }
 
-void
-lease_drop_worker (struct lease_table *table, struct lease_worker *w,
-                   enum lease_reply reason, enum lease_end end, int64_t now_us)
+static void
+drop_worker (struct lease_table *table, struct lease_worker *w,
+             enum lease_reply reason, enum lease_cause cause, int64_t now_us)
 {
-  lease_end_all_runs (table, w, end, now_us);
+  enum lease_end end
+      = cause == LEASE_CAUSE_FENCED ? LEASE_END_UNKNOWN : LEASE_END_STOPPED;
+  lease_end_all_runs (table, w, end, cause, now_us);
   table->ops->lost (table->ctx, w, reason);
   g_hash_table_remove (table->workers, &w->info.worker);
 }
@@ -115,10 +117,10 @@
                       enum lease_reply reply, int64_t now_us)
 {
   /* Runs of a former incarnation have ended with it.  */
-  lease_drop_worker (table, w, reply,
-                     reply == LEASE_REPLY_RESTARTED ? LEASE_END_STOPPED
-                                                    : LEASE_END_UNKNOWN,
-                     now_us);
+  drop_worker (table, w, reply,
+               reply == LEASE_REPLY_RESTARTED ? LEASE_CAUSE_RESTARTED
+                                              : LEASE_CAUSE_FENCED,
+               now_us);
 }
 
 void
@@ -131,8 +133,8 @@
 void
 lease_worker_ended (struct lease_table *table, struct lease_worker *w)
 {
-  lease_drop_worker (table, w, LEASE_REPLY_NO_ANSWER, LEASE_END_STOPPED,
-                     MAX (w->answered_us, w->renewed_us));
+  drop_worker (table, w, LEASE_REPLY_NO_ANSWER, LEASE_CAUSE_REMOVED,
+               MAX (w->answered_us, w->renewed_us));
 }
 
 static bool
--- a/lib/net/client.c
+++ b/lib/net/client.c
@@ -52,11 +52,11 @@
 
 /* Closes the connection; its request, if any, completes with status 0.  */
 static void
-conn_fail (struct net_client_conn *conn)
+conn_fail (struct net_client_conn *conn, bool refused)
 {
   bool busy = conn->busy;
   struct net_response resp
-      = { .status = 0, .sent = may_have_been_sent (conn) };
+      = { .status = 0, .sent = may_have_been_sent (conn), .refused = refused };
   net_response_fn done = conn->done;
   void *arg = conn->arg;
   conn_free (conn);
@@ -119,11 +119,11 @@
   if (!conn->busy || !may_have_been_sent (conn))
     {
       log_unsolicited (conn);
-      conn_fail (conn);
+      conn_fail (conn, false);
       return;
     }
   if (!net_message_feed (&conn->message, bufferevent_get_input (bev)))
-    conn_fail (conn);
+    conn_fail (conn, false);
   else if (conn->message.complete)
     conn_complete (conn);
 }
@@ -137,7 +137,7 @@
       net_set_socket_options (bufferevent_getfd (bev));
       return;
     }
-  conn_fail (conn);
+  conn_fail (conn, (events & BEV_EVENT_ERROR) && errno == ECONNREFUSED);
 }
 
 static void
@@ -153,7 +153,7 @@
       && net_message_feed (&conn->message, in) && conn->message.complete)
     conn_complete (conn);
   else
-    conn_fail (conn);
+    conn_fail (conn, false);
 }
 
 struct net_pool *
@@ -171,7 +171,7 @@
 {
   struct net_client_conn *conn;
   while ((conn = g_queue_peek_head (&pool->connections)) != NULL)
-    conn_fail (conn);
+    conn_fail (conn, false);
   g_free (pool);
 }
 
--- a/tests/lease_test.c
+++ b/tests/lease_test.c
@@ -22,6 +22,8 @@
   enum lease_reply lost_reason;
   unsigned ends;
   enum lease_end end;
+  enum lease_cause cause;
+  enum lease_reply silent_reply;
   struct lease_run_id ended;
 };
 
@@ -54,16 +56,24 @@
 }
 
 static void
-on_ended (void *ctx, struct lease_worker *w, uint64_t owner,
-          const struct lease_run_id *id, enum lease_end end, int64_t took_us)
+on_ended (void *ctx, struct lease_worker *w, const struct lease_run_end *end)
 {
   struct sink *sink = ctx;
   (void)w;
-  (void)owner;
-  sink->took_us = took_us;
+  sink->took_us = end->took_us;
   sink->ends++;
-  sink->end = end;
-  sink->ended = *id;
+  sink->end = end->end;
+  sink->cause = end->cause;
+  sink->ended = end->id;
+}
+
+static void
+on_silent (void *ctx, struct lease_worker *w, enum lease_reply reply,
+           int64_t silence_us)
+{
+  (void)w;
+  (void)silence_us;
+  ((struct sink *)ctx)->silent_reply = reply;
 }
 
 static void
@@ -94,6 +104,7 @@
   .start = on_start,
   .stop = on_stop,
   .ended = on_ended,
+  .silent = on_silent,
   .taken = on_taken,
   .lost = on_lost,
   .changed = on_changed,
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -229,7 +229,9 @@
 static struct net_response
 response (int status, const char *body)
 {
-  return (struct net_response){ status, true, pl_str (body) };
+  return (struct net_response){ .status = status,
+                                .sent = true,
+                                .body = pl_str (body) };
 }
 
 /* Guards against misread rows of a worker's answer.  */
@@ -296,9 +298,11 @@
     bool sent;
     const char *body;
     enum lease_reply reply;
+    bool refused;
   } cases[] = {
     { 0, true, "", LEASE_REPLY_NO_ANSWER },
     { 0, false, "", LEASE_REPLY_NOT_SENT },
+    { 0, false, "", LEASE_REPLY_NO_LISTENER, true },
     { 200, true, "not json", LEASE_REPLY_OK },
     { 409, true, "{\"reason\":\"fence\"}", LEASE_REPLY_FENCED },
     { 409, true, "{\"reason\":\"old\"}", LEASE_REPLY_OLD_RUN },
@@ -309,8 +313,8 @@
   };
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
-      struct net_response resp
-          = { cases[i].status, cases[i].sent, pl_str (cases[i].body) };
+      struct net_response resp = { cases[i].status, cases[i].sent,
+                                   cases[i].refused, pl_str (cases[i].body) };
       CU_ASSERT_EQUAL (pf_decode_order_reply (&resp), cases[i].reply);
     }
 }
