--- a/tests/cell_fault_test.c
+++ b/tests/cell_fault_test.c
@@ -377,6 +377,84 @@
   world_free (world);
 }
 
+/* Submits a job whose first task crashes each worker that starts it.  */
+static struct world_job *
+submit_deadly (struct world *world, int instance)
+{
+  struct world_job *job = world_submit (world, instance, 4, 900000);
+  job->deadly = true;
+  return job;
+}
+
+/* Guards against a task that crashes one worker after the other until its
+   caller stops waiting.  */
+static void
+test_a_task_that_crashes_workers_is_given_up (void)
+{
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      struct world *world = world_new (seed, 4, 16, 2);
+      world_run_for (world, SECOND);
+      const struct world_job *job = submit_deadly (world, 0);
+      settle (world);
+      CU_ASSERT_TRUE (job->crashes <= 2);
+      CU_ASSERT_TRUE (job->answered);
+      CU_ASSERT_EQUAL (job->code, PL_FAILED_RAN);
+      check_violations (world, "deadly", seed);
+      world_free (world);
+    }
+}
+
+/* Guards against an owner that knows nothing of the workers that a resent job
+   has crashed before.  */
+static void
+test_crashes_are_known_when_a_job_is_resent (void)
+{
+  for (uint64_t seed = 1; seed <= MORE_SEEDS; seed++)
+    {
+      struct world *world = world_new (seed, 4, 16, 2);
+      world_run_for (world, SECOND);
+      const struct world_job *job = submit_deadly (world, 0);
+      for (int round = 0; round < 3 && !job->answered; round++)
+        {
+          world_run_for (world,
+                         world_random_between (world, 1200000, 1400000));
+          int owner = job->instance;
+          world_kill (world, owner, false);
+          world_run_for (world, 500000);
+          world_boot (world, owner);
+          settle (world);
+        }
+      settle (world);
+      CU_ASSERT_TRUE (job->crashes <= 3);
+      CU_ASSERT_TRUE (job->answered);
+      check_violations (world, "deadly-resent", seed);
+      world_free (world);
+    }
+}
+
+/* Guards against jobs that are given up because they ran beside a task that
+   crashed their worker.  */
+static void
+test_crashes_are_not_put_down_to_other_tasks (void)
+{
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      struct world *world = world_new (seed, 4, 16, 2);
+      world_run_for (world, SECOND);
+      for (int i = 0; i < 8; i++)
+        {
+          (void)submit_deadly (world, i % 4);
+          run_load (world, 600000, 4, 300000);
+        }
+      settle (world);
+      CU_ASSERT_TRUE (all_answered (world));
+      CU_ASSERT_EQUAL (world->answers[PL_FAILED_RAN], 8);
+      check_violations (world, "deadly-beside", seed);
+      world_free (world);
+    }
+}
+
 int
 main (void)
 {
@@ -397,6 +475,12 @@
       test_the_longest_deadline_is_accepted },
     { "a link has one sender", test_a_link_has_one_sender },
     { "lost answers repeat nothing", test_lost_answers_repeat_nothing },
+    { "a task that crashes workers is given up",
+      test_a_task_that_crashes_workers_is_given_up },
+    { "crashes are known when a job is resent",
+      test_crashes_are_known_when_a_job_is_resent },
+    { "crashes are not put down to other tasks",
+      test_crashes_are_not_put_down_to_other_tasks },
     CU_TEST_INFO_NULL,
   };
   const char *level = getenv ("PAPAYALOFT_LOG");
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -231,15 +231,6 @@
     world_deliver_delayed_frames (world);
 }
 
-static inline void
-world_crash_worker (struct world *world, int index)
-{
-  struct world_worker *w = &world->workers[index];
-  model_reset (&w->model);
-  g_clear_pointer (&w->poll, g_free);
-  w->up = false;
-}
-
 static inline void
 world_boot_worker (struct world *world, int index)
 {
--- a/tests/world_workers.h
+++ b/tests/world_workers.h
@@ -37,6 +37,70 @@
   world_advance_worker (world, w);
 }
 
+static inline void world_boot_worker (struct world *world, int index);
+static inline void world_send_poll_answer (struct world *world,
+                                           const struct world_event *poll,
+                                           enum lease_reply reply,
+                                           int64_t delay_us);
+
+/* Ends a worker's process.  If REFUSES, its machine goes on and refuses
+   connections; otherwise calls get no answer.  */
+static inline void
+world_end_worker (struct world *world, struct world_worker *w, bool refuses)
+{
+  world_trace (world, "crash of %s", w->id);
+  model_reset (&w->model);
+  w->up = false;
+  w->refuses = refuses;
+  if (w->poll != NULL)
+    world_send_poll_answer (world, w->poll, LEASE_REPLY_NO_ANSWER,
+                            refuses ? 0 : WORLD_CALL_TIMEOUT_US);
+  g_clear_pointer (&w->poll, g_free);
+}
+
+static inline void
+world_crash_worker (struct world *world, int index)
+{
+  world_end_worker (world, &world->workers[index], false);
+}
+
+static inline void
+world_reboot_worker (struct world *world, struct world_event *event)
+{
+  world_boot_worker (world, event->to);
+}
+
+static inline void
+world_deadly_run_strikes (struct world *world, struct world_event *event)
+{
+  struct world_worker *w = &world->workers[event->to];
+  struct world_job *job = g_hash_table_lookup (world->jobs, &event->id.job);
+  if (!w->up || (uint64_t)w->incarnation_ms != event->incarnation)
+    return;
+  job->crashes++;
+  world_end_worker (world, w, true);
+  struct world_event *reboot
+      = world_new_event (world, WORLD_REBOOT_US, world_reboot_worker);
+  reboot->to = event->to;
+  world_schedule (world, reboot);
+}
+
+/* Schedules the crash of W if the run that it has started is deadly.  */
+static inline void
+world_schedule_crash (struct world *world, struct world_worker *w,
+                      const struct lease_run_id *id)
+{
+  const struct world_job *job = g_hash_table_lookup (world->jobs, &id->job);
+  if (job == NULL || !job->deadly || id->index != 0)
+    return;
+  struct world_event *event
+      = world_new_event (world, WORLD_DEADLY_US, world_deadly_run_strikes);
+  event->to = w->index;
+  event->id = *id;
+  event->incarnation = (uint64_t)w->incarnation_ms;
+  world_schedule (world, event);
+}
+
 static inline void
 world_schedule_worker (struct world *world, struct world_worker *w)
 {
@@ -126,7 +190,10 @@
   enum lease_reply reply
       = model_start (&w->model, &start, world_now (world), &begun);
   if (begun)
-    world_check_start (world, w, event);
+    {
+      world_check_start (world, w, event);
+      world_schedule_crash (world, w, &event->id);
+    }
   world_schedule_worker (world, w);
   return reply;
 }
@@ -239,7 +306,14 @@
 world_poll_reaches_worker (struct world *world, struct world_event *event)
 {
   struct world_worker *w = &world->workers[event->to];
-  if (!w->up || world->cut_worker[event->from][event->to])
+  bool cut = world->cut_worker[event->from][event->to];
+  if (!w->up && !cut && w->refuses)
+    {
+      world_send_poll_answer (world, event, LEASE_REPLY_NO_LISTENER,
+                              world_random_delay (world));
+      return;
+    }
+  if (!w->up || cut)
     {
       world_send_poll_answer (world, event, LEASE_REPLY_NO_ANSWER,
                               WORLD_CALL_TIMEOUT_US + event->wait_ms * 1000);
@@ -315,9 +389,12 @@
     void (*arrives) (struct world *, struct world_event *))
 {
   struct world_worker *w = &world->workers[event->to];
-  bool reached = w->up && !world->cut_worker[event->from][event->to];
-  enum lease_reply reply
-      = reached ? apply (world, w, event) : LEASE_REPLY_NO_ANSWER;
+  bool cut = world->cut_worker[event->from][event->to];
+  enum lease_reply reply = LEASE_REPLY_NO_ANSWER;
+  if (w->up && !cut)
+    reply = apply (world, w, event);
+  else if (!cut && w->refuses)
+    reply = LEASE_REPLY_NO_LISTENER;
   if (event->no_answer)
     return;
   if (world_random_chance (world, world->lost_answer_share))
