owner, lease: a task that crashes the workers that start it is given up

Cause: a run that ended with its worker was queued again like one that was stopped on purpose. It counted neither as a failed attempt nor as anything else, so only the deadline bounded the starts.

Change: the holder says with each end whether the run may have ended the worker. It is the likely cause if the worker's process has ended (another incarnation answers, or connections are refused until the lease has expired, and not by most workers at once) and no run was started after it; else a possible one. Owners answer a job as failed after two likely crashes of one task, or four runs that were lost for any reason. Likely crashes are told to all instances, which keep them for two minutes: a job that comes again is not started again.

The field blame is new in the message Ended; former builds pass over it.

--- a/lib/base/counters.gen.c
+++ b/lib/base/counters.gen.c
@@ -80,6 +80,8 @@
     .help = "Runs that were stopped, whose lease expired, or that the worker no longer listed." },
   { .name = "papayaloft_runs_unknown_total", .type = "counter",
     .help = "Runs whose worker was lost to another holder." },
+  { .name = "papayaloft_tasks_given_up_total", .type = "counter",
+    .help = "Tasks given up because they crashed workers or were lost with them too often." },
   { .name = "papayaloft_looks_lost_total", .type = "counter",
     .help = "Polls of workers that got no answer." },
   { .name = "papayaloft_workers_taken_total", .type = "counter",
--- a/lib/cell/cell.pb-c.c
+++ b/lib/cell/cell.pb-c.c
@@ -1775,7 +1775,7 @@
   (ProtobufCMessageInit) cellpb__stop__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__ended__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cellpb__ended__field_descriptors[5] =
 {
   {
     "worker",
@@ -1825,8 +1825,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "blame",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Ended, blame),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cellpb__ended__field_indices_by_name[] = {
+  4,   /* field[4] = blame */
   2,   /* field[2] = end */
   1,   /* field[1] = id */
   3,   /* field[3] = took_us */
@@ -1835,7 +1848,7 @@
 static const ProtobufCIntRange cellpb__ended__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor cellpb__ended__descriptor =
 {
@@ -1845,7 +1858,7 @@
   "Cellpb__Ended",
   "cellpb",
   sizeof(Cellpb__Ended),
-  4,
+  5,
   cellpb__ended__field_descriptors,
   cellpb__ended__field_indices_by_name,
   1,  cellpb__ended__number_ranges,
--- a/lib/cell/cell.pb-c.h
+++ b/lib/cell/cell.pb-c.h
@@ -277,7 +277,8 @@
 
 
 /*
- * Holder to owner, or to all if the owner is not known: a run has ended.
+ * Holder to owner: a run has ended. To all if the owner is not known, or if the
+ * run has probably crashed its worker.
  */
 struct  Cellpb__Ended
 {
@@ -289,10 +290,14 @@
    */
   uint32_t end;
   int64_t took_us;
+  /*
+   * enum lease_blame
+   */
+  uint32_t blame;
 };
 #define CELLPB__ENDED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cellpb__ended__descriptor) \
-    , 0, NULL, 0, 0 }
+    , 0, NULL, 0, 0, 0 }
 
 
 /*
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -146,10 +146,9 @@
 
 /* The holder (hold.c).  */
 extern const struct lease_ops cell_lease_ops;
-/* Tells owner TO (0: all instances) how a run has ended.  */
-void cell_send_ended (struct cell *cell, uint64_t to, uint64_t worker,
-                      const struct lease_run_id *id, enum lease_end end,
-                      int64_t took_us);
+/* Tells the owner of a run on WORKER, or all instances, how it has ended.  */
+void cell_send_ended (struct cell *cell, uint64_t worker,
+                      const struct lease_run_end *end);
 void cell_on_start (struct cell *cell, uint64_t sender,
                     const Cellpb__Start *msg);
 void cell_on_stop (struct cell *cell, const Cellpb__Stop *msg);
--- a/lib/cell/check.c
+++ b/lib/cell/check.c
@@ -64,7 +64,8 @@
 is_ended (const Cellpb__Ended *ended)
 {
   return ended->id != NULL && ended->end >= LEASE_END_DONE
-         && ended->end <= LEASE_END_UNKNOWN && is_duration (ended->took_us);
+         && ended->end <= LEASE_END_UNKNOWN
+         && ended->blame <= LEASE_BLAME_LIKELY && is_duration (ended->took_us);
 }
 
 static bool
--- a/lib/cell/hold.c
+++ b/lib/cell/hold.c
@@ -37,18 +37,19 @@
 }
 
 void
-cell_send_ended (struct cell *cell, uint64_t to, uint64_t worker,
-                 const struct lease_run_id *id, enum lease_end end,
-                 int64_t took_us)
+cell_send_ended (struct cell *cell, uint64_t worker,
+                 const struct lease_run_end *end)
 {
-  Cellpb__RunId run = cell_encode_run_id (id);
+  Cellpb__RunId run = cell_encode_run_id (&end->id);
   Cellpb__Ended msg = CELLPB__ENDED__INIT;
   msg.worker = worker;
   msg.id = &run;
-  msg.end = (uint32_t)end;
-  msg.took_us = took_us;
+  msg.end = (uint32_t)end->end;
+  msg.took_us = end->took_us;
+  msg.blame = (uint32_t)end->blame;
   Cellpb__Envelope env = CELL_ENVELOPE (ended, ENDED, &msg);
-  cell_send (cell, to, &env);
+  /* The job may be submitted again to any instance.  */
+  cell_send (cell, end->blame == LEASE_BLAME_LIKELY ? 0 : end->owner, &env);
 }
 
 /* Operations of struct lease_ops: calls to workers are passed to the owner of
@@ -82,14 +83,14 @@
   struct cell *cell = ctx;
   pl_log (PL_EV_RUN_END,
           "job=%016" PRIx64 " task=%u run=%u worker=%s end=%s cause=%s"
-          " acknowledged=%d took_us=%" PRId64 " age_us=%" PRId64
+          " blame=%s acknowledged=%d took_us=%" PRId64 " age_us=%" PRId64
           " slowness=%u",
           end->id.job, end->id.index, end->id.run, w->id,
           lease_end_name (end->end), lease_cause_name (end->cause),
-          end->acknowledged, end->took_us, end->age_us, w->health.slowness);
+          lease_blame_name (end->blame), end->acknowledged, end->took_us,
+          end->age_us, w->health.slowness);
   cell_mark_report_due (cell, w->info.worker);
-  cell_send_ended (cell, end->owner, w->info.worker, &end->id, end->end,
-                   end->took_us);
+  cell_send_ended (cell, w->info.worker, end);
 }
 
 static void
@@ -192,7 +193,7 @@
      holder, if there is one, lists the run again for its owner, or stops the
      run as unclaimed.  */
 static void
-answer_failed_claim (struct cell *cell, uint64_t owner, uint64_t worker,
+answer_failed_claim (struct cell *cell, uint64_t worker,
                      const struct lease_worker *w,
                      const struct lease_order *order)
 {
@@ -200,8 +201,12 @@
                     && w->token == order->token;
   if (same_lease && lease_has_run (w, &order->id))
     return;
-  cell_send_ended (cell, owner, worker, &order->id,
-                   same_lease ? LEASE_END_STOPPED : LEASE_END_UNKNOWN, 0);
+  struct lease_run_end end = {
+    .id = order->id,
+    .owner = order->owner,
+    .end = same_lease ? LEASE_END_STOPPED : LEASE_END_UNKNOWN,
+  };
+  cell_send_ended (cell, worker, &end);
 }
 
 void
@@ -231,10 +236,16 @@
           sender, msg->claim, ok, w == NULL ? 0 : w->runs->len,
           w == NULL ? 0 : (now_us - w->answered_us) / 1000);
   if (!ok && msg->claim)
-    answer_failed_claim (cell, sender, msg->worker, w, &order);
+    answer_failed_claim (cell, msg->worker, w, &order);
   else if (!ok)
-    cell_send_ended (cell, sender, msg->worker, &order.id, LEASE_END_REJECTED,
-                     0);
+    {
+      struct lease_run_end end = {
+        .id = order.id,
+        .owner = sender,
+        .end = LEASE_END_REJECTED,
+      };
+      cell_send_ended (cell, msg->worker, &end);
+    }
   cell_mark_report_due (cell, msg->worker);
 }
 
--- a/lib/cell/plan.c
+++ b/lib/cell/plan.c
@@ -243,7 +243,13 @@
 void
 cell_on_ended (struct cell *cell, uint64_t sender, const Cellpb__Ended *msg)
 {
-  struct lease_run_id id = cell_decode_run_id (msg->id);
-  owner_on_run_end (cell->jobs, msg->worker, sender, &id,
-                    (enum lease_end)msg->end, msg->took_us);
+  struct owner_run_end end = {
+    .worker = msg->worker,
+    .holder = sender,
+    .id = cell_decode_run_id (msg->id),
+    .end = (enum lease_end)msg->end,
+    .blame = (enum lease_blame)msg->blame,
+    .took_us = msg->took_us,
+  };
+  owner_on_run_end (cell->jobs, &end);
 }
--- a/lib/lease/lease.h
+++ b/lib/lease/lease.h
@@ -65,6 +65,16 @@
 
 const char *lease_cause_name (enum lease_cause cause);
 
+/* Whether a run may have caused the end of its worker's process.  */
+enum lease_blame
+{
+  LEASE_BLAME_NONE,     /* the worker goes on, or was leaving */
+  LEASE_BLAME_POSSIBLE, /* the worker was lost while the run was there */
+  LEASE_BLAME_LIKELY,   /* the worker ended after this start, the latest one */
+};
+
+const char *lease_blame_name (enum lease_blame blame);
+
 /* The end of a run.  */
 struct lease_run_end
 {
@@ -72,6 +82,7 @@
   uint64_t owner; /* 0: not known */
   enum lease_end end;
   enum lease_cause cause;
+  enum lease_blame blame;
   int64_t took_us;   /* run time; 0: not known */
   int64_t age_us;    /* since its start was sent or it was found; 0: unknown */
   bool acknowledged; /* the worker has shown that the run had started */
@@ -90,6 +101,7 @@
   uint64_t owner; /* 0: found on the worker, not claimed yet */
   struct planner_resources size;
   enum lease_run_state state;
+  enum lease_blame blame; /* set when the worker is lost */
   char *spec;
   int64_t added_us;      /* when its start was sent, or it was found */
   int64_t started_us;    /* when first known to run; 0: not known */
@@ -119,6 +131,22 @@
   LEASE_WORKER_SILENT, /* polls get no answer */
 };
 
+/* Result of a call to a worker.  */
+enum lease_reply
+{
+  LEASE_REPLY_OK,
+  LEASE_REPLY_FENCED,      /* another holder has used a higher token */
+  LEASE_REPLY_OLD_RUN,     /* run number not above one that has ended there */
+  LEASE_REPLY_EXPIRED,     /* the lease in the order had expired on arrival */
+  LEASE_REPLY_REFUSED,     /* the worker did nothing, for another reason */
+  LEASE_REPLY_RESTARTED,   /* another incarnation answers there */
+  LEASE_REPLY_NOT_SENT,    /* no connection: nothing was sent */
+  LEASE_REPLY_NO_LISTENER, /* the connection was refused: nothing was sent */
+  LEASE_REPLY_NO_ANSWER,   /* no answer: it may be carried out later */
+};
+
+const char *lease_reply_name (enum lease_reply reply);
+
 /* Health of a worker, from the outcomes of its runs.  */
 struct lease_health
 {
@@ -144,6 +172,7 @@
   int64_t answered_us;     /* when a poll was answered last, or it was taken */
   int64_t next_poll_us;    /* when to poll after a failure; 0: not waiting */
   int64_t poll_lost_us;    /* when a poll got no answer last; 0: never */
+  enum lease_reply poll_reply; /* result of the latest poll */
   struct lease_health health;
   GPtrArray *runs; /* struct lease_run */
   void *user;      /* of the caller */
@@ -173,22 +202,6 @@
   enum lease_outcome outcome;
 };
 
-/* Result of a call to a worker.  */
-enum lease_reply
-{
-  LEASE_REPLY_OK,
-  LEASE_REPLY_FENCED,      /* another holder has used a higher token */
-  LEASE_REPLY_OLD_RUN,     /* run number not above one that has ended there */
-  LEASE_REPLY_EXPIRED,     /* the lease in the order had expired on arrival */
-  LEASE_REPLY_REFUSED,     /* the worker did nothing, for another reason */
-  LEASE_REPLY_RESTARTED,   /* another incarnation answers there */
-  LEASE_REPLY_NOT_SENT,    /* no connection: nothing was sent */
-  LEASE_REPLY_NO_LISTENER, /* the connection was refused: nothing was sent */
-  LEASE_REPLY_NO_ANSWER,   /* no answer: it may be carried out later */
-};
-
-const char *lease_reply_name (enum lease_reply reply);
-
 struct lease_poll_result
 {
   enum lease_reply reply;
--- a/lib/lease/lease_priv.h
+++ b/lib/lease/lease_priv.h
@@ -23,10 +23,13 @@
 void lease_end_run (struct lease_table *table, struct lease_worker *w,
                     struct lease_run *run, enum lease_end end,
                     enum lease_cause cause, int64_t now_us);
-/* Ends all runs of W the same way.  */
+/* Ends all runs of W, which is lost, the same way.  */
 void lease_end_all_runs (struct lease_table *table, struct lease_worker *w,
                          enum lease_end end, enum lease_cause cause,
                          int64_t now_us);
+/* Sets which runs of W, which is lost because of CAUSE, may have ended it.  */
+void lease_blame_runs (const struct lease_table *table, struct lease_worker *w,
+                       enum lease_cause cause);
 /* Orders RUN to stop.  The run is removed when a later poll shows that it has
    ended.  */
 void lease_order_stop (struct lease_table *table, struct lease_worker *w,
--- a/lib/lease/poll.c
+++ b/lib/lease/poll.c
@@ -209,6 +209,7 @@
   struct lease_worker *w = lease_find_worker (table, worker);
   if (w == NULL || w->token != token)
     return;
+  w->poll_reply = result->reply;
   switch (result->reply)
     {
     case LEASE_REPLY_OK:
--- a/lib/lease/run.c
+++ b/lib/lease/run.c
@@ -27,6 +27,17 @@
   return names[cause];
 }
 
+const char *
+lease_blame_name (enum lease_blame blame)
+{
+  static const char *const names[] = {
+    [LEASE_BLAME_NONE] = "none",
+    [LEASE_BLAME_POSSIBLE] = "possible",
+    [LEASE_BLAME_LIKELY] = "likely",
+  };
+  return names[blame];
+}
+
 const char *
 lease_reply_name (enum lease_reply reply)
 {
@@ -109,6 +120,7 @@
     .owner = run->owner,
     .end = end,
     .cause = cause,
+    .blame = run->blame,
     .took_us = lease_run_time_us (run, now_us),
     .age_us = now_us - run->added_us,
     .acknowledged = run->started_us > 0 || run->state == LEASE_RUN_RUNNING,
@@ -122,6 +134,7 @@
 lease_end_all_runs (struct lease_table *table, struct lease_worker *w,
                     enum lease_end end, enum lease_cause cause, int64_t now_us)
 {
+  lease_blame_runs (table, w, cause);
   while (w->runs->len > 0)
     {
       struct lease_run *run = g_ptr_array_index (w->runs, w->runs->len - 1);
--- a/lib/owner/job.c
+++ b/lib/owner/job.c
@@ -31,6 +31,7 @@
   table->ops = ops;
   table->ctx = ctx;
   table->sizes = sched_sizes_new (clock);
+  table->crashes = owner_crashes_new ();
   table->jobs
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, job_free);
   return table;
@@ -40,6 +41,7 @@
 owner_table_free (struct owner_table *table)
 {
   g_hash_table_unref (table->jobs);
+  g_hash_table_unref (table->crashes);
   sched_sizes_free (table->sizes);
   g_free (table);
 }
@@ -106,6 +108,7 @@
      its tasks take longer than usual.  */
   job->expect_us = reliable ? MAX (job->run_us, job->declared_us)
                             : job->run_us * UNLEARNED_RUN_FACTOR;
+  job->dangerous = owner_has_dangerous_task (table, job);
   g_hash_table_insert (table->jobs, &job->id, job);
   pl_count (PL_CTR_JOBS_SUBMITTED_TOTAL, 1);
   table->dirty = true;
@@ -259,7 +262,7 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       struct owner_job *job = value;
-      if (job->dirty)
+      if (job->dirty && !job->dangerous)
         send_request (table, job);
     }
 }
@@ -318,9 +321,11 @@
   for (unsigned i = 0; i < job->n_tasks; i++)
     {
       struct owner_task *task = &job->tasks[i];
-      if (task->state == OWNER_TASK_UNKNOWN
-          && task->may_run_until_us <= now_us)
-        owner_requeue_task (table, job, task);
+      if (job->dangerous && owner_give_up_dangerous_task (table, job, i))
+        return;
+      if (task->state == OWNER_TASK_UNKNOWN && task->may_run_until_us <= now_us
+          && !owner_on_run_lost (table, job, i))
+        return;
       if (task->retry_at_us != 0 && task->retry_at_us <= now_us)
         {
           task->retry_at_us = 0;
--- a/lib/owner/owner.h
+++ b/lib/owner/owner.h
@@ -54,6 +54,7 @@
   enum owner_task_state state;
   uint32_t run;      /* number of the latest start */
   uint32_t failures; /* runs that failed */
+  uint32_t losses;   /* runs that were lost with their worker or holder */
   uint64_t worker;
   uint64_t holder;
   int64_t token;            /* fencing token of the holder's lease */
@@ -84,8 +85,9 @@
   unsigned max_attempts;
   unsigned n_tasks;
   unsigned n_ended;
-  bool started; /* a start may have reached a worker */
-  bool dirty;   /* the request that the planner has is out of date */
+  bool started;   /* a start may have reached a worker */
+  bool dangerous; /* a task has crashed too many workers already */
+  bool dirty;     /* the request that the planner has is out of date */
   struct owner_task *tasks;
   void *user; /* set by the submitter, for the answer */
 };
@@ -150,11 +152,20 @@
                      const struct owner_placement *placement);
 void owner_on_refusal (struct owner_table *table, uint64_t job,
                        int retry_after_ms);
-/* A message from HOLDER: run ID on WORKER has ended as END says.  TOOK_US is
-   its run time; 0: not known.  */
-void owner_on_run_end (struct owner_table *table, uint64_t worker,
-                       uint64_t holder, const struct lease_run_id *id,
-                       enum lease_end end, int64_t took_us);
+/* A message from a holder: the run has ended.  */
+struct owner_run_end
+{
+  uint64_t worker;
+  uint64_t holder;
+  struct lease_run_id id;
+  enum lease_end end;
+  enum lease_blame blame;
+  int64_t took_us; /* run time; 0: not known */
+};
+
+/* END may be of a run of a job of another instance.  */
+void owner_on_run_end (struct owner_table *table,
+                       const struct owner_run_end *end);
 /* HOLDER can't be reached; its last message arrived at HEARD_US.  The runs on
    its workers may go on until their leases expire.  */
 void owner_on_holder_lost (struct owner_table *table, uint64_t holder,
--- a/lib/owner/task.c
+++ b/lib/owner/task.c
@@ -98,27 +98,39 @@
     owner_requeue_task (table, job, task);
 }
 
+bool
+owner_on_run_lost (struct owner_table *table, struct owner_job *job,
+                   uint32_t index)
+{
+  job->tasks[index].losses++;
+  if (owner_give_up_dangerous_task (table, job, index))
+    return false;
+  owner_requeue_task (table, job, &job->tasks[index]);
+  return true;
+}
+
 void
-owner_on_run_end (struct owner_table *table, uint64_t worker, uint64_t holder,
-                  const struct lease_run_id *id, enum lease_end end,
-                  int64_t took_us)
+owner_on_run_end (struct owner_table *table, const struct owner_run_end *end)
 {
+  const struct lease_run_id *id = &end->id;
+  if (end->blame == LEASE_BLAME_LIKELY)
+    owner_record_crash (table, end);
   struct owner_job *job = owner_find_job (table, id->job);
   if (job == NULL || id->index >= job->n_tasks)
     return;
   struct owner_task *task = &job->tasks[id->index];
   if (!owner_task_is_assigned (task) || task->run != id->run
-      || task->worker != worker)
+      || task->worker != end->worker)
     return;
   /* A former holder doesn't know which runs its successor found: of its
      messages only those count that tell of a run that was done or failed.  */
-  if (end != LEASE_END_DONE && end != LEASE_END_FAILED
-      && task->holder != holder)
+  if (end->end != LEASE_END_DONE && end->end != LEASE_END_FAILED
+      && task->holder != end->holder)
     return;
-  switch (end)
+  switch (end->end)
     {
     case LEASE_END_DONE:
-      complete_task (table, job, task, took_us);
+      complete_task (table, job, task, end->took_us);
       break;
     case LEASE_END_FAILED:
       record_failed_run (table, job, task);
@@ -132,7 +144,10 @@
       task->retry_at_us = pl_now_us (table->clock) + REJECTED_RETRY_US;
       break;
     case LEASE_END_STOPPED:
-      owner_requeue_task (table, job, task);
+      if (end->blame != LEASE_BLAME_NONE)
+        owner_on_run_lost (table, job, id->index);
+      else
+        owner_requeue_task (table, job, task);
       break;
     case LEASE_END_UNKNOWN:
       task->state = OWNER_TASK_UNKNOWN;
--- a/tests/lease_test.c
+++ b/tests/lease_test.c
@@ -23,6 +23,7 @@
   unsigned ends;
   enum lease_end end;
   enum lease_cause cause;
+  enum lease_blame blames[4]; /* by index of the task */
   enum lease_reply silent_reply;
   struct lease_run_id ended;
 };
@@ -64,6 +65,7 @@
   sink->ends++;
   sink->end = end->end;
   sink->cause = end->cause;
+  sink->blames[end->id.index % 4] = end->blame;
   sink->ended = end->id;
 }
 
@@ -494,6 +496,61 @@
   lease_table_free (table);
 }
 
+/* Loses a worker whose task 0 was started 100 ms before task 1, and whose
+   polls fail with REPLY.  */
+static void
+lose_worker (enum lease_reply reply, bool draining, struct sink *sink)
+{
+  struct lease_table *table = lease_table_new (&ops, sink);
+  struct lease_worker *w = lease_take (table, &info, TOKEN, 0);
+  answer_poll (table, NULL, 0, NULL, 0, MS);
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      struct lease_order order = make_order (7, 1);
+      int64_t now_us = (2 + 100 * i) * MS;
+      order.id.index = i;
+      CU_ASSERT_TRUE (lease_start (table, w, &order, now_us));
+      lease_start_done (table, 1, TOKEN, &order.id, LEASE_REPLY_OK, now_us);
+    }
+  struct lease_worker_info changed = info;
+  changed.draining = draining;
+  lease_update (table, w, &changed);
+  for (int64_t ms = 110; ms < 1300; ms += 100)
+    fail_poll (table, reply, ms * MS);
+  CU_ASSERT_EQUAL (sink->ends, 2);
+  lease_table_free (table);
+}
+
+/* Guards against a crash that is put down to tasks that ran beside its cause,
+   to a cut network, or to a worker that left.  */
+static void
+test_the_latest_start_is_blamed_for_a_crash (void)
+{
+  static const struct
+  {
+    enum lease_reply reply;
+    bool draining;
+    enum lease_blame blames[2];
+  } cases[] = {
+    { LEASE_REPLY_NO_LISTENER,
+      false,
+      { LEASE_BLAME_POSSIBLE, LEASE_BLAME_LIKELY } },
+    { LEASE_REPLY_NO_ANSWER,
+      false,
+      { LEASE_BLAME_POSSIBLE, LEASE_BLAME_POSSIBLE } },
+    { LEASE_REPLY_NO_LISTENER, true, { LEASE_BLAME_NONE, LEASE_BLAME_NONE } },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct sink sink = { 0 };
+      lose_worker (cases[i].reply, cases[i].draining, &sink);
+      CU_ASSERT_EQUAL (sink.cause, LEASE_CAUSE_EXPIRED);
+      CU_ASSERT_EQUAL (sink.silent_reply, cases[i].reply);
+      CU_ASSERT_EQUAL (sink.blames[0], cases[i].blames[0]);
+      CU_ASSERT_EQUAL (sink.blames[1], cases[i].blames[1]);
+    }
+}
+
 int
 main (void)
 {
@@ -522,6 +579,8 @@
       test_no_run_is_a_straggler_without_fresh_answers },
     { "at most half are ejected", test_at_most_half_are_ejected },
     { "a hanging run is stopped", test_a_hanging_run_is_stopped },
+    { "the latest start is blamed for a crash",
+      test_the_latest_start_is_blamed_for_a_crash },
     CU_TEST_INFO_NULL,
   };
   pl_log_init ("text", "error");
--- a/tests/test.h
+++ b/tests/test.h
@@ -68,6 +68,7 @@
   CU_basic_set_mode (CU_BRM_SILENT);
   CU_basic_run_tests ();
   CU_basic_show_failures (CU_get_failure_list ());
+  putchar ('\n');
   unsigned green = 0;
   unsigned known = test_count_known_red (name, tests, &green);
   unsigned red = CU_get_number_of_tests_failed ();
