lease: the latest acknowledged start is blamed for a crash too

A start that is sent in the moment between a crash and its notice gets no answer. The new case of the test failed before.

--- a/lib/lease/blame.c
+++ b/lib/lease/blame.c
@@ -36,6 +36,8 @@
          && !most_workers_refuse (table);
 }
 
+/* When the latest start that the worker has acknowledged was sent.  A later
+   one may have reached it or not.  */
 static int64_t
 latest_start_us (const struct lease_worker *w)
 {
@@ -43,7 +45,8 @@
   for (guint i = 0; i < w->runs->len; i++)
     {
       const struct lease_run *run = g_ptr_array_index (w->runs, i);
-      latest_us = MAX (latest_us, run->added_us);
+      if (lease_is_acknowledged (run))
+        latest_us = MAX (latest_us, run->added_us);
     }
   return latest_us;
 }
--- a/lib/lease/lease_priv.h
+++ b/lib/lease/lease_priv.h
@@ -17,6 +17,8 @@
                                   const struct lease_run_id *id);
 struct lease_run *lease_add_run (struct lease_worker *w,
                                  const struct lease_run_id *id);
+/* Whether the worker has shown that RUN had started.  */
+bool lease_is_acknowledged (const struct lease_run *run);
 /* Time since RUN has started; 0 if that is not known.  */
 int64_t lease_run_time_us (const struct lease_run *run, int64_t now_us);
 /* Removes RUN and tells its owner.  */
--- a/lib/lease/run.c
+++ b/lib/lease/run.c
@@ -96,6 +96,12 @@
   return run;
 }
 
+bool
+lease_is_acknowledged (const struct lease_run *run)
+{
+  return run->started_us > 0 || run->state == LEASE_RUN_RUNNING;
+}
+
 int64_t
 lease_run_time_us (const struct lease_run *run, int64_t now_us)
 {
@@ -123,7 +129,7 @@
     .blame = run->blame,
     .took_us = lease_run_time_us (run, now_us),
     .age_us = now_us - run->added_us,
-    .acknowledged = run->started_us > 0 || run->state == LEASE_RUN_RUNNING,
+    .acknowledged = lease_is_acknowledged (run),
   };
   g_ptr_array_remove_fast (w->runs, run);
   pl_count (counters[end], 1);
--- a/tests/lease_test.c
+++ b/tests/lease_test.c
@@ -497,9 +497,11 @@
 }
 
 /* Loses a worker whose task 0 was started 100 ms before task 1, and whose
-   polls fail with REPLY.  */
+   polls fail with REPLY.  If not ANSWERED, the start of task 1 got no answer.
+ */
 static void
-lose_worker (enum lease_reply reply, bool draining, struct sink *sink)
+lose_worker (enum lease_reply reply, bool draining, bool answered,
+             struct sink *sink)
 {
   struct lease_table *table = lease_table_new (&ops, sink);
   struct lease_worker *w = lease_take (table, &info, TOKEN, 0);
@@ -510,7 +512,9 @@
       int64_t now_us = (2 + 100 * i) * MS;
       order.id.index = i;
       CU_ASSERT_TRUE (lease_start (table, w, &order, now_us));
-      lease_start_done (table, 1, TOKEN, &order.id, LEASE_REPLY_OK, now_us);
+      lease_start_done (
+          table, 1, TOKEN, &order.id,
+          i == 0 || answered ? LEASE_REPLY_OK : LEASE_REPLY_NO_ANSWER, now_us);
     }
   struct lease_worker_info changed = info;
   changed.draining = draining;
@@ -530,20 +534,31 @@
   {
     enum lease_reply reply;
     bool draining;
+    bool answered;
     enum lease_blame blames[2];
   } cases[] = {
     { LEASE_REPLY_NO_LISTENER,
       false,
+      true,
       { LEASE_BLAME_POSSIBLE, LEASE_BLAME_LIKELY } },
+    { LEASE_REPLY_NO_LISTENER,
+      false,
+      false,
+      { LEASE_BLAME_LIKELY, LEASE_BLAME_LIKELY } },
     { LEASE_REPLY_NO_ANSWER,
       false,
+      true,
       { LEASE_BLAME_POSSIBLE, LEASE_BLAME_POSSIBLE } },
-    { LEASE_REPLY_NO_LISTENER, true, { LEASE_BLAME_NONE, LEASE_BLAME_NONE } },
+    { LEASE_REPLY_NO_LISTENER,
+      true,
+      true,
+      { LEASE_BLAME_NONE, LEASE_BLAME_NONE } },
   };
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
       struct sink sink = { 0 };
-      lose_worker (cases[i].reply, cases[i].draining, &sink);
+      lose_worker (cases[i].reply, cases[i].draining, cases[i].answered,
+                   &sink);
       CU_ASSERT_EQUAL (sink.cause, LEASE_CAUSE_EXPIRED);
       CU_ASSERT_EQUAL (sink.silent_reply, cases[i].reply);
       CU_ASSERT_EQUAL (sink.blames[0], cases[i].blames[0]);
