planner: tasks that have crashed a worker are placed apart, where least is lost

Cause: all tasks that a crash ended come back in the same moment, and best fit puts them on one worker again.

Change: a request says if a waiting task has crashed a worker. Such tasks get a worker that has had none for 200 ms, and of these the one with the least at work, not the best fit.

--- a/lib/cell/cell.pb-c.c
+++ b/lib/cell/cell.pb-c.c
@@ -1068,7 +1068,7 @@
   (ProtobufCMessageInit) cellpb__amount__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__ask__field_descriptors[17] =
+static const ProtobufCFieldDescriptor cellpb__ask__field_descriptors[18] =
 {
   {
     "job",
@@ -1274,6 +1274,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "suspect",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Ask, suspect),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cellpb__ask__field_indices_by_name[] = {
   14,   /* field[14] = age_us */
@@ -1291,13 +1303,14 @@
   1,   /* field[1] = service */
   5,   /* field[5] = size */
   11,   /* field[11] = started */
+  17,   /* field[17] = suspect */
   13,   /* field[13] = tasks */
   12,   /* field[12] = width */
 };
 static const ProtobufCIntRange cellpb__ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor cellpb__ask__descriptor =
 {
@@ -1307,7 +1320,7 @@
   "Cellpb__Ask",
   "cellpb",
   sizeof(Cellpb__Ask),
-  17,
+  18,
   cellpb__ask__field_descriptors,
   cellpb__ask__field_indices_by_name,
   1,  cellpb__ask__number_ranges,
--- a/lib/cell/cell.pb-c.h
+++ b/lib/cell/cell.pb-c.h
@@ -155,10 +155,14 @@
   uint32_t *placed_task;
   size_t n_placed_worker;
   uint64_t *placed_worker;
+  /*
+   * a waiting task has crashed a worker
+   */
+  protobuf_c_boolean suspect;
 };
 #define CELLPB__ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cellpb__ask__descriptor) \
-    , 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0, NULL, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0 }
 
 
 /*
--- a/lib/cell/plan.c
+++ b/lib/cell/plan.c
@@ -30,6 +30,7 @@
     .deadline_us = now_us + msg->deadline_us,
     .priority = msg->priority,
     .started = msg->started,
+    .suspect = msg->suspect,
     .n_tasks = msg->width,
     .n_waiting = (unsigned)msg->n_tasks,
     .waiting = msg->tasks,
@@ -142,6 +143,7 @@
   msg.deadline_us = request->deadline_us - now_us;
   msg.priority = request->priority;
   msg.started = request->started;
+  msg.suspect = request->suspect;
   msg.width = request->n_tasks;
   msg.tasks = (uint32_t *)request->waiting;
   msg.n_tasks = request->n_waiting;
--- a/lib/owner/crash.c
+++ b/lib/owner/crash.c
@@ -111,6 +111,19 @@
   return false;
 }
 
+bool
+owner_has_suspect_task (const struct owner_table *table,
+                        const struct owner_job *job)
+{
+  if (g_hash_table_size (table->crashes) == 0)
+    return false;
+  for (uint32_t i = 0; i < job->n_tasks; i++)
+    if (job->tasks[i].state == OWNER_TASK_WAITING
+        && count_crashes (table, job->id, i) > 0)
+      return true;
+  return false;
+}
+
 bool
 owner_give_up_dangerous_task (struct owner_table *table, struct owner_job *job,
                               uint32_t index)
--- a/lib/owner/job.c
+++ b/lib/owner/job.c
@@ -241,6 +241,7 @@
     .deadline_us = job->deadline_us,
     .priority = job->priority,
     .started = job->started,
+    .suspect = owner_has_suspect_task (table, job),
     .n_tasks = job->n_tasks,
     .n_waiting = tasks->len,
     .waiting = (const uint32_t *)(void *)tasks->data,
--- a/lib/planner/choose.c
+++ b/lib/planner/choose.c
@@ -94,6 +94,8 @@
     return false;
   if (request->required_label != 0 && !has_label (w, request->required_label))
     return false;
+  if (request->suspect && now_us < w->suspect_until_us)
+    return false;
   return request->per_worker == 0
          || count_others_on (job, index, w->report.worker)
                 < request->per_worker;
@@ -129,13 +131,16 @@
   return now_us + run_us <= job->request.objective_us;
 }
 
-/* Best fit: the less CPU stays free on W, the lower the cost.  */
+/* Best fit: the less CPU stays free on W, the lower the cost.  A task that may
+   crash W goes where it ends the least work.  */
 static int64_t
 placement_cost (const struct worker_entry *w, const struct job *job,
                 uint32_t index, struct planner_resources used)
 {
   const struct planner_request *request = &job->request;
-  int64_t cost = w->report.capacity.cpu - used.cpu - request->size.cpu;
+  int64_t cost = request->suspect
+                     ? used.cpu
+                     : w->report.capacity.cpu - used.cpu - request->size.cpu;
   if (w->report.domain != request->domain)
     cost += COST_OTHER_DOMAIN;
   if (request->preferred_label != 0
--- a/lib/planner/planner.c
+++ b/lib/planner/planner.c
@@ -274,6 +274,8 @@
     .report_age_us = now_us - w->reported_us,
   };
   g_array_append_val (w->grants, grant);
+  if (job->request.suspect)
+    w->suspect_until_us = now_us + PLANNER_SUSPECT_GAP_US;
   record_placed (job, index, w->report.worker);
   job->request.started = true;
   planner->ops->grant (planner->ctx, &job->request, index, &placement);
--- a/lib/planner/planner.h
+++ b/lib/planner/planner.h
@@ -79,6 +79,7 @@
   int64_t late_us;               /* an answer has some value until then */
   unsigned priority;             /* 0 comes first */
   bool started;                  /* some task of the job has started */
+  bool suspect;                  /* a waiting task has crashed a worker */
   unsigned n_tasks;              /* of the whole job */
   unsigned n_waiting;
   const uint32_t *waiting; /* indexes of tasks */
--- a/lib/planner/planner_priv.h
+++ b/lib/planner/planner_priv.h
@@ -11,11 +11,17 @@
   int64_t granted_us;
 };
 
+/* Time between two starts of suspect jobs on a worker.  If it crashes, the two
+   must be told apart: tasks that ran on the same worker when it crashed come
+   back together.  */
+#define PLANNER_SUSPECT_GAP_US 200000
+
 struct worker_entry
 {
   struct planner_worker_report report; /* the latest */
   int64_t reported_us;                 /* when it arrived */
-  GArray *grants;                      /* struct grant */
+  int64_t suspect_until_us; /* takes no task of a suspect job until then */
+  GArray *grants;           /* struct grant */
 };
 
 /* A job in the queue.  */
--- a/tests/planner_test.c
+++ b/tests/planner_test.c
@@ -185,6 +185,33 @@
   planner_free (planner);
 }
 
+/* Guards against tasks that come back together after a crash, end together on
+   the next worker and are both blamed, and against much work that ends with
+   them.  */
+static void
+test_suspect_tasks_are_placed_apart (void)
+{
+  struct decisions decisions = { 0 };
+  struct planner_state *planner = planner_new (&ops, &decisions);
+  report_worker (planner, 1, 48000, 0);
+  report_worker (planner, 2, 32000, 18000);
+  for (uint64_t job = 10; job <= 12; job++)
+    {
+      struct planner_request request
+          = make_request (job, 1, 14000, 60 * MS, 0);
+      request.suspect = true;
+      planner_put_request (planner, &request);
+    }
+  planner_schedule (planner, 0);
+  CU_ASSERT_EQUAL_FATAL (decisions.grants, 2);
+  CU_ASSERT_EQUAL (decisions.workers[0], 1);
+  CU_ASSERT_EQUAL (decisions.workers[1], 2);
+  planner_schedule (planner, PLANNER_SUSPECT_GAP_US);
+  CU_ASSERT_EQUAL_FATAL (decisions.grants, 3);
+  CU_ASSERT_EQUAL (decisions.workers[2], 1);
+  planner_free (planner);
+}
+
 /* Guards against a job that could still meet its objective but waits behind
    one that is late in any case, when a burst has filled all workers.  */
 static void
@@ -608,6 +635,7 @@
     { "the bound per worker holds on a retry",
       test_the_bound_per_worker_holds_on_a_retry },
     { "the best fit is taken", test_the_best_fit_is_taken },
+    { "suspect tasks are placed apart", test_suspect_tasks_are_placed_apart },
     { "jobs that can meet their objective go first",
       test_jobs_that_can_meet_their_objective_go_first },
     { "jobs behind a long queue are refused at once",
