cell: an instance that starts learns which tasks have crashed workers

Cause: crashes are told to the instances that are up at that time.

Change: when a link comes up, the peer is sent the crashes of the last 20 s; it keeps the higher count of each task. Nothing is sent while there are none.

What can't be known stays out: a crash that only an instance has seen which died before it told the others.

--- a/lib/cell/cell.pb-c.c
+++ b/lib/cell/cell.pb-c.c
@@ -547,6 +547,96 @@
   assert(message->base.descriptor == &cellpb__ended__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cellpb__crash__init
+                     (Cellpb__Crash         *message)
+{
+  static const Cellpb__Crash init_value = CELLPB__CRASH__INIT;
+  *message = init_value;
+}
+size_t cellpb__crash__get_packed_size
+                     (const Cellpb__Crash *message)
+{
+  assert(message->base.descriptor == &cellpb__crash__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cellpb__crash__pack
+                     (const Cellpb__Crash *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cellpb__crash__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cellpb__crash__pack_to_buffer
+                     (const Cellpb__Crash *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cellpb__crash__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cellpb__Crash *
+       cellpb__crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cellpb__Crash *)
+     protobuf_c_message_unpack (&cellpb__crash__descriptor,
+                                allocator, len, data);
+}
+void   cellpb__crash__free_unpacked
+                     (Cellpb__Crash *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cellpb__crash__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cellpb__crashes__init
+                     (Cellpb__Crashes         *message)
+{
+  static const Cellpb__Crashes init_value = CELLPB__CRASHES__INIT;
+  *message = init_value;
+}
+size_t cellpb__crashes__get_packed_size
+                     (const Cellpb__Crashes *message)
+{
+  assert(message->base.descriptor == &cellpb__crashes__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cellpb__crashes__pack
+                     (const Cellpb__Crashes *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cellpb__crashes__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cellpb__crashes__pack_to_buffer
+                     (const Cellpb__Crashes *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cellpb__crashes__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cellpb__Crashes *
+       cellpb__crashes__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cellpb__Crashes *)
+     protobuf_c_message_unpack (&cellpb__crashes__descriptor,
+                                allocator, len, data);
+}
+void   cellpb__crashes__free_unpacked
+                     (Cellpb__Crashes *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cellpb__crashes__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cellpb__room__init
                      (Cellpb__Room         *message)
 {
@@ -1878,6 +1968,134 @@
   (ProtobufCMessageInit) cellpb__ended__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cellpb__crash__field_descriptors[5] =
+{
+  {
+    "task",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Crash, task),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "count",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Crash, count),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "worker",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Crash, worker),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Crash, run),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Crash, age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cellpb__crash__field_indices_by_name[] = {
+  4,   /* field[4] = age_us */
+  1,   /* field[1] = count */
+  3,   /* field[3] = run */
+  0,   /* field[0] = task */
+  2,   /* field[2] = worker */
+};
+static const ProtobufCIntRange cellpb__crash__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor cellpb__crash__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cellpb.Crash",
+  "Crash",
+  "Cellpb__Crash",
+  "cellpb",
+  sizeof(Cellpb__Crash),
+  5,
+  cellpb__crash__field_descriptors,
+  cellpb__crash__field_indices_by_name,
+  1,  cellpb__crash__number_ranges,
+  (ProtobufCMessageInit) cellpb__crash__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cellpb__crashes__field_descriptors[1] =
+{
+  {
+    "crashes",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cellpb__Crashes, n_crashes),
+    offsetof(Cellpb__Crashes, crashes),
+    &cellpb__crash__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cellpb__crashes__field_indices_by_name[] = {
+  0,   /* field[0] = crashes */
+};
+static const ProtobufCIntRange cellpb__crashes__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor cellpb__crashes__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cellpb.Crashes",
+  "Crashes",
+  "Cellpb__Crashes",
+  "cellpb",
+  sizeof(Cellpb__Crashes),
+  1,
+  cellpb__crashes__field_descriptors,
+  cellpb__crashes__field_indices_by_name,
+  1,  cellpb__crashes__number_ranges,
+  (ProtobufCMessageInit) cellpb__crashes__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor cellpb__room__field_descriptors[11] =
 {
   {
@@ -2212,7 +2430,7 @@
   (ProtobufCMessageInit) cellpb__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__envelope__field_descriptors[15] =
+static const ProtobufCFieldDescriptor cellpb__envelope__field_descriptors[16] =
 {
   {
     "sender",
@@ -2394,11 +2612,24 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "crashes",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cellpb__Envelope, body_case),
+    offsetof(Cellpb__Envelope, crashes),
+    &cellpb__crashes__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cellpb__envelope__field_indices_by_name[] = {
   2,   /* field[2] = ask */
   1,   /* field[1] = beat */
   13,   /* field[13] = config */
+  15,   /* field[15] = crashes */
   3,   /* field[3] = drop */
   9,   /* field[9] = ended */
   4,   /* field[4] = grant */
@@ -2415,7 +2646,7 @@
 static const ProtobufCIntRange cellpb__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor cellpb__envelope__descriptor =
 {
@@ -2425,7 +2656,7 @@
   "Cellpb__Envelope",
   "cellpb",
   sizeof(Cellpb__Envelope),
-  15,
+  16,
   cellpb__envelope__field_descriptors,
   cellpb__envelope__field_indices_by_name,
   1,  cellpb__envelope__number_ranges,
--- a/lib/cell/cell.pb-c.h
+++ b/lib/cell/cell.pb-c.h
@@ -27,6 +27,8 @@
 typedef struct Cellpb__Start Cellpb__Start;
 typedef struct Cellpb__Stop Cellpb__Stop;
 typedef struct Cellpb__Ended Cellpb__Ended;
+typedef struct Cellpb__Crash Cellpb__Crash;
+typedef struct Cellpb__Crashes Cellpb__Crashes;
 typedef struct Cellpb__Room Cellpb__Room;
 typedef struct Cellpb__Taken Cellpb__Taken;
 typedef struct Cellpb__Yield Cellpb__Yield;
@@ -304,6 +306,47 @@
     , 0, NULL, 0, 0, 0 }
 
 
+/*
+ * A task that has crashed workers. Sent to an instance that may have started
+ * after the crash.
+ */
+struct  Cellpb__Crash
+{
+  ProtobufCMessage base;
+  /*
+   * planner_task_tag
+   */
+  uint64_t task;
+  /*
+   * crashes
+   */
+  uint32_t count;
+  /*
+   * of the latest one
+   */
+  uint64_t worker;
+  uint32_t run;
+  /*
+   * since the latest one
+   */
+  int64_t age_us;
+};
+#define CELLPB__CRASH__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cellpb__crash__descriptor) \
+    , 0, 0, 0, 0, 0 }
+
+
+struct  Cellpb__Crashes
+{
+  ProtobufCMessage base;
+  size_t n_crashes;
+  Cellpb__Crash **crashes;
+};
+#define CELLPB__CRASHES__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cellpb__crashes__descriptor) \
+    , 0,NULL }
+
+
 /*
  * Holder to planner: capacity and state of a worker.
  */
@@ -396,7 +439,8 @@
   CELLPB__ENVELOPE__BODY_ROOM = 11,
   CELLPB__ENVELOPE__BODY_TAKEN = 12,
   CELLPB__ENVELOPE__BODY_YIELD = 13,
-  CELLPB__ENVELOPE__BODY_CONFIG = 14
+  CELLPB__ENVELOPE__BODY_CONFIG = 14,
+  CELLPB__ENVELOPE__BODY_CRASHES = 16
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CELLPB__ENVELOPE__BODY__CASE)
 } Cellpb__Envelope__BodyCase;
 
@@ -426,6 +470,7 @@
     Cellpb__Taken *taken;
     Cellpb__Yield *yield;
     Cellpb__Config *config;
+    Cellpb__Crashes *crashes;
   };
 };
 #define CELLPB__ENVELOPE__INIT \
@@ -661,6 +706,44 @@
 void   cellpb__ended__free_unpacked
                      (Cellpb__Ended *message,
                       ProtobufCAllocator *allocator);
+/* Cellpb__Crash methods */
+void   cellpb__crash__init
+                     (Cellpb__Crash         *message);
+size_t cellpb__crash__get_packed_size
+                     (const Cellpb__Crash   *message);
+size_t cellpb__crash__pack
+                     (const Cellpb__Crash   *message,
+                      uint8_t             *out);
+size_t cellpb__crash__pack_to_buffer
+                     (const Cellpb__Crash   *message,
+                      ProtobufCBuffer     *buffer);
+Cellpb__Crash *
+       cellpb__crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cellpb__crash__free_unpacked
+                     (Cellpb__Crash *message,
+                      ProtobufCAllocator *allocator);
+/* Cellpb__Crashes methods */
+void   cellpb__crashes__init
+                     (Cellpb__Crashes         *message);
+size_t cellpb__crashes__get_packed_size
+                     (const Cellpb__Crashes   *message);
+size_t cellpb__crashes__pack
+                     (const Cellpb__Crashes   *message,
+                      uint8_t             *out);
+size_t cellpb__crashes__pack_to_buffer
+                     (const Cellpb__Crashes   *message,
+                      ProtobufCBuffer     *buffer);
+Cellpb__Crashes *
+       cellpb__crashes__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cellpb__crashes__free_unpacked
+                     (Cellpb__Crashes *message,
+                      ProtobufCAllocator *allocator);
 /* Cellpb__Room methods */
 void   cellpb__room__init
                      (Cellpb__Room         *message);
@@ -794,6 +877,12 @@
 typedef void (*Cellpb__Ended_Closure)
                  (const Cellpb__Ended *message,
                   void *closure_data);
+typedef void (*Cellpb__Crash_Closure)
+                 (const Cellpb__Crash *message,
+                  void *closure_data);
+typedef void (*Cellpb__Crashes_Closure)
+                 (const Cellpb__Crashes *message,
+                  void *closure_data);
 typedef void (*Cellpb__Room_Closure)
                  (const Cellpb__Room *message,
                   void *closure_data);
@@ -827,6 +916,8 @@
 extern const ProtobufCMessageDescriptor cellpb__start__descriptor;
 extern const ProtobufCMessageDescriptor cellpb__stop__descriptor;
 extern const ProtobufCMessageDescriptor cellpb__ended__descriptor;
+extern const ProtobufCMessageDescriptor cellpb__crash__descriptor;
+extern const ProtobufCMessageDescriptor cellpb__crashes__descriptor;
 extern const ProtobufCMessageDescriptor cellpb__room__descriptor;
 extern const ProtobufCMessageDescriptor cellpb__taken__descriptor;
 extern const ProtobufCMessageDescriptor cellpb__yield__descriptor;
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -163,6 +163,10 @@
                    const Cellpb__Room *msg);
 void cell_on_ended (struct cell *cell, uint64_t sender,
                     const Cellpb__Ended *msg);
+/* Tells PEER, which may have started just now, which tasks have crashed
+   workers.  */
+void cell_send_crashes (struct cell *cell, struct peer *peer);
+void cell_on_crashes (struct cell *cell, const Cellpb__Crashes *msg);
 
 /* Conversion of parts of messages.  */
 struct lease_run_id cell_decode_run_id (const Cellpb__RunId *id);
--- a/lib/cell/check.c
+++ b/lib/cell/check.c
@@ -84,6 +84,15 @@
   return beat->port != 0 && beat->port <= UINT16_MAX;
 }
 
+static bool
+are_crashes (const Cellpb__Crashes *msg)
+{
+  for (size_t i = 0; i < msg->n_crashes; i++)
+    if (!is_duration (msg->crashes[i]->age_us))
+      return false;
+  return true;
+}
+
 bool
 cell_is_valid (const Cellpb__Envelope *env)
 {
@@ -110,6 +119,8 @@
       return is_amount (env->room->capacity) && is_amount (env->room->used)
              && is_token (env->room->token)
              && env->room->slowness <= MAX_SLOWNESS;
+    case CELLPB__ENVELOPE__BODY_CRASHES:
+      return are_crashes (env->crashes);
     case CELLPB__ENVELOPE__BODY_TAKEN:
       return is_token (env->taken->token);
     case CELLPB__ENVELOPE__BODY_YIELD:
--- a/lib/cell/member.c
+++ b/lib/cell/member.c
@@ -281,6 +281,7 @@
     return;
   peer->refuses_connections = false;
   cell_send_heartbeat (cell, peer);
+  cell_send_crashes (cell, peer);
   /* Messages to the planner may have been lost with the former connection. */
   if (peer->id == cell->planner_id)
     {
--- a/lib/cell/plan.c
+++ b/lib/cell/plan.c
@@ -255,3 +255,47 @@
   };
   owner_on_run_end (cell->jobs, &end);
 }
+
+void
+cell_send_crashes (struct cell *cell, struct peer *peer)
+{
+  g_autoptr (GArray) list = owner_list_crashes (cell->jobs);
+  if (list->len == 0)
+    return;
+  g_autofree Cellpb__Crash *crashes = g_new (Cellpb__Crash, list->len);
+  g_autofree Cellpb__Crash **pointers = g_new (Cellpb__Crash *, list->len);
+  for (guint i = 0; i < list->len; i++)
+    {
+      const struct owner_crash *crash
+          = &g_array_index (list, struct owner_crash, i);
+      pointers[i] = &crashes[i];
+      cellpb__crash__init (&crashes[i]);
+      crashes[i].task = crash->task;
+      crashes[i].count = crash->count;
+      crashes[i].worker = crash->worker;
+      crashes[i].run = crash->run;
+      crashes[i].age_us = crash->age_us;
+    }
+  Cellpb__Crashes msg = CELLPB__CRASHES__INIT;
+  msg.crashes = pointers;
+  msg.n_crashes = list->len;
+  Cellpb__Envelope env = CELL_ENVELOPE (crashes, CRASHES, &msg);
+  cell_send_to_peer (cell, peer, &env);
+}
+
+void
+cell_on_crashes (struct cell *cell, const Cellpb__Crashes *msg)
+{
+  for (size_t i = 0; i < msg->n_crashes; i++)
+    {
+      const Cellpb__Crash *crash = msg->crashes[i];
+      struct owner_crash known = {
+        .task = crash->task,
+        .count = crash->count,
+        .worker = crash->worker,
+        .run = crash->run,
+        .age_us = crash->age_us,
+      };
+      owner_add_crash (cell->jobs, &known);
+    }
+}
--- a/lib/owner/crash.c
+++ b/lib/owner/crash.c
@@ -11,13 +11,16 @@
 #define MAX_LOSSES 4
 #define KEEP_US ((int64_t)120 * 1000000) /* callers have given up by then */
 #define MAX_RECORDS 4096
+/* Crashes that other instances are told of.  A caller submits its job again
+   within a few seconds.  */
+#define RECENT_US ((int64_t)20 * 1000000)
 /* Two reports of a worker's crash under the same run within this time are of
    the same crash: a worker takes longer to come back.  */
 #define SAME_CRASH_US 2000000
 
 struct crash_record
 {
-  unsigned n;
+  uint32_t count;
   uint64_t worker; /* of the latest crash */
   uint32_t run;
   int64_t at_us; /* when the latest crash was reported */
@@ -55,31 +58,77 @@
     g_hash_table_remove (crashes, oldest);
 }
 
+static struct crash_record *
+find_or_add_record (struct owner_table *table, uint64_t tag, int64_t now_us)
+{
+  struct crash_record *record = g_hash_table_lookup (table->crashes, &tag);
+  if (record != NULL)
+    return record;
+  if (g_hash_table_size (table->crashes) >= MAX_RECORDS)
+    drop_old_records (table->crashes, now_us);
+  record = g_new0 (struct crash_record, 1);
+  record->at_us = now_us;
+  g_hash_table_insert (table->crashes, g_memdup2 (&tag, sizeof tag), record);
+  return record;
+}
+
 void
 owner_record_crash (struct owner_table *table, const struct owner_run_end *end)
 {
   int64_t now_us = pl_now_us (table->clock);
   uint64_t tag = planner_task_tag (end->id.job, end->id.index);
-  struct crash_record *record = g_hash_table_lookup (table->crashes, &tag);
-  if (record == NULL)
-    {
-      if (g_hash_table_size (table->crashes) >= MAX_RECORDS)
-        drop_old_records (table->crashes, now_us);
-      record = g_new0 (struct crash_record, 1);
-      g_hash_table_insert (table->crashes, g_memdup2 (&tag, sizeof tag),
-                           record);
-    }
-  else if (record->worker == end->worker && record->run == end->id.run
-           && now_us - record->at_us < SAME_CRASH_US)
+  struct crash_record *record = find_or_add_record (table, tag, now_us);
+  int64_t age_us = now_us - record->at_us;
+  bool same = record->worker == end->worker && record->run == end->id.run;
+  if (record->count > 0 && same && age_us < SAME_CRASH_US)
     return;
-  if (now_us - record->at_us > KEEP_US)
-    record->n = 0;
-  record->n++;
+  if (age_us > KEEP_US)
+    record->count = 0;
+  record->count++;
   record->worker = end->worker;
   record->run = end->id.run;
   record->at_us = now_us;
 }
 
+GArray *
+owner_list_crashes (const struct owner_table *table)
+{
+  GArray *list = g_array_new (FALSE, FALSE, sizeof (struct owner_crash));
+  int64_t now_us = pl_now_us (table->clock);
+  GHashTableIter it;
+  gpointer key;
+  gpointer value;
+  g_hash_table_iter_init (&it, table->crashes);
+  while (g_hash_table_iter_next (&it, &key, &value))
+    {
+      const struct crash_record *record = value;
+      struct owner_crash crash = {
+        .task = *(const uint64_t *)key,
+        .count = record->count,
+        .worker = record->worker,
+        .run = record->run,
+        .age_us = now_us - record->at_us,
+      };
+      if (crash.age_us <= RECENT_US)
+        g_array_append_val (list, crash);
+    }
+  return list;
+}
+
+void
+owner_add_crash (struct owner_table *table, const struct owner_crash *crash)
+{
+  int64_t now_us = pl_now_us (table->clock);
+  struct crash_record *record
+      = find_or_add_record (table, crash->task, now_us);
+  if (crash->count <= record->count)
+    return;
+  record->count = crash->count;
+  record->worker = crash->worker;
+  record->run = crash->run;
+  record->at_us = now_us - crash->age_us;
+}
+
 static unsigned
 count_crashes (const struct owner_table *table, uint64_t job, uint32_t index)
 {
@@ -88,7 +137,7 @@
       = g_hash_table_lookup (table->crashes, &tag);
   bool valid
       = record != NULL && pl_now_us (table->clock) - record->at_us <= KEEP_US;
-  return valid ? record->n : 0;
+  return valid ? record->count : 0;
 }
 
 static bool
--- a/lib/owner/owner.h
+++ b/lib/owner/owner.h
@@ -166,6 +166,22 @@
 /* END may be of a run of a job of another instance.  */
 void owner_on_run_end (struct owner_table *table,
                        const struct owner_run_end *end);
+/* What an instance knows of a task that has crashed workers.  */
+struct owner_crash
+{
+  uint64_t task; /* planner_task_tag */
+  uint32_t count;
+  uint64_t worker; /* of the latest crash */
+  uint32_t run;
+  int64_t age_us; /* since the latest crash */
+};
+
+/* Returns the recent crashes, struct owner_crash, for an instance that may not
+   know them.  The caller frees the array.  */
+GArray *owner_list_crashes (const struct owner_table *table);
+/* Takes over what another instance knows.  */
+void owner_add_crash (struct owner_table *table,
+                      const struct owner_crash *crash);
 /* HOLDER can't be reached; its last message arrived at HEARD_US.  The runs on
    its workers may go on until their leases expire.  */
 void owner_on_holder_lost (struct owner_table *table, uint64_t holder,
