lease: a worker whose first answer comes late is reported as taken

What owners saw: the runs on a worker that took over half a second to answer its new holder were stopped as unclaimed 250 ms later. Cause: the take was told from the state TAKING, which the first silence had replaced by SILENT, so that the owners were never asked to claim them.

Whether a poll was ever answered is a member of its own now. It also decides whether the worker's clock is known and whether a token was too low from the start.

--- a/lib/cell/hold.c
+++ b/lib/cell/hold.c
@@ -31,7 +31,7 @@
 {
   /* Our token was too low from the start because the clock of the former
      holder is ahead: try again at once with a higher one.  */
-  if (w->state == LEASE_WORKER_TAKING && known->times_fenced < 4)
+  if (!w->answered && known->times_fenced < 4)
     return 0;
   return known->highest_token > w->token ? HEARD_RETRY_US : FENCED_RETRY_US;
 }
@@ -197,8 +197,7 @@
                      const struct lease_worker *w,
                      const struct lease_order *order)
 {
-  bool same_lease = w != NULL && w->state != LEASE_WORKER_TAKING
-                    && w->token == order->token;
+  bool same_lease = w != NULL && w->answered && w->token == order->token;
   if (same_lease && lease_has_run (w, &order->id))
     return;
   struct lease_run_end end = {
--- a/lib/lease/poll.c
+++ b/lib/lease/poll.c
@@ -18,8 +18,7 @@
 lease_deadline_ms (const struct lease_worker *w, int64_t now_us)
 {
   /* Before the first answer the worker's clock is not known.  */
-  if (w->state == LEASE_WORKER_TAKING
-      || now_us - w->answered_us > CLOCK_VALID_US)
+  if (!w->answered || now_us - w->answered_us > CLOCK_VALID_US)
     return 0;
   return now_us / 1000 + w->clock_offset_ms + LEASE_MAX_MS;
 }
@@ -184,9 +183,10 @@
 on_poll_answered (struct lease_table *table, struct lease_worker *w,
                   const struct lease_poll_result *result, int64_t now_us)
 {
-  bool was_taking = w->state == LEASE_WORKER_TAKING;
+  bool first = !w->answered;
   bool was_silent = w->state == LEASE_WORKER_SILENT;
   check_incarnation (table, w, result, now_us);
+  w->answered = true;
   w->answered_us = now_us;
   w->clock_offset_ms = result->clock_ms - now_us / 1000;
   for (unsigned i = 0; i < result->n_ended; i++)
@@ -196,9 +196,9 @@
   end_unlisted_runs (table, w, result, now_us);
   w->state = LEASE_WORKER_HELD;
   lease_send_poll (table, w, true, now_us);
-  if (was_taking)
+  if (first)
     table->ops->taken (table->ctx, w);
-  if (was_taking || was_silent || result->n_ended > 0)
+  if (first || was_silent || result->n_ended > 0)
     table->ops->changed (table->ctx, w);
 }
 
--- a/tests/lease_test.c
+++ b/tests/lease_test.c
@@ -566,6 +566,22 @@
     }
 }
 
+/* Guards against a worker whose first answer comes late: its runs are offered
+   to their owners all the same, and are not stopped as unclaimed.  */
+static void
+test_a_late_first_answer_is_a_take (void)
+{
+  struct sink sink = { 0 };
+  struct lease_table *table = lease_table_new (&ops, &sink);
+  (void)lease_take (table, &info, TOKEN, 0);
+  for (int64_t ms = 100; ms < 800; ms += 100)
+    fail_poll (table, LEASE_REPLY_NO_ANSWER, ms * MS);
+  struct lease_running running = { .id = { 7, 0, 1 } };
+  answer_poll (table, &running, 1, NULL, 0, 800 * MS);
+  CU_ASSERT_EQUAL (sink.taken, 1);
+  lease_table_free (table);
+}
+
 int
 main (void)
 {
@@ -596,6 +612,7 @@
     { "a hanging run is stopped", test_a_hanging_run_is_stopped },
     { "the latest start is blamed for a crash",
       test_the_latest_start_is_blamed_for_a_crash },
+    { "a late first answer is a take", test_a_late_first_answer_is_a_take },
     CU_TEST_INFO_NULL,
   };
   pl_log_init ("text", "error");
