lease: a worker that refuses connections gets no starts and is polled less

Cause: a worker counted as silent after 525 ms, whatever its polls returned. Until then the planner granted tasks on a worker whose process had ended, each was rejected, and a poll opened a new connection every 20 ms. A refused connection now makes it silent at once; its runs still end only when the lease has expired, since a cut may refuse connections too. The test failed before.

--- a/lib/lease/poll.c
+++ b/lib/lease/poll.c
@@ -46,8 +46,10 @@
 on_poll_failed (struct lease_table *table, struct lease_worker *w,
                 enum lease_reply reply, int64_t now_us)
 {
-  if (w->state != LEASE_WORKER_SILENT
-      && now_us - w->answered_us > EXPIRY_US / 2)
+  /* A worker that refuses connections has ended or is cut off.  */
+  bool silent = reply == LEASE_REPLY_NO_LISTENER
+                || now_us - w->answered_us > EXPIRY_US / 2;
+  if (w->state != LEASE_WORKER_SILENT && silent)
     {
       w->state = LEASE_WORKER_SILENT;
       table->ops->silent (table->ctx, w, reply, now_us - w->answered_us);
--- a/tests/lease_test.c
+++ b/tests/lease_test.c
@@ -582,6 +582,26 @@
   lease_table_free (table);
 }
 
+/* Guards against tasks that are granted again and again on a worker whose
+   process has ended, until its silence is long enough.  */
+static void
+test_a_worker_that_refuses_connections_gets_no_starts (void)
+{
+  struct sink sink = { 0 };
+  struct lease_table *table = lease_table_new (&ops, &sink);
+  struct lease_worker *w = lease_take (table, &info, TOKEN, 0);
+  answer_poll (table, NULL, 0, NULL, 0, MS);
+  fail_poll (table, LEASE_REPLY_NO_LISTENER, 2 * MS);
+  struct lease_order order = make_order (7, 1);
+  CU_ASSERT_FALSE (lease_start (table, w, &order, 3 * MS));
+  unsigned polls = sink.polls;
+  lease_tick (table, 22 * MS);
+  CU_ASSERT_EQUAL (sink.polls, polls);
+  answer_poll (table, NULL, 0, NULL, 0, 110 * MS);
+  CU_ASSERT_TRUE (lease_start (table, w, &order, 111 * MS));
+  lease_table_free (table);
+}
+
 int
 main (void)
 {
@@ -613,6 +633,8 @@
     { "the latest start is blamed for a crash",
       test_the_latest_start_is_blamed_for_a_crash },
     { "a late first answer is a take", test_a_late_first_answer_is_a_take },
+    { "a worker that refuses connections gets no starts",
+      test_a_worker_that_refuses_connections_gets_no_starts },
     CU_TEST_INFO_NULL,
   };
   pl_log_init ("text", "error");
