cell: a worker whose place another one has taken is not taken again and again

Cause: a worker that crashes comes back under a new id at its address, and its former entry stays in the registry for some seconds. Its holder learned from the answer that another one is there, dropped it, and took it again with the next tick, over a new connection, until the entry went.

Change: after such an answer the worker is taken again when its entry names another process, or after a second. The test failed before (200 takes in 4 s).

--- a/lib/cell/assign.c
+++ b/lib/cell/assign.c
@@ -295,6 +295,9 @@
       g_hash_table_insert (cell->workers, &known->info.worker, known);
     }
   known->removed = false;
+  if (known->info.incarnation_ms != info->incarnation_ms
+      || !pl_addr_eq (known->info.addr, info->addr))
+    known->take_after_us = 0; /* another process */
   copy_info (known, info);
   struct lease_worker *w = lease_find_worker (cell->leases, info->worker);
   /* A later incarnation at another address: the held one has ended.  */
--- a/lib/cell/hold.c
+++ b/lib/cell/hold.c
@@ -9,6 +9,9 @@
 /* The same if the new holder is heard: by then its heartbeats have shown
    whether it still holds the worker.  */
 #define HEARD_RETRY_US 300000
+/* The same for a worker at whose address another one answers, unless its entry
+   in the registry changes: the entry is out of date.  */
+#define REPLACED_RETRY_US 1000000
 
 void
 cell_record_token (struct cell *cell, struct known_worker *known,
@@ -156,6 +159,8 @@
           = pl_now_us (cell->clock) + fenced_retry_us (known, w);
       known->times_fenced++;
     }
+  if (known != NULL && reason == LEASE_REPLY_RESTARTED)
+    known->take_after_us = pl_now_us (cell->clock) + REPLACED_RETRY_US;
   pl_log (PL_EV_WORKER_LOST, "worker=%s token=%" PRId64 " reason=%s", w->id,
           w->token,
           reason == LEASE_REPLY_FENCED      ? "fenced"
--- a/tests/cell_fault_test.c
+++ b/tests/cell_fault_test.c
@@ -476,6 +476,25 @@
     }
 }
 
+/* Guards against a worker that is taken every 20 ms although another one
+   answers at its address, as long as the registry lists it.  */
+static void
+test_a_replaced_worker_is_not_taken_again_and_again (void)
+{
+  struct world *world = world_new (1, 2, 4, 1);
+  world_run_for (world, SECOND);
+  int64_t before = pl_counter (PL_CTR_WORKERS_TAKEN_TOTAL);
+  world_crash_worker (world, 0);
+  world->workers[0].replaced = true;
+  world_run_for (world, 4 * SECOND);
+  CU_ASSERT_TRUE (pl_counter (PL_CTR_WORKERS_TAKEN_TOTAL) - before <= 5);
+  world->workers[0].replaced = false;
+  world_boot_worker (world, 0);
+  world_run_for (world, 200000);
+  CU_ASSERT_EQUAL (count_held (world), 4);
+  world_free (world);
+}
+
 int
 main (void)
 {
@@ -502,6 +521,8 @@
       test_crashes_are_known_when_a_job_is_resent },
     { "crashes are not put down to other tasks",
       test_crashes_are_not_put_down_to_other_tasks },
+    { "a replaced worker is not taken again and again",
+      test_a_replaced_worker_is_not_taken_again_and_again },
     CU_TEST_INFO_NULL,
   };
   const char *level = getenv ("PAPAYALOFT_LOG");
--- a/tests/world_base.h
+++ b/tests/world_base.h
@@ -62,6 +62,7 @@
   bool up;
   bool refuses; /* while it is down, connections are refused */
   bool draining;
+  bool replaced; /* a worker with another id answers at its address */
   struct model_worker model;
   struct world_event *poll; /* waits for the end of a run; may be null */
   double failure_share;     /* of its runs that fail */
--- a/tests/world_workers.h
+++ b/tests/world_workers.h
@@ -307,6 +307,12 @@
 {
   struct world_worker *w = &world->workers[event->to];
   bool cut = world->cut_worker[event->from][event->to];
+  if (w->replaced && !cut)
+    {
+      world_send_poll_answer (world, event, LEASE_REPLY_RESTARTED,
+                              world_random_delay (world));
+      return;
+    }
   if (!w->up && !cut && w->refuses)
     {
       world_send_poll_answer (world, event, LEASE_REPLY_NO_LISTENER,
