--- a/lib/lease/table.c
+++ b/lib/lease/table.c
@@ -64,7 +64,10 @@
     }
   w->info = *info;
   w->info.id = w->id;
-  /* The worker's own answers are newer than the registry.  */
+  /* The worker's own answers are newer than the registry.  An entry without
+     an incarnation is taken to describe the one that answers.  */
+  w->outdated
+      = info->incarnation_ms != 0 && incarnation_ms > info->incarnation_ms;
   if (incarnation_ms > info->incarnation_ms)
     w->info.incarnation_ms = incarnation_ms;
 }
@@ -88,8 +91,9 @@
 lease_update (struct lease_table *table, struct lease_worker *w,
               const struct lease_worker_info *info)
 {
-  bool changed = w->info.draining != info->draining
-                 || w->info.capacity.cpu != info->capacity.cpu;
+  bool changed
+      = w->outdated || w->info.draining != info->draining
+        || !planner_resources_equal (w->info.capacity, info->capacity);
   copy_info (w, info);
   if (changed)
     table->ops->changed (table->ctx, w);
--- a/lib/planner/choose.c
+++ b/lib/planner/choose.c
@@ -24,6 +24,13 @@
          && used.gpu + need.gpu <= capacity.gpu;
 }
 
+bool
+planner_resources_equal (struct planner_resources a,
+                         struct planner_resources b)
+{
+  return a.cpu == b.cpu && a.mem == b.mem && a.gpu == b.gpu;
+}
+
 struct planner_resources
 planner_resources_add (struct planner_resources a, struct planner_resources b)
 {
--- a/lib/planner/planner.h
+++ b/lib/planner/planner.h
@@ -29,6 +29,8 @@
 bool planner_resources_fit (struct planner_resources capacity,
                             struct planner_resources used,
                             struct planner_resources need);
+bool planner_resources_equal (struct planner_resources a,
+                              struct planner_resources b);
 struct planner_resources planner_resources_add (struct planner_resources a,
                                                 struct planner_resources b);
 
--- a/tests/lease_test.c
+++ b/tests/lease_test.c
@@ -602,6 +602,29 @@
   lease_table_free (table);
 }
 
+/* Guards against starts on a restarted worker by the capacity that its former
+   process had.  */
+static void
+test_a_restarted_worker_waits_for_its_entry (void)
+{
+  struct sink sink = { 0 };
+  struct lease_table *table = lease_table_new (&ops, &sink);
+  struct lease_worker *w = lease_take (table, &info, TOKEN, 0);
+  answer_poll (table, NULL, 0, NULL, 0, MS);
+  struct lease_poll_result result
+      = { .reply = LEASE_REPLY_OK, .clock_ms = 1, .incarnation_ms = 6 };
+  lease_poll_done (table, 1, TOKEN, &result, 2 * MS);
+  struct lease_order order = make_order (7, 1);
+  CU_ASSERT_FALSE (lease_start (table, w, &order, 3 * MS));
+  struct lease_worker_info changed = info;
+  lease_update (table, w, &changed); /* the former process's entry, again */
+  CU_ASSERT_FALSE (lease_start (table, w, &order, 3 * MS));
+  changed.incarnation_ms = 6;
+  lease_update (table, w, &changed);
+  CU_ASSERT_TRUE (lease_start (table, w, &order, 3 * MS));
+  lease_table_free (table);
+}
+
 int
 main (void)
 {
@@ -635,6 +658,8 @@
     { "a late first answer is a take", test_a_late_first_answer_is_a_take },
     { "a worker that refuses connections gets no starts",
       test_a_worker_that_refuses_connections_gets_no_starts },
+    { "a restarted worker waits for its entry",
+      test_a_restarted_worker_waits_for_its_entry },
     CU_TEST_INFO_NULL,
   };
   pl_log_init ("text", "error");
