cell: peers tell a holder that the registry does not serve of changed workers (LIMIT, DRAIN)

Cause: the store may turn some instances away and serve the others.

Change: an instance that the registry does not serve says so in its heartbeats, with the revision of the latest change of each worker that it holds. Peers that know of a later one send it. Entries carry the registry's revision, and an older one never replaces a newer one. Nothing is sent while the registry serves all.

The registry's part of assign.c is registry.c now. WORKER_SET is logged for each change of state or capacity, not for the first entry only.

--- a/lib/cell/assign.c
+++ b/lib/cell/assign.c
@@ -1,4 +1,4 @@
-/* Assignment of workers to holders, and changes of the registry.
+/* Assignment of workers to holders.
 
    All instances compute the preferred holder of a worker by rendezvous hashing
    over the live instances, so that they agree without messages once they agree
@@ -271,73 +271,6 @@
     }
 }
 
-static void
-copy_info (struct known_worker *known, const struct lease_worker_info *info)
-{
-  if (known->id == NULL || strcmp (known->id, info->id) != 0)
-    {
-      g_free (known->id);
-      known->id = g_strdup (info->id);
-    }
-  known->info = *info;
-  known->info.id = known->id;
-}
-
-void
-cell_set_worker (struct cell *cell, const struct lease_worker_info *info)
-{
-  struct known_worker *known
-      = g_hash_table_lookup (cell->workers, &info->worker);
-  if (known == NULL)
-    {
-      known = g_new0 (struct known_worker, 1);
-      copy_info (known, info);
-      g_hash_table_insert (cell->workers, &known->info.worker, known);
-    }
-  known->removed = false;
-  if (known->info.incarnation_ms != info->incarnation_ms
-      || !pl_addr_eq (known->info.addr, info->addr))
-    known->take_after_us = 0; /* another process */
-  copy_info (known, info);
-  struct lease_worker *w = lease_find_worker (cell->leases, info->worker);
-  /* A later incarnation at another address: the held one has ended.  */
-  if (w != NULL && w->info.incarnation_ms < info->incarnation_ms
-      && !pl_addr_eq (w->info.addr, info->addr))
-    {
-      lease_worker_ended (cell->leases, w);
-      w = NULL;
-    }
-  if (w != NULL)
-    lease_update (cell->leases, w, info);
-  cell->membership_changed = true;
-  cell->ops->wake (cell->ctx);
-}
-
-bool
-cell_is_worker_registered (const struct cell *cell, uint64_t worker)
-{
-  const struct known_worker *known
-      = g_hash_table_lookup (cell->workers, &worker);
-  return known != NULL && !known->removed;
-}
-
-/* A worker that is no longer registered may still answer and run tasks: it
-   gets no more starts, and is given up when nothing runs there.  */
-void
-cell_remove_worker (struct cell *cell, uint64_t worker)
-{
-  struct known_worker *known = g_hash_table_lookup (cell->workers, &worker);
-  struct lease_worker *w = lease_find_worker (cell->leases, worker);
-  if (known == NULL)
-    return;
-  known->removed = true;
-  if (w == NULL)
-    return;
-  struct lease_worker_info info = w->info;
-  info.draining = true;
-  lease_update (cell->leases, w, &info);
-}
-
 void
 cell_on_yield (struct cell *cell, const Cellpb__Yield *msg)
 {
--- a/lib/cell/beat.c
+++ b/lib/cell/beat.c
@@ -56,6 +56,10 @@
       Cellpb__Held entry = CELLPB__HELD__INIT;
       entry.worker = w->info.worker;
       entry.token = w->token;
+      const struct known_worker *known
+          = g_hash_table_lookup (cell->workers, &w->info.worker);
+      if (!cell->registry_fresh && known != NULL)
+        entry.revision = known->changed_revision;
       g_array_append_val (held, entry);
     }
   for (guint i = 0; i < held->len; i++)
@@ -85,6 +89,7 @@
   beat.ready = cell->ready;
   beat.config_version = cell->config_version;
   beat.cpu_share = cell->cpu_share;
+  beat.registry_stale = !cell->registry_fresh;
   Cellpb__Envelope env = CELL_ENVELOPE (beat, BEAT, &beat);
   if (to != NULL)
     cell_send_to_peer (cell, to, &env);
--- a/lib/cell/cell.pb-c.c
+++ b/lib/cell/cell.pb-c.c
@@ -727,6 +727,51 @@
   assert(message->base.descriptor == &cellpb__taken__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cellpb__worker_state__init
+                     (Cellpb__WorkerState         *message)
+{
+  static const Cellpb__WorkerState init_value = CELLPB__WORKER_STATE__INIT;
+  *message = init_value;
+}
+size_t cellpb__worker_state__get_packed_size
+                     (const Cellpb__WorkerState *message)
+{
+  assert(message->base.descriptor == &cellpb__worker_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cellpb__worker_state__pack
+                     (const Cellpb__WorkerState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cellpb__worker_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cellpb__worker_state__pack_to_buffer
+                     (const Cellpb__WorkerState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cellpb__worker_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cellpb__WorkerState *
+       cellpb__worker_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cellpb__WorkerState *)
+     protobuf_c_message_unpack (&cellpb__worker_state__descriptor,
+                                allocator, len, data);
+}
+void   cellpb__worker_state__free_unpacked
+                     (Cellpb__WorkerState *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cellpb__worker_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cellpb__yield__init
                      (Cellpb__Yield         *message)
 {
@@ -862,7 +907,7 @@
   assert(message->base.descriptor == &cellpb__envelope__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor cellpb__held__field_descriptors[2] =
+static const ProtobufCFieldDescriptor cellpb__held__field_descriptors[3] =
 {
   {
     "worker",
@@ -888,15 +933,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "revision",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Held, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cellpb__held__field_indices_by_name[] = {
+  2,   /* field[2] = revision */
   1,   /* field[1] = token */
   0,   /* field[0] = worker */
 };
 static const ProtobufCIntRange cellpb__held__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor cellpb__held__descriptor =
 {
@@ -906,14 +964,14 @@
   "Cellpb__Held",
   "cellpb",
   sizeof(Cellpb__Held),
-  2,
+  3,
   cellpb__held__field_descriptors,
   cellpb__held__field_indices_by_name,
   1,  cellpb__held__number_ranges,
   (ProtobufCMessageInit) cellpb__held__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__beat__field_descriptors[12] =
+static const ProtobufCFieldDescriptor cellpb__beat__field_descriptors[13] =
 {
   {
     "name",
@@ -1059,6 +1117,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "registry_stale",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Beat, registry_stale),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cellpb__beat__field_indices_by_name[] = {
   8,   /* field[8] = config_version */
@@ -1073,11 +1143,12 @@
   0,   /* field[0] = name */
   3,   /* field[3] = port */
   5,   /* field[5] = ready */
+  12,   /* field[12] = registry_stale */
 };
 static const ProtobufCIntRange cellpb__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor cellpb__beat__descriptor =
 {
@@ -1087,7 +1158,7 @@
   "Cellpb__Beat",
   "cellpb",
   sizeof(Cellpb__Beat),
-  12,
+  13,
   cellpb__beat__field_descriptors,
   cellpb__beat__field_indices_by_name,
   1,  cellpb__beat__number_ranges,
@@ -2328,6 +2399,96 @@
   (ProtobufCMessageInit) cellpb__taken__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cellpb__worker_state__field_descriptors[5] =
+{
+  {
+    "worker",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__WorkerState, worker),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__WorkerState, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__WorkerState, incarnation_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "draining",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__WorkerState, draining),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "capacity",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__WorkerState, capacity),
+    &cellpb__amount__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cellpb__worker_state__field_indices_by_name[] = {
+  4,   /* field[4] = capacity */
+  3,   /* field[3] = draining */
+  2,   /* field[2] = incarnation_ms */
+  1,   /* field[1] = revision */
+  0,   /* field[0] = worker */
+};
+static const ProtobufCIntRange cellpb__worker_state__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor cellpb__worker_state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cellpb.WorkerState",
+  "WorkerState",
+  "Cellpb__WorkerState",
+  "cellpb",
+  sizeof(Cellpb__WorkerState),
+  5,
+  cellpb__worker_state__field_descriptors,
+  cellpb__worker_state__field_indices_by_name,
+  1,  cellpb__worker_state__number_ranges,
+  (ProtobufCMessageInit) cellpb__worker_state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor cellpb__yield__field_descriptors[2] =
 {
   {
@@ -2430,7 +2591,7 @@
   (ProtobufCMessageInit) cellpb__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__envelope__field_descriptors[16] =
+static const ProtobufCFieldDescriptor cellpb__envelope__field_descriptors[17] =
 {
   {
     "sender",
@@ -2624,6 +2785,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "worker_state",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cellpb__Envelope, body_case),
+    offsetof(Cellpb__Envelope, worker_state),
+    &cellpb__worker_state__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cellpb__envelope__field_indices_by_name[] = {
   2,   /* field[2] = ask */
@@ -2641,12 +2814,13 @@
   7,   /* field[7] = start */
   8,   /* field[8] = stop */
   11,   /* field[11] = taken */
+  16,   /* field[16] = worker_state */
   12,   /* field[12] = yield */
 };
 static const ProtobufCIntRange cellpb__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor cellpb__envelope__descriptor =
 {
@@ -2656,7 +2830,7 @@
   "Cellpb__Envelope",
   "cellpb",
   sizeof(Cellpb__Envelope),
-  16,
+  17,
   cellpb__envelope__field_descriptors,
   cellpb__envelope__field_indices_by_name,
   1,  cellpb__envelope__number_ranges,
--- a/lib/cell/cell.pb-c.h
+++ b/lib/cell/cell.pb-c.h
@@ -31,6 +31,7 @@
 typedef struct Cellpb__Crashes Cellpb__Crashes;
 typedef struct Cellpb__Room Cellpb__Room;
 typedef struct Cellpb__Taken Cellpb__Taken;
+typedef struct Cellpb__WorkerState Cellpb__WorkerState;
 typedef struct Cellpb__Yield Cellpb__Yield;
 typedef struct Cellpb__Config Cellpb__Config;
 typedef struct Cellpb__Envelope Cellpb__Envelope;
@@ -49,10 +50,14 @@
   ProtobufCMessage base;
   uint64_t worker;
   int64_t token;
+  /*
+   * of its latest change, if registry_stale
+   */
+  int64_t revision;
 };
 #define CELLPB__HELD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cellpb__held__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 /*
@@ -89,10 +94,14 @@
    * of the sender's machine, thousandths of a core
    */
   uint32_t cpu_share;
+  /*
+   * the registry does not serve the sender
+   */
+  protobuf_c_boolean registry_stale;
 };
 #define CELLPB__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cellpb__beat__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 /*
@@ -397,6 +406,27 @@
     , 0, 0, 0,NULL }
 
 
+/*
+ * To the holder of a worker, if the registry does not serve it: what the
+ * worker's entry says.
+ */
+struct  Cellpb__WorkerState
+{
+  ProtobufCMessage base;
+  uint64_t worker;
+  /*
+   * of the latest change
+   */
+  int64_t revision;
+  int64_t incarnation_ms;
+  protobuf_c_boolean draining;
+  Cellpb__Amount *capacity;
+};
+#define CELLPB__WORKER_STATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cellpb__worker_state__descriptor) \
+    , 0, 0, 0, 0, NULL }
+
+
 /*
  * Former holder to its successor: the worker may be taken over.
  */
@@ -440,7 +470,8 @@
   CELLPB__ENVELOPE__BODY_TAKEN = 12,
   CELLPB__ENVELOPE__BODY_YIELD = 13,
   CELLPB__ENVELOPE__BODY_CONFIG = 14,
-  CELLPB__ENVELOPE__BODY_CRASHES = 16
+  CELLPB__ENVELOPE__BODY_CRASHES = 16,
+  CELLPB__ENVELOPE__BODY_WORKER_STATE = 17
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CELLPB__ENVELOPE__BODY__CASE)
 } Cellpb__Envelope__BodyCase;
 
@@ -471,6 +502,7 @@
     Cellpb__Yield *yield;
     Cellpb__Config *config;
     Cellpb__Crashes *crashes;
+    Cellpb__WorkerState *worker_state;
   };
 };
 #define CELLPB__ENVELOPE__INIT \
@@ -782,6 +814,25 @@
 void   cellpb__taken__free_unpacked
                      (Cellpb__Taken *message,
                       ProtobufCAllocator *allocator);
+/* Cellpb__WorkerState methods */
+void   cellpb__worker_state__init
+                     (Cellpb__WorkerState         *message);
+size_t cellpb__worker_state__get_packed_size
+                     (const Cellpb__WorkerState   *message);
+size_t cellpb__worker_state__pack
+                     (const Cellpb__WorkerState   *message,
+                      uint8_t             *out);
+size_t cellpb__worker_state__pack_to_buffer
+                     (const Cellpb__WorkerState   *message,
+                      ProtobufCBuffer     *buffer);
+Cellpb__WorkerState *
+       cellpb__worker_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cellpb__worker_state__free_unpacked
+                     (Cellpb__WorkerState *message,
+                      ProtobufCAllocator *allocator);
 /* Cellpb__Yield methods */
 void   cellpb__yield__init
                      (Cellpb__Yield         *message);
@@ -889,6 +940,9 @@
 typedef void (*Cellpb__Taken_Closure)
                  (const Cellpb__Taken *message,
                   void *closure_data);
+typedef void (*Cellpb__WorkerState_Closure)
+                 (const Cellpb__WorkerState *message,
+                  void *closure_data);
 typedef void (*Cellpb__Yield_Closure)
                  (const Cellpb__Yield *message,
                   void *closure_data);
@@ -920,6 +974,7 @@
 extern const ProtobufCMessageDescriptor cellpb__crashes__descriptor;
 extern const ProtobufCMessageDescriptor cellpb__room__descriptor;
 extern const ProtobufCMessageDescriptor cellpb__taken__descriptor;
+extern const ProtobufCMessageDescriptor cellpb__worker_state__descriptor;
 extern const ProtobufCMessageDescriptor cellpb__yield__descriptor;
 extern const ProtobufCMessageDescriptor cellpb__config__descriptor;
 extern const ProtobufCMessageDescriptor cellpb__envelope__descriptor;
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -46,12 +46,13 @@
 {
   struct lease_worker_info info;
   char *id;
-  int64_t highest_token; /* highest token that is known to be used there */
-  int64_t take_after_us; /* not taken before this time; 0: at once */
-  unsigned times_fenced; /* leases lost by fencing since one succeeded */
-  int64_t reachable_us;  /* when a probe was last answered; 0: not */
-  bool removed;          /* it is no longer in the registry */
-  bool report_due;       /* it has changed since its last report */
+  int64_t changed_revision; /* of the latest change that decides on starts */
+  int64_t highest_token;    /* highest token that is known to be used there */
+  int64_t take_after_us;    /* not taken before this time; 0: at once */
+  unsigned times_fenced;    /* leases lost by fencing since one succeeded */
+  int64_t reachable_us;     /* when a probe was last answered; 0: not */
+  bool removed;             /* it is no longer in the registry */
+  bool report_due;          /* it has changed since its last report */
 };
 
 struct cell
@@ -132,6 +133,12 @@
 void cell_assign_workers (struct cell *cell);
 void cell_on_yield (struct cell *cell, const Cellpb__Yield *msg);
 
+/* The registry (registry.c).  Tells PEER, which the registry does not serve,
+   of a later change of a worker that it holds.  */
+void cell_tell_changes (struct cell *cell, struct peer *peer,
+                        const Cellpb__Held *held);
+void cell_on_worker_state (struct cell *cell, const Cellpb__WorkerState *msg);
+
 /* Reports of held workers to the planner (report.c, message Room).  */
 void cell_send_due_reports (struct cell *cell);
 void cell_mark_all_reports_due (struct cell *cell);
--- a/lib/cell/check.c
+++ b/lib/cell/check.c
@@ -93,6 +93,14 @@
   return true;
 }
 
+static bool
+is_worker_state (const Cellpb__WorkerState *state)
+{
+  return is_token (state->revision) && is_token (state->incarnation_ms)
+         && state->capacity != NULL && is_amount (state->capacity)
+         && state->capacity->cpu > 0;
+}
+
 bool
 cell_is_valid (const Cellpb__Envelope *env)
 {
@@ -119,6 +127,8 @@
       return is_amount (env->room->capacity) && is_amount (env->room->used)
              && is_token (env->room->token)
              && env->room->slowness <= MAX_SLOWNESS;
+    case CELLPB__ENVELOPE__BODY_WORKER_STATE:
+      return is_worker_state (env->worker_state);
     case CELLPB__ENVELOPE__BODY_CRASHES:
       return are_crashes (env->crashes);
     case CELLPB__ENVELOPE__BODY_TAKEN:
--- a/lib/cell/member.c
+++ b/lib/cell/member.c
@@ -162,6 +162,8 @@
       struct known_worker *known = g_hash_table_lookup (cell->workers, key);
       if (known != NULL)
         cell_record_token (cell, known, *token);
+      if (beat->registry_stale)
+        cell_tell_changes (cell, peer, beat->held[i]);
     }
 }
 
--- a/lib/cell/msg.c
+++ b/lib/cell/msg.c
@@ -148,6 +148,9 @@
     case CELLPB__ENVELOPE__BODY_CRASHES:
       cell_on_crashes (cell, env->crashes);
       break;
+    case CELLPB__ENVELOPE__BODY_WORKER_STATE:
+      cell_on_worker_state (cell, env->worker_state);
+      break;
     case CELLPB__ENVELOPE__BODY_ROOM:
       cell_on_room (cell, sender, env->room);
       break;
--- /dev/null
+++ b/lib/cell/registry.c
@@ -0,0 +1,139 @@
+/* The registry of workers, as this instance reads it, and what peers tell of
+   it. The store may serve some instances and not others.  An instance that it
+   does not serve says so in its heartbeats, with the revisions of what it
+   knows of the workers that it holds; peers that know of later changes tell
+   it.  */
+#include "cell_priv.h"
+
+#include <string.h>
+
+/* Whether starts on the worker are decided differently from now on.  */
+static bool
+has_changed (const struct lease_worker_info *before,
+             const struct lease_worker_info *after)
+{
+  return before->draining != after->draining
+         || before->incarnation_ms != after->incarnation_ms
+         || !planner_resources_equal (before->capacity, after->capacity);
+}
+
+static void
+copy_info (struct known_worker *known, const struct lease_worker_info *info)
+{
+  if (known->id == NULL || strcmp (known->id, info->id) != 0)
+    {
+      g_free (known->id);
+      known->id = g_strdup (info->id);
+    }
+  known->info = *info;
+  known->info.id = known->id;
+}
+
+void
+cell_set_worker (struct cell *cell, const struct lease_worker_info *info)
+{
+  struct known_worker *known
+      = g_hash_table_lookup (cell->workers, &info->worker);
+  bool changed = known == NULL;
+  if (known == NULL)
+    {
+      known = g_new0 (struct known_worker, 1);
+      copy_info (known, info);
+      known->changed_revision = info->revision;
+      g_hash_table_insert (cell->workers, &known->info.worker, known);
+    }
+  /* A peer may have told of a later change.  */
+  if (info->revision < known->info.revision)
+    return;
+  if (has_changed (&known->info, info))
+    {
+      changed = true;
+      known->changed_revision = info->revision;
+    }
+  if (changed)
+    pl_log (PL_EV_WORKER_SET,
+            "worker=%s draining=%d cpu=%d mem=%d revision=%" PRId64, info->id,
+            info->draining, info->capacity.cpu, info->capacity.mem,
+            info->revision);
+  known->removed = false;
+  if (known->info.incarnation_ms != info->incarnation_ms
+      || !pl_addr_eq (known->info.addr, info->addr))
+    known->take_after_us = 0; /* another process */
+  copy_info (known, info);
+  struct lease_worker *w = lease_find_worker (cell->leases, info->worker);
+  /* A later incarnation at another address: the held one has ended.  */
+  if (w != NULL && w->info.incarnation_ms < info->incarnation_ms
+      && !pl_addr_eq (w->info.addr, info->addr))
+    {
+      lease_worker_ended (cell->leases, w);
+      w = NULL;
+    }
+  if (w != NULL)
+    lease_update (cell->leases, w, info);
+  cell->membership_changed = true;
+  cell->ops->wake (cell->ctx);
+}
+
+bool
+cell_is_worker_registered (const struct cell *cell, uint64_t worker)
+{
+  const struct known_worker *known
+      = g_hash_table_lookup (cell->workers, &worker);
+  return known != NULL && !known->removed;
+}
+
+/* A worker that is no longer registered may still answer and run tasks: it
+   gets no more starts, and is given up when nothing runs there.  */
+void
+cell_remove_worker (struct cell *cell, uint64_t worker)
+{
+  struct known_worker *known = g_hash_table_lookup (cell->workers, &worker);
+  struct lease_worker *w = lease_find_worker (cell->leases, worker);
+  if (known == NULL)
+    return;
+  known->removed = true;
+  if (w == NULL)
+    return;
+  struct lease_worker_info info = w->info;
+  info.draining = true;
+  lease_update (cell->leases, w, &info);
+}
+
+void
+cell_tell_changes (struct cell *cell, struct peer *peer,
+                   const Cellpb__Held *held)
+{
+  const struct known_worker *known
+      = g_hash_table_lookup (cell->workers, &held->worker);
+  if (known == NULL || known->changed_revision <= held->revision)
+    return;
+  Cellpb__Amount capacity = cell_encode_amount (known->info.capacity);
+  Cellpb__WorkerState msg = CELLPB__WORKER_STATE__INIT;
+  msg.worker = held->worker;
+  msg.revision = known->changed_revision;
+  msg.incarnation_ms = known->info.incarnation_ms;
+  msg.draining = known->info.draining;
+  msg.capacity = &capacity;
+  Cellpb__Envelope env = CELL_ENVELOPE (worker_state, WORKER_STATE, &msg);
+  cell_send_to_peer (cell, peer, &env);
+}
+
+void
+cell_on_worker_state (struct cell *cell, const Cellpb__WorkerState *msg)
+{
+  const struct known_worker *known
+      = g_hash_table_lookup (cell->workers, &msg->worker);
+  if (known == NULL || known->removed
+      || msg->revision <= known->changed_revision)
+    return;
+  struct lease_worker_info info = known->info;
+  info.revision = msg->revision;
+  info.incarnation_ms = msg->incarnation_ms;
+  info.draining = msg->draining;
+  info.capacity = cell_decode_amount (msg->capacity);
+  pl_log (PL_EV_WORKER_TOLD,
+          "worker=%s revision=%" PRId64 " draining=%d cpu=%d mem=%d",
+          known->id, info.revision, info.draining, info.capacity.cpu,
+          info.capacity.mem);
+  cell_set_worker (cell, &info);
+}
--- a/lib/lease/lease.h
+++ b/lib/lease/lease.h
@@ -122,6 +122,7 @@
   struct planner_resources capacity;
   int64_t incarnation_ms; /* when its process started; 0: not known */
   bool draining;
+  int64_t revision; /* of the registry when this was written; 0: not known */
 };
 
 enum lease_worker_state
--- a/tests/cell_fault_test.c
+++ b/tests/cell_fault_test.c
@@ -495,6 +495,32 @@
   world_free (world);
 }
 
+/* Guards against starts on a worker that has shrunk, or is leaving, by a
+   holder and a planner that the registry does not serve: their peers tell
+   them.  */
+static void
+test_peers_tell_what_the_registry_does_not (void)
+{
+  for (int unserved = 0; unserved < 4; unserved++)
+    {
+      struct world *world = world_new (1, 4, 8, 1);
+      world_run_for (world, SECOND);
+      cell_set_registry_fresh (world->instances[unserved].cell, false);
+      for (int i = 0; i < 4; i++)
+        world_change_worker (world, i, 20000, false, unserved);
+      for (int i = 4; i < 8; i++)
+        world_change_worker (world, i, 32000, true, unserved);
+      world_run_for (world, 200000);
+      unsigned starts = world->starts;
+      (void)world_submit (world, unserved, 16, 100000);
+      world_run_for (world, SECOND);
+      CU_ASSERT_TRUE (world->starts > starts);
+      CU_ASSERT_EQUAL (world->draining_starts, 0);
+      check_violations (world, "unserved", (uint64_t)unserved);
+      world_free (world);
+    }
+}
+
 int
 main (void)
 {
@@ -523,6 +549,8 @@
       test_crashes_are_not_put_down_to_other_tasks },
     { "a replaced worker is not taken again and again",
       test_a_replaced_worker_is_not_taken_again_and_again },
+    { "peers tell what the registry does not",
+      test_peers_tell_what_the_registry_does_not },
     CU_TEST_INFO_NULL,
   };
   const char *level = getenv ("PAPAYALOFT_LOG");
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -81,6 +81,7 @@
     .capacity = w->model.capacity,
     .incarnation_ms = w->incarnation_ms,
     .draining = w->draining,
+    .revision = w->revision,
   };
   (void)world;
   if (in->cell != NULL)
@@ -237,10 +238,26 @@
   struct world_worker *w = &world->workers[index];
   w->up = true;
   w->incarnation_ms = world_now (world) / 1000 + 1;
+  w->revision = ++world->registry_revision;
   for (int i = 0; i < world->n_instances; i++)
     world_register_worker (world, &world->instances[i], w);
 }
 
+/* Changes what a worker says of itself; the instance EXCEPT does not read it
+   from the registry.  */
+static inline void
+world_change_worker (struct world *world, int index, int32_t cpu,
+                     bool draining, int except)
+{
+  struct world_worker *w = &world->workers[index];
+  w->model.capacity.cpu = cpu;
+  w->draining = draining;
+  w->revision = ++world->registry_revision;
+  for (int i = 0; i < world->n_instances; i++)
+    if (i != except)
+      world_register_worker (world, &world->instances[i], w);
+}
+
 static inline void
 world_add_worker (struct world *world, int domain, int32_t cpu)
 {
@@ -250,6 +267,7 @@
   g_snprintf (w->id, sizeof w->id, "w%d", w->index);
   w->key = cell_name_hash (pl_str (w->id));
   w->incarnation_ms = 1;
+  w->revision = ++world->registry_revision;
   w->up = true;
   struct planner_resources capacity = { cpu, 131072, 0 };
   model_init (&w->model, capacity);
--- a/tests/world_base.h
+++ b/tests/world_base.h
@@ -59,6 +59,7 @@
   char id[16];
   int domain;
   int64_t incarnation_ms;
+  int64_t revision; /* of its entry in the registry */
   bool up;
   bool refuses; /* while it is down, connections are refused */
   bool draining;
@@ -123,6 +124,7 @@
   bool delay_cut_frames;     /* frames of a cut link arrive when it heals */
   GPtrArray *delayed_frames; /* struct world_event */
   bool registry_down;
+  int64_t registry_revision;
   double late_order_share;  /* of orders carried out 2 to 12 s later */
   double lost_answer_share; /* of calls carried out without an answer */
   uint32_t per_worker;      /* bound of the jobs submitted next; 0: none */
@@ -133,6 +135,7 @@
   unsigned double_starts;   /* of a task that runs on another worker */
   unsigned overfull_starts; /* above the capacity of the worker */
   unsigned false_refusals;  /* DEADLINE_LOST of jobs that had started */
+  unsigned draining_starts; /* on a worker that is leaving */
   unsigned crowded_starts;  /* above a job's bound of tasks per worker */
   unsigned frames;          /* sent between instances */
   /* Receives a copy of each frame that is sent; may be null.  */
--- a/tests/world_workers.h
+++ b/tests/world_workers.h
@@ -151,6 +151,7 @@
 {
   struct planner_resources none = { 0 };
   world->starts++;
+  world->draining_starts += w->draining;
   world_trace (world, "start %016" PRIx64 ".%u run %u on %s by i%d",
                event->id.job, event->id.index, event->id.run, w->id,
                event->from);
