--- a/tests/platform_store_test.c
+++ b/tests/platform_store_test.c
@@ -224,6 +224,61 @@
   CU_ASSERT_TRUE (knows_worker (&f));
 }
 
+#define MUTATIONS 10000
+
+/* Returns TEXT with some bytes changed.  */
+static char *
+mutate (const char *text, GRand *rand)
+{
+  static const char bytes[] = "{}[]\",:0-9e.\\u\x01\xff tfnAZ=";
+  char *copy = g_strdup (text);
+  gint32 len = (gint32)strlen (copy);
+  for (int n = g_rand_int_range (rand, 1, 6); n > 0; n--)
+    copy[g_rand_int_range (rand, 0, len)]
+        = bytes[g_rand_int_range (rand, 0, sizeof bytes - 1)];
+  return copy;
+}
+
+/* Passes a damaged copy of TEXT as the store's answer; true if it is read.  */
+static bool
+read_damaged (struct fixture *f, const char *text, GRand *rand)
+{
+  g_autofree char *damaged = mutate (text, rand);
+  struct net_response resp
+      = { .status = 200, .sent = true, .body = pl_str (damaged) };
+  return pf_store_watch_read (f->pf.store_watch, &resp);
+}
+
+/* Guards against crashes and memory errors on damaged answers (run with the
+   sanitizers), and against a watch that no sound answer mends any more.  */
+static void
+test_damaged_answers_do_no_harm (void)
+{
+  static const char changes[]
+      = "{\"events\":[" WORKER
+        ",{\"key\":\"servers/w1\",\"revision\":12,\"deleted\":true}," WORKER
+        "," INSTANCES "],\"current_rev\":15}";
+  static struct fixture f; /* nothing of it is freed, as in the daemon */
+  fixture_init (&f, all);
+  struct net_response lost = { .status = 410, .sent = true };
+  struct net_response sound
+      = { .status = 200, .sent = true, .body = pl_str (all) };
+  GRand *rand = g_rand_new_with_seed (43);
+  unsigned refused = 0;
+  for (unsigned i = 0; i < MUTATIONS; i++)
+    {
+      if (i % 2 == 0)
+        CU_ASSERT_TRUE (pf_store_watch_read (f.pf.store_watch, &lost));
+      refused += !read_damaged (&f, i % 2 == 0 ? all : changes, rand);
+    }
+  CU_ASSERT_TRUE (refused > MUTATIONS / 4);
+  CU_ASSERT_TRUE (pf_store_watch_read (f.pf.store_watch, &lost));
+  CU_ASSERT_TRUE (pf_store_watch_read (f.pf.store_watch, &sound));
+  CU_ASSERT_TRUE (knows_worker (&f));
+  CU_ASSERT_TRUE (is_registered (&f, 7));
+  g_rand_free (rand);
+}
+
 int
 main (void)
 {
@@ -232,6 +287,7 @@
       test_an_answer_without_items_removes_nothing },
     { "an instance that left unseen is not registered",
       test_an_instance_that_left_unseen_is_not_registered },
+    { "damaged answers do no harm", test_damaged_answers_do_no_harm },
     CU_TEST_INFO_NULL,
   };
   pl_log_init ("text", "error");
