owner, cell: a stopping instance answers every job before it ends (LOST)

The balancer goes on sending while less than half of a failure domain's instances are ready.

Cause: a stopping instance took jobs until its end, whatever time they needed.

--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -125,9 +125,10 @@
 }
 
 void
-cell_drain (struct cell *cell)
+cell_drain (struct cell *cell, int64_t end_us)
 {
   cell->draining = true;
+  owner_limit_deadlines (cell->jobs, end_us);
   cell->membership_changed = true;
   cell->heartbeat_us = 0;
   cell_tick (cell);
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -94,9 +94,10 @@
    one.  */
 void cell_set_config (struct cell *cell, int64_t version, struct pl_str text);
 void cell_set_ready (struct cell *cell, bool ready);
-/* Begins a planned stop: hands the workers over to peers; jobs already
-   accepted are finished.  */
-void cell_drain (struct cell *cell);
+/* Begins a planned stop: hands the workers over to peers.  Jobs are finished
+   or answered by END_US, when the process ends; those that can't be done by
+   then are refused.  */
+void cell_drain (struct cell *cell, int64_t end_us);
 
 /* Events of links.  Each instance sends on the links that it opened and
    receives on those that its peers opened.  *LINK_PEER belongs to an incoming
--- a/lib/owner/job.c
+++ b/lib/owner/job.c
@@ -32,6 +32,7 @@
   table->ctx = ctx;
   table->sizes = sched_sizes_new (clock);
   table->crashes = owner_crashes_new ();
+  table->latest_deadline_us = INT64_MAX;
   table->jobs
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, job_free);
   return table;
@@ -93,7 +94,7 @@
     .stretch = submission->stretch,
     .target_us = submission->target_us,
     .arrival_us = pl_now_us (table->clock),
-    .deadline_us = submission->deadline_us,
+    .deadline_us = MIN (submission->deadline_us, table->latest_deadline_us),
     .declared_us = submission->declared_us,
     .priority = submission->priority,
     .max_attempts = MAX (submission->max_attempts, 1),
@@ -177,6 +178,21 @@
   g_hash_table_remove (table->jobs, &job->id);
 }
 
+void
+owner_limit_deadlines (struct owner_table *table, int64_t end_us)
+{
+  table->latest_deadline_us = end_us;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, table->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      struct owner_job *job = value;
+      job->deadline_us = MIN (job->deadline_us, end_us);
+    }
+  owner_resend_requests (table);
+}
+
 void
 owner_abort_job (struct owner_table *table, struct owner_job *job,
                  enum pl_code code, bool answer)
--- a/lib/owner/owner.h
+++ b/lib/owner/owner.h
@@ -134,6 +134,9 @@
 struct owner_job *owner_submit_job (struct owner_table *table,
                                     const struct owner_submission *submission,
                                     void *user);
+/* The process ends at END_US: no job is due later, neither those of now nor
+   those that are submitted later.  Each has its answer by then.  */
+void owner_limit_deadlines (struct owner_table *table, int64_t end_us);
 /* Ends JOB early: stops its runs and, if ANSWER, answers with CODE.  Frees
    JOB.  */
 void owner_abort_job (struct owner_table *table, struct owner_job *job,
--- a/lib/owner/owner_priv.h
+++ b/lib/owner/owner_priv.h
@@ -8,10 +8,11 @@
   struct pl_clock *clock;
   const struct owner_ops *ops;
   void *ctx;
-  GHashTable *jobs;          /* id -> struct owner_job */
-  struct sched_sizes *sizes; /* learned run times */
-  GHashTable *crashes;       /* of workers, by task; see crash.c */
-  bool dirty;                /* some job is dirty */
+  GHashTable *jobs;           /* id -> struct owner_job */
+  struct sched_sizes *sizes;  /* learned run times */
+  GHashTable *crashes;        /* of workers, by task; see crash.c */
+  int64_t latest_deadline_us; /* of all jobs; see owner_limit_deadlines */
+  bool dirty;                 /* some job is dirty */
 };
 
 /* Whether the task runs on a worker or may run there.  */
--- a/tests/cell_fault_test.c
+++ b/tests/cell_fault_test.c
@@ -123,7 +123,7 @@
       world_run_for (world, SECOND);
       for (int i = 0; i < 8; i++)
         {
-          cell_drain (world->instances[i % 4].cell);
+          cell_drain (world->instances[i % 4].cell, INT64_MAX);
           run_load (world, world_random_between (world, 100000, 700000), 4,
                     300000);
           world_kill (world, i % 4, false);
--- a/tests/cell_test.c
+++ b/tests/cell_test.c
@@ -346,7 +346,7 @@
   world_run_for (world, SECOND);
   struct world_job *job = world_submit (world, 1, 30, 400000);
   world_run_for (world, 50000);
-  cell_drain (world->instances[1].cell);
+  cell_drain (world->instances[1].cell, INT64_MAX);
   world_run_for (world, 300000);
   CU_ASSERT_EQUAL (cell_count_held_workers (world->instances[1].cell), 0);
   CU_ASSERT_EQUAL (count_held (world), 24);
@@ -366,7 +366,7 @@
 {
   struct world *world = world_new (13, 4, 16, 4);
   world_run_for (world, SECOND);
-  cell_drain (world->instances[0].cell);
+  cell_drain (world->instances[0].cell, INT64_MAX);
   world_run_for (world, 200000);
   CU_ASSERT_EQUAL (cell_count_held_workers (world->instances[0].cell), 0);
   world_set_domain_cut (world, 0, true);
--- a/tests/owner_test.c
+++ b/tests/owner_test.c
@@ -392,6 +392,37 @@
   owner_table_free (fixture.table);
 }
 
+/* Guards against requests that a stopping process takes until its end and then
+   cuts off.  */
+static void
+test_a_stopping_owner_answers_every_job (void)
+{
+  struct fixture fixture;
+  fixture_init (&fixture, 1);
+  grant (&fixture, 0, 1);
+  owner_limit_deadlines (fixture.table, 1500 * MS);
+  struct owner_submission submission = {
+    .job = 2,
+    .route = "r",
+    .service = "s",
+    .service_key = 1,
+    .spec = pl_str ("spec"),
+    .n_tasks = 1,
+    .size = { 14000, 64, 0 },
+    .declared_us = 100 * MS,
+    .stretch = 1.6,
+    .deadline_us = 3000 * MS,
+  };
+  const struct owner_job *late
+      = owner_submit_job (fixture.table, &submission, NULL);
+  CU_ASSERT_EQUAL (late->deadline_us, 1500 * MS);
+  fixture.clock.now_us = 1500 * MS;
+  owner_tick (fixture.table);
+  CU_ASSERT_EQUAL (fixture.calls.answers, 2);
+  CU_ASSERT_EQUAL (owner_count_jobs (fixture.table), 0);
+  owner_table_free (fixture.table);
+}
+
 int
 main (void)
 {
@@ -414,6 +445,8 @@
       test_lost_run_expires_before_next_start },
     { "an aborted job is stopped", test_aborted_job_is_stopped },
     { "a job is answered at its deadline", test_job_is_answered_at_deadline },
+    { "a stopping owner answers every job",
+      test_a_stopping_owner_answers_every_job },
     CU_TEST_INFO_NULL,
   };
   pl_log_init ("text", "error");
