lease: a restart is noticed also if the registry tells of it first

Cause: the registry's entry of a restarted worker replaced the incarnation that the holder compares answers with. The first answer of the new process then looked like one of the former: runs of the former went on counting, and ends of the new process, numbered from 1 again, were passed over as already read until they exceeded the former numbers. Owners waited until the runs were taken for stuck. The holder now keeps the incarnation that has answered, apart from the one that the entry describes; that also holds where a clock that was set back gives the new process the lower number. The test failed before.

--- a/lib/lease/health.c
+++ b/lib/lease/health.c
@@ -76,10 +76,18 @@
   lease_record_failure (table, w, now_us);
 }
 
+/* Whether the capacity of W is that of the process that answers.  An entry
+   without an incarnation is taken to describe it.  */
+static bool
+is_described (const struct lease_worker *w)
+{
+  return w->described_ms == 0 || w->described_ms == w->info.incarnation_ms;
+}
+
 bool
 lease_is_usable (const struct lease_worker *w, int64_t now_us)
 {
   return w->state == LEASE_WORKER_HELD && w->token != LEASE_PROBE_TOKEN
-         && !w->info.draining && !w->outdated
+         && !w->info.draining && is_described (w)
          && w->health.ejected_until_us <= now_us;
 }
--- a/lib/lease/lease.h
+++ b/lib/lease/lease.h
@@ -165,7 +165,7 @@
   char *id;
   enum lease_worker_state state;
   int64_t token;
-  bool outdated; /* INFO describes a former incarnation */
+  int64_t described_ms; /* incarnation that the registry's entry describes */
   bool answered; /* some poll was: its clock and what runs there are known */
   int64_t clock_offset_ms; /* the worker's clock minus ours */
   int64_t last_end;        /* number of the last end that was read */
--- a/lib/lease/poll.c
+++ b/lib/lease/poll.c
@@ -177,7 +177,6 @@
       lease_end_all_runs (table, w, LEASE_END_STOPPED, LEASE_CAUSE_RESTARTED,
                           now_us);
       w->last_end = 0;
-      w->outdated = true;
       table->ops->changed (table->ctx, w);
     }
   w->info.incarnation_ms = result->incarnation_ms;
--- a/lib/lease/table.c
+++ b/lib/lease/table.c
@@ -56,7 +56,7 @@
 static void
 copy_info (struct lease_worker *w, const struct lease_worker_info *info)
 {
-  int64_t incarnation_ms = w->info.incarnation_ms;
+  int64_t answering_ms = w->answered ? w->info.incarnation_ms : 0;
   if (info->id != w->id)
     {
       g_free (w->id);
@@ -64,12 +64,11 @@
     }
   w->info = *info;
   w->info.id = w->id;
-  /* The worker's own answers are newer than the registry.  An entry without
-     an incarnation is taken to describe the one that answers.  */
-  w->outdated
-      = info->incarnation_ms != 0 && incarnation_ms > info->incarnation_ms;
-  if (incarnation_ms > info->incarnation_ms)
-    w->info.incarnation_ms = incarnation_ms;
+  /* The entry may be of an earlier incarnation than the one that answers, or
+     of a later one, which the next answer will show.  */
+  w->described_ms = info->incarnation_ms;
+  if (answering_ms != 0)
+    w->info.incarnation_ms = answering_ms;
 }
 
 struct lease_worker *
@@ -92,7 +91,8 @@
               const struct lease_worker_info *info)
 {
   bool changed
-      = w->outdated || w->info.draining != info->draining
+      = w->described_ms != info->incarnation_ms
+        || w->info.draining != info->draining
         || !planner_resources_equal (w->info.capacity, info->capacity);
   copy_info (w, info);
   if (changed)
--- a/tests/lease_test.c
+++ b/tests/lease_test.c
@@ -625,6 +625,35 @@
   lease_table_free (table);
 }
 
+/* Guards against a restart that goes unnoticed because the registry told of
+   the new process before it answered: its ends, which are numbered from 1
+   again, were passed over.  */
+static void
+test_a_restart_is_noticed_after_the_registry_tells (void)
+{
+  struct sink sink = { 0 };
+  struct lease_table *table = lease_table_new (&ops, &sink);
+  struct lease_worker *w = lease_take (table, &info, TOKEN, 0);
+  struct lease_end_record old_end = { 9, { 8, 0, 1 }, LEASE_OUTCOME_DONE };
+  answer_poll (table, NULL, 0, &old_end, 1, MS);
+  struct lease_order order = make_order (7, 1);
+  CU_ASSERT_TRUE (lease_start (table, w, &order, 2 * MS));
+  struct lease_worker_info restarted = info;
+  restarted.incarnation_ms = 6;
+  lease_update (table, w, &restarted);
+  struct lease_end_record end = { 1, { 9, 0, 1 }, LEASE_OUTCOME_DONE };
+  struct lease_poll_result result = { .reply = LEASE_REPLY_OK,
+                                      .clock_ms = 1,
+                                      .incarnation_ms = 6,
+                                      .ended = &end,
+                                      .n_ended = 1 };
+  lease_poll_done (table, 1, TOKEN, &result, 3 * MS);
+  CU_ASSERT_EQUAL (w->runs->len, 0);
+  CU_ASSERT_EQUAL (sink.ends, 3);
+  CU_ASSERT_TRUE (lease_start (table, w, &order, 4 * MS));
+  lease_table_free (table);
+}
+
 int
 main (void)
 {
@@ -660,6 +689,8 @@
       test_a_worker_that_refuses_connections_gets_no_starts },
     { "a restarted worker waits for its entry",
       test_a_restarted_worker_waits_for_its_entry },
+    { "a restart is noticed after the registry tells",
+      test_a_restart_is_noticed_after_the_registry_tells },
     CU_TEST_INFO_NULL,
   };
   pl_log_init ("text", "error");
