--- a/lib/cell/plan.c
+++ b/lib/cell/plan.c
@@ -256,29 +256,38 @@
   owner_on_run_end (cell->jobs, &end);
 }
 
+static Cellpb__Crash
+encode_crash (const struct owner_crash *crash)
+{
+  Cellpb__Crash msg = CELLPB__CRASH__INIT;
+  msg.task = crash->task;
+  msg.count = crash->count;
+  msg.worker = crash->worker;
+  msg.run = crash->run;
+  msg.age_us = crash->age_us;
+  return msg;
+}
+
 void
 cell_send_crashes (struct cell *cell, struct peer *peer)
 {
   g_autoptr (GArray) list = owner_list_crashes (cell->jobs);
   if (list->len == 0)
     return;
-  g_autofree Cellpb__Crash *crashes = g_new (Cellpb__Crash, list->len);
-  g_autofree Cellpb__Crash **pointers = g_new (Cellpb__Crash *, list->len);
+  g_autoptr (GArray) crashes
+      = g_array_new (FALSE, FALSE, sizeof (Cellpb__Crash));
+  g_autoptr (GPtrArray) pointers = g_ptr_array_new ();
   for (guint i = 0; i < list->len; i++)
     {
-      const struct owner_crash *crash
-          = &g_array_index (list, struct owner_crash, i);
-      pointers[i] = &crashes[i];
-      cellpb__crash__init (&crashes[i]);
-      crashes[i].task = crash->task;
-      crashes[i].count = crash->count;
-      crashes[i].worker = crash->worker;
-      crashes[i].run = crash->run;
-      crashes[i].age_us = crash->age_us;
+      Cellpb__Crash crash
+          = encode_crash (&g_array_index (list, struct owner_crash, i));
+      g_array_append_val (crashes, crash);
     }
+  for (guint i = 0; i < crashes->len; i++)
+    g_ptr_array_add (pointers, &g_array_index (crashes, Cellpb__Crash, i));
   Cellpb__Crashes msg = CELLPB__CRASHES__INIT;
-  msg.crashes = pointers;
-  msg.n_crashes = list->len;
+  msg.crashes = (Cellpb__Crash **)pointers->pdata;
+  msg.n_crashes = pointers->len;
   Cellpb__Envelope env = CELL_ENVELOPE (crashes, CRASHES, &msg);
   cell_send_to_peer (cell, peer, &env);
 }
