--- a/tests/platform_store_test.c
+++ b/tests/platform_store_test.c
@@ -1,5 +1,6 @@
 /* Tests of platform/store.c against a store of a few lines, over loopback.  */
 #include "../platform/pf.h"
+#include "mutate.h"
 #include "test.h"
 
 #include <string.h>
@@ -226,19 +227,6 @@
 
 #define MUTATIONS 10000
 
-/* Returns TEXT with some bytes changed.  */
-static char *
-mutate (const char *text, GRand *rand)
-{
-  static const char bytes[] = "{}[]\",:0-9e.\\u\x01\xff tfnAZ=";
-  char *copy = g_strdup (text);
-  gint32 len = (gint32)strlen (copy);
-  for (int n = g_rand_int_range (rand, 1, 6); n > 0; n--)
-    copy[g_rand_int_range (rand, 0, len)]
-        = bytes[g_rand_int_range (rand, 0, sizeof bytes - 1)];
-  return copy;
-}
-
 /* Passes a damaged copy of TEXT as the store's answer; true if it is read.  */
 static bool
 read_damaged (struct fixture *f, const char *text, GRand *rand)
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -1,6 +1,7 @@
 /* Tests of platform/: valid and malformed input from the operator, the
    registry of workers and the settings file.  */
 #include "../platform/pf.h"
+#include "mutate.h"
 #include "test.h"
 
 #include <stdlib.h>
@@ -319,19 +320,6 @@
     }
 }
 
-/* Returns TEXT with some bytes changed.  */
-static char *
-mutate (const char *text, GRand *rand)
-{
-  static const char bytes[] = "{}[]\",:0-9e.\\u\x01\xff tfn";
-  char *copy = g_strdup (text);
-  size_t len = strlen (copy);
-  for (int n = g_rand_int_range (rand, 1, 6); n > 0; n--)
-    copy[g_rand_int_range (rand, 0, (gint32)len)]
-        = bytes[g_rand_int_range (rand, 0, sizeof bytes - 1)];
-  return copy;
-}
-
 /* Guards against crashes and memory errors on damaged input (run with the
    sanitizers): it is rejected, or read as what it says.  */
 static void
