cell: a state that the holder knows is not relayed again

Found by reading the change again. Instances that first read a worker's entry at different times know it by different revisions. A holder that the registry did not serve applied the same state without taking over the peer's revision, so every such peer sent it again with each heartbeat, ten times a second for each worker, and the holder logged it as often. While the registry served none, all sent to all.

The holder takes over the revision, logs real changes only, and an instance that the registry does not serve relays nothing. An entry without a revision is no longer passed over as older. Both cases of the test failed before.

--- a/lib/cell/registry.c
+++ b/lib/cell/registry.c
@@ -43,7 +43,7 @@
       g_hash_table_insert (cell->workers, &known->info.worker, known);
     }
   /* A peer may have told of a later change.  */
-  if (info->revision < known->info.revision)
+  if (info->revision != 0 && info->revision < known->info.revision)
     return;
   if (has_changed (&known->info, info))
     {
@@ -105,7 +105,8 @@
 {
   const struct known_worker *known
       = g_hash_table_lookup (cell->workers, &held->worker);
-  if (known == NULL || known->changed_revision <= held->revision)
+  if (!cell->registry_fresh || known == NULL
+      || known->changed_revision <= held->revision)
     return;
   Cellpb__Amount capacity = cell_encode_amount (known->info.capacity);
   Cellpb__WorkerState msg = CELLPB__WORKER_STATE__INIT;
@@ -121,16 +122,21 @@
 void
 cell_on_worker_state (struct cell *cell, const Cellpb__WorkerState *msg)
 {
-  const struct known_worker *known
+  struct known_worker *known
       = g_hash_table_lookup (cell->workers, &msg->worker);
   if (known == NULL || known->removed
       || msg->revision <= known->changed_revision)
     return;
+  /* Instances that first read the same entry at different times know it by
+     different revisions: the next heartbeat names this one.  */
+  known->changed_revision = msg->revision;
   struct lease_worker_info info = known->info;
   info.revision = msg->revision;
   info.incarnation_ms = msg->incarnation_ms;
   info.draining = msg->draining;
   info.capacity = cell_decode_amount (msg->capacity);
+  if (!has_changed (&known->info, &info))
+    return;
   pl_log (PL_EV_WORKER_TOLD,
           "worker=%s revision=%" PRId64 " draining=%d cpu=%d mem=%d",
           known->id, info.revision, info.draining, info.capacity.cpu,
--- a/tests/cell_fault_test.c
+++ b/tests/cell_fault_test.c
@@ -521,6 +521,50 @@
     }
 }
 
+/* Counts the messages of struct world's frames that relay a worker's state, in
+   the unsigned that USER points to.  */
+static void
+count_relayed (struct world *world, GBytes *frame)
+{
+  gsize len;
+  const uint8_t *data = g_bytes_get_data (frame, &len);
+  Cellpb__Envelope *env = cellpb__envelope__unpack (NULL, len, data);
+  *(unsigned *)world->user
+      += env->body_case == CELLPB__ENVELOPE__BODY_WORKER_STATE;
+  cellpb__envelope__free_unpacked (env, NULL);
+}
+
+/* Guards against peers that relay the same state with each heartbeat while the
+   registry serves some instances only, because they have first read the
+   entries at other revisions, and against all of them doing so while it serves
+   none. */
+static void
+test_a_known_state_is_not_relayed_again (void)
+{
+  for (int fresh = 0; fresh < 2; fresh++)
+    {
+      struct world *world = world_new (1, 4, 8, 1);
+      unsigned relayed = 0;
+      world_run_for (world, SECOND);
+      for (int i = 0; i < 8; i++)
+        world->workers[i].revision = ++world->registry_revision;
+      world_kill (world, 1, false);
+      world_run_for (world, 500000);
+      world_boot (world, 1);
+      world_run_for (world, SECOND);
+      world->on_frame = count_relayed;
+      world->user = &relayed;
+      for (int i = 0; i < 4; i++)
+        if (i == 0 || fresh == 0)
+          cell_set_registry_fresh (world->instances[i].cell, false);
+      world_run_for (world, 3 * SECOND);
+      /* A peer may relay a state twice before the next heartbeat shows that it
+         is known.  */
+      CU_ASSERT_TRUE (relayed <= (fresh == 0 ? 0 : 2 * 8));
+      world_free (world);
+    }
+}
+
 int
 main (void)
 {
@@ -551,6 +595,8 @@
       test_a_replaced_worker_is_not_taken_again_and_again },
     { "peers tell what the registry does not",
       test_peers_tell_what_the_registry_does_not },
+    { "a known state is not relayed again",
+      test_a_known_state_is_not_relayed_again },
     CU_TEST_INFO_NULL,
   };
   const char *level = getenv ("PAPAYALOFT_LOG");
