Names and comments after a second reading; tests of three decisions

A silent worker without runs is no longer compared with all held ones each 100 ms. Behaviour is the same otherwise.

--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -135,8 +135,8 @@
 
 /* The registry (registry.c).  Tells PEER, which the registry does not serve,
    of a later change of a worker that it holds.  */
-void cell_tell_changes (struct cell *cell, struct peer *peer,
-                        const Cellpb__Held *held);
+void cell_relay_changes (struct cell *cell, struct peer *peer,
+                         const Cellpb__Held *held);
 void cell_on_worker_state (struct cell *cell, const Cellpb__WorkerState *msg);
 
 /* Reports of held workers to the planner (report.c, message Room).  */
--- a/lib/cell/member.c
+++ b/lib/cell/member.c
@@ -163,7 +163,7 @@
       if (known != NULL)
         cell_record_token (cell, known, *token);
       if (beat->registry_stale)
-        cell_tell_changes (cell, peer, beat->held[i]);
+        cell_relay_changes (cell, peer, beat->held[i]);
     }
 }
 
--- a/lib/cell/registry.c
+++ b/lib/cell/registry.c
@@ -100,8 +100,8 @@
 }
 
 void
-cell_tell_changes (struct cell *cell, struct peer *peer,
-                   const Cellpb__Held *held)
+cell_relay_changes (struct cell *cell, struct peer *peer,
+                    const Cellpb__Held *held)
 {
   const struct known_worker *known
       = g_hash_table_lookup (cell->workers, &held->worker);
@@ -137,7 +137,7 @@
   info.capacity = cell_decode_amount (msg->capacity);
   if (!has_changed (&known->info, &info))
     return;
-  pl_log (PL_EV_WORKER_TOLD,
+  pl_log (PL_EV_WORKER_RELAYED,
           "worker=%s revision=%" PRId64 " draining=%d cpu=%d mem=%d",
           known->id, info.revision, info.draining, info.capacity.cpu,
           info.capacity.mem);
--- a/lib/lease/blame.c
+++ b/lib/lease/blame.c
@@ -1,7 +1,7 @@
-/* Which runs may have caused the end of their worker's process.  A task that
-   crashes each worker that starts it must be told from the tasks that ran
-   beside it.  Most such tasks strike when they start, so that the latest start
-   is the likely cause.  */
+/* Which runs may have ended their worker's process.  A task that crashes each
+   worker that starts it must be told apart from tasks that only ran beside it.
+   Most crash the worker soon after their start, so that the latest start is
+   the likely cause.  */
 #include "lease_priv.h"
 
 /* Starts that are at most this far apart count as one: which of them the
@@ -20,7 +20,7 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       const struct lease_worker *w = value;
-      refusing += w->poll_reply == LEASE_REPLY_NO_LISTENER;
+      refusing += w->poll_reply == LEASE_REPLY_CONN_REFUSED;
     }
   return refusing > 1 && refusing * 2 > g_hash_table_size (table->workers);
 }
@@ -32,7 +32,7 @@
   if (cause == LEASE_CAUSE_RESTARTED)
     return true;
   return cause == LEASE_CAUSE_EXPIRED
-         && w->poll_reply == LEASE_REPLY_NO_LISTENER
+         && w->poll_reply == LEASE_REPLY_CONN_REFUSED
          && !most_workers_refuse (table);
 }
 
@@ -56,7 +56,7 @@
                   enum lease_cause cause)
 {
   /* A worker that is leaving ends with what runs there.  */
-  if (cause == LEASE_CAUSE_FENCED || w->info.draining)
+  if (w->runs->len == 0 || cause == LEASE_CAUSE_FENCED || w->info.draining)
     return;
   bool ended = has_process_ended (table, w, cause);
   int64_t latest_us = latest_start_us (w);
--- a/lib/lease/lease.h
+++ b/lib/lease/lease.h
@@ -136,14 +136,14 @@
 enum lease_reply
 {
   LEASE_REPLY_OK,
-  LEASE_REPLY_FENCED,      /* another holder has used a higher token */
-  LEASE_REPLY_OLD_RUN,     /* run number not above one that has ended there */
-  LEASE_REPLY_EXPIRED,     /* the lease in the order had expired on arrival */
-  LEASE_REPLY_REFUSED,     /* the worker did nothing, for another reason */
-  LEASE_REPLY_RESTARTED,   /* another incarnation answers there */
-  LEASE_REPLY_NOT_SENT,    /* no connection: nothing was sent */
-  LEASE_REPLY_NO_LISTENER, /* the connection was refused: nothing was sent */
-  LEASE_REPLY_NO_ANSWER,   /* no answer: it may be carried out later */
+  LEASE_REPLY_FENCED,       /* another holder has used a higher token */
+  LEASE_REPLY_OLD_RUN,      /* run number not above one that has ended there */
+  LEASE_REPLY_EXPIRED,      /* the lease in the order had expired on arrival */
+  LEASE_REPLY_REFUSED,      /* the worker did nothing, for another reason */
+  LEASE_REPLY_RESTARTED,    /* another incarnation answers there */
+  LEASE_REPLY_NOT_SENT,     /* no connection: nothing was sent */
+  LEASE_REPLY_CONN_REFUSED, /* the connection was refused: nothing was sent */
+  LEASE_REPLY_NO_ANSWER,    /* no answer: it may be carried out later */
 };
 
 const char *lease_reply_name (enum lease_reply reply);
@@ -232,8 +232,8 @@
                 const struct lease_run_id *id);
   void (*ended) (void *ctx, struct lease_worker *w,
                  const struct lease_run_end *end);
-  /* The worker has not answered polls for a while; REPLY is the result of the
-     latest one.  */
+  /* The worker has not answered polls for a while, or refuses connections;
+     REPLY is the result of the latest poll.  */
   void (*silent) (void *ctx, struct lease_worker *w, enum lease_reply reply,
                   int64_t silence_us);
   /* The worker is held now; W->runs lists what runs there, without owners.  */
--- a/lib/lease/poll.c
+++ b/lib/lease/poll.c
@@ -47,7 +47,7 @@
                 enum lease_reply reply, int64_t now_us)
 {
   /* A worker that refuses connections has ended or is cut off.  */
-  bool silent = reply == LEASE_REPLY_NO_LISTENER
+  bool silent = reply == LEASE_REPLY_CONN_REFUSED
                 || now_us - w->answered_us > EXPIRY_US / 2;
   if (w->state != LEASE_WORKER_SILENT && silent)
     {
--- a/lib/lease/run.c
+++ b/lib/lease/run.c
@@ -49,7 +49,7 @@
     [LEASE_REPLY_REFUSED] = "refused",
     [LEASE_REPLY_RESTARTED] = "restarted",
     [LEASE_REPLY_NOT_SENT] = "not-sent",
-    [LEASE_REPLY_NO_LISTENER] = "no-listener",
+    [LEASE_REPLY_CONN_REFUSED] = "conn-refused",
     [LEASE_REPLY_NO_ANSWER] = "no-answer",
   };
   return names[reply];
@@ -254,7 +254,7 @@
                      now_us);
       break;
     case LEASE_REPLY_NOT_SENT:
-    case LEASE_REPLY_NO_LISTENER:
+    case LEASE_REPLY_CONN_REFUSED:
     case LEASE_REPLY_REFUSED:
       lease_record_failure (table, w, now_us);
       lease_end_run (table, w, run, LEASE_END_REJECTED, LEASE_CAUSE_ANSWER,
--- a/lib/owner/crash.c
+++ b/lib/owner/crash.c
@@ -141,21 +141,21 @@
 }
 
 static bool
-is_dangerous (const struct owner_table *table, const struct owner_job *job,
-              uint32_t index)
+is_limit_reached (const struct owner_table *table, const struct owner_job *job,
+                  uint32_t index)
 {
   return job->tasks[index].losses >= MAX_LOSSES
          || count_crashes (table, job->id, index) >= MAX_CRASHES;
 }
 
 bool
-owner_has_dangerous_task (const struct owner_table *table,
-                          const struct owner_job *job)
+owner_has_reached_crash_limit (const struct owner_table *table,
+                               const struct owner_job *job)
 {
   if (g_hash_table_size (table->crashes) == 0)
     return false;
   for (uint32_t i = 0; i < job->n_tasks; i++)
-    if (is_dangerous (table, job, i))
+    if (is_limit_reached (table, job, i))
       return true;
   return false;
 }
@@ -174,10 +174,10 @@
 }
 
 bool
-owner_give_up_dangerous_task (struct owner_table *table, struct owner_job *job,
+owner_give_up_at_crash_limit (struct owner_table *table, struct owner_job *job,
                               uint32_t index)
 {
-  if (!is_dangerous (table, job, index))
+  if (!is_limit_reached (table, job, index))
     return false;
   pl_count (PL_CTR_TASKS_GIVEN_UP_TOTAL, 1);
   pl_log (PL_EV_TASK_GIVEN_UP,
--- a/lib/owner/job.c
+++ b/lib/owner/job.c
@@ -109,7 +109,7 @@
      its tasks take longer than usual.  */
   job->expect_us = reliable ? MAX (job->run_us, job->declared_us)
                             : job->run_us * UNLEARNED_RUN_FACTOR;
-  job->dangerous = owner_has_dangerous_task (table, job);
+  job->crash_limit_reached = owner_has_reached_crash_limit (table, job);
   g_hash_table_insert (table->jobs, &job->id, job);
   pl_count (PL_CTR_JOBS_SUBMITTED_TOTAL, 1);
   table->dirty = true;
@@ -279,7 +279,7 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       struct owner_job *job = value;
-      if (job->dirty && !job->dangerous)
+      if (job->dirty && !job->crash_limit_reached)
         send_request (table, job);
     }
 }
@@ -338,7 +338,8 @@
   for (unsigned i = 0; i < job->n_tasks; i++)
     {
       struct owner_task *task = &job->tasks[i];
-      if (job->dangerous && owner_give_up_dangerous_task (table, job, i))
+      if (job->crash_limit_reached
+          && owner_give_up_at_crash_limit (table, job, i))
         return;
       if (task->state == OWNER_TASK_UNKNOWN && task->may_run_until_us <= now_us
           && !owner_on_run_lost (table, job, i))
--- a/lib/owner/owner.h
+++ b/lib/owner/owner.h
@@ -85,9 +85,9 @@
   unsigned max_attempts;
   unsigned n_tasks;
   unsigned n_ended;
-  bool started;   /* a start may have reached a worker */
-  bool dangerous; /* a task has crashed too many workers already */
-  bool dirty;     /* the request that the planner has is out of date */
+  bool started;             /* a start may have reached a worker */
+  bool crash_limit_reached; /* by a task, before the job was submitted */
+  bool dirty; /* the request that the planner has is out of date */
   struct owner_task *tasks;
   void *user; /* set by the submitter, for the answer */
 };
--- a/lib/owner/owner_priv.h
+++ b/lib/owner/owner_priv.h
@@ -42,14 +42,14 @@
                          const struct owner_run_end *end);
 /* Whether some task of JOB must not be started again, because it has crashed
    too many workers.  */
-bool owner_has_dangerous_task (const struct owner_table *table,
-                               const struct owner_job *job);
+bool owner_has_reached_crash_limit (const struct owner_table *table,
+                                    const struct owner_job *job);
 /* Whether some task of JOB that is to be started has crashed a worker.  */
 bool owner_has_suspect_task (const struct owner_table *table,
                              const struct owner_job *job);
 /* If task INDEX has crashed too many workers, or too many of its runs were
    lost, answers JOB as failed, frees it and returns true.  */
-bool owner_give_up_dangerous_task (struct owner_table *table,
+bool owner_give_up_at_crash_limit (struct owner_table *table,
                                    struct owner_job *job, uint32_t index);
 
 /* The order for a start or a claim of task INDEX.  */
--- a/lib/owner/task.c
+++ b/lib/owner/task.c
@@ -103,7 +103,7 @@
                    uint32_t index)
 {
   job->tasks[index].losses++;
-  if (owner_give_up_dangerous_task (table, job, index))
+  if (owner_give_up_at_crash_limit (table, job, index))
     return false;
   owner_requeue_task (table, job, &job->tasks[index]);
   return true;
--- a/tests/cell_fault_test.c
+++ b/tests/cell_fault_test.c
@@ -379,10 +379,10 @@
 
 /* Submits a job whose first task crashes each worker that starts it.  */
 static struct world_job *
-submit_deadly (struct world *world, int instance)
+submit_crashing_job (struct world *world, int instance)
 {
   struct world_job *job = world_submit (world, instance, 4, 900000);
-  job->deadly = true;
+  job->crashing = true;
   return job;
 }
 
@@ -395,12 +395,12 @@
     {
       struct world *world = world_new (seed, 4, 16, 2);
       world_run_for (world, SECOND);
-      const struct world_job *job = submit_deadly (world, 0);
+      const struct world_job *job = submit_crashing_job (world, 0);
       settle (world);
       CU_ASSERT_TRUE (job->crashes <= 2);
       CU_ASSERT_TRUE (job->answered);
       CU_ASSERT_EQUAL (job->code, PL_FAILED_RAN);
-      check_violations (world, "deadly", seed);
+      check_violations (world, "crashing", seed);
       world_free (world);
     }
 }
@@ -416,7 +416,7 @@
     {
       struct world *world = world_new (seed, 4, 16, 2);
       world_run_for (world, SECOND);
-      const struct world_job *job = submit_deadly (world, 0);
+      const struct world_job *job = submit_crashing_job (world, 0);
       unsigned n_killed = 0;
       while (!job->answered && n_killed < 3)
         {
@@ -433,14 +433,15 @@
       CU_ASSERT_TRUE (job->crashes <= 2 + n_killed);
       CU_ASSERT_TRUE (job->answered);
       CU_ASSERT_EQUAL (job->code, PL_FAILED_RAN);
-      check_violations (world, "deadly-resent", seed);
+      check_violations (world, "crashing-resent", seed);
       world_free (world);
     }
 }
 
-/* Whether only deadly jobs, and all of them, were answered as failed.  */
+/* Whether only jobs that crash workers, and all of them, were answered as
+ * failed.  */
 static bool
-only_deadly_jobs_failed (struct world *world)
+only_crashing_jobs_failed (struct world *world)
 {
   GHashTableIter it;
   gpointer value;
@@ -448,7 +449,7 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       const struct world_job *job = value;
-      if (job->deadly != (job->code == PL_FAILED_RAN))
+      if (job->crashing != (job->code == PL_FAILED_RAN))
         return false;
     }
   return true;
@@ -465,13 +466,13 @@
       world_run_for (world, SECOND);
       for (int i = 0; i < 4; i++)
         {
-          (void)submit_deadly (world, i);
+          (void)submit_crashing_job (world, i);
           run_load (world, 3 * SECOND, 3, 300000);
         }
       settle (world);
       CU_ASSERT_TRUE (all_answered (world));
-      CU_ASSERT_TRUE (only_deadly_jobs_failed (world));
-      check_violations (world, "deadly-beside", seed);
+      CU_ASSERT_TRUE (only_crashing_jobs_failed (world));
+      check_violations (world, "crashing-beside", seed);
       world_free (world);
     }
 }
--- a/tests/lease_test.c
+++ b/tests/lease_test.c
@@ -537,11 +537,11 @@
     bool answered;
     enum lease_blame blames[2];
   } cases[] = {
-    { LEASE_REPLY_NO_LISTENER,
+    { LEASE_REPLY_CONN_REFUSED,
       false,
       true,
       { LEASE_BLAME_POSSIBLE, LEASE_BLAME_LIKELY } },
-    { LEASE_REPLY_NO_LISTENER,
+    { LEASE_REPLY_CONN_REFUSED,
       false,
       false,
       { LEASE_BLAME_LIKELY, LEASE_BLAME_LIKELY } },
@@ -549,7 +549,7 @@
       false,
       true,
       { LEASE_BLAME_POSSIBLE, LEASE_BLAME_POSSIBLE } },
-    { LEASE_REPLY_NO_LISTENER,
+    { LEASE_REPLY_CONN_REFUSED,
       true,
       true,
       { LEASE_BLAME_NONE, LEASE_BLAME_NONE } },
@@ -591,7 +591,7 @@
   struct lease_table *table = lease_table_new (&ops, &sink);
   struct lease_worker *w = lease_take (table, &info, TOKEN, 0);
   answer_poll (table, NULL, 0, NULL, 0, MS);
-  fail_poll (table, LEASE_REPLY_NO_LISTENER, 2 * MS);
+  fail_poll (table, LEASE_REPLY_CONN_REFUSED, 2 * MS);
   struct lease_order order = make_order (7, 1);
   CU_ASSERT_FALSE (lease_start (table, w, &order, 3 * MS));
   unsigned polls = sink.polls;
@@ -654,6 +654,32 @@
   lease_table_free (table);
 }
 
+/* Guards against tasks that are blamed because this instance's network refuses
+   connections to most of its workers.  */
+static void
+test_nobody_is_blamed_if_most_workers_refuse (void)
+{
+  struct sink sink = { 0 };
+  struct lease_table *table = lease_table_new (&ops, &sink);
+  struct lease_worker *w = lease_take (table, &info, TOKEN, 0);
+  for (uint64_t other = 2; other <= 3; other++)
+    {
+      struct lease_worker_info more = info;
+      more.worker = other;
+      (void)lease_take (table, &more, TOKEN, 0);
+      struct lease_poll_result refused = { .reply = LEASE_REPLY_CONN_REFUSED };
+      lease_poll_done (table, other, TOKEN, &refused, MS);
+    }
+  answer_poll (table, NULL, 0, NULL, 0, MS);
+  struct lease_order order = make_order (7, 1);
+  CU_ASSERT_TRUE (lease_start (table, w, &order, 2 * MS));
+  for (int64_t ms = 10; ms < 1200; ms += 100)
+    fail_poll (table, LEASE_REPLY_CONN_REFUSED, ms * MS);
+  CU_ASSERT_EQUAL (sink.ends, 1);
+  CU_ASSERT_EQUAL (sink.blames[0], LEASE_BLAME_POSSIBLE);
+  lease_table_free (table);
+}
+
 int
 main (void)
 {
@@ -691,6 +717,8 @@
       test_a_restarted_worker_waits_for_its_entry },
     { "a restart is noticed after the registry tells",
       test_a_restart_is_noticed_after_the_registry_tells },
+    { "nobody is blamed if most workers refuse",
+      test_nobody_is_blamed_if_most_workers_refuse },
     CU_TEST_INFO_NULL,
   };
   pl_log_init ("text", "error");
--- a/tests/owner_test.c
+++ b/tests/owner_test.c
@@ -11,6 +11,8 @@
 #define OTHER_HOLDER 51
 #define WORKER 60
 
+#define CODE_LIMIT 700 /* above every result code */
+
 /* What the owner has called through struct owner_ops.  */
 struct calls
 {
@@ -24,6 +26,7 @@
   unsigned claims;
   unsigned stops;
   unsigned answers;
+  unsigned codes[CODE_LIMIT]; /* answers with each code */
   struct owner_answer answer;
 };
 
@@ -88,6 +91,7 @@
   struct calls *calls = ctx;
   (void)job;
   calls->answers++;
+  calls->codes[answer->code]++;
   calls->answer = *answer;
 }
 
@@ -423,6 +427,69 @@
   owner_table_free (fixture.table);
 }
 
+/* Reports that run RUN of task 0 was lost with its worker.  */
+static void
+lose_run (struct fixture *fixture, uint32_t run, enum lease_blame blame)
+{
+  struct owner_run_end end = {
+    .worker = WORKER,
+    .holder = HOLDER,
+    .id = { 1, 0, run },
+    .end = LEASE_END_STOPPED,
+    .blame = blame,
+  };
+  owner_on_run_end (fixture->table, &end);
+}
+
+/* Guards against starts without a bound where the cause of the losses can't be
+   told: a task that crashes its worker long after its start.  */
+static void
+test_a_task_that_is_lost_too_often_is_given_up (void)
+{
+  struct fixture fixture;
+  fixture_init (&fixture, 1);
+  for (uint32_t run = 1; run <= 4; run++)
+    {
+      CU_ASSERT_EQUAL (fixture.calls.answers, 0);
+      grant (&fixture, 0, 1);
+      lose_run (&fixture, run, LEASE_BLAME_POSSIBLE);
+    }
+  CU_ASSERT_EQUAL (fixture.calls.codes[PL_FAILED_RAN], 1);
+  owner_table_free (fixture.table);
+}
+
+/* Guards against a crash that counts twice because two holders report it, and
+   against a job that is started although its task has crashed two workers when
+   it was submitted before.  */
+static void
+test_each_crash_counts_once_and_for_later_submissions (void)
+{
+  struct fixture fixture;
+  fixture_init (&fixture, 1);
+  grant (&fixture, 0, 1);
+  lose_run (&fixture, 1, LEASE_BLAME_LIKELY);
+  lose_run (&fixture, 1, LEASE_BLAME_LIKELY);
+  CU_ASSERT_EQUAL (fixture.calls.answers, 0);
+  struct owner_crash crash = { .task = planner_task_tag (2, 0), .count = 2 };
+  owner_add_crash (fixture.table, &crash);
+  unsigned requests = fixture.calls.requests;
+  struct owner_submission submission = {
+    .job = 2,
+    .route = "r",
+    .service = "s",
+    .spec = pl_str ("spec"),
+    .n_tasks = 1,
+    .declared_us = 100 * MS,
+    .deadline_us = 3000 * MS,
+  };
+  (void)owner_submit_job (fixture.table, &submission, NULL);
+  owner_tick (fixture.table);
+  CU_ASSERT_EQUAL (fixture.calls.codes[PL_FAILED_RAN], 1);
+  owner_flush_requests (fixture.table);
+  CU_ASSERT_EQUAL (fixture.calls.requests, requests + 1);
+  owner_table_free (fixture.table);
+}
+
 int
 main (void)
 {
@@ -447,6 +514,10 @@
     { "a job is answered at its deadline", test_job_is_answered_at_deadline },
     { "a stopping owner answers every job",
       test_a_stopping_owner_answers_every_job },
+    { "a task that is lost too often is given up",
+      test_a_task_that_is_lost_too_often_is_given_up },
+    { "each crash counts once and for later submissions",
+      test_each_crash_counts_once_and_for_later_submissions },
     CU_TEST_INFO_NULL,
   };
   pl_log_init ("text", "error");
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -303,7 +303,7 @@
   } cases[] = {
     { 0, true, "", LEASE_REPLY_NO_ANSWER },
     { 0, false, "", LEASE_REPLY_NOT_SENT },
-    { 0, false, "", LEASE_REPLY_NO_LISTENER, true },
+    { 0, false, "", LEASE_REPLY_CONN_REFUSED, true },
     { 200, true, "not json", LEASE_REPLY_OK },
     { 409, true, "{\"reason\":\"fence\"}", LEASE_REPLY_FENCED },
     { 409, true, "{\"reason\":\"old\"}", LEASE_REPLY_OLD_RUN },
--- a/tests/world_base.h
+++ b/tests/world_base.h
@@ -22,9 +22,9 @@
 /* After this time callers submit the jobs of an ended instance again.  */
 #define WORLD_RESEND_US 1300000
 #define WORLD_JOB_DEADLINE_US 4000000
-/* A deadly task crashes its worker after this time; the worker is back after
+/* A crashing task ends its worker after this time; the worker is back after
    WORLD_REBOOT_US.  */
-#define WORLD_DEADLY_US 5000
+#define WORLD_CRASH_DELAY_US 5000
 #define WORLD_REBOOT_US 3000000
 #define WORLD_UNKNOWN_RUN_US 100000 /* of a job that no caller submitted */
 #define WORLD_CODE_LIMIT 700        /* above every result code */
@@ -99,7 +99,7 @@
   uint32_t per_worker; /* tasks on one worker; 0: no bound */
   struct planner_resources size;
   int64_t run_us;
-  bool deadly;      /* its first task crashes the worker that starts it */
+  bool crashing;    /* its first task crashes the worker that starts it */
   unsigned crashes; /* of workers, by it */
   int instance;     /* that it was submitted to last */
   uint64_t incarnation;
--- a/tests/world_workers.h
+++ b/tests/world_workers.h
@@ -71,7 +71,7 @@
 }
 
 static inline void
-world_deadly_run_strikes (struct world *world, struct world_event *event)
+world_run_crashes_worker (struct world *world, struct world_event *event)
 {
   struct world_worker *w = &world->workers[event->to];
   struct world_job *job = g_hash_table_lookup (world->jobs, &event->id.job);
@@ -85,16 +85,16 @@
   world_schedule (world, reboot);
 }
 
-/* Schedules the crash of W if the run that it has started is deadly.  */
+/* Schedules the crash of W if the run that it has started causes one.  */
 static inline void
 world_schedule_crash (struct world *world, struct world_worker *w,
                       const struct lease_run_id *id)
 {
   const struct world_job *job = g_hash_table_lookup (world->jobs, &id->job);
-  if (job == NULL || !job->deadly || id->index != 0)
+  if (job == NULL || !job->crashing || id->index != 0)
     return;
-  struct world_event *event
-      = world_new_event (world, WORLD_DEADLY_US, world_deadly_run_strikes);
+  struct world_event *event = world_new_event (world, WORLD_CRASH_DELAY_US,
+                                               world_run_crashes_worker);
   event->to = w->index;
   event->id = *id;
   event->incarnation = (uint64_t)w->incarnation_ms;
@@ -316,7 +316,7 @@
     }
   if (!w->up && !cut && w->refuses)
     {
-      world_send_poll_answer (world, event, LEASE_REPLY_NO_LISTENER,
+      world_send_poll_answer (world, event, LEASE_REPLY_CONN_REFUSED,
                               world_random_delay (world));
       return;
     }
@@ -401,7 +401,7 @@
   if (w->up && !cut)
     reply = apply (world, w, event);
   else if (!cut && w->refuses)
-    reply = LEASE_REPLY_NO_LISTENER;
+    reply = LEASE_REPLY_CONN_REFUSED;
   if (event->no_answer)
     return;
   if (world_random_chance (world, world->lost_answer_share))
