owner: a stopping instance says so when it refuses a job

A job that could not be done before the end of a stopping instance was answered as DEADLINE_LOST, although its caller's deadline was not the reason; the code is STOPPING now. The status stays 503. The test failed before.

--- a/lib/owner/job.c
+++ b/lib/owner/job.c
@@ -305,14 +305,16 @@
   table->dirty = true;
 }
 
-/* Answers a job that can't meet its deadline.  DEADLINE_LOST says that nothing
-   has run; it is used only if no start was sent.  */
+/* Answers a job that can't meet its deadline.  DEADLINE_LOST and STOPPING say
+   that nothing has run; they are used only if no start was sent.  */
 static void
 finish_missed_deadline (struct owner_table *table, struct owner_job *job,
                         int retry_after_ms)
 {
   if (job->started)
     owner_finish_job (table, job, PL_DEADLINE_RAN, 0);
+  else if (job->deadline_us == table->latest_deadline_us)
+    owner_finish_job (table, job, PL_STOPPING, retry_after_ms);
   else
     owner_finish_job (table, job, PL_DEADLINE_LOST, retry_after_ms);
 }
--- a/tests/owner_test.c
+++ b/tests/owner_test.c
@@ -423,6 +423,8 @@
   fixture.clock.now_us = 1500 * MS;
   owner_tick (fixture.table);
   CU_ASSERT_EQUAL (fixture.calls.answers, 2);
+  CU_ASSERT_EQUAL (fixture.calls.codes[PL_STOPPING], 1);
+  CU_ASSERT_EQUAL (fixture.calls.codes[PL_DEADLINE_RAN], 1);
   CU_ASSERT_EQUAL (owner_count_jobs (fixture.table), 0);
   owner_table_free (fixture.table);
 }
