--- a/review/standin/lib.sh
+++ b/review/standin/lib.sh
@@ -22,7 +22,7 @@
 give_up() { echo "can't run: $1" | tee -a "$RECORD"; exit 2; }
 
 # now: microseconds on the steady clock that the stand-ins use.
-now() { awk '{printf "%d\n", $1 * 1000000}' /proc/uptime; }
+now() { awk '{printf "%.0f\n", $1 * 1000000}' /proc/uptime; }
 
 # note TEXT: a line in the record.
 note() { echo "$(now) note $1" >>"$RECORD"; }
@@ -30,12 +30,29 @@
 # run COMMAND...: starts a process that cleanup ends; its id is in RUN_PID.
 run() { "$@" & RUN_PID=$!; PIDS+=("$RUN_PID"); }
 
+# http METHOD IP:PORT TARGET [HOST [DEADLINE_MS [BODY]]]: sends a request on a
+# connection of its own, and prints status and body of the answer.
+http() {
+  local fd line
+  exec {fd}<>"/dev/tcp/${2%:*}/${2#*:}" || return 1
+  printf '%s %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\nRequest-Deadline: %s\r\nContent-Type: application/json\r\nContent-Length: %s\r\n\r\n%s' \
+    "$1" "$3" "${4:-$2}" "${5:-1500}" "${#6}" "${6:-}" >&"$fd"
+  read -r -t 12 line <&"$fd"
+  line=${line#* }
+  printf '%s ' "${line%% *}"
+  while read -r -t 2 line && [ "$line" != $'\r' ]; do :; done <&"$fd"
+  cat <&"$fd"
+  exec {fd}>&-
+}
+
 # start_store: the store of the project's stand-in, without workers of its own.
 start_store() {
   run "$BIN/standin-fleet" "$NET.1" 9100 0 brum 2>"$DIR/store.log"
-  wait_for 5 curl -s -o /dev/null "http://$STORE/standin/report" || give_up "the store does not start"
+  wait_for 5 has_store || give_up "the store does not start"
 }
 
+has_store() { http GET "$STORE" /standin/report >/dev/null 2>&1; }
+
 # start_instance N ZONE: an instance, started as deploy/system.toml says.
 start_instance() {
   cat >"$DIR/i$1.json" <<END
@@ -59,13 +76,14 @@
 # worker_pid N: the process of worker N.
 worker_pid() { awk -v id="i-0000000$1" '$2 == "up" && $3 == id {pid = $4} END {print pid}' "$RECORD"; }
 
-# write_config VERSION: the operator's configuration with the queue "pule".
+# write_config VERSION [TARGET_MS]: the operator's configuration with the queue
+# "pule" and its target latency.
 write_config() {
-  curl -s -o /dev/null "http://$STORE/standin/put?key=op/config" -d "{\"version\": $1,
+  http POST "$STORE" "/standin/put?key=op/config" "" "" "{\"version\": $1,
     \"routes\": [{\"name\": \"r-pule\", \"host\": \"pule.example\", \"prefix\": \"/pule/\",
       \"service\": \"board-orders\", \"priority\": 0, \"max_attempts\": 2, \"stretch\": 1.6,
       \"target_latency_ms\": ${2:-60}, \"timeout_ms\": 1500}],
-    \"services\": [{\"name\": \"board-orders\"}], \"limits\": {\"max_body_bytes\": 262144}}"
+    \"services\": [{\"name\": \"board-orders\"}], \"limits\": {\"max_body_bytes\": 262144}}" >/dev/null
 }
 
 # wait_for SECONDS COMMAND...: polls until the command succeeds.
@@ -79,4 +97,4 @@
   done
 }
 
-is_ready() { [ "$(curl -s -m 1 -o /dev/null -w '%{http_code}' "http://$NET.1$1:8167/readyz")" = 200 ]; }
+is_ready() { [[ $(http GET "$NET.1$1:8167" /readyz 2>/dev/null) == 200* ]]; }
