--- a/lib/lease/lease.h
+++ b/lib/lease/lease.h
@@ -101,7 +101,10 @@
   uint64_t owner; /* 0: found on the worker, not claimed yet */
   struct planner_resources size;
   enum lease_run_state state;
-  enum lease_blame blame; /* set when the worker is lost */
+  /* The process of the worker that answers has listed the run, which
+     therefore ends with that process.  */
+  bool listed;
+  enum lease_blame blame; /* set when the worker is lost or restarts */
   char *spec;
   int64_t added_us;      /* when its start was sent, or it was found */
   int64_t started_us;    /* when first known to run; 0: not known */
@@ -169,6 +172,7 @@
   bool answered; /* some poll was: its clock and what runs there are known */
   int64_t clock_offset_ms; /* the worker's clock minus ours */
   int64_t last_end;        /* number of the last end that was read */
+  int64_t acked_end;       /* up to which the latest poll acknowledges ends */
   bool poll_renews;        /* the latest poll carries a lease */
   int64_t polled_us;       /* when the latest poll was sent */
   int64_t renewed_us;      /* when the latest call with a lease was sent */
--- a/lib/lease/lease_priv.h
+++ b/lib/lease/lease_priv.h
@@ -41,9 +41,10 @@
 void lease_drop_for_reply (struct lease_table *table, struct lease_worker *w,
                            enum lease_reply reply, int64_t now_us);
 
-/* Sends the next poll; with a lease if RENEW.  */
+/* Sends the first poll, or the next one after a failure: without a lease, and
+   answered at once.  */
 void lease_send_poll (struct lease_table *table, struct lease_worker *w,
-                      bool renew, int64_t now_us);
+                      int64_t now_us);
 
 /* Counts a run that is done and updates the worker's slowness.  */
 void lease_record_success (struct lease_health *health, int64_t took_us,
--- a/lib/lease/poll.c
+++ b/lib/lease/poll.c
@@ -23,23 +23,39 @@
   return now_us / 1000 + w->clock_offset_ms + LEASE_MAX_MS;
 }
 
-void
-lease_send_poll (struct lease_table *table, struct lease_worker *w, bool renew,
-                 int64_t now_us)
+static void
+send_poll (struct lease_table *table, struct lease_worker *w, bool renew,
+           int wait_ms, int64_t now_us)
 {
   int64_t deadline_ms = renew ? lease_deadline_ms (w, now_us) : 0;
   w->poll_renews = deadline_ms != 0;
+  /* After a poll without an answer, the worker may have been restarted; its
+     new process numbers ends from 1 again, and would forget those that were
+     not read yet.  */
+  w->acked_end = w->poll_reply == LEASE_REPLY_OK ? w->last_end : 0;
   w->polled_us = now_us;
   w->next_poll_us = 0;
   if (deadline_ms != 0)
     w->renewed_us = now_us;
-  bool answers_lost = w->poll_lost_us != 0
-                      && now_us - w->poll_lost_us < POLL_WAIT_SHORT_FOR_US;
-  int wait_ms = answers_lost ? POLL_WAIT_SHORT_MS : POLL_WAIT_MS;
   table->ops->poll (table->ctx, w, deadline_ms,
                     deadline_ms != 0 ? wait_ms : 0);
 }
 
+static int
+usual_wait_ms (const struct lease_worker *w, int64_t now_us)
+{
+  bool answers_lost = w->poll_lost_us != 0
+                      && now_us - w->poll_lost_us < POLL_WAIT_SHORT_FOR_US;
+  return answers_lost ? POLL_WAIT_SHORT_MS : POLL_WAIT_MS;
+}
+
+void
+lease_send_poll (struct lease_table *table, struct lease_worker *w,
+                 int64_t now_us)
+{
+  send_poll (table, w, false, 0, now_us);
+}
+
 /* A poll got no answer.  The lease is not renewed until an answer arrives, so
    that it expires at a known time.  */
 static void
@@ -86,6 +102,8 @@
   if (end->number <= w->last_end)
     return;
   w->last_end = end->number;
+  if (run != NULL)
+    run->blame = LEASE_BLAME_NONE; /* the worker goes on */
   if (run == NULL)
     {
       /* The run was started by an earlier holder.  */
@@ -129,6 +147,8 @@
     }
   if (run->started_us == 0)
     run->started_us = now_us;
+  run->listed = true;
+  run->blame = LEASE_BLAME_NONE;
 }
 
 static bool
@@ -163,23 +183,43 @@
     }
 }
 
-/* If the worker answers as another incarnation, its process was restarted: all
-   earlier runs have ended, and ends are numbered from the start again.  */
+/* The worker's process was restarted: runs that the former process has listed
+   have ended with it, and ends are numbered from 1 again.  A start that was
+   not listed may have reached either process.  It is settled by what the new
+   one lists and acknowledges; a stop that the former one has acknowledged
+   says nothing of the new one and is ordered again.  */
 static void
-check_incarnation (struct lease_table *table, struct lease_worker *w,
-                   const struct lease_poll_result *result, int64_t now_us)
+on_restarted (struct lease_table *table, struct lease_worker *w,
+              int64_t now_us)
 {
-  if (result->incarnation_ms == 0
-      || result->incarnation_ms == w->info.incarnation_ms)
-    return;
-  if (w->info.incarnation_ms != 0)
+  w->last_end = 0;
+  lease_blame_runs (table, w, LEASE_CAUSE_RESTARTED);
+  for (guint i = w->runs->len; i-- > 0;)
     {
-      lease_end_all_runs (table, w, LEASE_END_STOPPED, LEASE_CAUSE_RESTARTED,
-                          now_us);
-      w->last_end = 0;
-      table->ops->changed (table->ctx, w);
+      struct lease_run *run = g_ptr_array_index (w->runs, i);
+      if (run->listed)
+        {
+          lease_end_run (table, w, run, LEASE_END_STOPPED,
+                         LEASE_CAUSE_RESTARTED, now_us);
+          continue;
+        }
+      run->stop_acked_us = 0;
+      if (run->state == LEASE_RUN_STOPPING)
+        lease_order_stop (table, w, run, now_us);
     }
+  table->ops->changed (table->ctx, w);
+}
+
+/* Whether the worker answers as another incarnation than before.  */
+static bool
+update_incarnation (struct lease_worker *w,
+                    const struct lease_poll_result *result)
+{
+  int64_t before_ms = w->info.incarnation_ms;
+  if (result->incarnation_ms == 0 || result->incarnation_ms == before_ms)
+    return false;
   w->info.incarnation_ms = result->incarnation_ms;
+  return before_ms != 0;
 }
 
 static void
@@ -188,7 +228,9 @@
 {
   bool first = !w->answered;
   bool was_silent = w->state == LEASE_WORKER_SILENT;
-  check_incarnation (table, w, result, now_us);
+  bool restarted = update_incarnation (w, result);
+  if (restarted)
+    on_restarted (table, w, now_us);
   w->answered = true;
   w->answered_us = now_us;
   w->clock_offset_ms = result->clock_ms - now_us / 1000;
@@ -198,7 +240,10 @@
     apply_running (table, w, &result->running[i], now_us);
   end_unlisted_runs (table, w, result, now_us);
   w->state = LEASE_WORKER_HELD;
-  lease_send_poll (table, w, true, now_us);
+  /* After a restart the next list, which settles what this one does not, is
+     asked for at once.  */
+  send_poll (table, w, true, restarted ? 0 : usual_wait_ms (w, now_us),
+             now_us);
   if (first)
     table->ops->taken (table->ctx, w);
   if (first || was_silent || result->n_ended > 0)
--- a/lib/lease/run.c
+++ b/lib/lease/run.c
@@ -121,12 +121,13 @@
     [LEASE_END_OLD_RUN] = PL_CTR_RUN_STARTS_REFUSED_TOTAL,
     [LEASE_END_UNKNOWN] = PL_CTR_RUNS_UNKNOWN_TOTAL,
   };
+  bool never_started = end == LEASE_END_REJECTED || end == LEASE_END_OLD_RUN;
   struct lease_run_end run_end = {
     .id = run->id,
     .owner = run->owner,
     .end = end,
     .cause = cause,
-    .blame = run->blame,
+    .blame = never_started ? LEASE_BLAME_NONE : run->blame,
     .took_us = lease_run_time_us (run, now_us),
     .age_us = now_us - run->added_us,
     .acknowledged = lease_is_acknowledged (run),
--- a/lib/lease/table.c
+++ b/lib/lease/table.c
@@ -82,7 +82,7 @@
   w->answered_us = now_us;
   w->health.slowness = 100;
   g_hash_table_insert (table->workers, &w->info.worker, w);
-  lease_send_poll (table, w, false, now_us);
+  lease_send_poll (table, w, now_us);
   return w;
 }
 
@@ -191,7 +191,7 @@
       table->ops->changed (table->ctx, w);
     }
   if (w->next_poll_us != 0 && w->next_poll_us <= now_us)
-    lease_send_poll (table, w, false, now_us);
+    lease_send_poll (table, w, now_us);
 }
 
 void
--- a/tests/cell_fault_test.c
+++ b/tests/cell_fault_test.c
@@ -170,6 +170,33 @@
     }
 }
 
+/* Guards against a task that is started elsewhere while it runs on a worker
+   whose process was restarted at once: the start was accepted by the new
+   process before its holder had noticed the restart.  */
+static void
+test_a_worker_that_restarts_at_once_runs_nothing_twice (void)
+{
+  for (uint64_t seed = 1; seed <= MORE_SEEDS; seed++)
+    {
+      struct world *world = world_new (seed, 3, 8, 2);
+      world_run_for (world, SECOND);
+      for (int i = 0; i < 40; i++)
+        {
+          run_load (world, 100000, 3, 60000);
+          (void)world_submit (world, i % 3, 3, 60000);
+          world_run_for (world, world_random_between (world, 0, 1000));
+          world_end_worker (world, &world->workers[i % 8], true);
+          world_run_for (world, world_random_between (world, 0, 3000));
+          world_boot_worker (world, i % 8);
+          (void)world_submit (world, i % 3, 3, 60000);
+        }
+      settle (world);
+      CU_ASSERT_TRUE (all_answered (world));
+      check_violations (world, "restart at once", seed);
+      world_free (world);
+    }
+}
+
 /* Guards against a worker that has left and is used again by an instance that
    restarts and reads a registry that still lists it.  */
 static void
@@ -577,6 +604,8 @@
       test_a_hand_over_starts_nothing_twice },
     { "a paused instance acts on nothing expired",
       test_a_paused_instance_acts_on_nothing_expired },
+    { "a worker that restarts at once runs nothing twice",
+      test_a_worker_that_restarts_at_once_runs_nothing_twice },
     { "a worker that left is not used after a restart",
       test_a_worker_that_left_is_not_used_after_a_restart },
     { "an old configuration is replaced after a restart",
--- a/tests/lease_test.c
+++ b/tests/lease_test.c
@@ -35,7 +35,7 @@
   sink->poll_wait_ms = wait_ms;
   sink->polls++;
   sink->poll_deadline_ms = deadline_ms;
-  sink->poll_last_end = w->last_end;
+  sink->poll_last_end = w->acked_end;
 }
 
 static void
@@ -351,10 +351,132 @@
   struct sink sink = { 0 };
   struct lease_table *table = lease_table_new (&ops, &sink);
   (void)take_and_start (table);
+  fail_poll (table, LEASE_REPLY_NO_ANSWER, 10 * MS);
+  lease_tick (table, 20 * MS);
   struct lease_poll_result result
       = { .reply = LEASE_REPLY_OK, .clock_ms = 3, .incarnation_ms = 6 };
   lease_poll_done (table, 1, TOKEN, &result, 100 * MS);
   CU_ASSERT_EQUAL (sink.end, LEASE_END_STOPPED);
+  CU_ASSERT_EQUAL (sink.ends, 1);
+  lease_table_free (table);
+}
+
+/* Passes the answer of a new incarnation that lists the N_RUNNING runs of
+   RUNNING, which is sent after all starts so far.  */
+static void
+answer_restarted (struct lease_table *table,
+                  const struct lease_running *running, unsigned n_running,
+                  int64_t now_us)
+{
+  struct lease_poll_result result = { .reply = LEASE_REPLY_OK,
+                                      .clock_ms = 1,
+                                      .incarnation_ms = 6,
+                                      .running = running,
+                                      .n_running = n_running };
+  lease_poll_done (table, 1, TOKEN, &result, now_us);
+}
+
+/* Takes the worker, starts run 1 of job 1, which it lists, and has the poll
+   after that fail at 10 ms as when its process ends.  */
+static struct lease_worker *
+take_start_and_crash (struct lease_table *table)
+{
+  struct lease_order order = take_and_start (table);
+  struct lease_running running = { .id = order.id };
+  answer_poll (table, &running, 1, NULL, 0, 5 * MS);
+  fail_poll (table, LEASE_REPLY_NO_ANSWER, 10 * MS);
+  return lease_find_worker (table, 1);
+}
+
+/* Guards against a task that is started elsewhere while it runs: its start was
+   accepted by the restarted process of the worker before a poll showed the
+   restart, and the run was taken for one of the former process.  */
+static void
+test_a_run_of_the_restarted_process_is_kept (void)
+{
+  struct sink sink = { 0 };
+  struct lease_table *table = lease_table_new (&ops, &sink);
+  struct lease_worker *w = take_start_and_crash (table);
+  struct lease_order order = make_order (2, 1);
+  CU_ASSERT_TRUE (lease_start (table, w, &order, 11 * MS));
+  lease_start_done (table, 1, TOKEN, &order.id, LEASE_REPLY_OK, 12 * MS);
+  struct lease_running running = { .id = order.id };
+  lease_tick (table, 20 * MS);
+  answer_restarted (table, &running, 1, 21 * MS);
+  CU_ASSERT_EQUAL (sink.ends, 1); /* the run of the former process */
+  CU_ASSERT_EQUAL (sink.ended.job, 1);
+  CU_ASSERT_TRUE (lease_has_run (w, &order.id));
+  CU_ASSERT_EQUAL (sink.stops, 0);
+  lease_table_free (table);
+}
+
+/* Guards against the same for a start that was on its way when the restarted
+   process listed its runs: with an answer it is settled by the next list,
+   without one by a stop that the new process acknowledges.  */
+static void
+test_a_start_beside_a_restart_ends_only_when_certain (void)
+{
+  for (int answered = 0; answered <= 1; answered++)
+    {
+      struct sink sink = { 0 };
+      struct lease_table *table = lease_table_new (&ops, &sink);
+      struct lease_worker *w = take_start_and_crash (table);
+      lease_tick (table, 20 * MS);
+      struct lease_order order = make_order (2, 1);
+      CU_ASSERT_TRUE (lease_start (table, w, &order, 21 * MS));
+      answer_restarted (table, NULL, 0, 22 * MS);
+      CU_ASSERT_EQUAL (sink.poll_wait_ms, 0); /* soon settled */
+      lease_start_done (table, 1, TOKEN, &order.id,
+                        answered ? LEASE_REPLY_OK : LEASE_REPLY_NO_ANSWER,
+                        23 * MS);
+      CU_ASSERT_TRUE (lease_has_run (w, &order.id));
+      answer_restarted (table, NULL, 0, 24 * MS);
+      CU_ASSERT_TRUE (lease_has_run (w, &order.id));
+      lease_stop_done (table, 1, TOKEN, &order.id, LEASE_REPLY_OK, 24 * MS);
+      answer_restarted (table, NULL, 0, 25 * MS);
+      CU_ASSERT_FALSE (lease_has_run (w, &order.id));
+      CU_ASSERT_EQUAL (sink.ends, 2);
+      CU_ASSERT_EQUAL (sink.end, LEASE_END_STOPPED);
+      lease_table_free (table);
+    }
+}
+
+/* Guards against a stop that only the former process has acknowledged: the new
+   one would still carry out the start.  */
+static void
+test_a_stop_is_repeated_after_a_restart (void)
+{
+  struct sink sink = { 0 };
+  struct lease_table *table = lease_table_new (&ops, &sink);
+  struct lease_order order = take_and_send_start (table);
+  struct lease_worker *w = lease_find_worker (table, 1);
+  lease_start_done (table, 1, TOKEN, &order.id, LEASE_REPLY_NO_ANSWER, 2 * MS);
+  lease_stop_done (table, 1, TOKEN, &order.id, LEASE_REPLY_OK, 3 * MS);
+  fail_poll (table, LEASE_REPLY_NO_ANSWER, 10 * MS);
+  lease_tick (table, 20 * MS);
+  answer_restarted (table, NULL, 0, 21 * MS);
+  CU_ASSERT_TRUE (lease_has_run (w, &order.id));
+  CU_ASSERT_EQUAL (sink.stops, 2);
+  lease_table_free (table);
+}
+
+/* Guards against ends of the restarted process that are acknowledged before
+   they were read, by the number of an end of the former process.  */
+static void
+test_ends_of_a_restarted_process_are_not_acknowledged_unread (void)
+{
+  struct sink sink = { 0 };
+  struct lease_table *table = lease_table_new (&ops, &sink);
+  (void)take_and_answer (table, 0);
+  struct lease_end_record end = { 9, { 8, 0, 1 }, LEASE_OUTCOME_DONE };
+  answer_poll (table, NULL, 0, &end, 1, MS);
+  CU_ASSERT_EQUAL (sink.poll_last_end, 9);
+  fail_poll (table, LEASE_REPLY_NO_ANSWER, 2 * MS);
+  lease_tick (table, 22 * MS);
+  CU_ASSERT_EQUAL (sink.poll_last_end, 0);
+  answer_poll (table, NULL, 0, &end, 1, 23 * MS);
+  CU_ASSERT_EQUAL (sink.ends, 1); /* the same end is read once */
+  CU_ASSERT_EQUAL (sink.poll_last_end, 9);
   lease_table_free (table);
 }
 
@@ -638,6 +760,9 @@
   answer_poll (table, NULL, 0, &old_end, 1, MS);
   struct lease_order order = make_order (7, 1);
   CU_ASSERT_TRUE (lease_start (table, w, &order, 2 * MS));
+  lease_start_done (table, 1, TOKEN, &order.id, LEASE_REPLY_OK, 3 * MS);
+  fail_poll (table, LEASE_REPLY_NO_ANSWER, 4 * MS);
+  lease_tick (table, 24 * MS);
   struct lease_worker_info restarted = info;
   restarted.incarnation_ms = 6;
   lease_update (table, w, &restarted);
@@ -647,10 +772,10 @@
                                       .incarnation_ms = 6,
                                       .ended = &end,
                                       .n_ended = 1 };
-  lease_poll_done (table, 1, TOKEN, &result, 3 * MS);
+  lease_poll_done (table, 1, TOKEN, &result, 25 * MS);
   CU_ASSERT_EQUAL (w->runs->len, 0);
   CU_ASSERT_EQUAL (sink.ends, 3);
-  CU_ASSERT_TRUE (lease_start (table, w, &order, 4 * MS));
+  CU_ASSERT_TRUE (lease_start (table, w, &order, 26 * MS));
   lease_table_free (table);
 }
 
@@ -699,6 +824,14 @@
     { "a fenced holder gives up", test_a_fenced_holder_gives_up },
     { "another incarnation ends all runs",
       test_another_incarnation_ends_all_runs },
+    { "a run of the restarted process is kept",
+      test_a_run_of_the_restarted_process_is_kept },
+    { "a start beside a restart ends only when certain",
+      test_a_start_beside_a_restart_ends_only_when_certain },
+    { "a stop is repeated after a restart",
+      test_a_stop_is_repeated_after_a_restart },
+    { "ends of a restarted process are not acknowledged unread",
+      test_ends_of_a_restarted_process_are_not_acknowledged_unread },
     { "unclaimed runs are stopped", test_unclaimed_runs_are_stopped },
     { "a failing worker is ejected and tried again",
       test_a_failing_worker_is_ejected_and_tried_again },
--- a/tests/world_workers.h
+++ b/tests/world_workers.h
@@ -460,7 +460,7 @@
       = world_new_call (in, w, world_poll_reaches_worker);
   event->deadline_ms = deadline_ms;
   event->wait_ms = wait_ms;
-  event->last_end = w->last_end;
+  event->last_end = w->acked_end;
   world_schedule (in->world, event);
 }
 
