lease: an expired lease ends no run that another holder may have renewed (TWICE)

Cause: a holder whose last renewal is older than the lease reported the runs there as ended, after a failed poll. While it was frozen, another instance had taken the worker and renewed the lease. After a real stop timers run before sockets are read, so the poll's timeout comes before anything that would have told.

Change: the holder first asks whether another instance may have taken the worker since its last renewal: this process was paused (a tick more than 200 ms late), or an instance that may live was out of touch. Then the worker is polled once more; without an answer the runs are unknown, not stopped. A pause is logged (RESUMED), which no log showed before.

Why it works: an instance takes workers of another only after not hearing it for 0.7 s, which its own heartbeats show after 0.5 s; or while the other one is paused. In both cases the conclusion is not drawn.

The emulated deployment dropped the answers to calls of a frozen instance, so that its polls never ended and the fault could not show. It now keeps them, and can run timers first.

Ruled out: the owner's 1.3 s after a holder's silence, the planner's grants (they carry the holder's token).

--- a/lib/cell/assign.c
+++ b/lib/cell/assign.c
@@ -83,21 +83,13 @@
   return best;
 }
 
-/* Whether the process of a peer has certainly ended: its link is closed, and
-   its address refuses connections.  */
-static bool
-has_ended (const struct peer *peer)
-{
-  return peer->link_closed_us != 0 && peer->refuses_connections;
-}
-
 /* Whether a silent peer may still use the workers that it held when it was
    heard last.  */
 static bool
 may_still_hold (struct cell *cell, const struct peer *peer, int64_t now_us)
 {
   int64_t silence_us = now_us - peer->heard_us;
-  if (has_ended (peer))
+  if (cell_has_peer_ended (peer))
     return false;
   if (cell->registry_fresh && peer->registered)
     return silence_us < SILENT_HOLD_REGISTERED_US;
@@ -127,7 +119,7 @@
         continue;
       if (peer->alive || may_still_hold (cell, peer, now_us))
         return PEER_HOLD_LIVE;
-      if (!has_ended (peer))
+      if (!cell_has_peer_ended (peer))
         hold = PEER_HOLD_SILENT;
     }
   return hold;
--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -184,6 +184,7 @@
 cell_tick (struct cell *cell)
 {
   int64_t now_us = pl_now_us (cell->clock);
+  cell_notice_pause (cell, now_us);
   cell_tick_members (cell);
   lease_tick (cell->leases, now_us);
   owner_tick (cell->jobs);
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -34,7 +34,8 @@
   bool hears_this_instance;   /* by its latest heartbeat */
   bool draining;
   bool ready;
-  bool alive;      /* as acted on last; see cell_is_peer_alive */
+  bool alive;             /* as acted on last; see cell_is_peer_alive */
+  int64_t alive_since_us; /* while it is alive */
   bool suspected;  /* heartbeats are missing: it is not chosen as planner */
   bool registered; /* in the registry of instances */
   int64_t config_version;
@@ -81,6 +82,8 @@
   bool membership_changed; /* not handled by cell_apply_membership yet */
   bool reports_due;        /* some worker's report is due */
   bool registry_fresh;
+  int64_t ticked_us;       /* the latest tick; 0: none yet */
+  int64_t resumed_us;      /* end of the latest pause of this process */
   int64_t heartbeat_us;    /* when the last one was sent; 0: send one now */
   int64_t all_reported_us; /* when all workers were reported last */
   int64_t config_version;
@@ -96,11 +99,17 @@
 bool cell_is_peer_alive (struct cell *cell, const struct peer *peer);
 void cell_on_beat (struct cell *cell, uint64_t sender,
                    const Cellpb__Beat *beat);
+/* Whether some instance may have taken workers of this one since SINCE_US
+   without this one having heard of it: an instance that was or may be out of
+   reach, or any if this process was paused.  */
+bool cell_may_be_succeeded (struct cell *cell, int64_t since_us);
 /* Whether a frame that was sent at SENT_US on the sender's clock was delayed
    on its way, by a partition or because this process was stopped.  If so, the
    sender is treated as lost.  */
 bool cell_detect_stale_frame (struct cell *cell, uint64_t sender,
                               int64_t sent_us);
+/* Notices that this process was paused.  Call first in each tick.  */
+void cell_notice_pause (struct cell *cell, int64_t now_us);
 void cell_tick_members (struct cell *cell);
 /* Chooses the planner and the holders of the workers anew.  */
 void cell_apply_membership (struct cell *cell);
@@ -129,6 +138,14 @@
         .body_case = CELLPB__ENVELOPE__BODY_##tag, .field = (message)         \
   }
 
+/* Whether the process of a peer has certainly ended: its link is closed, and
+   its address refuses connections.  */
+static inline bool
+cell_has_peer_ended (const struct peer *peer)
+{
+  return peer->link_closed_us != 0 && peer->refuses_connections;
+}
+
 /* Assignment of the workers to instances (assign.c).  */
 void cell_assign_workers (struct cell *cell);
 void cell_on_yield (struct cell *cell, const Cellpb__Yield *msg);
--- a/lib/cell/hold.c
+++ b/lib/cell/hold.c
@@ -177,6 +177,14 @@
   cell_mark_report_due (ctx, w->info.worker);
 }
 
+static bool
+may_be_taken (void *ctx, const struct lease_worker *w, int64_t since_us)
+{
+  /* Any instance may take any worker, whatever its failure domain.  */
+  (void)w;
+  return cell_may_be_succeeded (ctx, since_us);
+}
+
 const struct lease_ops cell_lease_ops = {
   .poll = pass_poll,
   .start = pass_start,
@@ -186,6 +194,7 @@
   .taken = on_taken,
   .lost = on_lost,
   .changed = on_changed,
+  .may_be_taken = may_be_taken,
 };
 
 /* Messages to the holder.  */
--- a/lib/cell/member.c
+++ b/lib/cell/member.c
@@ -9,6 +9,9 @@
 /* After two missing heartbeats a peer is suspected: it is not chosen as
    planner and gets no new tasks, but keeps its workers and runs.  */
 #define PEER_SUSPECT_US 250000
+/* A tick that comes this late shows that the process was paused: stopped by a
+   signal, or its machine not scheduled.  */
+#define PAUSE_US 200000
 /* Least time between two forced attempts to connect; a connection across
    regions is set up in less.  */
 #define RECONNECT_MIN_US 50000
@@ -65,6 +68,49 @@
          || now_us - peer->link_closed_us < PEER_RECONNECT_US;
 }
 
+/* Whether PEER may have missed this instance's heartbeats at some time since
+   SINCE_US, and may have taken its workers.  An address at which nobody was
+   ever heard counts only if an instance is registered there.  */
+static bool
+may_have_missed_beats (struct cell *cell, const struct peer *peer,
+                       int64_t since_us)
+{
+  if (cell_has_peer_ended (peer) || (peer->id == 0 && !peer->registered))
+    return false;
+  return peer->suspected || !cell_is_peer_alive (cell, peer)
+         || peer->alive_since_us > since_us;
+}
+
+bool
+cell_may_be_succeeded (struct cell *cell, int64_t since_us)
+{
+  /* The second is a pause that no tick has noticed yet.  */
+  if (cell->resumed_us > since_us
+      || pl_now_us (cell->clock) - cell->ticked_us > PAUSE_US)
+    return true;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, cell->peers);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    if (may_have_missed_beats (cell, value, since_us))
+      return true;
+  return false;
+}
+
+void
+cell_notice_pause (struct cell *cell, int64_t now_us)
+{
+  int64_t gap_us = now_us - cell->ticked_us;
+  if (cell->ticked_us != 0 && gap_us > PAUSE_US)
+    {
+      cell->resumed_us = now_us;
+      pl_log (PL_EV_RESUMED, "gap_ms=%" PRId64 " held=%u jobs=%u",
+              gap_us / 1000, cell_count_held_workers (cell),
+              owner_count_jobs (cell->jobs));
+    }
+  cell->ticked_us = now_us;
+}
+
 /* Upper bound of the drift between the monotonic clocks of two machines.  */
 #define CLOCK_DRIFT_PERCENT 3
 
@@ -112,6 +158,7 @@
   if (peer->alive == alive)
     return;
   peer->alive = alive;
+  peer->alive_since_us = pl_now_us (cell->clock);
   cell->membership_changed = true;
   if (!alive)
     {
--- a/lib/lease/lease.h
+++ b/lib/lease/lease.h
@@ -248,6 +248,10 @@
   void (*lost) (void *ctx, struct lease_worker *w, enum lease_reply reason);
   /* What lease_fill_report reports of the worker may have changed.  */
   void (*changed) (void *ctx, struct lease_worker *w);
+  /* Whether another instance may have taken the worker since SINCE_US without
+     this one knowing: it would have renewed the leases of what runs there.  */
+  bool (*may_be_taken) (void *ctx, const struct lease_worker *w,
+                        int64_t since_us);
 };
 
 struct lease_table *lease_table_new (const struct lease_ops *ops, void *ctx);
--- a/lib/lease/poll.c
+++ b/lib/lease/poll.c
@@ -56,6 +56,24 @@
   send_poll (table, w, false, 0, now_us);
 }
 
+/* This holder's last renewal has expired.  That ends the runs only if nobody
+   else has renewed their lease.  Where another instance may have, the worker
+   is asked once more, since it can tell; without an answer it is not known
+   whether they run.  */
+static void
+on_lease_expired (struct lease_table *table, struct lease_worker *w,
+                  int64_t now_us)
+{
+  enum lease_end end = LEASE_END_STOPPED;
+  if (table->ops->may_be_taken (table->ctx, w, w->renewed_us))
+    {
+      if (w->polled_us - w->renewed_us <= EXPIRY_US)
+        return;
+      end = LEASE_END_UNKNOWN;
+    }
+  lease_end_all_runs (table, w, end, LEASE_CAUSE_EXPIRED, now_us);
+}
+
 /* A poll got no answer.  The lease is not renewed until an answer arrives, so
    that it expires at a known time.  */
 static void
@@ -72,8 +90,7 @@
       table->ops->changed (table->ctx, w);
     }
   if (now_us - w->renewed_us > EXPIRY_US)
-    lease_end_all_runs (table, w, LEASE_END_STOPPED, LEASE_CAUSE_EXPIRED,
-                        now_us);
+    on_lease_expired (table, w, now_us);
   w->poll_lost_us = now_us;
   pl_count (PL_CTR_LOOKS_LOST_TOTAL, 1);
   w->next_poll_us
--- a/tests/cell_fault_test.c
+++ b/tests/cell_fault_test.c
@@ -197,6 +197,51 @@
     }
 }
 
+#define REGISTRATION_US 700000 /* after which a silent one lapses */
+
+/* Freezes an instance for PAUSE_US under load; its registration lapses
+   meanwhile.  */
+static void
+pause_instance (struct world *world, int index, int64_t pause_us,
+                bool timers_first)
+{
+  int64_t registered_us = MIN (pause_us, REGISTRATION_US);
+  world_set_frozen (world, index, true);
+  run_load (world, registered_us, 2, 400000);
+  world_set_registered (world, index, false);
+  run_load (world, pause_us - registered_us, 2, 400000);
+  world_thaw (world, index, timers_first);
+  world_run_for (world, 50000);
+  world_set_registered (world, index, true);
+}
+
+/* Guards against an instance that goes on after a pause and takes the runs on
+   its workers for expired, although another instance has taken the workers and
+   renewed them; or that takes its peers for silent because it was itself.  */
+static void
+test_a_pause_is_not_the_silence_of_others (void)
+{
+  for (uint64_t seed = 1; seed <= MORE_SEEDS; seed++)
+    {
+      struct world *world = world_new (seed, 4, 12, 2);
+      world_run_for (world, SECOND);
+      for (int i = 0; i < 12; i++)
+        {
+          (void)world_submit (world, i % 4, 4, 2000000);
+          run_load (world, 700000, 2, 400000);
+          pause_instance (
+              world, i % 4,
+              world_random_between (world, 200000, i < 8 ? 1500000 : 6000000),
+              i % 3 != 0);
+        }
+      settle (world);
+      CU_ASSERT_EQUAL (count_held (world), 12);
+      CU_ASSERT_TRUE (all_answered (world));
+      check_violations (world, "pause, timers first", seed);
+      world_free (world);
+    }
+}
+
 /* Guards against a worker that has left and is used again by an instance that
    restarts and reads a registry that still lists it.  */
 static void
@@ -606,6 +651,8 @@
       test_a_paused_instance_acts_on_nothing_expired },
     { "a worker that restarts at once runs nothing twice",
       test_a_worker_that_restarts_at_once_runs_nothing_twice },
+    { "a pause is not the silence of others",
+      test_a_pause_is_not_the_silence_of_others },
     { "a worker that left is not used after a restart",
       test_a_worker_that_left_is_not_used_after_a_restart },
     { "an old configuration is replaced after a restart",
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -113,6 +113,7 @@
   in->incarnation = world_random (world) | 1;
   in->frozen = false;
   in->links = g_ptr_array_new_with_free_func (g_free);
+  in->missed = g_ptr_array_new_with_free_func (g_free);
   memset (in->link_peers, 0, sizeof in->link_peers);
   struct cell_config config = {
     .clock = &world->clock.base,
@@ -171,6 +172,7 @@
   cell_free (in->cell);
   in->cell = NULL;
   g_ptr_array_unref (in->links);
+  g_ptr_array_unref (in->missed);
   world_close_links_to (world, index);
   for (int i = 0; i < world->n_instances; i++)
     {
@@ -205,6 +207,39 @@
   g_ptr_array_unref (delayed_frames);
 }
 
+/* Lets a frozen instance go on.  If TIMERS_FIRST, its calls that have timed
+   out have failed for it, and a tick comes, before it reads what has arrived
+   meanwhile: so it is for a process that was stopped by a signal.  */
+static inline void
+world_thaw (struct world *world, int index, bool timers_first)
+{
+  struct world_instance *in = &world->instances[index];
+  GPtrArray *missed = in->missed;
+  in->missed = g_ptr_array_new_with_free_func (g_free);
+  in->frozen = false;
+  for (guint i = 0; i < missed->len; i++)
+    {
+      struct world_event *event = g_ptr_array_index (missed, i);
+      if (timers_first && event->expires_us <= world_now (world))
+        event->reply = LEASE_REPLY_NO_ANSWER;
+      event->handler (world, event);
+    }
+  g_ptr_array_unref (missed);
+  if (timers_first)
+    cell_tick (in->cell);
+  world_deliver_delayed_frames (world);
+}
+
+/* Whether the registry lists an instance, for its peers.  */
+static inline void
+world_set_registered (struct world *world, int index, bool registered)
+{
+  for (int i = 0; i < world->n_instances; i++)
+    if (i != index && world->instances[i].cell != NULL)
+      cell_set_instance_registered (world->instances[i].cell,
+                                    world_addr (index), registered);
+}
+
 static inline void
 world_set_link_cut (struct world *world, int a, int b, bool cut)
 {
--- a/tests/lease_test.c
+++ b/tests/lease_test.c
@@ -26,6 +26,7 @@
   enum lease_blame blames[4]; /* by index of the task */
   enum lease_reply silent_reply;
   struct lease_run_id ended;
+  int64_t exposed_us; /* another instance may have taken the worker then */
 };
 
 static void
@@ -101,6 +102,14 @@
   (void)w;
 }
 
+static bool
+may_be_taken (void *ctx, const struct lease_worker *w, int64_t since_us)
+{
+  const struct sink *sink = ctx;
+  (void)w;
+  return sink->exposed_us > since_us;
+}
+
 static const struct lease_ops ops = {
   .poll = on_poll,
   .start = on_start,
@@ -110,6 +119,7 @@
   .taken = on_taken,
   .lost = on_lost,
   .changed = on_changed,
+  .may_be_taken = may_be_taken,
 };
 
 static const struct lease_worker_info info = {
@@ -344,6 +354,37 @@
   lease_table_free (table);
 }
 
+/* Guards against runs that are reported as expired although another holder may
+   have renewed their lease: the worker is asked once more, and without an
+   answer the end is unknown.  */
+static void
+test_an_expired_lease_that_others_may_renew_is_unknown (void)
+{
+  for (int asked = 0; asked <= 1; asked++)
+    {
+      struct sink sink = { .exposed_us = 500 * MS };
+      struct lease_table *table = lease_table_new (&ops, &sink);
+      struct lease_order order = take_and_start (table);
+      fail_poll (table, LEASE_REPLY_NO_ANSWER, 1200 * MS);
+      CU_ASSERT_EQUAL (sink.ends, 0);
+      lease_tick (table, 1300 * MS);
+      if (asked)
+        {
+          struct lease_running running = { .id = order.id };
+          answer_poll (table, &running, 1, NULL, 0, 1301 * MS);
+          CU_ASSERT_EQUAL (sink.ends, 0);
+        }
+      else
+        {
+          fail_poll (table, LEASE_REPLY_NO_ANSWER, 1350 * MS);
+          CU_ASSERT_EQUAL (sink.ends, 1);
+          CU_ASSERT_EQUAL (sink.end, LEASE_END_UNKNOWN);
+          CU_ASSERT_EQUAL (sink.cause, LEASE_CAUSE_EXPIRED);
+        }
+      lease_table_free (table);
+    }
+}
+
 /* Guards against waiting for runs of a former incarnation of the worker.  */
 static void
 test_another_incarnation_ends_all_runs (void)
@@ -821,6 +862,8 @@
     { "ends are read once and acknowledged",
       test_ends_are_read_once_and_acknowledged },
     { "a silent worker is not renewed", test_a_silent_worker_is_not_renewed },
+    { "an expired lease that others may renew is unknown",
+      test_an_expired_lease_that_others_may_renew_is_unknown },
     { "a fenced holder gives up", test_a_fenced_holder_gives_up },
     { "another incarnation ends all runs",
       test_another_incarnation_ends_all_runs },
--- a/tests/world_base.h
+++ b/tests/world_base.h
@@ -49,6 +49,7 @@
   struct lease_run_id id;
   struct planner_resources size;
   int64_t run_us;
+  int64_t expires_us; /* of a call: when its timer runs out */
   enum lease_reply reply;
 };
 
@@ -88,6 +89,7 @@
   uint64_t incarnation;
   uint32_t cpu_share; /* thousandths of a core */
   bool frozen;
+  GPtrArray *missed; /* struct world_event: answers that came while frozen */
   uint64_t link_peers[WORLD_MAX_INSTANCES]; /* ids of incoming links' peers */
   GPtrArray *links;
 };
--- a/tests/world_workers.h
+++ b/tests/world_workers.h
@@ -239,10 +239,29 @@
   struct lease_end_record ended[256];
 };
 
+/* Keeps the answer to a call of a frozen instance for when it goes on.  */
+static inline bool
+world_is_missed (struct world *world, const struct world_event *event,
+                 size_t size)
+{
+  struct world_instance *in = &world->instances[event->from];
+  if (in->cell == NULL || in->incarnation != event->incarnation || !in->frozen)
+    return false;
+  g_ptr_array_add (in->missed, g_memdup2 (event, size));
+  return true;
+}
+
 static inline void
 world_poll_answer_arrives (struct world *world, struct world_event *event)
 {
   struct world_poll_answer *answer = (struct world_poll_answer *)event;
+  if (world_is_missed (world, event, sizeof *answer))
+    return;
+  answer->result.running = answer->running;
+  answer->result.ended = answer->ended;
+  if (event->reply == LEASE_REPLY_NO_ANSWER)
+    answer->result
+        = (struct lease_poll_result){ .reply = LEASE_REPLY_NO_ANSWER };
   struct cell *cell = world_cell (world, event->from, event->incarnation);
   if (cell == NULL)
     return;
@@ -273,8 +292,6 @@
   answer->result.reply = reply;
   answer->result.clock_ms = world_now (world) / 1000;
   answer->result.incarnation_ms = w->incarnation_ms;
-  answer->result.running = answer->running;
-  answer->result.ended = answer->ended;
   for (guint i = 0; reply == LEASE_REPLY_OK && i < w->model.runs->len; i++)
     answer->running[answer->result.n_running++].id
         = g_array_index (w->model.runs, struct model_run, i).id;
@@ -356,6 +373,8 @@
 static inline void
 world_start_answer_arrives (struct world *world, struct world_event *event)
 {
+  if (world_is_missed (world, event, sizeof *event))
+    return;
   struct cell *cell = world_cell (world, event->from, event->incarnation);
   if (cell == NULL)
     return;
@@ -367,6 +386,8 @@
 static inline void
 world_stop_answer_arrives (struct world *world, struct world_event *event)
 {
+  if (world_is_missed (world, event, sizeof *event))
+    return;
   struct cell *cell = world_cell (world, event->from, event->incarnation);
   if (cell == NULL)
     return;
@@ -448,6 +469,7 @@
   event->to = world_worker_of (in->world, w->info.worker);
   event->incarnation = in->incarnation;
   event->token = w->token;
+  event->expires_us = world_now (in->world) + WORLD_CALL_TIMEOUT_US;
   return event;
 }
 
@@ -460,6 +482,7 @@
       = world_new_call (in, w, world_poll_reaches_worker);
   event->deadline_ms = deadline_ms;
   event->wait_ms = wait_ms;
+  event->expires_us += wait_ms * 1000;
   event->last_end = w->acked_end;
   world_schedule (in->world, event);
 }
