--- a/tests/cell_fault_test.c
+++ b/tests/cell_fault_test.c
@@ -197,6 +197,36 @@
     }
 }
 
+/* Guards against starts by the capacity that a worker had before it shrank,
+   while tasks of that time still run there; and against capacity that has
+   grown again and is not used.  */
+static void
+test_a_capacity_that_shrinks_is_kept_to (void)
+{
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      struct world *world = world_new (seed, 3, 6, 2);
+      world_run_for (world, SECOND);
+      for (int i = 0; i < 12; i++)
+        {
+          run_load (world, 300000, 4, 300000);
+          int index = i % 6;
+          int32_t cpu = i < 6 ? 17000 : 32000;
+          world_change_worker (world, index, cpu, false, -1);
+          world_run_for (world, 5000); /* orders under way */
+          world->overfull_starts = 0;
+          run_load (world, 500000, 4, 300000);
+          CU_ASSERT_EQUAL (world->overfull_starts, 0);
+        }
+      settle (world);
+      struct world_job *job = world_submit (world, 0, 12, 300000);
+      world_run_for (world, 2 * SECOND);
+      CU_ASSERT_TRUE (job->answered && job->code == PL_OK);
+      CU_ASSERT_EQUAL (world->double_starts, 0);
+      world_free (world);
+    }
+}
+
 #define REGISTRATION_US 700000 /* after which a silent one lapses */
 
 /* Freezes an instance for PAUSE_US under load; its registration lapses
@@ -649,6 +679,8 @@
       test_a_hand_over_starts_nothing_twice },
     { "a paused instance acts on nothing expired",
       test_a_paused_instance_acts_on_nothing_expired },
+    { "a capacity that shrinks is kept to",
+      test_a_capacity_that_shrinks_is_kept_to },
     { "a worker that restarts at once runs nothing twice",
       test_a_worker_that_restarts_at_once_runs_nothing_twice },
     { "a pause is not the silence of others",
