--- a/tests/platform_store_test.c
+++ b/tests/platform_store_test.c
@@ -1,5 +1,6 @@
 /* Tests of platform/store.c against a store of a few lines, over loopback.  */
 #include "../platform/pf.h"
+#include "cell_priv.h"
 #include "mutate.h"
 #include "test.h"
 
@@ -225,6 +226,100 @@
   CU_ASSERT_TRUE (knows_worker (&f));
 }
 
+#define NESTING 100000
+
+/* A copy of the sound entry with PART replaced by ODD.  */
+static char *
+odd_entry (const char *part, const char *odd)
+{
+  static const char sound[]
+      = "{\"service\":\"s\",\"address\":\"10.128.0.9:8080\",\"zone\":\"a\","
+        "\"state\":\"ready\",\"born\":7,"
+        "\"capacity\":{\"cpu\":16000,\"mem_mb\":32768}}";
+  GString *text = g_string_new (sound);
+  CU_ASSERT_EQUAL (g_string_replace (text, part, odd, 1), 1);
+  return g_string_free (text, FALSE);
+}
+
+static void
+add_item (GString *items, const char *id, const char *entry)
+{
+  g_autofree char *value
+      = g_base64_encode ((const guchar *)entry, strlen (entry));
+  g_string_append_printf (
+      items, "{\"key\":\"servers/%s\",\"value\":\"%s\",\"revision\":5},", id,
+      value);
+}
+
+/* Guards against another writer's odd entry that ends the instances that read
+   the list, or keeps them from following it.  */
+static void
+test_an_odd_entry_hides_no_other (void)
+{
+  static const struct
+  {
+    const char *part;
+    const char *odd;
+  } cases[] = {
+    { "10.128.0.9:8080", "10.128.0.9:70000" },
+    { "10.128.0.9:8080", "10.128.0.9:0" },
+    { "10.128.0.9:8080", "10.128.0.9:-1" },
+    { "10.128.0.9:8080", "10.128.0.999:80" },
+    { "16000", "99999999999999999999999" },
+    { "16000", "1e999" },
+    { "16000", "9223372036854775807" },
+    { "32768", "-9223372036854775808" },
+    { ":7,", ":18446744073709551616," },
+  };
+  static struct fixture f; /* nothing of it is freed, as in the daemon */
+  g_autoptr (GString) items = g_string_new (NULL);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autofree char *id = g_strdup_printf ("odd%zu", i);
+      g_autofree char *entry = odd_entry (cases[i].part, cases[i].odd);
+      add_item (items, id, entry);
+    }
+  g_autofree char *deep = g_strnfill (NESTING, '[');
+  g_autofree char *nested = odd_entry ("16000", deep);
+  add_item (items, "deep", deep);
+  add_item (items, "nested", nested);
+  g_autofree char *listing
+      = g_strdup_printf ("{\"items\":[%s" WORKER "," INSTANCES
+                         "],\"truncated\":false,\"current_rev\":9}",
+                         items->str);
+  fixture_init (&f, listing);
+  run_ms (&f, 200);
+  CU_ASSERT_TRUE (pf_store_watch_is_current (f.pf.store_watch));
+  CU_ASSERT_TRUE (knows_worker (&f));
+  CU_ASSERT_TRUE (is_registered (&f, 8));
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      g_autofree char *id = g_strdup_printf ("odd%zu", i);
+      CU_ASSERT_FALSE (
+          cell_is_worker_registered (f.pf.cell, cell_name_hash (pl_str (id))));
+    }
+}
+
+/* Guards against an id that would add lines to the headers of calls.  */
+static void
+test_an_id_that_no_header_can_carry_names_no_worker (void)
+{
+  static const char *const ids[]
+      = { "", "a b", "a\\r\\nHost: b", "a\\u0000b", "a\\u007f", "\\u00e9" };
+  static struct fixture f; /* nothing of it is freed, as in the daemon */
+  g_autoptr (GString) items = g_string_new (NULL);
+  g_autofree char *entry = odd_entry ("16000", "16001");
+  for (size_t i = 0; i < G_N_ELEMENTS (ids); i++)
+    add_item (items, ids[i], entry);
+  g_autofree char *listing = g_strdup_printf (
+      "{\"items\":[%s" WORKER "],\"truncated\":false,\"current_rev\":9}",
+      items->str);
+  fixture_init (&f, listing);
+  run_ms (&f, 200);
+  CU_ASSERT_TRUE (knows_worker (&f));
+  CU_ASSERT_EQUAL (g_hash_table_size (f.pf.cell->workers), 1);
+}
+
 #define MUTATIONS 10000
 
 /* Passes a damaged copy of TEXT as the store's answer; true if it is read.  */
@@ -275,6 +370,9 @@
       test_an_answer_without_items_removes_nothing },
     { "an instance that left unseen is not registered",
       test_an_instance_that_left_unseen_is_not_registered },
+    { "an odd entry hides no other", test_an_odd_entry_hides_no_other },
+    { "an id that no header can carry names no worker",
+      test_an_id_that_no_header_can_carry_names_no_worker },
     { "damaged answers do no harm", test_damaged_answers_do_no_harm },
     CU_TEST_INFO_NULL,
   };
