--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -57,6 +57,7 @@
   cell->planner = planner_new (&cell_planner_ops, cell);
   cell->config = g_bytes_new (NULL, 0);
   g_queue_init (&cell->inbox);
+  g_queue_init (&cell->sent_ends);
   cell->planner_id = cell->id;
   cell->membership_changed = true;
   return cell;
@@ -77,6 +78,7 @@
 {
   disconnect_all (cell);
   g_queue_clear_full (&cell->inbox, (GDestroyNotify)g_bytes_unref);
+  g_queue_clear_full (&cell->sent_ends, g_free);
   lease_table_free (cell->leases);
   owner_table_free (cell->jobs);
   planner_free (cell->planner);
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -20,6 +20,7 @@
 {
   struct pl_addr addr;
   void *link;           /* outgoing */
+  const void *link_in;  /* the latest incoming one; null: none yet */
   int64_t reconnect_us; /* when we last forced a new attempt to connect */
   uint64_t id;          /* incarnation; 0: not heard yet */
   char *name;
@@ -88,7 +89,8 @@
   int64_t all_reported_us; /* when all workers were reported last */
   int64_t config_version;
   GBytes *config;
-  GQueue inbox; /* GBytes of messages of this instance to itself */
+  GQueue inbox;     /* GBytes of messages of this instance to itself */
+  GQueue sent_ends; /* struct sent_end of resync.c, oldest first */
 };
 
 /* Peers: failure detection and the choice of the planner (member.c),
@@ -168,8 +170,22 @@
 /* Tells the planner that this instance does not hold WORKER any more.  */
 void cell_withdraw_report (struct cell *cell, uint64_t worker);
 
+/* What is repeated after a connection was lost (resync.c).  Our link to PEER
+   is up again, or the peer's link to us.  */
+void cell_on_link_replaced (struct cell *cell, struct peer *peer);
+void cell_on_peer_link_replaced (struct cell *cell, struct peer *peer);
+/* Keeps an end that was sent, to repeat it.  */
+void cell_remember_end (struct cell *cell, uint64_t worker,
+                        const struct lease_run_end *end);
+
 /* The holder (hold.c).  */
 extern const struct lease_ops cell_lease_ops;
+/* Tells an instance, 0 for all, how a run on WORKER has ended.  */
+void cell_send_ended_to (struct cell *cell, uint64_t to, uint64_t worker,
+                         const struct lease_run_end *end);
+/* Tells an instance, 0 for all, that W is held here, and what runs there.  */
+void cell_send_taken (struct cell *cell, uint64_t to,
+                      const struct lease_worker *w);
 /* Tells the owner of a run on WORKER, or all instances, how it has ended.  */
 void cell_send_ended (struct cell *cell, uint64_t worker,
                       const struct lease_run_end *end);
--- a/lib/cell/hold.c
+++ b/lib/cell/hold.c
@@ -40,8 +40,8 @@
 }
 
 void
-cell_send_ended (struct cell *cell, uint64_t worker,
-                 const struct lease_run_end *end)
+cell_send_ended_to (struct cell *cell, uint64_t to, uint64_t worker,
+                    const struct lease_run_end *end)
 {
   Cellpb__RunId run = cell_encode_run_id (&end->id);
   Cellpb__Ended msg = CELLPB__ENDED__INIT;
@@ -51,8 +51,16 @@
   msg.took_us = end->took_us;
   msg.blame = (uint32_t)end->blame;
   Cellpb__Envelope env = CELL_ENVELOPE (ended, ENDED, &msg);
+  cell_send (cell, to, &env);
+}
+
+void
+cell_send_ended (struct cell *cell, uint64_t worker,
+                 const struct lease_run_end *end)
+{
   /* The job may be submitted again to any instance.  */
-  cell_send (cell, end->blame == LEASE_BLAME_LIKELY ? 0 : end->owner, &env);
+  uint64_t to = end->blame == LEASE_BLAME_LIKELY ? 0 : end->owner;
+  cell_send_ended_to (cell, to, worker, end);
 }
 
 /* Operations of struct lease_ops: calls to workers are passed to the owner of
@@ -94,6 +102,7 @@
           end->age_us, w->health.slowness);
   cell_mark_report_due (cell, w->info.worker);
   cell_send_ended (cell, w->info.worker, end);
+  cell_remember_end (cell, w->info.worker, end);
 }
 
 static void
@@ -106,16 +115,9 @@
           lease_reply_name (reply), silence_us / 1000, w->runs->len);
 }
 
-static void
-on_taken (void *ctx, struct lease_worker *w)
+void
+cell_send_taken (struct cell *cell, uint64_t to, const struct lease_worker *w)
 {
-  struct cell *cell = ctx;
-  struct known_worker *known
-      = g_hash_table_lookup (cell->workers, &w->info.worker);
-  if (known != NULL)
-    known->times_fenced = 0;
-  if (w->token == LEASE_PROBE_TOKEN)
-    return;
   unsigned n = w->runs->len;
   g_autoptr (GArray) runs = g_array_new (FALSE, FALSE, sizeof (Cellpb__RunId));
   g_autoptr (GPtrArray) pointers = g_ptr_array_new ();
@@ -133,10 +135,23 @@
   msg.runs = (Cellpb__RunId **)pointers->pdata;
   msg.n_runs = n;
   Cellpb__Envelope env = CELL_ENVELOPE (taken, TAKEN, &msg);
+  cell_send (cell, to, &env);
+}
+
+static void
+on_taken (void *ctx, struct lease_worker *w)
+{
+  struct cell *cell = ctx;
+  struct known_worker *known
+      = g_hash_table_lookup (cell->workers, &w->info.worker);
+  if (known != NULL)
+    known->times_fenced = 0;
+  if (w->token == LEASE_PROBE_TOKEN)
+    return;
   pl_log (PL_EV_TAKEN,
           "worker=%s key=%016" PRIx64 " token=%" PRId64 " runs=%u", w->id,
-          w->info.worker, w->token, n);
-  cell_send (cell, 0, &env);
+          w->info.worker, w->token, w->runs->len);
+  cell_send_taken (cell, 0, w);
 }
 
 static void
--- a/lib/cell/member.c
+++ b/lib/cell/member.c
@@ -331,12 +331,7 @@
   peer->refuses_connections = false;
   cell_send_heartbeat (cell, peer);
   cell_send_crashes (cell, peer);
-  /* Messages to the planner may have been lost with the former connection. */
-  if (peer->id == cell->planner_id)
-    {
-      owner_resend_requests (cell->jobs);
-      cell_mark_all_reports_due (cell);
-    }
+  cell_on_link_replaced (cell, peer);
   cell->ops->wake (cell->ctx);
 }
 
--- a/lib/cell/msg.c
+++ b/lib/cell/msg.c
@@ -169,6 +169,24 @@
     }
 }
 
+/* Whether the sender has opened another link since.  Its messages on the
+   former one may have been taken for lost, and are not handled any more.
+   Records a new link.  */
+static bool
+is_superseded (struct cell *cell, uint64_t *link_peer, uint64_t sender)
+{
+  struct peer *peer = cell_find_peer (cell, sender);
+  bool is_new = *link_peer == 0;
+  *link_peer = sender;
+  if (peer == NULL)
+    return false; /* its first heartbeat, which adds it */
+  if (!is_new)
+    return peer->link_in != NULL && peer->link_in != link_peer;
+  peer->link_in = link_peer;
+  cell_on_peer_link_replaced (cell, peer);
+  return false;
+}
+
 void
 cell_receive_frame (struct cell *cell, uint64_t *link_peer,
                     struct pl_str frame)
@@ -186,7 +204,11 @@
         cellpb__envelope__free_unpacked (env, NULL);
       return;
     }
-  *link_peer = env->sender;
+  if (is_superseded (cell, link_peer, env->sender))
+    {
+      cellpb__envelope__free_unpacked (env, NULL);
+      return;
+    }
   if (cell_detect_stale_frame (cell, env->sender, env->sent_us))
     {
       pl_count (PL_CTR_FRAMES_STALE_TOTAL, 1);
--- a/lib/lease/lease.h
+++ b/lib/lease/lease.h
@@ -98,7 +98,8 @@
 struct lease_run
 {
   struct lease_run_id id;
-  uint64_t owner; /* 0: found on the worker, not claimed yet */
+  uint64_t owner;       /* 0: found on the worker, not claimed yet */
+  int64_t unclaimed_us; /* since when its owner has to claim it; 0: has not */
   struct planner_resources size;
   enum lease_run_state state;
   /* The process of the worker that answers has listed the run, which
@@ -168,6 +169,7 @@
   char *id;
   enum lease_worker_state state;
   int64_t token;
+  int64_t taken_us;     /* when it answered its first poll; 0: not yet */
   int64_t described_ms; /* incarnation that the registry's entry describes */
   bool answered; /* some poll was: its clock and what runs there are known */
   int64_t clock_offset_ms; /* the worker's clock minus ours */
@@ -307,6 +309,10 @@
                     const struct lease_run_id *id);
 void lease_stop (struct lease_table *table, struct lease_worker *w,
                  const struct lease_run_id *id, int64_t now_us);
+/* The owner's messages may have been lost, stops among them: it has to claim
+   its runs again, or they are stopped.  */
+void lease_require_claims (struct lease_table *table, uint64_t owner,
+                           int64_t now_us);
 /* Stops all runs of an owner that can't be reached and may have ended.  */
 void lease_stop_runs_of_owner (struct lease_table *table, uint64_t owner,
                                int64_t now_us);
--- a/lib/lease/poll.c
+++ b/lib/lease/poll.c
@@ -158,6 +158,7 @@
       run = lease_add_run (w, &running->id);
       run->state = LEASE_RUN_RUNNING;
       run->added_us = now_us;
+      run->unclaimed_us = now_us;
       if (w->state == LEASE_WORKER_HELD)
         /* The worker has carried out a start that was given up already.  */
         lease_order_stop (table, w, run, now_us);
@@ -262,7 +263,10 @@
   send_poll (table, w, true, restarted ? 0 : usual_wait_ms (w, now_us),
              now_us);
   if (first)
-    table->ops->taken (table->ctx, w);
+    {
+      w->taken_us = now_us;
+      table->ops->taken (table->ctx, w);
+    }
   if (first || was_silent || result->n_ended > 0)
     table->ops->changed (table->ctx, w);
 }
--- a/lib/lease/run.c
+++ b/lib/lease/run.c
@@ -210,6 +210,7 @@
   if (run == NULL || (run->owner != 0 && run->owner != order->owner))
     return false;
   run->owner = order->owner;
+  run->unclaimed_us = 0;
   run->size = order->size;
   run->expect_us = order->expect_us;
   table->ops->changed (table->ctx, w);
@@ -225,9 +226,12 @@
     lease_order_stop (table, w, run, now_us);
 }
 
-void
-lease_stop_runs_of_owner (struct lease_table *table, uint64_t owner,
-                          int64_t now_us)
+/* Calls FN for each run of OWNER that is not being stopped.  */
+static void
+for_runs_of_owner (struct lease_table *table, uint64_t owner, int64_t now_us,
+                   void (*fn) (struct lease_table *table,
+                               struct lease_worker *w, struct lease_run *run,
+                               int64_t now_us))
 {
   GHashTableIter it;
   gpointer value;
@@ -239,11 +243,34 @@
         {
           struct lease_run *run = g_ptr_array_index (w->runs, i);
           if (run->owner == owner && run->state != LEASE_RUN_STOPPING)
-            lease_order_stop (table, w, run, now_us);
+            fn (table, w, run, now_us);
         }
     }
 }
 
+void
+lease_stop_runs_of_owner (struct lease_table *table, uint64_t owner,
+                          int64_t now_us)
+{
+  for_runs_of_owner (table, owner, now_us, lease_order_stop);
+}
+
+static void
+require_claim (struct lease_table *table, struct lease_worker *w,
+               struct lease_run *run, int64_t now_us)
+{
+  (void)table;
+  (void)w;
+  run->unclaimed_us = now_us;
+}
+
+void
+lease_require_claims (struct lease_table *table, uint64_t owner,
+                      int64_t now_us)
+{
+  for_runs_of_owner (table, owner, now_us, require_claim);
+}
+
 static void
 on_start_failed (struct lease_table *table, struct lease_worker *w,
                  struct lease_run *run, enum lease_reply reply, int64_t now_us)
--- a/lib/lease/table.c
+++ b/lib/lease/table.c
@@ -171,7 +171,7 @@
         lease_order_stop (table, w, run, now_us);
       return;
     }
-  if (run->owner == 0 && now_us - run->added_us > CLAIM_TIMEOUT_US)
+  if (run->unclaimed_us != 0 && now_us - run->unclaimed_us > CLAIM_TIMEOUT_US)
     lease_order_stop (table, w, run, now_us);
   else if (is_straggler (w, run, now_us))
     {
--- a/lib/owner/owner.h
+++ b/lib/owner/owner.h
@@ -192,6 +192,9 @@
 /* HOLDER is heard again and may not have noticed that it was out of reach:
    claims the runs there whose state is unknown.  */
 void owner_on_holder_recovered (struct owner_table *table, uint64_t holder);
+/* Messages to or from HOLDER may have been lost: claims all runs there.  The
+   holder answers for those that it doesn't have.  */
+void owner_claim_runs (struct owner_table *table, uint64_t holder);
 /* A new holder has taken a worker, as PLACEMENT says, and found RUNS there. Of
    the tasks that were placed on the worker under an earlier lease, those in
    RUNS are claimed; the others run no longer and are queued again.  */
--- a/lib/owner/task.c
+++ b/lib/owner/task.c
@@ -226,6 +226,17 @@
       claim_run (table, it.job, it.index);
 }
 
+void
+owner_claim_runs (struct owner_table *table, uint64_t holder)
+{
+  struct task_iter it;
+  const struct owner_task *task;
+  task_iter_init (&it, table);
+  while ((task = task_iter_next (&it)) != NULL)
+    if (owner_task_is_assigned (task) && task->holder == holder)
+      claim_run (table, it.job, it.index);
+}
+
 static bool
 is_listed (const struct lease_run_id *runs, unsigned n_runs,
            const struct lease_run_id *id)
--- a/tests/cell_fault_test.c
+++ b/tests/cell_fault_test.c
@@ -272,6 +272,65 @@
     }
 }
 
+/* The caller of one of the unanswered jobs leaves, and submits the job again
+   to another instance after the resend time.  */
+static struct world_job *
+leave_job (struct world *world)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, world->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      struct world_job *job = value;
+      struct owner_table *jobs
+          = cell_jobs (world->instances[job->instance].cell);
+      struct owner_job *owned = owner_find_job (jobs, job->id);
+      if (job->answered || owned == NULL)
+        continue;
+      owner_abort_job (jobs, owned, PL_OK, false);
+      world_process_queued (world, job->instance);
+      return job;
+    }
+  return NULL;
+}
+
+/* Guards against messages between instances that are lost with a connection
+   and that nothing repeats: a start or an end that is lost leaves a job
+   waiting until its deadline, a stop that is lost lets a task run beside its
+   next run.  */
+static void
+test_messages_lost_with_a_connection_are_made_good (void)
+{
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      /* Only a long run is still there when its job comes again.  */
+      int64_t run_us = seed % 2 == 0 ? 60000 : 1700000;
+      struct world *world = world_new (seed, 4, 16, 2);
+      world_run_for (world, SECOND);
+      for (int i = 0; i < 30; i++)
+        {
+          int from = (int)world_random_between (world, 0, 3);
+          int to = (from + (int)world_random_between (world, 1, 3)) % 4;
+          (void)world_submit (world, from, 4, run_us);
+          world_run_for (world, world_random_between (world, 0, 70000));
+          struct world_job *left = i % 5 == 4 ? leave_job (world) : NULL;
+          world_reset_link (world, from, to);
+          if (i % 3 != 0)
+            world_reset_link (world, to, from);
+          world_run_for (world, WORLD_RESEND_US);
+          if (left != NULL)
+            (void)world_submit_job (world, (left->instance + 1) % 4, left->id,
+                                    left->n_tasks, left->run_us);
+        }
+      settle (world);
+      CU_ASSERT_TRUE (all_answered (world));
+      CU_ASSERT_EQUAL (world->complete, g_hash_table_size (world->jobs));
+      check_violations (world, "reset", seed);
+      world_free (world);
+    }
+}
+
 /* Guards against a worker that has left and is used again by an instance that
    restarts and reads a registry that still lists it.  */
 static void
@@ -683,6 +742,8 @@
       test_a_capacity_that_shrinks_is_kept_to },
     { "a worker that restarts at once runs nothing twice",
       test_a_worker_that_restarts_at_once_runs_nothing_twice },
+    { "messages lost with a connection are made good",
+      test_messages_lost_with_a_connection_are_made_good },
     { "a pause is not the silence of others",
       test_a_pause_is_not_the_silence_of_others },
     { "a worker that left is not used after a restart",
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -160,6 +160,54 @@
     }
 }
 
+static inline void
+world_event_free (struct world_event *event)
+{
+  if (event->frame != NULL)
+    g_bytes_unref (event->frame);
+  g_free (event);
+}
+
+/* Resets the connection of the link from one instance to another: what is
+   under way is lost, and the link connects again after WORLD_RECONNECT_US.  */
+static inline void
+world_reset_link (struct world *world, int from, int to)
+{
+  struct world_instance *in = &world->instances[from];
+  struct world_instance *peer = &world->instances[to];
+  GSequenceIter *it = g_sequence_get_begin_iter (world->events);
+  while (!g_sequence_iter_is_end (it))
+    {
+      struct world_event *event = g_sequence_get (it);
+      GSequenceIter *next = g_sequence_iter_next (it);
+      if (event->handler == world_frame_arrives && event->from == from
+          && event->to == to)
+        {
+          g_sequence_remove (it);
+          world_event_free (event);
+        }
+      it = next;
+    }
+  for (guint k = 0; in->cell != NULL && k < in->links->len; k++)
+    {
+      struct world_link *link = g_ptr_array_index (in->links, k);
+      if (!link->up || world_instance_at (world, link->addr) != to)
+        continue;
+      link->up = false;
+      cell_outgoing_link_down (in->cell, link, false);
+      if (peer->cell != NULL)
+        cell_incoming_link_closed (peer->cell, in->incarnation);
+      struct world_event *again
+          = world_new_event (world, WORLD_RECONNECT_US, world_try_link);
+      again->from = from;
+      again->to = to;
+      again->incarnation = in->incarnation;
+      again->wait_ms = (int)k;
+      again->attempt = ++link->attempt;
+      world_schedule (world, again);
+    }
+}
+
 /* Ends an instance.  If SILENT, the peers are not told that its links were
    closed, and notice only that they hear nothing of it.  */
 static inline void
@@ -332,14 +380,6 @@
   return world;
 }
 
-static inline void
-world_event_free (struct world_event *event)
-{
-  if (event->frame != NULL)
-    g_bytes_unref (event->frame);
-  g_free (event);
-}
-
 static inline void
 world_free (struct world *world)
 {
