lease: a start that no process has accepted is no crash of its task (LOST)

Cause: after a crash, every start sent since the latest acknowledged one was blamed as its likely cause, also those that got no answer because the process had stopped answering before. Two such counts give a job up, and sending it again failed at once for 120 s.

Change: only a run that the worker has shown to have begun is a likely cause. A start without an answer stays a possible one: four of these still end the job, so that a task that ends its worker before the answer is bounded.

--- a/lib/lease/blame.c
+++ b/lib/lease/blame.c
@@ -37,7 +37,8 @@
 }
 
 /* When the latest start that the worker has acknowledged was sent.  A later
-   one may have reached it or not.  */
+   one may never have reached it: a process may stop answering long before it
+   ends.  */
 static int64_t
 latest_start_us (const struct lease_worker *w)
 {
@@ -63,7 +64,8 @@
   for (guint i = 0; i < w->runs->len; i++)
     {
       struct lease_run *run = g_ptr_array_index (w->runs, i);
-      bool latest = run->added_us >= latest_us - SAME_START_US;
+      bool latest = lease_is_acknowledged (run)
+                    && run->added_us >= latest_us - SAME_START_US;
       run->blame = ended && latest ? LEASE_BLAME_LIKELY : LEASE_BLAME_POSSIBLE;
     }
 }
--- a/tests/cell_fault_test.c
+++ b/tests/cell_fault_test.c
@@ -331,6 +331,39 @@
     }
 }
 
+/* Guards against jobs that are shown as failed because their starts were sent
+   to workers that had stopped answering before they ended.  */
+static void
+test_starts_on_dead_workers_are_no_crashes (void)
+{
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      struct world *world = world_new (seed, 3, 16, 2);
+      world_run_for (world, SECOND);
+      for (int i = 0; i < 60; i++)
+        {
+          int dark = i % 16;
+          for (int k = 0; k < 3; k++)
+            world->cut_worker[k][dark] = true;
+          for (int k = 0; k < 10; k++)
+            {
+              (void)world_submit (world, k % 3, 3, 60000);
+              world_run_for (world, 20000);
+            }
+          for (int k = 0; k < 3; k++)
+            world->cut_worker[k][dark] = false;
+          world_end_worker (world, &world->workers[dark], true);
+          world_run_for (world, 5000);
+          world_boot_worker (world, dark);
+        }
+      settle (world);
+      CU_ASSERT_TRUE (all_answered (world));
+      CU_ASSERT_EQUAL (world->answers[PL_FAILED_RAN], 0);
+      check_violations (world, "dead workers", seed);
+      world_free (world);
+    }
+}
+
 /* Guards against a worker that has left and is used again by an instance that
    restarts and reads a registry that still lists it.  */
 static void
@@ -744,6 +777,8 @@
       test_a_worker_that_restarts_at_once_runs_nothing_twice },
     { "messages lost with a connection are made good",
       test_messages_lost_with_a_connection_are_made_good },
+    { "starts on dead workers are no crashes",
+      test_starts_on_dead_workers_are_no_crashes },
     { "a pause is not the silence of others",
       test_a_pause_is_not_the_silence_of_others },
     { "a worker that left is not used after a restart",
