--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -52,6 +52,7 @@
   cell->cpu_share = config->cpu_share;
   cell->peers = table_new (g_free, peer_free);
   cell->workers = table_new (NULL, worker_free);
+  cell->searches = table_new (NULL, g_free);
   cell->leases = lease_table_new (&cell_lease_ops, cell);
   cell->jobs = owner_table_new (cell->clock, &cell_owner_ops, cell);
   cell->planner = planner_new (&cell_planner_ops, cell);
@@ -79,6 +80,7 @@
   disconnect_all (cell);
   g_queue_clear_full (&cell->inbox, (GDestroyNotify)g_bytes_unref);
   g_queue_clear_full (&cell->sent_ends, g_free);
+  g_hash_table_unref (cell->searches);
   lease_table_free (cell->leases);
   owner_table_free (cell->jobs);
   planner_free (cell->planner);
@@ -190,6 +192,7 @@
   cell_tick_members (cell);
   lease_tick (cell->leases, now_us);
   owner_tick (cell->jobs);
+  cell_tick_searches (cell);
   cell_assign_workers (cell);
   if (planner_count_jobs (cell->planner) > 0)
     cell->plan_due = true;
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -23,6 +23,15 @@
 
 struct cell;
 
+/* What a search for the job of a caller has found.  */
+enum cell_search_result
+{
+  CELL_SEARCH_PENDING,      /* the op found tells the result */
+  CELL_SEARCH_FOUND,        /* another instance has the job, or cancelled it */
+  CELL_SEARCH_NONE,         /* no instance has it */
+  CELL_SEARCH_OUT_OF_REACH, /* an instance that may have it doesn't answer */
+};
+
 struct cell_ops
 {
   /* Opens a link to a peer; it reconnects by itself until DISCONNECT.  */
@@ -49,6 +58,9 @@
   /* The final answer to the caller of JOB.  */
   void (*answer) (void *ctx, struct owner_job *job,
                   const struct owner_answer *answer);
+  /* The result of the search USER, see cell_search_job.  */
+  void (*found) (void *ctx, void *user, bool cancel,
+                 enum cell_search_result result);
   /* A peer has a newer configuration.  */
   void (*config) (void *ctx, int64_t version, struct pl_str text);
 };
@@ -99,6 +111,16 @@
    then are refused.  */
 void cell_drain (struct cell *cell, int64_t end_us);
 
+/* Searches for a job that this instance does not have, and cancels it if
+   CANCEL.  The load balancer sends each new connection of a caller to any
+   instance of its failure domain: these are asked, and the planner, which
+   knows the owners of all jobs that wait for workers.  The number of
+   messages does not grow with the fleet.  USER names the search.  */
+enum cell_search_result cell_search_job (struct cell *cell, uint64_t job,
+                                         bool cancel, void *user);
+/* Nobody waits for the result of the search USER any more.  */
+void cell_forget_search (struct cell *cell, const void *user);
+
 /* Events of links.  Each instance sends on the links that it opened and
    receives on those that its peers opened.  *LINK_PEER belongs to an incoming
    link: 0 at first, then the id of the peer that sends on it.  */
--- a/lib/cell/cell.pb-c.c
+++ b/lib/cell/cell.pb-c.c
@@ -862,6 +862,96 @@
   assert(message->base.descriptor == &cellpb__config__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cellpb__find__init
+                     (Cellpb__Find         *message)
+{
+  static const Cellpb__Find init_value = CELLPB__FIND__INIT;
+  *message = init_value;
+}
+size_t cellpb__find__get_packed_size
+                     (const Cellpb__Find *message)
+{
+  assert(message->base.descriptor == &cellpb__find__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cellpb__find__pack
+                     (const Cellpb__Find *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cellpb__find__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cellpb__find__pack_to_buffer
+                     (const Cellpb__Find *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cellpb__find__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cellpb__Find *
+       cellpb__find__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cellpb__Find *)
+     protobuf_c_message_unpack (&cellpb__find__descriptor,
+                                allocator, len, data);
+}
+void   cellpb__find__free_unpacked
+                     (Cellpb__Find *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cellpb__find__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cellpb__found__init
+                     (Cellpb__Found         *message)
+{
+  static const Cellpb__Found init_value = CELLPB__FOUND__INIT;
+  *message = init_value;
+}
+size_t cellpb__found__get_packed_size
+                     (const Cellpb__Found *message)
+{
+  assert(message->base.descriptor == &cellpb__found__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cellpb__found__pack
+                     (const Cellpb__Found *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cellpb__found__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cellpb__found__pack_to_buffer
+                     (const Cellpb__Found *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cellpb__found__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cellpb__Found *
+       cellpb__found__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cellpb__Found *)
+     protobuf_c_message_unpack (&cellpb__found__descriptor,
+                                allocator, len, data);
+}
+void   cellpb__found__free_unpacked
+                     (Cellpb__Found *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cellpb__found__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cellpb__envelope__init
                      (Cellpb__Envelope         *message)
 {
@@ -2591,7 +2681,148 @@
   (ProtobufCMessageInit) cellpb__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__envelope__field_descriptors[17] =
+static const ProtobufCFieldDescriptor cellpb__find__field_descriptors[4] =
+{
+  {
+    "job",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Find, job),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asker",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Find, asker),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Find, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cancel",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Find, cancel),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cellpb__find__field_indices_by_name[] = {
+  1,   /* field[1] = asker */
+  3,   /* field[3] = cancel */
+  0,   /* field[0] = job */
+  2,   /* field[2] = number */
+};
+static const ProtobufCIntRange cellpb__find__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor cellpb__find__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cellpb.Find",
+  "Find",
+  "Cellpb__Find",
+  "cellpb",
+  sizeof(Cellpb__Find),
+  4,
+  cellpb__find__field_descriptors,
+  cellpb__find__field_indices_by_name,
+  1,  cellpb__find__number_ranges,
+  (ProtobufCMessageInit) cellpb__find__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cellpb__found__field_descriptors[3] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Found, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "here",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Found, here),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "out_of_reach",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Found, out_of_reach),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cellpb__found__field_indices_by_name[] = {
+  1,   /* field[1] = here */
+  0,   /* field[0] = number */
+  2,   /* field[2] = out_of_reach */
+};
+static const ProtobufCIntRange cellpb__found__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cellpb__found__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cellpb.Found",
+  "Found",
+  "Cellpb__Found",
+  "cellpb",
+  sizeof(Cellpb__Found),
+  3,
+  cellpb__found__field_descriptors,
+  cellpb__found__field_indices_by_name,
+  1,  cellpb__found__number_ranges,
+  (ProtobufCMessageInit) cellpb__found__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cellpb__envelope__field_descriptors[19] =
 {
   {
     "sender",
@@ -2797,6 +3028,30 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "find",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cellpb__Envelope, body_case),
+    offsetof(Cellpb__Envelope, find),
+    &cellpb__find__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "found",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cellpb__Envelope, body_case),
+    offsetof(Cellpb__Envelope, found),
+    &cellpb__found__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cellpb__envelope__field_indices_by_name[] = {
   2,   /* field[2] = ask */
@@ -2805,6 +3060,8 @@
   15,   /* field[15] = crashes */
   3,   /* field[3] = drop */
   9,   /* field[9] = ended */
+  17,   /* field[17] = find */
+  18,   /* field[18] = found */
   4,   /* field[4] = grant */
   5,   /* field[5] = refuse */
   6,   /* field[6] = release */
@@ -2820,7 +3077,7 @@
 static const ProtobufCIntRange cellpb__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor cellpb__envelope__descriptor =
 {
@@ -2830,7 +3087,7 @@
   "Cellpb__Envelope",
   "cellpb",
   sizeof(Cellpb__Envelope),
-  17,
+  19,
   cellpb__envelope__field_descriptors,
   cellpb__envelope__field_indices_by_name,
   1,  cellpb__envelope__number_ranges,
--- a/lib/cell/cell.pb-c.h
+++ b/lib/cell/cell.pb-c.h
@@ -34,6 +34,8 @@
 typedef struct Cellpb__WorkerState Cellpb__WorkerState;
 typedef struct Cellpb__Yield Cellpb__Yield;
 typedef struct Cellpb__Config Cellpb__Config;
+typedef struct Cellpb__Find Cellpb__Find;
+typedef struct Cellpb__Found Cellpb__Found;
 typedef struct Cellpb__Envelope Cellpb__Envelope;
 
 
@@ -455,6 +457,48 @@
     , 0, {0,NULL} }
 
 
+/*
+ * To an instance that may have a job or know its owner: a caller asks for the
+ * job, or cancels it, at the instance ASKER.
+ */
+struct  Cellpb__Find
+{
+  ProtobufCMessage base;
+  uint64_t job;
+  /*
+   * gets the answer Found
+   */
+  uint64_t asker;
+  /*
+   * of the search, at ASKER
+   */
+  uint64_t number;
+  protobuf_c_boolean cancel;
+};
+#define CELLPB__FIND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cellpb__find__descriptor) \
+    , 0, 0, 0, 0 }
+
+
+/*
+ * Whether the job that was searched for is, or was until it was cancelled, at
+ * the sender.
+ */
+struct  Cellpb__Found
+{
+  ProtobufCMessage base;
+  uint64_t number;
+  protobuf_c_boolean here;
+  /*
+   * the sender knows the owner and doesn't reach it
+   */
+  protobuf_c_boolean out_of_reach;
+};
+#define CELLPB__FOUND__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cellpb__found__descriptor) \
+    , 0, 0, 0 }
+
+
 typedef enum {
   CELLPB__ENVELOPE__BODY__NOT_SET = 0,
   CELLPB__ENVELOPE__BODY_BEAT = 2,
@@ -471,7 +515,9 @@
   CELLPB__ENVELOPE__BODY_YIELD = 13,
   CELLPB__ENVELOPE__BODY_CONFIG = 14,
   CELLPB__ENVELOPE__BODY_CRASHES = 16,
-  CELLPB__ENVELOPE__BODY_WORKER_STATE = 17
+  CELLPB__ENVELOPE__BODY_WORKER_STATE = 17,
+  CELLPB__ENVELOPE__BODY_FIND = 18,
+  CELLPB__ENVELOPE__BODY_FOUND = 19
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CELLPB__ENVELOPE__BODY__CASE)
 } Cellpb__Envelope__BodyCase;
 
@@ -503,6 +549,8 @@
     Cellpb__Config *config;
     Cellpb__Crashes *crashes;
     Cellpb__WorkerState *worker_state;
+    Cellpb__Find *find;
+    Cellpb__Found *found;
   };
 };
 #define CELLPB__ENVELOPE__INIT \
@@ -871,6 +919,44 @@
 void   cellpb__config__free_unpacked
                      (Cellpb__Config *message,
                       ProtobufCAllocator *allocator);
+/* Cellpb__Find methods */
+void   cellpb__find__init
+                     (Cellpb__Find         *message);
+size_t cellpb__find__get_packed_size
+                     (const Cellpb__Find   *message);
+size_t cellpb__find__pack
+                     (const Cellpb__Find   *message,
+                      uint8_t             *out);
+size_t cellpb__find__pack_to_buffer
+                     (const Cellpb__Find   *message,
+                      ProtobufCBuffer     *buffer);
+Cellpb__Find *
+       cellpb__find__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cellpb__find__free_unpacked
+                     (Cellpb__Find *message,
+                      ProtobufCAllocator *allocator);
+/* Cellpb__Found methods */
+void   cellpb__found__init
+                     (Cellpb__Found         *message);
+size_t cellpb__found__get_packed_size
+                     (const Cellpb__Found   *message);
+size_t cellpb__found__pack
+                     (const Cellpb__Found   *message,
+                      uint8_t             *out);
+size_t cellpb__found__pack_to_buffer
+                     (const Cellpb__Found   *message,
+                      ProtobufCBuffer     *buffer);
+Cellpb__Found *
+       cellpb__found__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cellpb__found__free_unpacked
+                     (Cellpb__Found *message,
+                      ProtobufCAllocator *allocator);
 /* Cellpb__Envelope methods */
 void   cellpb__envelope__init
                      (Cellpb__Envelope         *message);
@@ -949,6 +1035,12 @@
 typedef void (*Cellpb__Config_Closure)
                  (const Cellpb__Config *message,
                   void *closure_data);
+typedef void (*Cellpb__Find_Closure)
+                 (const Cellpb__Find *message,
+                  void *closure_data);
+typedef void (*Cellpb__Found_Closure)
+                 (const Cellpb__Found *message,
+                  void *closure_data);
 typedef void (*Cellpb__Envelope_Closure)
                  (const Cellpb__Envelope *message,
                   void *closure_data);
@@ -977,6 +1069,8 @@
 extern const ProtobufCMessageDescriptor cellpb__worker_state__descriptor;
 extern const ProtobufCMessageDescriptor cellpb__yield__descriptor;
 extern const ProtobufCMessageDescriptor cellpb__config__descriptor;
+extern const ProtobufCMessageDescriptor cellpb__find__descriptor;
+extern const ProtobufCMessageDescriptor cellpb__found__descriptor;
 extern const ProtobufCMessageDescriptor cellpb__envelope__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -89,7 +89,9 @@
   int64_t all_reported_us; /* when all workers were reported last */
   int64_t config_version;
   GBytes *config;
-  GQueue inbox;     /* GBytes of messages of this instance to itself */
+  GQueue inbox;         /* GBytes of messages of this instance to itself */
+  GHashTable *searches; /* number -> struct search of find.c */
+  uint64_t n_searches;
   GQueue sent_ends; /* struct sent_end of resync.c, oldest first */
 };
 
@@ -170,6 +172,12 @@
 /* Tells the planner that this instance does not hold WORKER any more.  */
 void cell_withdraw_report (struct cell *cell, uint64_t worker);
 
+/* Jobs of other instances, for their callers (find.c).  */
+void cell_on_find (struct cell *cell, uint64_t sender,
+                   const Cellpb__Find *msg);
+void cell_on_found (struct cell *cell, const Cellpb__Found *msg);
+void cell_tick_searches (struct cell *cell);
+
 /* What is repeated after a connection was lost (resync.c).  Our link to PEER
    is up again, or the peer's link to us.  */
 void cell_on_link_replaced (struct cell *cell, struct peer *peer);
--- a/lib/cell/check.c
+++ b/lib/cell/check.c
@@ -131,6 +131,8 @@
       return is_worker_state (env->worker_state);
     case CELLPB__ENVELOPE__BODY_CRASHES:
       return are_crashes (env->crashes);
+    case CELLPB__ENVELOPE__BODY_FIND:
+      return env->find->asker != 0;
     case CELLPB__ENVELOPE__BODY_TAKEN:
       return is_token (env->taken->token);
     case CELLPB__ENVELOPE__BODY_YIELD:
--- a/lib/cell/msg.c
+++ b/lib/cell/msg.c
@@ -154,6 +154,12 @@
     case CELLPB__ENVELOPE__BODY_ROOM:
       cell_on_room (cell, sender, env->room);
       break;
+    case CELLPB__ENVELOPE__BODY_FIND:
+      cell_on_find (cell, sender, env->find);
+      break;
+    case CELLPB__ENVELOPE__BODY_FOUND:
+      cell_on_found (cell, env->found);
+      break;
     case CELLPB__ENVELOPE__BODY_TAKEN:
       cell_on_taken (cell, sender, env->taken);
       break;
--- a/lib/planner/planner.c
+++ b/lib/planner/planner.c
@@ -247,6 +247,13 @@
     remove_job (planner, job);
 }
 
+uint64_t
+planner_find_owner (const struct planner_state *planner, uint64_t id)
+{
+  const struct job *job = g_hash_table_lookup (planner->by_id, &id);
+  return job == NULL ? 0 : job->request.owner;
+}
+
 void
 planner_remove_owner (struct planner_state *planner, uint64_t owner)
 {
--- a/lib/planner/planner.h
+++ b/lib/planner/planner.h
@@ -154,6 +154,9 @@
 /* JOB needs no more workers.  Ignored if OWNER is not its owner.  */
 void planner_remove_job (struct planner_state *planner, uint64_t job,
                          uint64_t owner);
+/* The owner of JOB; 0 if the job doesn't wait for workers.  */
+uint64_t planner_find_owner (const struct planner_state *planner,
+                             uint64_t job);
 /* Removes all jobs of OWNER.  */
 void planner_remove_owner (struct planner_state *planner, uint64_t owner);
 /* Frees the capacity of an unused grant; TAG is the task's planner_task_tag.
--- /dev/null
+++ b/tests/cell_loss_test.c
@@ -0,0 +1,222 @@
+/* Tests of lib/cell for processes that pause, crash or restart, and for what
+   is lost on the way between them, as seen with real processes;
+   docs/incidents/ has the cases.  */
+#include "cell_checks.h"
+
+#define SEEDS 10
+#define MORE_SEEDS 20 /* where the time of the fault is random */
+
+/* Guards against a task that is started elsewhere while it runs on a worker
+   whose process was restarted at once: the start was accepted by the new
+   process before its holder had noticed the restart.  */
+static void
+test_a_worker_that_restarts_at_once_runs_nothing_twice (void)
+{
+  for (uint64_t seed = 1; seed <= MORE_SEEDS; seed++)
+    {
+      struct world *world = world_new (seed, 3, 8, 2);
+      world_run_for (world, SECOND);
+      for (int i = 0; i < 40; i++)
+        {
+          run_load (world, 100000, 3, 60000);
+          (void)world_submit (world, i % 3, 3, 60000);
+          world_run_for (world, world_random_between (world, 0, 1000));
+          world_end_worker (world, &world->workers[i % 8], true);
+          world_run_for (world, world_random_between (world, 0, 3000));
+          world_boot_worker (world, i % 8);
+          (void)world_submit (world, i % 3, 3, 60000);
+        }
+      settle (world);
+      CU_ASSERT_TRUE (all_answered (world));
+      check_violations (world, "restart at once", seed);
+      world_free (world);
+    }
+}
+
+/* Guards against starts by the capacity that a worker had before it shrank,
+   while tasks of that time still run there; and against capacity that has
+   grown again and is not used.  */
+static void
+test_a_capacity_that_shrinks_is_kept_to (void)
+{
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      struct world *world = world_new (seed, 3, 6, 2);
+      world_run_for (world, SECOND);
+      for (int i = 0; i < 12; i++)
+        {
+          run_load (world, 300000, 4, 300000);
+          int index = i % 6;
+          int32_t cpu = i < 6 ? 17000 : 32000;
+          world_change_worker (world, index, cpu, false, -1);
+          world_run_for (world, 5000); /* orders under way */
+          world->overfull_starts = 0;
+          run_load (world, 500000, 4, 300000);
+          CU_ASSERT_EQUAL (world->overfull_starts, 0);
+        }
+      settle (world);
+      struct world_job *job = world_submit (world, 0, 12, 300000);
+      world_run_for (world, 2 * SECOND);
+      CU_ASSERT_TRUE (job->answered && job->code == PL_OK);
+      CU_ASSERT_EQUAL (world->double_starts, 0);
+      world_free (world);
+    }
+}
+
+#define REGISTRATION_US 700000 /* after which a silent one lapses */
+
+/* Freezes an instance for PAUSE_US under load; its registration lapses
+   meanwhile.  */
+static void
+pause_instance (struct world *world, int index, int64_t pause_us,
+                bool timers_first)
+{
+  int64_t registered_us = MIN (pause_us, REGISTRATION_US);
+  world_set_frozen (world, index, true);
+  run_load (world, registered_us, 2, 400000);
+  world_set_registered (world, index, false);
+  run_load (world, pause_us - registered_us, 2, 400000);
+  world_thaw (world, index, timers_first);
+  world_run_for (world, 50000);
+  world_set_registered (world, index, true);
+}
+
+/* Guards against an instance that goes on after a pause and takes the runs on
+   its workers for expired, although another instance has taken the workers and
+   renewed them; or that takes its peers for silent because it was itself.  */
+static void
+test_a_pause_is_not_the_silence_of_others (void)
+{
+  for (uint64_t seed = 1; seed <= MORE_SEEDS; seed++)
+    {
+      struct world *world = world_new (seed, 4, 12, 2);
+      world_run_for (world, SECOND);
+      for (int i = 0; i < 12; i++)
+        {
+          (void)world_submit (world, i % 4, 4, 2000000);
+          run_load (world, 700000, 2, 400000);
+          pause_instance (
+              world, i % 4,
+              world_random_between (world, 200000, i < 8 ? 1500000 : 6000000),
+              i % 3 != 0);
+        }
+      settle (world);
+      CU_ASSERT_EQUAL (count_held (world), 12);
+      CU_ASSERT_TRUE (all_answered (world));
+      check_violations (world, "pause, timers first", seed);
+      world_free (world);
+    }
+}
+
+/* The caller of one of the unanswered jobs leaves, and submits the job again
+   to another instance after the resend time.  */
+static struct world_job *
+leave_job (struct world *world)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, world->jobs);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      struct world_job *job = value;
+      struct owner_table *jobs
+          = cell_jobs (world->instances[job->instance].cell);
+      struct owner_job *owned = owner_find_job (jobs, job->id);
+      if (job->answered || owned == NULL)
+        continue;
+      owner_abort_job (jobs, owned, PL_OK, false);
+      world_process_queued (world, job->instance);
+      return job;
+    }
+  return NULL;
+}
+
+/* Guards against messages between instances that are lost with a connection
+   and that nothing repeats: a start or an end that is lost leaves a job
+   waiting until its deadline, a stop that is lost lets a task run beside its
+   next run.  */
+static void
+test_messages_lost_with_a_connection_are_made_good (void)
+{
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      /* Only a long run is still there when its job comes again.  */
+      int64_t run_us = seed % 2 == 0 ? 60000 : 1700000;
+      struct world *world = world_new (seed, 4, 16, 2);
+      world_run_for (world, SECOND);
+      for (int i = 0; i < 30; i++)
+        {
+          int from = (int)world_random_between (world, 0, 3);
+          int to = (from + (int)world_random_between (world, 1, 3)) % 4;
+          (void)world_submit (world, from, 4, run_us);
+          world_run_for (world, world_random_between (world, 0, 70000));
+          struct world_job *left = i % 5 == 4 ? leave_job (world) : NULL;
+          world_reset_link (world, from, to);
+          if (i % 3 != 0)
+            world_reset_link (world, to, from);
+          world_run_for (world, WORLD_RESEND_US);
+          if (left != NULL)
+            (void)world_submit_job (world, (left->instance + 1) % 4, left->id,
+                                    left->n_tasks, left->run_us);
+        }
+      settle (world);
+      CU_ASSERT_TRUE (all_answered (world));
+      CU_ASSERT_EQUAL (world->complete, g_hash_table_size (world->jobs));
+      check_violations (world, "reset", seed);
+      world_free (world);
+    }
+}
+
+/* Guards against jobs that are shown as failed because their starts were sent
+   to workers that had stopped answering before they ended.  */
+static void
+test_starts_on_dead_workers_are_no_crashes (void)
+{
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      struct world *world = world_new (seed, 3, 16, 2);
+      world_run_for (world, SECOND);
+      for (int i = 0; i < 60; i++)
+        {
+          int dark = i % 16;
+          for (int k = 0; k < 3; k++)
+            world->cut_worker[k][dark] = true;
+          for (int k = 0; k < 10; k++)
+            {
+              (void)world_submit (world, k % 3, 3, 60000);
+              world_run_for (world, 20000);
+            }
+          for (int k = 0; k < 3; k++)
+            world->cut_worker[k][dark] = false;
+          world_end_worker (world, &world->workers[dark], true);
+          world_run_for (world, 5000);
+          world_boot_worker (world, dark);
+        }
+      settle (world);
+      CU_ASSERT_TRUE (all_answered (world));
+      CU_ASSERT_EQUAL (world->answers[PL_FAILED_RAN], 0);
+      check_violations (world, "dead workers", seed);
+      world_free (world);
+    }
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = {
+    { "a capacity that shrinks is kept to",
+      test_a_capacity_that_shrinks_is_kept_to },
+    { "a worker that restarts at once runs nothing twice",
+      test_a_worker_that_restarts_at_once_runs_nothing_twice },
+    { "starts on dead workers are no crashes",
+      test_starts_on_dead_workers_are_no_crashes },
+    { "messages lost with a connection are made good",
+      test_messages_lost_with_a_connection_are_made_good },
+    { "a pause is not the silence of others",
+      test_a_pause_is_not_the_silence_of_others },
+    CU_TEST_INFO_NULL,
+  };
+  const char *level = getenv ("PAPAYALOFT_LOG");
+  pl_log_init ("text", level == NULL ? "error" : level);
+  return test_run ("cell_loss_test", tests);
+}
--- /dev/null
+++ b/tests/cell_search_test.c
@@ -0,0 +1,168 @@
+/* Tests of searches for the jobs of callers at other instances (lib/cell,
+   find.c), on the emulated deployment.  */
+#include "cell_checks.h"
+#include "cell_priv.h"
+
+#define N_INSTANCES 6 /* two in each of three domains */
+#define N_WORKERS 12
+
+static struct world *
+new_world (uint64_t seed)
+{
+  struct world *world = world_new (seed, N_INSTANCES, N_WORKERS, 3);
+  world_run_for (world, SECOND);
+  return world;
+}
+
+/* Searches at INSTANCE for JOB and lets the answers come.  */
+static enum cell_search_result
+search (struct world *world, int instance, uint64_t job, bool cancel)
+{
+  memset (world->searches, 0, sizeof world->searches);
+  enum cell_search_result result
+      = cell_search_job (world->instances[instance].cell, job, cancel, world);
+  world_process_queued (world, instance);
+  world_run_for (world, 500000);
+  for (unsigned i = CELL_SEARCH_FOUND; i <= CELL_SEARCH_OUT_OF_REACH; i++)
+    if (world->searches[i] > 0)
+      return (enum cell_search_result)i;
+  return result;
+}
+
+/* Guards against a cancellation at another instance that is acknowledged and
+   has no effect: tasks of the job went on starting.  Instance 3 is in the
+   domain of the job's, instance 1 in another one.  */
+static void
+test_a_cancellation_elsewhere_takes_effect (void)
+{
+  static const int instances[] = { 3, 1 };
+  for (size_t i = 0; i < G_N_ELEMENTS (instances); i++)
+    {
+      struct world *world = new_world (i + 1);
+      struct world_job *job = world_submit (world, 0, 100, 300000);
+      world_run_for (world, 500000);
+      CU_ASSERT_EQUAL (search (world, instances[i], job->id, true),
+                       CELL_SEARCH_FOUND);
+      unsigned starts = world->starts;
+      CU_ASSERT_TRUE (job->answered && job->code == PL_CANCELLED_RAN);
+      world_run_for (world, 3 * SECOND);
+      CU_ASSERT_EQUAL (world->starts, starts);
+      check_violations (world, "cancelled", i + 1);
+      world_free (world);
+    }
+}
+
+/* Guards against a request for the state of a job that ends it, or that denies
+   a job which another instance has.  */
+static void
+test_a_state_request_elsewhere_finds_the_job (void)
+{
+  struct world *world = new_world (3);
+  struct world_job *job = world_submit (world, 0, 8, 1000000);
+  CU_ASSERT_EQUAL (search (world, 3, job->id, false), CELL_SEARCH_FOUND);
+  CU_ASSERT_EQUAL (search (world, 3, job->id + 2, false), CELL_SEARCH_NONE);
+  world_run_for (world, 3 * SECOND);
+  CU_ASSERT_TRUE (job->answered && job->code == PL_OK);
+  world_free (world);
+}
+
+/* Guards against a job that is called unknown because its instance can't be
+   reached: the caller would not ask again.  */
+static void
+test_an_owner_out_of_reach_is_not_denied (void)
+{
+  struct world *world = new_world (4);
+  struct world_job *job = world_submit (world, 0, 100, 300000);
+  world_run_for (world, 200000);
+  set_silent (world, 0, true);
+  CU_ASSERT_EQUAL (search (world, 3, job->id, true), CELL_SEARCH_OUT_OF_REACH);
+  world_run_for (world, SECOND); /* the peer counts as lost */
+  CU_ASSERT_EQUAL (search (world, 3, job->id, true), CELL_SEARCH_OUT_OF_REACH);
+  CU_ASSERT_EQUAL (g_hash_table_size (world->instances[3].cell->searches), 0);
+  world_free (world);
+}
+
+/* Guards against a result for a caller that has gone.  */
+static void
+test_a_forgotten_search_has_no_result (void)
+{
+  struct world *world = new_world (5);
+  struct cell *cell = world->instances[0].cell;
+  CU_ASSERT_EQUAL (cell_search_job (cell, 77, true, world),
+                   CELL_SEARCH_PENDING);
+  cell_forget_search (cell, world);
+  world_run_for (world, SECOND);
+  for (unsigned i = 0; i <= CELL_SEARCH_OUT_OF_REACH; i++)
+    CU_ASSERT_EQUAL (world->searches[i], 0);
+  world_free (world);
+}
+
+static void
+count_searches (struct world *world, GBytes *frame)
+{
+  gsize len;
+  const uint8_t *data = g_bytes_get_data (frame, &len);
+  Cellpb__Envelope *env = cellpb__envelope__unpack (NULL, len, data);
+  *(unsigned *)world->user
+      += env->body_case == CELLPB__ENVELOPE__BODY_FIND
+         || env->body_case == CELLPB__ENVELOPE__BODY_FOUND;
+  cellpb__envelope__free_unpacked (env, NULL);
+}
+
+/* Guards against a wave of cancellations that costs messages to the whole
+   fleet.  Each asks one peer of its domain and the planner; the planner may
+   pass it on.  */
+static void
+test_a_wave_of_cancellations_is_cheap (void)
+{
+  enum
+  {
+    JOBS = 24,
+    MESSAGES_EACH = 5
+  };
+  struct world *world = new_world (6);
+  struct world_job *jobs[JOBS];
+  unsigned messages = 0;
+  world->user = &messages;
+  world->on_frame = count_searches;
+  for (unsigned i = 0; i < JOBS; i++)
+    jobs[i] = world_submit (world, (int)(i % N_INSTANCES), 2, 500000);
+  world_run_for (world, 100000);
+  unsigned cancelled = 0;
+  for (unsigned i = 0; i < JOBS; i += 4)
+    {
+      if (jobs[i]->answered)
+        continue;
+      cancelled++;
+      int elsewhere = (int)((i + 3) % N_INSTANCES);
+      CU_ASSERT_EQUAL (cell_search_job (world->instances[elsewhere].cell,
+                                        jobs[i]->id, true, world),
+                       CELL_SEARCH_PENDING);
+    }
+  world_run_for (world, 500000);
+  CU_ASSERT_TRUE (cancelled >= JOBS / 8);
+  CU_ASSERT_EQUAL (world->searches[CELL_SEARCH_FOUND], cancelled);
+  CU_ASSERT_TRUE (messages <= cancelled * MESSAGES_EACH);
+  world_free (world);
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = {
+    { "a cancellation elsewhere takes effect",
+      test_a_cancellation_elsewhere_takes_effect },
+    { "a state request elsewhere finds the job",
+      test_a_state_request_elsewhere_finds_the_job },
+    { "an owner out of reach is not denied",
+      test_an_owner_out_of_reach_is_not_denied },
+    { "a forgotten search has no result",
+      test_a_forgotten_search_has_no_result },
+    { "a wave of cancellations is cheap",
+      test_a_wave_of_cancellations_is_cheap },
+    CU_TEST_INFO_NULL,
+  };
+  const char *level = getenv ("PAPAYALOFT_LOG");
+  pl_log_init ("text", level == NULL ? "error" : level);
+  return test_run ("cell_search_test", tests);
+}
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -37,6 +37,16 @@
     in->world->false_refusals++;
 }
 
+static void
+world_on_found (void *ctx, void *user, bool cancel,
+                enum cell_search_result result)
+{
+  struct world_instance *in = ctx;
+  (void)user;
+  (void)cancel;
+  in->world->searches[result]++;
+}
+
 static void
 world_on_config (void *ctx, int64_t version, struct pl_str text)
 {
@@ -56,6 +66,7 @@
   .stop = world_on_stop,
   .close_worker = world_on_close_worker,
   .answer = world_on_answer,
+  .found = world_on_found,
   .config = world_on_config,
 };
 
