cell: the silence of peers does not count a pause of this process

What would be seen: an instance that goes on after a stop takes workers of live peers in its domain, fences them, and their runs are stopped as unclaimed.

Cause: after a stop a tick comes before the sockets are read. By it, no peer was heard for the length of the pause; with the store away a peer counts as dead after 0.7 s.

Change: a tick that notices a pause moves the time at which each peer was last heard by its length. All conclusions from silence come later, never earlier.

--- a/lib/cell/member.c
+++ b/lib/cell/member.c
@@ -97,6 +97,23 @@
   return false;
 }
 
+/* What peers sent during a pause has not been read yet: their silence is
+   counted without the pause.  */
+static void
+excuse_silence (struct cell *cell, int64_t gap_us)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, cell->peers);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      struct peer *peer = value;
+      peer->heard_us += gap_us;
+      if (peer->link_closed_us != 0)
+        peer->link_closed_us += gap_us;
+    }
+}
+
 void
 cell_notice_pause (struct cell *cell, int64_t now_us)
 {
@@ -104,6 +121,7 @@
   if (cell->ticked_us != 0 && gap_us > PAUSE_US)
     {
       cell->resumed_us = now_us;
+      excuse_silence (cell, gap_us);
       pl_log (PL_EV_RESUMED, "gap_ms=%" PRId64 " held=%u jobs=%u",
               gap_us / 1000, cell_count_held_workers (cell),
               owner_count_jobs (cell->jobs));
--- a/tests/cell_loss_test.c
+++ b/tests/cell_loss_test.c
@@ -200,6 +200,29 @@
     }
 }
 
+/* Guards against an instance that goes on after a pause and takes the workers
+   of peers that it has not heard only because it did not read.  The store is
+   away, so that a silent peer counts as dead early.  */
+static void
+test_a_pause_takes_no_workers_of_others (void)
+{
+  for (uint64_t seed = 1; seed <= MORE_SEEDS; seed++)
+    {
+      struct world *world = world_new (seed, 4, 12, 2);
+      for (int i = 0; i < 4; i++)
+        cell_set_registry_fresh (world->instances[i].cell, false);
+      world_run_for (world, 2 * SECOND);
+      world_set_frozen (world, 0, true);
+      world_run_for (world, world_random_between (world, 750000, 3 * SECOND));
+      int64_t takes = pl_counter (PL_CTR_WORKERS_TAKEN_TOTAL);
+      world_thaw (world, 0, true);
+      /* What it missed has been read by then; no peer has yielded yet.  */
+      world_run_for (world, 800);
+      CU_ASSERT_EQUAL (pl_counter (PL_CTR_WORKERS_TAKEN_TOTAL), takes);
+      world_free (world);
+    }
+}
+
 int
 main (void)
 {
@@ -214,6 +237,8 @@
       test_messages_lost_with_a_connection_are_made_good },
     { "a pause is not the silence of others",
       test_a_pause_is_not_the_silence_of_others },
+    { "a pause takes no workers of others",
+      test_a_pause_takes_no_workers_of_others },
     CU_TEST_INFO_NULL,
   };
   const char *level = getenv ("PAPAYALOFT_LOG");
