cell: a peer that restarts after a reset is heard

The emulated deployment used one slot for all connections of a pair and could not show it; each connection now has one of its own, as in the daemon.

Test: cell_loss_test "a peer that restarts after a reset is heard" failed before (one live peer of two).

--- a/lib/cell/member.c
+++ b/lib/cell/member.c
@@ -303,7 +303,10 @@
     set_alive (cell, peer, false, "restarted");
   bool new_peer = peer->id != sender;
   if (new_peer)
-    peer->clock_offset_at_us = 0;
+    {
+      peer->clock_offset_at_us = 0;
+      peer->link_in = NULL; /* of its former process */
+    }
   peer->id = sender;
   g_free (peer->name);
   peer->name = g_strdup (beat->name);
--- a/tests/cell_loss_test.c
+++ b/tests/cell_loss_test.c
@@ -223,6 +223,24 @@
     }
 }
 
+/* Guards against frames of a restarted peer that are dropped because its
+   former process had replaced its link once.  */
+static void
+test_a_peer_that_restarts_after_a_reset_is_heard (void)
+{
+  struct world *world = world_new (7, 3, 9, 1);
+  world_run_for (world, SECOND);
+  world_reset_link (world, 1, 0);
+  world_run_for (world, SECOND);
+  world_kill (world, 1, false);
+  world_run_for (world, SECOND);
+  world_boot (world, 1);
+  world_run_for (world, 2 * SECOND);
+  CU_ASSERT_EQUAL (cell_count_live_peers (world->instances[0].cell), 2);
+  CU_ASSERT_EQUAL (count_held (world), 9);
+  world_free (world);
+}
+
 int
 main (void)
 {
@@ -239,6 +257,8 @@
       test_a_pause_is_not_the_silence_of_others },
     { "a pause takes no workers of others",
       test_a_pause_takes_no_workers_of_others },
+    { "a peer that restarts after a reset is heard",
+      test_a_peer_that_restarts_after_a_reset_is_heard },
     CU_TEST_INFO_NULL,
   };
   const char *level = getenv ("PAPAYALOFT_LOG");
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -375,6 +375,7 @@
   world->rng = seed * 0x9e3779b97f4a7c15u + 1;
   world->events = g_sequence_new (NULL);
   world->delayed_frames = g_ptr_array_new ();
+  world->link_peers = g_ptr_array_new_with_free_func (g_free);
   world->jobs
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   world->n_instances = n_instances;
@@ -408,6 +409,7 @@
     }
   g_sequence_free (world->events);
   g_ptr_array_unref (world->delayed_frames);
+  g_ptr_array_unref (world->link_peers);
   g_hash_table_unref (world->jobs);
   g_free (world);
 }
--- a/tests/world_base.h
+++ b/tests/world_base.h
@@ -90,7 +90,8 @@
   uint32_t cpu_share; /* thousandths of a core */
   bool frozen;
   GPtrArray *missed; /* struct world_event: answers that came while frozen */
-  uint64_t link_peers[WORLD_MAX_INSTANCES]; /* ids of incoming links' peers */
+  /* Ids of the peers of incoming links; each connection has one of its own. */
+  uint64_t *link_peers[WORLD_MAX_INSTANCES];
   GPtrArray *links;
 };
 
@@ -125,6 +126,7 @@
   bool cut_worker[WORLD_MAX_INSTANCES][WORLD_MAX_WORKERS];
   bool delay_cut_frames;     /* frames of a cut link arrive when it heals */
   GPtrArray *delayed_frames; /* struct world_event */
+  GPtrArray *link_peers;     /* uint64_t: those of all connections */
   bool registry_down;
   int64_t registry_revision;
   double late_order_share;  /* of orders carried out 2 to 12 s later */
--- a/tests/world_links.h
+++ b/tests/world_links.h
@@ -34,7 +34,8 @@
   if (to->cell != NULL && !cut)
     {
       link->up = true;
-      to->link_peers[event->from] = 0; /* a new connection */
+      to->link_peers[event->from] = g_new0 (uint64_t, 1);
+      g_ptr_array_add (world->link_peers, to->link_peers[event->from]);
       cell_outgoing_link_up (cell, link);
       world_process_queued (world, event->from);
       return;
@@ -109,7 +110,7 @@
     return;
   gsize len;
   const char *data = g_bytes_get_data (event->frame, &len);
-  cell_receive_frame (to->cell, &to->link_peers[event->from],
+  cell_receive_frame (to->cell, to->link_peers[event->from],
                       (struct pl_str){ data, len });
   world_process_queued (world, event->to);
 }
