--- a/lib/base/hist.c
+++ b/lib/base/hist.c
@@ -23,6 +23,9 @@
                             .help = "From a submission to its first grant." },
   [PL_HIST_RUN] = { .name = "papayaloft_run_seconds",
                     .help = "Run time of tasks that are done." },
+  [PL_HIST_ORDER]
+  = { .name = "papayaloft_order_seconds",
+      .help = "From the order of a start to the worker's answer." },
 };
 
 void
--- a/lib/cell/assign.c
+++ b/lib/cell/assign.c
@@ -35,6 +35,7 @@
 static uint64_t
 holder_weight (const char *name, uint64_t worker)
 {
+  pl_count (PL_CTR_HOLDER_WEIGHINGS_TOTAL, 1);
   return XXH64 (name, strlen (name), worker);
 }
 
--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -197,4 +197,5 @@
   if (planner_count_jobs (cell->planner) > 0)
     cell->plan_due = true;
   cell_process_queued (cell);
+  cell_log_load (cell);
 }
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -57,6 +57,9 @@
   bool report_due;          /* it has changed since its last report */
 };
 
+/* Counters that the log event LOAD shows, see load.c.  */
+#define CELL_LOAD_COUNTERS 6
+
 struct cell
 {
   struct pl_clock *clock;
@@ -93,6 +96,8 @@
   GHashTable *searches; /* number -> struct search of find.c */
   uint64_t n_searches;
   GQueue sent_ends; /* struct sent_end of resync.c, oldest first */
+  int64_t load_logged_us;
+  int64_t logged_load[CELL_LOAD_COUNTERS];
 };
 
 /* Peers: failure detection and the choice of the planner (member.c),
@@ -216,6 +221,9 @@
 void cell_send_crashes (struct cell *cell, struct peer *peer);
 void cell_on_crashes (struct cell *cell, const Cellpb__Crashes *msg);
 
+/* Logs the event LOAD if it is due (load.c).  */
+void cell_log_load (struct cell *cell);
+
 /* Conversion of parts of messages.  */
 struct lease_run_id cell_decode_run_id (const Cellpb__RunId *id);
 struct planner_resources cell_decode_amount (const Cellpb__Amount *amount);
--- a/lib/cell/msg.c
+++ b/lib/cell/msg.c
@@ -53,6 +53,10 @@
   size_t len = cellpb__envelope__get_packed_size (env);
   g_autofree uint8_t *data = g_malloc (len);
   cellpb__envelope__pack (env, data);
+  pl_count (PL_CTR_PEER_MESSAGES_SENT_TOTAL, 1);
+  pl_count (PL_CTR_PEER_BYTES_SENT_TOTAL, (int64_t)len);
+  if (peer->domain != cell->domain)
+    pl_count (PL_CTR_PEER_BYTES_OTHER_DOMAIN_TOTAL, (int64_t)len);
   cell->ops->send (cell->ctx, peer->link,
                    (struct pl_str){ (const char *)data, len });
 }
--- a/lib/lease/run.c
+++ b/lib/lease/run.c
@@ -155,6 +155,7 @@
 {
   run->state = LEASE_RUN_STOPPING;
   run->stop_sent_us = now_us;
+  pl_count (PL_CTR_WORKER_ORDERS_TOTAL, 1);
   table->ops->stop (table->ctx, w, &run->id);
 }
 
@@ -198,6 +199,7 @@
   run->added_us = now_us;
   w->renewed_us = now_us;
   pl_count (PL_CTR_RUN_STARTS_TOTAL, 1);
+  pl_count (PL_CTR_WORKER_ORDERS_TOTAL, 1);
   table->ops->start (table->ctx, w, run, deadline_ms);
   return true;
 }
@@ -298,15 +300,26 @@
     }
 }
 
+/* Counts an order that got no answer in time.  */
+static void
+count_reply (enum lease_reply reply)
+{
+  if (reply == LEASE_REPLY_NO_ANSWER || reply == LEASE_REPLY_NOT_SENT)
+    pl_count (PL_CTR_WORKER_ORDERS_UNANSWERED_TOTAL, 1);
+}
+
 void
 lease_start_done (struct lease_table *table, uint64_t worker, int64_t token,
                   const struct lease_run_id *id, enum lease_reply reply,
                   int64_t now_us)
 {
   struct lease_worker *w = lease_find_worker (table, worker);
+  count_reply (reply);
   if (w == NULL || w->token != token)
     return;
   struct lease_run *run = lease_find_run (w, id);
+  if (run != NULL && reply == LEASE_REPLY_OK)
+    pl_observe (PL_HIST_ORDER, now_us - run->added_us);
   if (reply == LEASE_REPLY_FENCED || reply == LEASE_REPLY_RESTARTED)
     {
       if (run != NULL)
@@ -339,6 +352,7 @@
                  int64_t now_us)
 {
   struct lease_worker *w = lease_find_worker (table, worker);
+  count_reply (reply);
   if (w == NULL || w->token != token)
     return;
   if (reply == LEASE_REPLY_FENCED || reply == LEASE_REPLY_RESTARTED)
