--- a/lib/lease/lease.h
+++ b/lib/lease/lease.h
@@ -297,6 +297,9 @@
   int64_t token; /* of the holder's lease; refused if that is another one */
 };
 
+/* How long the answer to an order may take.  */
+int64_t lease_order_timeout_us (const struct lease_table *table);
+
 /* Orders a start.  False if the worker takes no starts now, lacks resources
    for it, or still has another run of the task.  */
 bool lease_start (struct lease_table *table, struct lease_worker *w,
--- a/lib/lease/run.c
+++ b/lib/lease/run.c
@@ -174,6 +174,16 @@
   return used;
 }
 
+/* Workers answer within a millisecond or two; a lease lasts one second.  */
+#define ORDER_TIMEOUT_US 40000
+
+int64_t
+lease_order_timeout_us (const struct lease_table *table)
+{
+  (void)table;
+  return ORDER_TIMEOUT_US;
+}
+
 bool
 lease_start (struct lease_table *table, struct lease_worker *w,
              const struct lease_order *order, int64_t now_us)
--- a/tests/cell_test.c
+++ b/tests/cell_test.c
@@ -691,7 +691,7 @@
       break;
     case 4:
     case 5:
-      for (int i = 0; i < WORLD_DOMAINS; i++)
+      for (int i = 0; i < world->n_domains; i++)
         world_set_domain_cut (world, i, false);
       memset (world->cut, 0, sizeof world->cut);
       memset (world->cut_worker, 0, sizeof world->cut_worker);
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -75,7 +75,8 @@
 static inline const char *
 world_domain (int domain)
 {
-  static const char *const names[WORLD_DOMAINS] = { "a", "b", "c", "d" };
+  static const char *const names[]
+      = { "a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l", "m" };
   return names[domain];
 }
 
@@ -379,6 +380,8 @@
   world->jobs
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   world->n_instances = n_instances;
+  world->n_domains = n_domains;
+  world->call_timeout_us = WORLD_CALL_TIMEOUT_US;
   for (int i = 0; i < n_workers; i++)
     world_add_worker (world, i % n_domains, i % 3 == 2 ? 48000 : 32000);
   for (int i = 0; i < n_instances; i++)
--- a/tests/world_base.h
+++ b/tests/world_base.h
@@ -10,11 +10,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define WORLD_MAX_INSTANCES 8
-#define WORLD_MAX_WORKERS 32
-#define WORLD_DOMAINS 4
+#define WORLD_MAX_INSTANCES 304
+#define WORLD_MAX_WORKERS 1104
 #define WORLD_MAX_STOP_US 50000 /* until a stop takes effect */
-/* Timeout of a call to a worker; the wait of a poll is added.  */
+/* Least time limit of a call to a worker; the wait of a poll is added.  */
 #define WORLD_CALL_TIMEOUT_US 200000
 #define WORLD_RECONNECT_US 100000
 /* Timeout of an attempt to connect over a link that is cut.  */
@@ -119,6 +118,7 @@
   GSequence *events;
   struct world_instance instances[WORLD_MAX_INSTANCES];
   int n_instances;
+  int n_domains;
   struct world_worker workers[WORLD_MAX_WORKERS];
   int n_workers;
   /* Cut links: from the first instance to the second; instance and worker.  */
@@ -127,6 +127,8 @@
   bool delay_cut_frames;     /* frames of a cut link arrive when it heals */
   GPtrArray *delayed_frames; /* struct world_event */
   GPtrArray *link_peers;     /* uint64_t: those of all connections */
+  int64_t call_timeout_us;   /* least time limit of a call to a worker */
+  int64_t link_delay_us; /* one way, added to what instances send and get */
   bool registry_down;
   int64_t registry_revision;
   double late_order_share;  /* of orders carried out 2 to 12 s later */
--- a/tests/world_links.h
+++ b/tests/world_links.h
@@ -7,7 +7,7 @@
 static inline int
 world_instance_at (struct world *world, struct pl_addr addr)
 {
-  int index = (int)(addr.ip & 0xff) - 1;
+  int index = (int)(addr.ip & 0xffff) - 1;
   return index >= 0 && index < world->n_instances ? index : -1;
 }
 
@@ -124,8 +124,8 @@
     return;
   struct world *world = in->world;
   int to = world_instance_at (world, link->addr);
-  struct world_event *event
-      = world_new_event (world, 500, world_frame_arrives);
+  struct world_event *event = world_new_event (
+      world, 500 + world->link_delay_us, world_frame_arrives);
   event->from = in->index;
   event->to = to;
   event->incarnation = world->instances[to].incarnation;
--- a/tests/world_workers.h
+++ b/tests/world_workers.h
@@ -8,6 +8,23 @@
 static inline void world_answer_poll (struct world *world,
                                       struct world_worker *w);
 
+/* The delay of an answer that never comes.  */
+#define WORLD_NEVER_US 3600000000
+
+/* An answer that comes after the time limit of its call is lost: the call ends
+   without an answer at that limit.  */
+static inline void
+world_limit_answer (struct world *world, const struct world_event *call,
+                    enum lease_reply *reply, int64_t *delay_us)
+{
+  if (*delay_us > 0)
+    *delay_us += world->link_delay_us;
+  if (world_now (world) + *delay_us <= call->expires_us)
+    return;
+  *reply = LEASE_REPLY_NO_ANSWER;
+  *delay_us = MAX (call->expires_us - world_now (world), 0);
+}
+
 /* Ends the worker's runs that are due, and answers the waiting poll if any run
    has ended.  */
 static inline void
@@ -54,7 +71,7 @@
   w->refuses = refuses;
   if (w->poll != NULL)
     world_send_poll_answer (world, w->poll, LEASE_REPLY_NO_ANSWER,
-                            refuses ? 0 : WORLD_CALL_TIMEOUT_US);
+                            refuses ? 0 : WORLD_NEVER_US);
   g_clear_pointer (&w->poll, g_free);
 }
 
@@ -282,8 +299,9 @@
       && world_random_chance (world, world->lost_answer_share))
     {
       reply = LEASE_REPLY_NO_ANSWER;
-      delay_us = WORLD_CALL_TIMEOUT_US;
+      delay_us = WORLD_NEVER_US;
     }
+  world_limit_answer (world, poll, &reply, &delay_us);
   struct world_poll_answer *answer = g_new0 (struct world_poll_answer, 1);
   answer->base = *poll;
   answer->base.at_us = world_now (world) + delay_us;
@@ -340,7 +358,7 @@
   if (!w->up || cut)
     {
       world_send_poll_answer (world, event, LEASE_REPLY_NO_ANSWER,
-                              WORLD_CALL_TIMEOUT_US + event->wait_ms * 1000);
+                              WORLD_NEVER_US);
       return;
     }
   world_advance_worker (world, w);
@@ -401,6 +419,7 @@
                       enum lease_reply reply, int64_t delay_us,
                       void (*handler) (struct world *, struct world_event *))
 {
+  world_limit_answer (world, event, &reply, &delay_us);
   struct world_event *answer = g_memdup2 (event, sizeof *event);
   answer->at_us = world_now (world) + delay_us;
   answer->seq = world->seq++;
@@ -429,7 +448,7 @@
     reply = LEASE_REPLY_NO_ANSWER;
   world_schedule_reply (world, event, reply,
                         reply == LEASE_REPLY_NO_ANSWER
-                            ? WORLD_CALL_TIMEOUT_US
+                            ? WORLD_NEVER_US
                             : world_random_delay (world),
                         arrives);
 }
@@ -463,13 +482,16 @@
 world_new_call (struct world_instance *in, struct lease_worker *w,
                 void (*handler) (struct world *, struct world_event *))
 {
-  struct world_event *event
-      = world_new_event (in->world, world_random_delay (in->world), handler);
+  struct world_event *event = world_new_event (
+      in->world, world_random_delay (in->world) + in->world->link_delay_us,
+      handler);
   event->from = in->index;
   event->to = world_worker_of (in->world, w->info.worker);
   event->incarnation = in->incarnation;
   event->token = w->token;
-  event->expires_us = world_now (in->world) + WORLD_CALL_TIMEOUT_US;
+  int64_t timeout_us = lease_order_timeout_us (cell_leases (in->cell));
+  event->expires_us
+      = world_now (in->world) + MAX (timeout_us, in->world->call_timeout_us);
   return event;
 }
 
@@ -496,7 +518,7 @@
   if (world_random_chance (world, world->late_order_share))
     {
       world_schedule_reply (world, event, LEASE_REPLY_NO_ANSWER,
-                            WORLD_CALL_TIMEOUT_US, arrives);
+                            WORLD_NEVER_US, arrives);
       event->no_answer = true;
       event->at_us += world_random_between (world, 2000000, 12000000);
     }
