--- a/lib/lease/lease.h
+++ b/lib/lease/lease.h
@@ -176,6 +176,7 @@
   int64_t last_end;        /* number of the last end that was read */
   int64_t acked_end;       /* up to which the latest poll acknowledges ends */
   bool poll_renews;        /* the latest poll carries a lease */
+  int poll_wait_ms;        /* how long the latest poll waits */
   int64_t polled_us;       /* when the latest poll was sent */
   int64_t renewed_us;      /* when the latest call with a lease was sent */
   int64_t answered_us;     /* when a poll was answered last, or it was taken */
@@ -297,8 +298,10 @@
   int64_t token; /* of the holder's lease; refused if that is another one */
 };
 
-/* How long the answer to an order may take.  */
+/* How long to wait for the answer to an order, and to a poll that waits for
+   WAIT_MS: a multiple of what calls take now.  */
 int64_t lease_order_timeout_us (const struct lease_table *table);
+int64_t lease_poll_timeout_us (const struct lease_table *table, int wait_ms);
 
 /* Orders a start.  False if the worker takes no starts now, lacks resources
    for it, or still has another run of the task.  */
--- a/lib/lease/lease_priv.h
+++ b/lib/lease/lease_priv.h
@@ -4,13 +4,29 @@
 
 #include "lease.h"
 
+/* How long calls to workers take (call_time.c).  */
+struct lease_call_time
+{
+  int64_t smoothed_us; /* 0: none was answered yet */
+  int64_t variation_us;
+  int lost;           /* smoothed share of lost calls, thousandths */
+  unsigned doublings; /* of the time limit, since a call was answered */
+};
+
 struct lease_table
 {
   const struct lease_ops *ops;
   void *ctx;
   GHashTable *workers; /* hash of the worker's id -> struct lease_worker */
+  struct lease_call_time call_time;
 };
 
+/* A call was answered after TOOK_US, or got no answer within its limit.  */
+void lease_call_answered (struct lease_call_time *time, int64_t took_us);
+void lease_call_lost (struct lease_call_time *time);
+/* Whether calls take so long that a lost one says nothing of its worker.  */
+bool lease_calls_are_slow (const struct lease_table *table);
+
 /* An empty list of runs that frees its entries.  */
 GPtrArray *lease_runs_new (void);
 struct lease_run *lease_find_run (const struct lease_worker *w,
--- a/lib/lease/poll.c
+++ b/lib/lease/poll.c
@@ -4,8 +4,10 @@
 
 #define POLL_WAIT_MS 400 /* renews the lease well before it expires */
 /* An end whose answer is lost is learnt of from the next poll, up to a wait
-   later.  While answers are being lost, polls therefore wait for less.  */
+   later.  While answers are being lost, polls therefore wait for less, but not
+   so little that they load a slow link: for this multiple of a call's time. */
 #define POLL_WAIT_SHORT_MS 40
+#define POLL_WAIT_CALLS 8
 #define POLL_WAIT_SHORT_FOR_US 3000000 /* since the latest lost answer */
 /* Pause between polls of a silent worker; each opens a new connection.  */
 #define SILENT_POLL_US 100000
@@ -37,16 +39,31 @@
   w->next_poll_us = 0;
   if (deadline_ms != 0)
     w->renewed_us = now_us;
-  table->ops->poll (table->ctx, w, deadline_ms,
-                    deadline_ms != 0 ? wait_ms : 0);
+  w->poll_wait_ms = deadline_ms != 0 ? wait_ms : 0;
+  table->ops->poll (table->ctx, w, deadline_ms, w->poll_wait_ms);
 }
 
 static int
-usual_wait_ms (const struct lease_worker *w, int64_t now_us)
+usual_wait_ms (const struct lease_table *table, const struct lease_worker *w,
+               int64_t now_us)
 {
   bool answers_lost = w->poll_lost_us != 0
                       && now_us - w->poll_lost_us < POLL_WAIT_SHORT_FOR_US;
-  return answers_lost ? POLL_WAIT_SHORT_MS : POLL_WAIT_MS;
+  if (!answers_lost)
+    return POLL_WAIT_MS;
+  int calls_ms = (int)(POLL_WAIT_CALLS * table->call_time.smoothed_us / 1000);
+  return CLAMP (calls_ms, POLL_WAIT_SHORT_MS, POLL_WAIT_MS);
+}
+
+/* Learns the time of a call from a poll that was answered when its wait ended.
+ */
+static void
+learn_call_time (struct lease_table *table, const struct lease_worker *w,
+                 const struct lease_poll_result *result, int64_t now_us)
+{
+  int64_t took_us = now_us - w->polled_us - (int64_t)w->poll_wait_ms * 1000;
+  if (result->n_ended == 0 && took_us > 0)
+    lease_call_answered (&table->call_time, took_us);
 }
 
 void
@@ -80,6 +97,9 @@
 on_poll_failed (struct lease_table *table, struct lease_worker *w,
                 enum lease_reply reply, int64_t now_us)
 {
+  /* That a silent worker is silent says nothing of the time of calls.  */
+  if (w->state == LEASE_WORKER_HELD && reply != LEASE_REPLY_CONN_REFUSED)
+    lease_call_lost (&table->call_time);
   /* A worker that refuses connections has ended or is cut off.  */
   bool silent = reply == LEASE_REPLY_CONN_REFUSED
                 || now_us - w->answered_us > EXPIRY_US / 2;
@@ -244,6 +264,7 @@
 on_poll_answered (struct lease_table *table, struct lease_worker *w,
                   const struct lease_poll_result *result, int64_t now_us)
 {
+  learn_call_time (table, w, result, now_us);
   bool first = !w->answered;
   bool was_silent = w->state == LEASE_WORKER_SILENT;
   bool restarted = update_incarnation (w, result);
@@ -260,7 +281,7 @@
   w->state = LEASE_WORKER_HELD;
   /* After a restart the next list, which settles what this one does not, is
      asked for at once.  */
-  send_poll (table, w, true, restarted ? 0 : usual_wait_ms (w, now_us),
+  send_poll (table, w, true, restarted ? 0 : usual_wait_ms (table, w, now_us),
              now_us);
   if (first)
     {
--- a/lib/lease/run.c
+++ b/lib/lease/run.c
@@ -174,16 +174,6 @@
   return used;
 }
 
-/* Workers answer within a millisecond or two; a lease lasts one second.  */
-#define ORDER_TIMEOUT_US 40000
-
-int64_t
-lease_order_timeout_us (const struct lease_table *table)
-{
-  (void)table;
-  return ORDER_TIMEOUT_US;
-}
-
 bool
 lease_start (struct lease_table *table, struct lease_worker *w,
              const struct lease_order *order, int64_t now_us)
@@ -296,7 +286,10 @@
     case LEASE_REPLY_NOT_SENT:
     case LEASE_REPLY_CONN_REFUSED:
     case LEASE_REPLY_REFUSED:
-      lease_record_failure (table, w, now_us);
+      /* A connection that could not be made in time over a slow link is no
+         failure of the worker.  */
+      if (reply != LEASE_REPLY_NOT_SENT || !lease_calls_are_slow (table))
+        lease_record_failure (table, w, now_us);
       lease_end_run (table, w, run, LEASE_END_REJECTED, LEASE_CAUSE_ANSWER,
                      now_us);
       break;
@@ -310,12 +303,24 @@
     }
 }
 
-/* Counts an order that got no answer in time.  */
+/* Learns from the outcome of an order that was sent at SENT_US; 0: not known.
+ */
 static void
-count_reply (enum lease_reply reply)
+learn_call_time (struct lease_table *table, const struct lease_worker *w,
+                 enum lease_reply reply, int64_t sent_us, int64_t now_us)
 {
   if (reply == LEASE_REPLY_NO_ANSWER || reply == LEASE_REPLY_NOT_SENT)
-    pl_count (PL_CTR_WORKER_ORDERS_UNANSWERED_TOTAL, 1);
+    {
+      pl_count (PL_CTR_WORKER_ORDERS_UNANSWERED_TOTAL, 1);
+      /* That a silent worker is silent says nothing of the time of calls.  */
+      if (w->state == LEASE_WORKER_HELD)
+        lease_call_lost (&table->call_time);
+    }
+  else if (reply == LEASE_REPLY_OK && sent_us != 0)
+    {
+      pl_observe (PL_HIST_ORDER, now_us - sent_us);
+      lease_call_answered (&table->call_time, now_us - sent_us);
+    }
 }
 
 void
@@ -324,12 +329,10 @@
                   int64_t now_us)
 {
   struct lease_worker *w = lease_find_worker (table, worker);
-  count_reply (reply);
   if (w == NULL || w->token != token)
     return;
   struct lease_run *run = lease_find_run (w, id);
-  if (run != NULL && reply == LEASE_REPLY_OK)
-    pl_observe (PL_HIST_ORDER, now_us - run->added_us);
+  learn_call_time (table, w, reply, run == NULL ? 0 : run->added_us, now_us);
   if (reply == LEASE_REPLY_FENCED || reply == LEASE_REPLY_RESTARTED)
     {
       if (run != NULL)
@@ -362,9 +365,10 @@
                  int64_t now_us)
 {
   struct lease_worker *w = lease_find_worker (table, worker);
-  count_reply (reply);
   if (w == NULL || w->token != token)
     return;
+  /* A stop may have been sent twice: its time is not known.  */
+  learn_call_time (table, w, reply, 0, now_us);
   if (reply == LEASE_REPLY_FENCED || reply == LEASE_REPLY_RESTARTED)
     {
       lease_drop_for_reply (table, w, reply, now_us);
