--- a/lib/owner/owner.h
+++ b/lib/owner/owner.h
@@ -85,7 +85,8 @@
   unsigned max_attempts;
   unsigned n_tasks;
   unsigned n_ended;
-  bool started;             /* a start may have reached a worker */
+  unsigned n_possible_runs; /* starts sent that were not refused for certain */
+  bool started;             /* there are such: some task may have run */
   bool crash_limit_reached; /* by a task, before the job was submitted */
   bool dirty; /* the request that the planner has is out of date */
   struct owner_task *tasks;
--- a/lib/owner/task.c
+++ b/lib/owner/task.c
@@ -66,6 +66,7 @@
   if (!job->started)
     pl_observe (PL_HIST_FIRST_START,
                 pl_now_us (table->clock) - job->arrival_us);
+  job->n_possible_runs++;
   job->started = true;
   struct lease_order order = owner_start_order (job, index);
   table->ops->start (table->ctx, placement->holder, placement->worker, &order);
@@ -140,6 +141,7 @@
       owner_requeue_task (table, job, task);
       break;
     case LEASE_END_REJECTED:
+      job->started = --job->n_possible_runs > 0;
       owner_requeue_task (table, job, task);
       task->retry_at_us = pl_now_us (table->clock) + REJECTED_RETRY_US;
       break;
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -33,7 +33,8 @@
   in->world->answers[MIN (answer->code, WORLD_CODE_LIMIT - 1)]++;
   if (answer->code == PL_OK)
     in->world->complete++;
-  if (answer->code == PL_DEADLINE_LOST && job->started)
+  if (answer->code == PL_DEADLINE_LOST
+      && (job->started || (known->ran && known->attempts == 1)))
     in->world->false_refusals++;
 }
 
@@ -471,6 +472,7 @@
   job->incarnation = in->incarnation;
   job->lost_us = 0;
   job->answered = false;
+  job->attempts++;
   struct owner_submission submission = {
     .job = id,
     .route = "r",
--- a/tests/owner_test.c
+++ b/tests/owner_test.c
@@ -234,6 +234,34 @@
   owner_table_free (fixture.table);
 }
 
+/* Guards against an answer that a task may have run, which keeps the caller
+   from trying again, for a job whose starts were all refused: on a full link
+   most answers 504 were such.  */
+static void
+test_a_job_whose_starts_were_refused_has_not_run (void)
+{
+  struct fixture fixture;
+  fixture_init (&fixture, 2);
+  grant (&fixture, 0, 1);
+  grant (&fixture, 1, 1);
+  end_run (&fixture, 0, 1, LEASE_END_REJECTED);
+  end_run (&fixture, 1, 1, LEASE_END_REJECTED);
+  pl_manual_clock_advance (&fixture.clock, 5000 * MS);
+  owner_tick (fixture.table);
+  CU_ASSERT_EQUAL (fixture.calls.answer.code, PL_DEADLINE_LOST);
+  owner_table_free (fixture.table);
+  /* One that was stopped may have run in part.  */
+  fixture_init (&fixture, 1);
+  grant (&fixture, 0, 1);
+  end_run (&fixture, 0, 1, LEASE_END_STOPPED);
+  grant (&fixture, 0, 1);
+  end_run (&fixture, 0, 2, LEASE_END_REJECTED);
+  pl_manual_clock_advance (&fixture.clock, 5000 * MS);
+  owner_tick (fixture.table);
+  CU_ASSERT_EQUAL (fixture.calls.answer.code, PL_DEADLINE_RAN);
+  owner_table_free (fixture.table);
+}
+
 /* Guards against more failed runs of a task than the route allows.  */
 static void
 test_failed_runs_are_limited (void)
@@ -503,6 +531,8 @@
     { "a started job is not answered as not run",
       test_started_job_is_not_answered_as_not_run },
     { "failed runs are limited", test_failed_runs_are_limited },
+    { "a job whose starts were refused has not run",
+      test_a_job_whose_starts_were_refused_has_not_run },
     { "old run numbers are skipped", test_old_run_numbers_are_skipped },
     { "a repeated grant is released", test_repeated_grant_is_released },
     { "a rejected start is requested later",
--- a/tests/world_base.h
+++ b/tests/world_base.h
@@ -105,7 +105,9 @@
   unsigned crashes; /* of workers, by it */
   int instance;     /* that it was submitted to last */
   uint64_t incarnation;
-  int64_t lost_us; /* when the end of its instance was noticed; 0: not */
+  int64_t lost_us;   /* when the end of its instance was noticed; 0: not */
+  unsigned attempts; /* submissions */
+  bool ran;          /* a worker has carried out a start */
   bool answered;
   enum pl_code code;
 };
--- a/tests/world_workers.h
+++ b/tests/world_workers.h
@@ -167,7 +167,10 @@
                    const struct world_event *event)
 {
   struct planner_resources none = { 0 };
+  struct world_job *job = g_hash_table_lookup (world->jobs, &event->id.job);
   world->starts++;
+  if (job != NULL)
+    job->ran = true;
   world->draining_starts += w->draining;
   world_trace (world, "start %016" PRIx64 ".%u run %u on %s by i%d",
                event->id.job, event->id.index, event->id.run, w->id,
