--- a/lib/cell/assign.c
+++ b/lib/cell/assign.c
@@ -4,7 +4,11 @@
    over the live instances, so that they agree without messages once they agree
    on who is alive.  The preferred holder takes a worker once the former holder
    has yielded it, has ended, or has been silent for too long (may_still_hold).
-   If two instances take the same worker, the higher fencing token wins.  */
+   If two instances take the same worker, the higher fencing token wins.
+
+   Workers are weighed when the candidates or the worker's entry change.  A
+   tick looks only at workers that are not settled: they wait for something,
+   such as a silent peer or the answer to a probe.  */
 #include "cell_priv.h"
 
 #include <xxhash.h>
@@ -202,35 +206,66 @@
     take_worker (cell, known, now_us);
 }
 
-static void
+/* Takes, yields or probes a worker, or leaves it as it is.  Returns whether
+   there is nothing to do until a change.  */
+static bool
 assign_worker (struct cell *cell, struct known_worker *known, int64_t now_us)
 {
-  uint64_t holder = choose_holder (cell, known);
+  uint64_t holder = known->holder;
   struct lease_worker *w
       = lease_find_worker (cell->leases, known->info.worker);
   if (w != NULL && w->token == LEASE_PROBE_TOKEN)
     {
       finish_probe (cell, known, w, holder, now_us);
-      return;
+      return false;
     }
   if (w != NULL)
     {
-      if (holder != cell->id && holder != 0 && w->state != LEASE_WORKER_TAKING)
-        yield_worker (cell, w, holder);
-      return;
+      if (holder == cell->id || holder == 0)
+        return true;
+      if (w->state == LEASE_WORKER_TAKING)
+        return false;
+      yield_worker (cell, w, holder);
+      return true;
     }
-  if (holder != cell->id || known->take_after_us > now_us
+  if (holder != cell->id)
+    return true;
+  if (known->take_after_us > now_us
       || now_us - cell->ready_us < STARTUP_LISTEN_US)
-    return;
+    return false;
   enum peer_hold hold = find_peer_hold (cell, known, now_us);
   if (hold == PEER_HOLD_LIVE)
-    return;
+    return false;
   /* In another failure domain the silent holder may be alive behind a
      partition.  */
   if (hold == PEER_HOLD_SILENT && known->info.domain != cell->domain)
     take_after_probe (cell, known, now_us);
   else
     take_worker (cell, known, now_us);
+  return lease_find_worker (cell->leases, known->info.worker) != NULL;
+}
+
+void
+cell_unsettle_worker (struct cell *cell, struct known_worker *known)
+{
+  g_hash_table_add (cell->unsettled, &known->info.worker);
+}
+
+void
+cell_weigh_worker (struct cell *cell, struct known_worker *known)
+{
+  known->holder = choose_holder (cell, known);
+  cell_unsettle_worker (cell, known);
+}
+
+void
+cell_weigh_workers (struct cell *cell)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, cell->workers);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    cell_weigh_worker (cell, value);
 }
 
 /* Gives up a worker that was removed from the registry; false while runs on it
@@ -251,16 +286,23 @@
 cell_assign_workers (struct cell *cell)
 {
   int64_t now_us = pl_now_us (cell->clock);
-  GHashTableIter it;
-  gpointer value;
-  g_hash_table_iter_init (&it, cell->workers);
-  while (g_hash_table_iter_next (&it, NULL, &value))
+  /* Ops that are called meanwhile may unsettle further workers.  */
+  g_autoptr (GList) keys = g_hash_table_get_keys (cell->unsettled);
+  for (GList *l = keys; l != NULL; l = l->next)
     {
-      struct known_worker *known = value;
+      struct known_worker *known
+          = g_hash_table_lookup (cell->workers, l->data);
       if (!known->removed)
-        assign_worker (cell, known, now_us);
+        {
+          g_hash_table_remove (cell->unsettled, &known->info.worker);
+          if (!assign_worker (cell, known, now_us))
+            cell_unsettle_worker (cell, known);
+        }
       else if (drop_removed_worker (cell, known))
-        g_hash_table_iter_remove (&it);
+        {
+          g_hash_table_remove (cell->unsettled, &known->info.worker);
+          g_hash_table_remove (cell->workers, &known->info.worker);
+        }
     }
 }
 
@@ -281,4 +323,5 @@
     lease_worker_fenced (cell->leases, w, now_us);
   known->highest_token = MAX (known->highest_token, msg->token);
   take_worker (cell, known, now_us);
+  cell_unsettle_worker (cell, known);
 }
--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -60,7 +60,9 @@
   g_queue_init (&cell->inbox);
   g_queue_init (&cell->sent_ends);
   cell->planner_id = cell->id;
+  cell->unsettled = g_hash_table_new (g_int64_hash, g_int64_equal);
   cell->membership_changed = true;
+  cell->candidates_changed = true;
   return cell;
 }
 
@@ -85,6 +87,7 @@
   owner_table_free (cell->jobs);
   planner_free (cell->planner);
   g_hash_table_unref (cell->peers);
+  g_hash_table_unref (cell->unsettled);
   g_hash_table_unref (cell->workers);
   g_bytes_unref (cell->config);
   g_free (cell->name);
@@ -124,6 +127,7 @@
   cell->ready = ready;
   cell->ready_us = pl_now_us (cell->clock);
   cell->membership_changed = true;
+  cell->candidates_changed = true;
   cell->heartbeat_us = 0;
   cell->ops->wake (cell->ctx);
 }
@@ -134,6 +138,7 @@
   cell->draining = true;
   owner_limit_deadlines (cell->jobs, end_us);
   cell->membership_changed = true;
+  cell->candidates_changed = true;
   cell->heartbeat_us = 0;
   cell_tick (cell);
 }
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -53,6 +53,7 @@
   int64_t take_after_us;    /* not taken before this time; 0: at once */
   unsigned times_fenced;    /* leases lost by fencing since one succeeded */
   int64_t reachable_us;     /* when a probe was last answered; 0: not */
+  uint64_t holder;          /* that should hold it; see cell_weigh_worker */
   bool removed;             /* it is no longer in the registry */
   bool report_due;          /* it has changed since its last report */
 };
@@ -70,9 +71,10 @@
   char *domain_name;
   uint64_t domain;
   struct pl_addr addr;
-  uint32_t cpu_share;  /* thousandths of a core */
-  GHashTable *peers;   /* address -> struct peer */
-  GHashTable *workers; /* hash of its name -> struct known_worker */
+  uint32_t cpu_share;    /* thousandths of a core */
+  GHashTable *peers;     /* address -> struct peer */
+  GHashTable *workers;   /* hash of its name -> struct known_worker */
+  GHashTable *unsettled; /* set of keys of WORKERS, see assign.c */
   struct lease_table *leases;
   struct owner_table *jobs;
   struct planner_state *planner; /* in use while this instance plans */
@@ -84,6 +86,7 @@
   int64_t ready_us; /* when READY changed last */
   bool draining;
   bool membership_changed; /* not handled by cell_apply_membership yet */
+  bool candidates_changed; /* the same: who may hold workers */
   bool reports_due;        /* some worker's report is due */
   bool registry_fresh;
   int64_t ticked_us;       /* the latest tick; 0: none yet */
@@ -156,6 +159,12 @@
 }
 
 /* Assignment of the workers to instances (assign.c).  */
+/* Chooses the holder of a worker, or of all workers, anew.  */
+void cell_weigh_worker (struct cell *cell, struct known_worker *known);
+void cell_weigh_workers (struct cell *cell);
+/* Has the next cell_assign_workers look at the worker.  */
+void cell_unsettle_worker (struct cell *cell, struct known_worker *known);
+/* Takes, yields and probes workers that are not settled.  */
 void cell_assign_workers (struct cell *cell);
 void cell_on_yield (struct cell *cell, const Cellpb__Yield *msg);
 
--- a/lib/cell/hold.c
+++ b/lib/cell/hold.c
@@ -160,6 +160,8 @@
   struct cell *cell = ctx;
   struct known_worker *known
       = g_hash_table_lookup (cell->workers, &w->info.worker);
+  if (known != NULL)
+    cell_unsettle_worker (cell, known);
   if (w->token == LEASE_PROBE_TOKEN)
     {
       /* A refusal shows as well that the worker can be reached.  */
--- a/lib/cell/member.c
+++ b/lib/cell/member.c
@@ -178,6 +178,7 @@
   peer->alive = alive;
   peer->alive_since_us = pl_now_us (cell->clock);
   cell->membership_changed = true;
+  cell->candidates_changed = true;
   if (!alive)
     {
       on_peer_lost (cell, peer, reason);
@@ -314,8 +315,9 @@
   peer->heard_us = pl_now_us (cell->clock);
   peer->link_closed_us = 0;
   peer->refuses_connections = false;
-  if (peer->draining != beat->draining || peer->ready != beat->ready
-      || peer->cpu_share != beat->cpu_share)
+  if (peer->draining != beat->draining || peer->ready != beat->ready)
+    cell->candidates_changed = true;
+  if (cell->candidates_changed || peer->cpu_share != beat->cpu_share)
     cell->membership_changed = true;
   peer->cpu_share = beat->cpu_share;
   peer->hears_this_instance = lists_this_instance (cell, beat);
@@ -435,6 +437,9 @@
       owner_resend_requests (cell->jobs);
       cell_mark_all_reports_due (cell);
     }
+  if (cell->candidates_changed)
+    cell_weigh_workers (cell);
+  cell->candidates_changed = false;
   cell_assign_workers (cell);
 }
 
--- a/lib/cell/registry.c
+++ b/lib/cell/registry.c
@@ -55,6 +55,9 @@
             "worker=%s draining=%d cpu=%d mem=%d revision=%" PRId64, info->id,
             info->draining, info->capacity.cpu, info->capacity.mem,
             info->revision);
+  changed = changed || known->removed
+            || !pl_addr_eq (known->info.addr, info->addr)
+            || known->info.domain != info->domain;
   known->removed = false;
   if (known->info.incarnation_ms != info->incarnation_ms
       || !pl_addr_eq (known->info.addr, info->addr))
@@ -70,6 +73,9 @@
     }
   if (w != NULL)
     lease_update (cell->leases, w, info);
+  if (!changed)
+    return; /* the worker has only renewed its entry */
+  cell_weigh_worker (cell, known);
   cell->membership_changed = true;
   cell->ops->wake (cell->ctx);
 }
@@ -92,6 +98,7 @@
   if (known == NULL)
     return;
   known->removed = true;
+  cell_unsettle_worker (cell, known);
   if (w == NULL)
     return;
   struct lease_worker_info info = w->info;
--- a/lib/cell/report.c
+++ b/lib/cell/report.c
@@ -20,9 +20,15 @@
 {
   GHashTableIter it;
   gpointer value;
-  g_hash_table_iter_init (&it, cell->workers);
+  g_hash_table_iter_init (&it, lease_workers (cell->leases));
   while (g_hash_table_iter_next (&it, NULL, &value))
-    ((struct known_worker *)value)->report_due = true;
+    {
+      const struct lease_worker *w = value;
+      struct known_worker *known
+          = g_hash_table_lookup (cell->workers, &w->info.worker);
+      if (known != NULL)
+        known->report_due = true;
+    }
   cell->reports_due = true;
 }
 
@@ -84,16 +90,16 @@
   cell->reports_due = false;
   GHashTableIter it;
   gpointer value;
-  g_hash_table_iter_init (&it, cell->workers);
+  g_hash_table_iter_init (&it, lease_workers (cell->leases));
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
-      struct known_worker *known = value;
-      if (!known->report_due)
+      const struct lease_worker *w = value;
+      struct known_worker *known
+          = g_hash_table_lookup (cell->workers, &w->info.worker);
+      if (known == NULL || !known->report_due)
         continue;
       known->report_due = false;
-      struct lease_worker *w
-          = lease_find_worker (cell->leases, known->info.worker);
-      if (w != NULL && w->token != LEASE_PROBE_TOKEN)
+      if (w->token != LEASE_PROBE_TOKEN)
         send_report (cell, w, now_us);
     }
 }
