--- a/lib/net/client.c
+++ b/lib/net/client.c
@@ -115,6 +115,9 @@
 on_read (struct bufferevent *bev, void *arg)
 {
   struct net_client_conn *conn = arg;
+  /* The timeout, which came first, has read what this is called for.  */
+  if (!has_unread_input (conn))
+    return;
   /* Bytes that arrive while no byte of a request was sent answer nothing.  */
   if (!conn->busy || !may_have_been_sent (conn))
     {
--- a/tests/net_test.c
+++ b/tests/net_test.c
@@ -347,6 +347,86 @@
   net_pool_free (pool);
 }
 
+struct next_request
+{
+  struct fixture *fixture;
+  struct net_pool *pool;
+};
+
+static void
+send_next_request (void *arg, const struct net_response *resp)
+{
+  struct next_request *next = arg;
+  CU_ASSERT_EQUAL (resp->status, 200);
+  send_request (next->fixture, next->pool, "GET");
+}
+
+/* What the loop has to do with the connection of a client.  */
+struct client_events
+{
+  evutil_socket_t fd;
+  struct event *timer;
+};
+
+static int
+find_client_events (const struct event_base *base, const struct event *event,
+                    void *arg)
+{
+  (void)base;
+  struct client_events *found = arg;
+  struct sockaddr_in sin;
+  socklen_t len = sizeof sin;
+  evutil_socket_t fd = event_get_fd (event);
+  if (fd < 0)
+    found->timer = (struct event *)event;
+  else if (getpeername (fd, (struct sockaddr *)&sin, &len) == 0
+           && ntohs (sin.sin_port) == addr.port)
+    found->fd = fd;
+  return 0;
+}
+
+static void
+activate_timer (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  event_active (((struct client_events *)arg)->timer, EV_TIMEOUT, 0);
+}
+
+/* Guards against the loss of a request that follows a response which was read
+   at its timeout: the callback for what had arrived came after it, found
+   nothing to read, and closed the connection.  Polls failed so, and each
+   opened a new connection.  Here the timer is due between the arrival of the
+   response and the callback.  */
+static void
+test_the_request_after_a_late_response_is_sent (void)
+{
+  struct fixture fixture;
+  fixture_init (&fixture);
+  struct net_pool *pool = net_pool_new (fixture.base, addr);
+  struct next_request next = { &fixture, pool };
+  struct net_client_request request = { .method = "POST",
+                                        .target = "/x",
+                                        .timeout_us = 10 * TIMEOUT_US,
+                                        .done = send_next_request,
+                                        .arg = &next };
+  net_pool_send (pool, &request);
+  run_loop (&fixture, LOOP_US);
+  struct client_events events = { .fd = -1 };
+  (void)event_base_foreach_event (fixture.base, find_client_events, &events);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (events.timer);
+  struct event *arrival
+      = event_new (fixture.base, events.fd, EV_READ, activate_timer, &events);
+  event_add (arrival, NULL);
+  net_reply (fixture.pending, 200, NULL, pl_str ("late"), 0);
+  run_loop (&fixture, LOOP_US);
+  CU_ASSERT_EQUAL (fixture.responses, 1);
+  CU_ASSERT_EQUAL (fixture.last_response.status, 200);
+  CU_ASSERT_EQUAL (net_server_count_connections (fixture.server), 1);
+  event_free (arrival);
+  net_pool_free (pool);
+}
+
 /* Runs the event loop until *COUNT is not 0, for 5 s at most.  */
 static void
 run_loop_until (struct fixture *fixture, const unsigned *count)
@@ -609,6 +689,8 @@
       test_failures_report_whether_bytes_were_sent },
     { "a response read after its timeout is kept",
       test_a_response_read_after_its_timeout_is_kept },
+    { "the request after a late response is sent",
+      test_the_request_after_a_late_response_is_sent },
     { "a request sent at its timeout counts as sent",
       test_a_request_sent_at_its_timeout_counts_as_sent },
     { "bytes behind a response answer no request",
