--- a/lib/cell/beat.c
+++ b/lib/cell/beat.c
@@ -91,6 +91,8 @@
   beat.cpu_share = cell->cpu_share;
   beat.registry_stale = !cell->registry_fresh;
   beat.domain_only = cell->domain_only;
+  beat.reads_registry = cell_reads_registry (cell);
+  beat.registry_revision = beat.reads_registry ? 0 : cell->registry_revision;
   Cellpb__Envelope env = CELL_ENVELOPE (beat, BEAT, &beat);
   if (to != NULL)
     cell_send_to_peer (cell, to, &env);
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -94,6 +94,11 @@
    known.  */
 void cell_set_instance_registered (struct cell *cell, struct pl_addr addr,
                                    struct pl_str domain, bool registered);
+/* Whether this instance is to read the entries of workers; if not, peers that
+   do tell it of them.  Changes with the membership.  */
+bool cell_reads_registry (const struct cell *cell);
+/* Sets the revision up to which the registry has been read.  */
+void cell_set_registry_revision (struct cell *cell, int64_t revision);
 bool cell_is_worker_registered (const struct cell *cell, uint64_t worker);
 bool cell_is_instance_registered (const struct cell *cell,
                                   struct pl_addr addr);
--- a/lib/cell/cell.pb-c.c
+++ b/lib/cell/cell.pb-c.c
@@ -772,6 +772,96 @@
   assert(message->base.descriptor == &cellpb__worker_state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cellpb__worker__init
+                     (Cellpb__Worker         *message)
+{
+  static const Cellpb__Worker init_value = CELLPB__WORKER__INIT;
+  *message = init_value;
+}
+size_t cellpb__worker__get_packed_size
+                     (const Cellpb__Worker *message)
+{
+  assert(message->base.descriptor == &cellpb__worker__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cellpb__worker__pack
+                     (const Cellpb__Worker *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cellpb__worker__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cellpb__worker__pack_to_buffer
+                     (const Cellpb__Worker *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cellpb__worker__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cellpb__Worker *
+       cellpb__worker__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cellpb__Worker *)
+     protobuf_c_message_unpack (&cellpb__worker__descriptor,
+                                allocator, len, data);
+}
+void   cellpb__worker__free_unpacked
+                     (Cellpb__Worker *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cellpb__worker__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cellpb__registry__init
+                     (Cellpb__Registry         *message)
+{
+  static const Cellpb__Registry init_value = CELLPB__REGISTRY__INIT;
+  *message = init_value;
+}
+size_t cellpb__registry__get_packed_size
+                     (const Cellpb__Registry *message)
+{
+  assert(message->base.descriptor == &cellpb__registry__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cellpb__registry__pack
+                     (const Cellpb__Registry *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cellpb__registry__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cellpb__registry__pack_to_buffer
+                     (const Cellpb__Registry *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cellpb__registry__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cellpb__Registry *
+       cellpb__registry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cellpb__Registry *)
+     protobuf_c_message_unpack (&cellpb__registry__descriptor,
+                                allocator, len, data);
+}
+void   cellpb__registry__free_unpacked
+                     (Cellpb__Registry *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cellpb__registry__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cellpb__yield__init
                      (Cellpb__Yield         *message)
 {
@@ -1061,7 +1151,7 @@
   (ProtobufCMessageInit) cellpb__held__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__beat__field_descriptors[14] =
+static const ProtobufCFieldDescriptor cellpb__beat__field_descriptors[16] =
 {
   {
     "name",
@@ -1231,6 +1321,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "reads_registry",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Beat, reads_registry),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "registry_revision",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Beat, registry_revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cellpb__beat__field_indices_by_name[] = {
   8,   /* field[8] = config_version */
@@ -1245,13 +1359,15 @@
   10,   /* field[10] = known_port */
   0,   /* field[0] = name */
   3,   /* field[3] = port */
+  14,   /* field[14] = reads_registry */
   5,   /* field[5] = ready */
+  15,   /* field[15] = registry_revision */
   12,   /* field[12] = registry_stale */
 };
 static const ProtobufCIntRange cellpb__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor cellpb__beat__descriptor =
 {
@@ -1261,7 +1377,7 @@
   "Cellpb__Beat",
   "cellpb",
   sizeof(Cellpb__Beat),
-  14,
+  16,
   cellpb__beat__field_descriptors,
   cellpb__beat__field_indices_by_name,
   1,  cellpb__beat__number_ranges,
@@ -2592,6 +2708,225 @@
   (ProtobufCMessageInit) cellpb__worker_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor cellpb__worker__field_descriptors[10] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Worker, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ip",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Worker, ip),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "port",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Worker, port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Worker, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domain",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Worker, domain),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "labels",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Cellpb__Worker, n_labels),
+    offsetof(Cellpb__Worker, labels),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "capacity",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Worker, capacity),
+    &cellpb__amount__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation_ms",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Worker, incarnation_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "draining",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Worker, draining),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Worker, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cellpb__worker__field_indices_by_name[] = {
+  6,   /* field[6] = capacity */
+  4,   /* field[4] = domain */
+  8,   /* field[8] = draining */
+  0,   /* field[0] = id */
+  7,   /* field[7] = incarnation_ms */
+  1,   /* field[1] = ip */
+  5,   /* field[5] = labels */
+  2,   /* field[2] = port */
+  9,   /* field[9] = revision */
+  3,   /* field[3] = service */
+};
+static const ProtobufCIntRange cellpb__worker__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 10 }
+};
+const ProtobufCMessageDescriptor cellpb__worker__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cellpb.Worker",
+  "Worker",
+  "Cellpb__Worker",
+  "cellpb",
+  sizeof(Cellpb__Worker),
+  10,
+  cellpb__worker__field_descriptors,
+  cellpb__worker__field_indices_by_name,
+  1,  cellpb__worker__number_ranges,
+  (ProtobufCMessageInit) cellpb__worker__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cellpb__registry__field_descriptors[3] =
+{
+  {
+    "revision",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Registry, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "changed",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cellpb__Registry, n_changed),
+    offsetof(Cellpb__Registry, changed),
+    &cellpb__worker__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "names",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Cellpb__Registry, n_names),
+    offsetof(Cellpb__Registry, names),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cellpb__registry__field_indices_by_name[] = {
+  1,   /* field[1] = changed */
+  2,   /* field[2] = names */
+  0,   /* field[0] = revision */
+};
+static const ProtobufCIntRange cellpb__registry__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cellpb__registry__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cellpb.Registry",
+  "Registry",
+  "Cellpb__Registry",
+  "cellpb",
+  sizeof(Cellpb__Registry),
+  3,
+  cellpb__registry__field_descriptors,
+  cellpb__registry__field_indices_by_name,
+  1,  cellpb__registry__number_ranges,
+  (ProtobufCMessageInit) cellpb__registry__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor cellpb__yield__field_descriptors[2] =
 {
   {
@@ -2835,7 +3170,7 @@
   (ProtobufCMessageInit) cellpb__found__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__envelope__field_descriptors[19] =
+static const ProtobufCFieldDescriptor cellpb__envelope__field_descriptors[20] =
 {
   {
     "sender",
@@ -3065,6 +3400,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "registry",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cellpb__Envelope, body_case),
+    offsetof(Cellpb__Envelope, registry),
+    &cellpb__registry__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cellpb__envelope__field_indices_by_name[] = {
   2,   /* field[2] = ask */
@@ -3077,6 +3424,7 @@
   18,   /* field[18] = found */
   4,   /* field[4] = grant */
   5,   /* field[5] = refuse */
+  19,   /* field[19] = registry */
   6,   /* field[6] = release */
   10,   /* field[10] = room */
   0,   /* field[0] = sender */
@@ -3090,7 +3438,7 @@
 static const ProtobufCIntRange cellpb__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor cellpb__envelope__descriptor =
 {
@@ -3100,7 +3448,7 @@
   "Cellpb__Envelope",
   "cellpb",
   sizeof(Cellpb__Envelope),
-  19,
+  20,
   cellpb__envelope__field_descriptors,
   cellpb__envelope__field_indices_by_name,
   1,  cellpb__envelope__number_ranges,
--- a/lib/cell/cell.pb-c.h
+++ b/lib/cell/cell.pb-c.h
@@ -32,6 +32,8 @@
 typedef struct Cellpb__Room Cellpb__Room;
 typedef struct Cellpb__Taken Cellpb__Taken;
 typedef struct Cellpb__WorkerState Cellpb__WorkerState;
+typedef struct Cellpb__Worker Cellpb__Worker;
+typedef struct Cellpb__Registry Cellpb__Registry;
 typedef struct Cellpb__Yield Cellpb__Yield;
 typedef struct Cellpb__Config Cellpb__Config;
 typedef struct Cellpb__Find Cellpb__Find;
@@ -104,10 +106,18 @@
    * the sender sends heartbeats in its failure domain only
    */
   protobuf_c_boolean domain_only;
+  /*
+   * the sender reads the entries of workers itself
+   */
+  protobuf_c_boolean reads_registry;
+  /*
+   * up to which it knows them, if it does not
+   */
+  int64_t registry_revision;
 };
 #define CELLPB__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cellpb__beat__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -433,6 +443,56 @@
     , 0, 0, 0, 0, NULL }
 
 
+/*
+ * An entry of the registry of workers.
+ */
+struct  Cellpb__Worker
+{
+  ProtobufCMessage base;
+  char *id;
+  uint32_t ip;
+  uint32_t port;
+  uint64_t service;
+  uint64_t domain;
+  size_t n_labels;
+  uint64_t *labels;
+  Cellpb__Amount *capacity;
+  int64_t incarnation_ms;
+  protobuf_c_boolean draining;
+  /*
+   * of its latest change
+   */
+  int64_t revision;
+};
+#define CELLPB__WORKER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cellpb__worker__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, NULL, 0, 0, 0 }
+
+
+/*
+ * To an instance that does not read the entries of workers: those that have
+ * changed since the revision in its heartbeat.
+ */
+struct  Cellpb__Registry
+{
+  ProtobufCMessage base;
+  /*
+   * up to which the sender has read the registry
+   */
+  int64_t revision;
+  size_t n_changed;
+  Cellpb__Worker **changed;
+  /*
+   * all workers of the domains served; others have left
+   */
+  size_t n_names;
+  uint64_t *names;
+};
+#define CELLPB__REGISTRY__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cellpb__registry__descriptor) \
+    , 0, 0,NULL, 0,NULL }
+
+
 /*
  * Former holder to its successor: the worker may be taken over.
  */
@@ -521,7 +581,8 @@
   CELLPB__ENVELOPE__BODY_CRASHES = 16,
   CELLPB__ENVELOPE__BODY_WORKER_STATE = 17,
   CELLPB__ENVELOPE__BODY_FIND = 18,
-  CELLPB__ENVELOPE__BODY_FOUND = 19
+  CELLPB__ENVELOPE__BODY_FOUND = 19,
+  CELLPB__ENVELOPE__BODY_REGISTRY = 20
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CELLPB__ENVELOPE__BODY__CASE)
 } Cellpb__Envelope__BodyCase;
 
@@ -555,6 +616,7 @@
     Cellpb__WorkerState *worker_state;
     Cellpb__Find *find;
     Cellpb__Found *found;
+    Cellpb__Registry *registry;
   };
 };
 #define CELLPB__ENVELOPE__INIT \
@@ -885,6 +947,44 @@
 void   cellpb__worker_state__free_unpacked
                      (Cellpb__WorkerState *message,
                       ProtobufCAllocator *allocator);
+/* Cellpb__Worker methods */
+void   cellpb__worker__init
+                     (Cellpb__Worker         *message);
+size_t cellpb__worker__get_packed_size
+                     (const Cellpb__Worker   *message);
+size_t cellpb__worker__pack
+                     (const Cellpb__Worker   *message,
+                      uint8_t             *out);
+size_t cellpb__worker__pack_to_buffer
+                     (const Cellpb__Worker   *message,
+                      ProtobufCBuffer     *buffer);
+Cellpb__Worker *
+       cellpb__worker__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cellpb__worker__free_unpacked
+                     (Cellpb__Worker *message,
+                      ProtobufCAllocator *allocator);
+/* Cellpb__Registry methods */
+void   cellpb__registry__init
+                     (Cellpb__Registry         *message);
+size_t cellpb__registry__get_packed_size
+                     (const Cellpb__Registry   *message);
+size_t cellpb__registry__pack
+                     (const Cellpb__Registry   *message,
+                      uint8_t             *out);
+size_t cellpb__registry__pack_to_buffer
+                     (const Cellpb__Registry   *message,
+                      ProtobufCBuffer     *buffer);
+Cellpb__Registry *
+       cellpb__registry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cellpb__registry__free_unpacked
+                     (Cellpb__Registry *message,
+                      ProtobufCAllocator *allocator);
 /* Cellpb__Yield methods */
 void   cellpb__yield__init
                      (Cellpb__Yield         *message);
@@ -1033,6 +1133,12 @@
 typedef void (*Cellpb__WorkerState_Closure)
                  (const Cellpb__WorkerState *message,
                   void *closure_data);
+typedef void (*Cellpb__Worker_Closure)
+                 (const Cellpb__Worker *message,
+                  void *closure_data);
+typedef void (*Cellpb__Registry_Closure)
+                 (const Cellpb__Registry *message,
+                  void *closure_data);
 typedef void (*Cellpb__Yield_Closure)
                  (const Cellpb__Yield *message,
                   void *closure_data);
@@ -1071,6 +1177,8 @@
 extern const ProtobufCMessageDescriptor cellpb__room__descriptor;
 extern const ProtobufCMessageDescriptor cellpb__taken__descriptor;
 extern const ProtobufCMessageDescriptor cellpb__worker_state__descriptor;
+extern const ProtobufCMessageDescriptor cellpb__worker__descriptor;
+extern const ProtobufCMessageDescriptor cellpb__registry__descriptor;
 extern const ProtobufCMessageDescriptor cellpb__yield__descriptor;
 extern const ProtobufCMessageDescriptor cellpb__config__descriptor;
 extern const ProtobufCMessageDescriptor cellpb__find__descriptor;
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -40,6 +40,7 @@
   bool suspected;   /* heartbeats are missing: it is not chosen as planner */
   bool registered;  /* in the registry of instances */
   bool domain_only; /* it sends heartbeats in its failure domain only */
+  bool registry_stale; /* the registry does not serve it */
   int64_t config_version;
   GHashTable *held; /* workers that it holds -> token (int64_t *) */
 };
@@ -93,7 +94,9 @@
   bool candidates_changed; /* the same: who may hold workers */
   bool reports_due;        /* some worker's report is due */
   bool registry_fresh;
-  int64_t ticked_us;       /* the latest tick; 0: none yet */
+  int64_t registry_revision;        /* up to which the workers are known */
+  int64_t workers_changed_revision; /* of the latest change of a worker */
+  int64_t ticked_us;                /* the latest tick; 0: none yet */
   int64_t resumed_us;      /* end of the latest pause of this process */
   int64_t heartbeat_us;    /* when the last one was sent; 0: send one now */
   int64_t all_reported_us; /* when all workers were reported last */
@@ -197,6 +200,12 @@
                          const Cellpb__Held *held);
 void cell_on_worker_state (struct cell *cell, const Cellpb__WorkerState *msg);
 
+/* Reading the registry for the domain (reader.c).  Tells PEER of the workers
+   that it does not know yet by its heartbeat.  */
+void cell_tell_workers (struct cell *cell, struct peer *peer,
+                        const Cellpb__Beat *beat);
+void cell_on_registry (struct cell *cell, const Cellpb__Registry *msg);
+
 /* Reports of held workers to the planner (report.c, message Room).  */
 void cell_send_due_reports (struct cell *cell);
 void cell_mark_all_reports_due (struct cell *cell);
--- a/lib/cell/check.c
+++ b/lib/cell/check.c
@@ -101,6 +101,22 @@
          && state->capacity->cpu > 0;
 }
 
+static bool
+is_registry (const Cellpb__Registry *registry)
+{
+  for (size_t i = 0; i < registry->n_changed; i++)
+    {
+      const Cellpb__Worker *worker = registry->changed[i];
+      if (worker->id[0] == '\0' || worker->port == 0
+          || worker->port > UINT16_MAX || worker->capacity == NULL
+          || !is_amount (worker->capacity) || worker->capacity->cpu <= 0
+          || !is_token (worker->revision)
+          || !is_token (worker->incarnation_ms))
+        return false;
+    }
+  return is_token (registry->revision);
+}
+
 bool
 cell_is_valid (const Cellpb__Envelope *env)
 {
@@ -129,6 +145,8 @@
              && env->room->slowness <= MAX_SLOWNESS;
     case CELLPB__ENVELOPE__BODY_WORKER_STATE:
       return is_worker_state (env->worker_state);
+    case CELLPB__ENVELOPE__BODY_REGISTRY:
+      return is_registry (env->registry);
     case CELLPB__ENVELOPE__BODY_CRASHES:
       return are_crashes (env->crashes);
     case CELLPB__ENVELOPE__BODY_FIND:
--- a/lib/cell/member.c
+++ b/lib/cell/member.c
@@ -323,10 +323,13 @@
   peer->ready = beat->ready;
   peer->config_version = beat->config_version;
   peer->domain_only = beat->domain_only;
+  peer->registry_stale = beat->registry_stale;
   cell_follow_mode (cell, peer);
   read_held (cell, peer, beat);
   add_listed_peers (cell, beat);
   send_newer_config (cell, peer);
+  if (peer->domain == cell->domain)
+    cell_tell_workers (cell, peer, beat);
   set_alive (cell, peer, peer->hears_this_instance, "one-way");
   if (new_peer)
     cell_send_heartbeat (cell, peer); /* tells it at once that we hear it */
--- a/lib/cell/msg.c
+++ b/lib/cell/msg.c
@@ -155,6 +155,9 @@
     case CELLPB__ENVELOPE__BODY_WORKER_STATE:
       cell_on_worker_state (cell, env->worker_state);
       break;
+    case CELLPB__ENVELOPE__BODY_REGISTRY:
+      cell_on_registry (cell, env->registry);
+      break;
     case CELLPB__ENVELOPE__BODY_ROOM:
       cell_on_room (cell, sender, env->room);
       break;
--- /dev/null
+++ b/lib/cell/reader.c
@@ -0,0 +1,179 @@
+/* Who reads the entries of workers in the registry.  Each worker renews its
+   entry all the time, and each reader reads all of them: in a large fleet two
+   instances of a failure domain do so and tell the others of changes.  The
+   others say in their heartbeats up to which revision they know the workers; a
+   reader that knows of a later change answers with it, and with the names of
+   all workers, so that lost messages are made good by the next heartbeat.  */
+#include "cell_priv.h"
+
+#define READERS_PER_DOMAIN 2
+
+/* Whether the registry is better read by PEER: it is served, and has more
+   processor time.  Equals are told apart by name.  */
+static bool
+reads_better (const struct cell *cell, const struct peer *peer)
+{
+  if (!peer->alive || peer->suspected || peer->draining || !peer->ready
+      || peer->registry_stale || !cell_is_candidate (cell, peer))
+    return false;
+  if (!cell->registry_fresh || cell->draining)
+    return true;
+  if (peer->cpu_share != cell->cpu_share)
+    return peer->cpu_share > cell->cpu_share;
+  return g_strcmp0 (peer->name, cell->name) < 0;
+}
+
+bool
+cell_reads_registry (const struct cell *cell)
+{
+  unsigned n_better = 0;
+  GHashTableIter it;
+  gpointer value;
+  if (!cell->domain_only)
+    return true;
+  g_hash_table_iter_init (&it, cell->peers);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    n_better += reads_better (cell, value);
+  return n_better < READERS_PER_DOMAIN;
+}
+
+void
+cell_set_registry_revision (struct cell *cell, int64_t revision)
+{
+  cell->registry_revision = MAX (cell->registry_revision, revision);
+}
+
+static Cellpb__Worker
+encode_worker (const struct known_worker *known, Cellpb__Amount *capacity)
+{
+  const struct lease_worker_info *info = &known->info;
+  Cellpb__Worker msg = CELLPB__WORKER__INIT;
+  *capacity = cell_encode_amount (info->capacity);
+  msg.id = known->id;
+  msg.ip = info->addr.ip;
+  msg.port = info->addr.port;
+  msg.service = info->service;
+  msg.domain = info->domain;
+  msg.labels = (uint64_t *)info->labels;
+  msg.n_labels = PLANNER_MAX_LABELS;
+  msg.capacity = capacity;
+  msg.incarnation_ms = info->incarnation_ms;
+  msg.draining = info->draining;
+  msg.revision = known->changed_revision;
+  return msg;
+}
+
+/* The workers that PEER may hold, and of them those that have changed since
+   REVISION.  */
+struct worker_list
+{
+  GArray *names;      /* uint64_t */
+  GPtrArray *changed; /* struct known_worker */
+};
+
+static void
+list_workers (struct cell *cell, int64_t revision, struct worker_list *list)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, cell->workers);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      struct known_worker *known = value;
+      if (known->removed || !cell_serves_domain (cell, known->info.domain))
+        continue;
+      g_array_append_val (list->names, known->info.worker);
+      if (known->changed_revision > revision)
+        g_ptr_array_add (list->changed, known);
+    }
+}
+
+static void
+send_workers (struct cell *cell, struct peer *peer,
+              const struct worker_list *list)
+{
+  guint n = list->changed->len;
+  g_autofree Cellpb__Worker *workers = g_new (Cellpb__Worker, n);
+  g_autofree Cellpb__Amount *capacities = g_new (Cellpb__Amount, n);
+  g_autofree Cellpb__Worker **pointers = g_new (Cellpb__Worker *, n);
+  for (guint i = 0; i < n; i++)
+    {
+      workers[i] = encode_worker (list->changed->pdata[i], &capacities[i]);
+      pointers[i] = &workers[i];
+    }
+  Cellpb__Registry msg = CELLPB__REGISTRY__INIT;
+  msg.revision = cell->registry_revision;
+  msg.changed = pointers;
+  msg.n_changed = n;
+  msg.names = (uint64_t *)(void *)list->names->data;
+  msg.n_names = list->names->len;
+  Cellpb__Envelope env = CELL_ENVELOPE (registry, REGISTRY, &msg);
+  cell_send_to_peer (cell, peer, &env);
+}
+
+void
+cell_tell_workers (struct cell *cell, struct peer *peer,
+                   const Cellpb__Beat *beat)
+{
+  if (beat->reads_registry || !cell->domain_only || !cell->registry_fresh
+      || cell->workers_changed_revision <= beat->registry_revision
+      || !cell_reads_registry (cell))
+    return;
+  g_autoptr (GArray) names = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  g_autoptr (GPtrArray) changed = g_ptr_array_new ();
+  struct worker_list list = { names, changed };
+  list_workers (cell, beat->registry_revision, &list);
+  send_workers (cell, peer, &list);
+}
+
+static void
+set_told_worker (struct cell *cell, const Cellpb__Worker *msg)
+{
+  struct lease_worker_info info = {
+    .worker = cell_name_hash (pl_str (msg->id)),
+    .id = msg->id,
+    .addr = { msg->ip, (uint16_t)msg->port },
+    .service = msg->service,
+    .domain = msg->domain,
+    .capacity = cell_decode_amount (msg->capacity),
+    .incarnation_ms = msg->incarnation_ms,
+    .draining = msg->draining,
+    .revision = msg->revision,
+  };
+  for (size_t i = 0; i < msg->n_labels && i < PLANNER_MAX_LABELS; i++)
+    info.labels[i] = msg->labels[i];
+  cell_set_worker (cell, &info);
+}
+
+/* Removes the workers of the served domains that NAMES lacks.  */
+static void
+remove_unnamed (struct cell *cell, const uint64_t *names, size_t n)
+{
+  g_autoptr (GHashTable) named
+      = g_hash_table_new (g_int64_hash, g_int64_equal);
+  for (size_t i = 0; i < n; i++)
+    g_hash_table_add (named, (gpointer)&names[i]);
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, cell->workers);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const struct known_worker *known = value;
+      if (known->removed || !cell_serves_domain (cell, known->info.domain)
+          || g_hash_table_contains (named, &known->info.worker))
+        continue;
+      pl_log (PL_EV_WORKER_REMOVED, "worker=%s", known->id);
+      cell_remove_worker (cell, known->info.worker);
+    }
+}
+
+void
+cell_on_registry (struct cell *cell, const Cellpb__Registry *msg)
+{
+  if (cell_reads_registry (cell) || msg->revision < cell->registry_revision)
+    return;
+  for (size_t i = 0; i < msg->n_changed; i++)
+    set_told_worker (cell, msg->changed[i]);
+  remove_unnamed (cell, msg->names, msg->n_names);
+  cell_set_registry_revision (cell, msg->revision);
+}
--- a/lib/cell/registry.c
+++ b/lib/cell/registry.c
@@ -76,6 +76,10 @@
     lease_update (cell->leases, w, info);
   if (!changed)
     return; /* the worker has only renewed its entry */
+  if (info->revision > known->changed_revision)
+    known->changed_revision = info->revision;
+  cell->workers_changed_revision
+      = MAX (cell->workers_changed_revision, known->changed_revision);
   cell_weigh_worker (cell, known);
   cell->membership_changed = true;
   cell->ops->wake (cell->ctx);
@@ -99,6 +103,8 @@
   if (known == NULL)
     return;
   known->removed = true;
+  /* The removal has no revision; peers that know less than this are told.  */
+  cell->workers_changed_revision = cell->registry_revision + 1;
   cell_unsettle_worker (cell, known);
   if (w == NULL)
     return;
--- a/tests/cell_size_test.c
+++ b/tests/cell_size_test.c
@@ -216,6 +216,82 @@
   world_free (world);
 }
 
+static unsigned
+count_readers (struct world *world, int domain)
+{
+  unsigned n = 0;
+  for (int i = 0; i < world->n_instances; i++)
+    n += world->instances[i].cell != NULL
+         && world->instances[i].domain == domain
+         && world->instances[i].reads_registry;
+  return n;
+}
+
+/* What every live instance of the worker's domain knows of it.  */
+static bool
+is_known_as (struct world *world, int worker, bool draining)
+{
+  const struct world_worker *w = &world->workers[worker];
+  for (int i = 0; i < world->n_instances; i++)
+    {
+      const struct world_instance *in = &world->instances[i];
+      if (in->cell == NULL || in->domain != w->domain)
+        continue;
+      const struct known_worker *known
+          = g_hash_table_lookup (in->cell->workers, &w->key);
+      if (known == NULL || known->removed || known->info.draining != draining)
+        return false;
+    }
+  return true;
+}
+
+/* Guards against each instance of a large fleet reading what all workers
+   write, and against holders that don't learn of a change because of that.  */
+static void
+test_two_of_a_domain_read_the_registry (void)
+{
+  struct world *world = new_fleet (6);
+  for (int domain = 0; domain < 6; domain++)
+    CU_ASSERT_EQUAL (count_readers (world, domain), 2);
+  /* Workers 2 and 8 are of domain 2.  */
+  world_change_worker (world, 2, 32000, true, -1);
+  world_run_for (world, SECOND);
+  CU_ASSERT_TRUE (is_known_as (world, 2, true));
+  for (int i = 0; i < world->n_instances; i++)
+    if (world->instances[i].domain == 2 && world->instances[i].reads_registry)
+      world_kill (world, i, true);
+  world_run_for (world, 2 * SECOND);
+  CU_ASSERT_EQUAL (count_readers (world, 2), 2);
+  world_change_worker (world, 8, 16000, true, -1);
+  world_run_for (world, SECOND);
+  CU_ASSERT_TRUE (is_known_as (world, 8, true));
+  world_add_worker (world, 2, 32000);
+  int added = world->n_workers - 1;
+  world_boot_worker (world, added);
+  world_run_for (world, 2 * SECOND);
+  CU_ASSERT_TRUE (is_held_in (world, added, 2));
+  check_violations (world, "readers", 1);
+  world_free (world);
+}
+
+/* Guards against a worker that has left and is known for ever where peers tell
+   of workers.  */
+static void
+test_a_worker_that_left_is_forgotten_everywhere (void)
+{
+  struct world *world = new_fleet (6);
+  world_crash_worker (world, 2);
+  for (int i = 0; i < world->n_instances; i++)
+    if (world->instances[i].reads_registry)
+      cell_remove_worker (world->instances[i].cell, world->workers[2].key);
+  world_run_for (world, 3 * SECOND);
+  for (int i = 0; i < world->n_instances; i++)
+    if (world->instances[i].domain == 2)
+      CU_ASSERT_FALSE (cell_is_worker_registered (world->instances[i].cell,
+                                                  world->workers[2].key));
+  world_free (world);
+}
+
 #define SOAK_SEEDS 6 /* more by hand, with PAPAYALOFT_SEEDS */
 
 /* Guards against tasks that run twice in a fleet in which instances hear only
@@ -246,6 +322,10 @@
       test_a_domain_that_is_cut_off_keeps_its_workers },
     { "a fleet that grows and shrinks holds all workers",
       test_a_fleet_that_grows_and_shrinks_holds_all_workers },
+    { "two of a domain read the registry",
+      test_two_of_a_domain_read_the_registry },
+    { "a worker that left is forgotten everywhere",
+      test_a_worker_that_left_is_forgotten_everywhere },
     { "soak of a large fleet", test_soak_of_a_large_fleet },
     CU_TEST_INFO_NULL,
   };
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -96,9 +96,31 @@
     .draining = w->draining,
     .revision = w->revision,
   };
-  (void)world;
-  if (in->cell != NULL)
-    cell_set_worker (in->cell, &info);
+  if (in->cell == NULL)
+    return;
+  cell_set_worker (in->cell, &info);
+  cell_set_registry_revision (in->cell, world->registry_revision);
+}
+
+/* The instance reads the entries of all workers, as it does when it starts or
+   begins to read the registry for its domain.  */
+static inline void
+world_read_registry (struct world *world, struct world_instance *in)
+{
+  for (int i = 0; i < world->n_workers; i++)
+    if (world->workers[i].up)
+      world_register_worker (world, in, &world->workers[i]);
+  in->reads_registry = true;
+}
+
+/* The instances that read the registry read the worker's entry.  */
+static inline void
+world_announce_worker (struct world *world, const struct world_worker *w,
+                       int except)
+{
+  for (int i = 0; i < world->n_instances; i++)
+    if (i != except && world->instances[i].reads_registry)
+      world_register_worker (world, &world->instances[i], w);
 }
 
 static inline void
@@ -109,7 +131,13 @@
   if (in->cell == NULL || in->incarnation != event->incarnation)
     return;
   if (cell != NULL)
-    cell_tick (cell);
+    {
+      bool reads = cell_reads_registry (cell);
+      if (reads && !in->reads_registry)
+        world_read_registry (world, in);
+      in->reads_registry = reads;
+      cell_tick (cell);
+    }
   struct world_event *again
       = world_new_event (world, CELL_TICK_US, world_tick_instance);
   again->from = event->from;
@@ -149,9 +177,7 @@
   in->cell = cell_new (&config, &world_cell_ops, in);
   for (int i = 0; i < world->n_instances; i++)
     world_tell_registered (world, index, i, world->instances[i].cell != NULL);
-  for (int i = 0; i < world->n_workers; i++)
-    if (world->workers[i].up)
-      world_register_worker (world, in, &world->workers[i]);
+  world_read_registry (world, in);
   for (int i = 0; i < world->n_instances; i++)
     if (world->instances[i].cell != NULL && i != index)
       world_tell_registered (world, i, index, true);
@@ -342,8 +368,7 @@
   w->up = true;
   w->incarnation_ms = world_now (world) / 1000 + 1;
   w->revision = ++world->registry_revision;
-  for (int i = 0; i < world->n_instances; i++)
-    world_register_worker (world, &world->instances[i], w);
+  world_announce_worker (world, w, -1);
 }
 
 /* Changes what a worker says of itself; the instance EXCEPT does not read it
@@ -356,9 +381,7 @@
   w->model.capacity.cpu = cpu;
   w->draining = draining;
   w->revision = ++world->registry_revision;
-  for (int i = 0; i < world->n_instances; i++)
-    if (i != except)
-      world_register_worker (world, &world->instances[i], w);
+  world_announce_worker (world, w, except);
 }
 
 static inline void
--- a/tests/world_base.h
+++ b/tests/world_base.h
@@ -88,6 +88,7 @@
   uint64_t incarnation;
   uint32_t cpu_share; /* thousandths of a core */
   bool frozen;
+  bool reads_registry;
   GPtrArray *missed; /* struct world_event: answers that came while frozen */
   /* Ids of the peers of incoming links; each connection has one of its own. */
   uint64_t *link_peers[WORLD_MAX_INSTANCES];
