--- a/lib/base/counters.gen.c
+++ b/lib/base/counters.gen.c
@@ -98,6 +98,8 @@
     .help = "Held workers that were fenced, restarted or removed." },
   { .name = "papayaloft_workers_ejected_total", .type = "counter",
     .help = "Ejections of workers because of the outcomes of their runs." },
+  { .name = "papayaloft_planner_looks_total", .type = "counter",
+    .help = "Workers that this planner has looked at to place tasks." },
   { .name = "papayaloft_grants_total", .type = "counter",
     .help = "Grants by this planner." },
   { .name = "papayaloft_frames_stale_total", .type = "counter",
--- a/lib/planner/choose.c
+++ b/lib/planner/choose.c
@@ -175,6 +175,36 @@
     *candidate = (struct candidate){ w, new_cost };
 }
 
+/* Whether a task that needs no more than those of JOB was found to fit on no
+   worker of the service in this pass over the queue, which only fills workers.
+   Under overload most jobs wait, and each would look at all workers.  */
+static bool
+is_known_full (const struct planner_state *planner, const struct job *job)
+{
+  for (guint i = 0; i < planner->full->len; i++)
+    {
+      const struct full_size *full
+          = &g_array_index (planner->full, struct full_size, i);
+      if (full->service == job->request.service
+          && planner_resources_fit (
+              job->request.size, (struct planner_resources){ 0 }, full->size))
+        return true;
+    }
+  return false;
+}
+
+/* Notes that no worker which the service's tasks may use has room for a task
+   of JOB.  Says something of other jobs only if JOB may use all of them.  */
+static void
+note_full (struct planner_state *planner, const struct job *job)
+{
+  const struct planner_request *request = &job->request;
+  struct full_size full = { request->service, request->size };
+  if (request->required_label == 0 && request->per_worker == 0
+      && !request->suspect)
+    g_array_append_val (planner->full, full);
+}
+
 /* A worker on which the task would end too late is passed over as long as a
    fast enough worker that is full now may still take the task in time.  */
 struct worker_entry *
@@ -184,6 +214,9 @@
   struct candidate fast = { 0 };
   struct candidate any = { 0 };
   bool can_wait = false;
+  if (is_known_full (planner, job))
+    return NULL;
+  pl_count (PL_CTR_PLANNER_LOOKS_TOTAL, g_hash_table_size (planner->workers));
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, planner->workers);
@@ -202,6 +235,8 @@
       if (fast_enough)
         keep_cheaper (&fast, w, cost);
     }
+  if (any.entry == NULL)
+    note_full (planner, job);
   if (fast.entry != NULL)
     return fast.entry;
   can_wait &= now_us <= planner_latest_start (job);
--- a/lib/planner/planner.c
+++ b/lib/planner/planner.c
@@ -68,6 +68,7 @@
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   planner->services
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  planner->full = g_array_new (FALSE, FALSE, sizeof (struct full_size));
   planner->by_id = g_hash_table_new (g_int64_hash, g_int64_equal);
   planner->jobs = g_ptr_array_new_with_free_func (job_free);
   return planner;
@@ -80,6 +81,7 @@
   g_hash_table_unref (planner->workers);
   g_hash_table_unref (planner->paused);
   g_hash_table_unref (planner->services);
+  g_array_unref (planner->full);
   g_ptr_array_unref (planner->jobs);
   g_free (planner);
 }
@@ -486,6 +488,7 @@
   if (planner->jobs->len == 0)
     return;
   struct sort_context sort_context = { planner->policy, now_us };
+  g_array_set_size (planner->full, 0);
   g_ptr_array_sort_with_data (planner->jobs, compare_by_policy, &sort_context);
   for (guint i = 0; i < planner->jobs->len; i++)
     {
--- a/lib/planner/planner_priv.h
+++ b/lib/planner/planner_priv.h
@@ -61,6 +61,13 @@
   int64_t last_crowded_us;    /* latest refusal as PLANNER_CROWDED */
 };
 
+/* A size of a task that fits on no worker of the service now.  */
+struct full_size
+{
+  uint64_t service;
+  struct planner_resources size;
+};
+
 /* The planner's workers and its queue.  */
 struct planner_state
 {
@@ -72,6 +79,8 @@
   GPtrArray *jobs;      /* struct job; planner_schedule sorts them */
   GHashTable *by_id;    /* job -> struct job */
   GHashTable *services; /* service -> struct service */
+  GArray
+      *full; /* struct full_size, found in the present pass over the queue */
   uint64_t next_seq;
 };
 
--- a/tests/planner_test.c
+++ b/tests/planner_test.c
@@ -113,6 +113,34 @@
   planner_free (planner);
 }
 
+/* Guards against a planner that looks at all workers for each waiting job
+   while all workers are full: under overload that used up its processor time.
+   A job whose tasks are smaller is still placed.  */
+static void
+test_waiting_jobs_share_a_look_at_full_workers (void)
+{
+  enum
+  {
+    WORKERS = 100,
+    JOBS = 100
+  };
+  struct decisions decisions = { 0 };
+  struct planner_state *planner = planner_new (&ops, &decisions);
+  for (uint64_t worker = 1; worker <= WORKERS; worker++)
+    report_worker (planner, worker, 32000, worker == 50 ? 24000 : 28000);
+  for (uint64_t job = 1; job <= JOBS; job++)
+    put_request (planner, job, 2, 12000 + (int32_t)(job * 37 % 100) * 40,
+                 60 * MS, 0);
+  put_request (planner, JOBS + 1, 1, 8000, 60 * MS, 0);
+  int64_t looks = pl_counter (PL_CTR_PLANNER_LOOKS_TOTAL);
+  planner_schedule (planner, 0);
+  looks = pl_counter (PL_CTR_PLANNER_LOOKS_TOTAL) - looks;
+  CU_ASSERT_TRUE (looks <= 10 * WORKERS);
+  CU_ASSERT_EQUAL (decisions.grants, 1);
+  CU_ASSERT_EQUAL (decisions.workers[0], 50);
+  planner_free (planner);
+}
+
 /* Guards against a division by zero while the only workers of a service report
    one thousandth of a core, or none.  */
 static void
@@ -630,6 +658,8 @@
   CU_TestInfo tests[] = {
     { "grants count until they are reported",
       test_grants_count_until_they_are_reported },
+    { "waiting jobs share a look at full workers",
+      test_waiting_jobs_share_a_look_at_full_workers },
     { "workers without cores run nothing",
       test_workers_without_cores_run_nothing },
     { "the bound per worker holds on a retry",
