--- a/lib/cell/assign.c
+++ b/lib/cell/assign.c
@@ -102,7 +102,7 @@
 static bool
 may_still_hold (struct cell *cell, const struct peer *peer, int64_t now_us)
 {
-  int64_t silence_us = now_us - peer->heard_us;
+  int64_t silence_us = now_us - peer->last_heartbeat_us;
   if (cell_has_peer_ended (peer))
     return false;
   if (cell->registry_fresh && peer->registered)
--- a/lib/cell/cell.pb-c.c
+++ b/lib/cell/cell.pb-c.c
@@ -52,49 +52,49 @@
   assert(message->base.descriptor == &cellpb__held__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   cellpb__beat__init
-                     (Cellpb__Beat         *message)
+void   cellpb__heartbeat__init
+                     (Cellpb__Heartbeat         *message)
 {
-  static const Cellpb__Beat init_value = CELLPB__BEAT__INIT;
+  static const Cellpb__Heartbeat init_value = CELLPB__HEARTBEAT__INIT;
   *message = init_value;
 }
-size_t cellpb__beat__get_packed_size
-                     (const Cellpb__Beat *message)
+size_t cellpb__heartbeat__get_packed_size
+                     (const Cellpb__Heartbeat *message)
 {
-  assert(message->base.descriptor == &cellpb__beat__descriptor);
+  assert(message->base.descriptor == &cellpb__heartbeat__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t cellpb__beat__pack
-                     (const Cellpb__Beat *message,
+size_t cellpb__heartbeat__pack
+                     (const Cellpb__Heartbeat *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &cellpb__beat__descriptor);
+  assert(message->base.descriptor == &cellpb__heartbeat__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t cellpb__beat__pack_to_buffer
-                     (const Cellpb__Beat *message,
+size_t cellpb__heartbeat__pack_to_buffer
+                     (const Cellpb__Heartbeat *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &cellpb__beat__descriptor);
+  assert(message->base.descriptor == &cellpb__heartbeat__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Cellpb__Beat *
-       cellpb__beat__unpack
+Cellpb__Heartbeat *
+       cellpb__heartbeat__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Cellpb__Beat *)
-     protobuf_c_message_unpack (&cellpb__beat__descriptor,
+  return (Cellpb__Heartbeat *)
+     protobuf_c_message_unpack (&cellpb__heartbeat__descriptor,
                                 allocator, len, data);
 }
-void   cellpb__beat__free_unpacked
-                     (Cellpb__Beat *message,
+void   cellpb__heartbeat__free_unpacked
+                     (Cellpb__Heartbeat *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &cellpb__beat__descriptor);
+  assert(message->base.descriptor == &cellpb__heartbeat__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   cellpb__amount__init
@@ -1151,7 +1151,7 @@
   (ProtobufCMessageInit) cellpb__held__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__beat__field_descriptors[16] =
+static const ProtobufCFieldDescriptor cellpb__heartbeat__field_descriptors[16] =
 {
   {
     "name",
@@ -1159,7 +1159,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cellpb__Beat, name),
+    offsetof(Cellpb__Heartbeat, name),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
@@ -1171,7 +1171,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Cellpb__Beat, domain),
+    offsetof(Cellpb__Heartbeat, domain),
     NULL,
     &protobuf_c_empty_string,
     0,             /* flags */
@@ -1183,7 +1183,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED32,
     0,   /* quantifier_offset */
-    offsetof(Cellpb__Beat, ip),
+    offsetof(Cellpb__Heartbeat, ip),
     NULL,
     NULL,
     0,             /* flags */
@@ -1195,7 +1195,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cellpb__Beat, port),
+    offsetof(Cellpb__Heartbeat, port),
     NULL,
     NULL,
     0,             /* flags */
@@ -1207,7 +1207,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cellpb__Beat, draining),
+    offsetof(Cellpb__Heartbeat, draining),
     NULL,
     NULL,
     0,             /* flags */
@@ -1219,7 +1219,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cellpb__Beat, ready),
+    offsetof(Cellpb__Heartbeat, ready),
     NULL,
     NULL,
     0,             /* flags */
@@ -1230,8 +1230,8 @@
     7,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_FIXED64,
-    offsetof(Cellpb__Beat, n_heard),
-    offsetof(Cellpb__Beat, heard),
+    offsetof(Cellpb__Heartbeat, n_heard),
+    offsetof(Cellpb__Heartbeat, heard),
     NULL,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
@@ -1242,8 +1242,8 @@
     8,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cellpb__Beat, n_held),
-    offsetof(Cellpb__Beat, held),
+    offsetof(Cellpb__Heartbeat, n_held),
+    offsetof(Cellpb__Heartbeat, held),
     &cellpb__held__descriptor,
     NULL,
     0,             /* flags */
@@ -1255,7 +1255,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Cellpb__Beat, config_version),
+    offsetof(Cellpb__Heartbeat, config_version),
     NULL,
     NULL,
     0,             /* flags */
@@ -1266,8 +1266,8 @@
     10,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_FIXED32,
-    offsetof(Cellpb__Beat, n_known_ip),
-    offsetof(Cellpb__Beat, known_ip),
+    offsetof(Cellpb__Heartbeat, n_known_ip),
+    offsetof(Cellpb__Heartbeat, known_ip),
     NULL,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
@@ -1278,8 +1278,8 @@
     11,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_UINT32,
-    offsetof(Cellpb__Beat, n_known_port),
-    offsetof(Cellpb__Beat, known_port),
+    offsetof(Cellpb__Heartbeat, n_known_port),
+    offsetof(Cellpb__Heartbeat, known_port),
     NULL,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
@@ -1291,7 +1291,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Cellpb__Beat, cpu_share),
+    offsetof(Cellpb__Heartbeat, cpu_share),
     NULL,
     NULL,
     0,             /* flags */
@@ -1303,7 +1303,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cellpb__Beat, registry_stale),
+    offsetof(Cellpb__Heartbeat, registry_stale),
     NULL,
     NULL,
     0,             /* flags */
@@ -1315,7 +1315,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cellpb__Beat, domain_only),
+    offsetof(Cellpb__Heartbeat, domain_only),
     NULL,
     NULL,
     0,             /* flags */
@@ -1327,7 +1327,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Cellpb__Beat, reads_registry),
+    offsetof(Cellpb__Heartbeat, reads_registry),
     NULL,
     NULL,
     0,             /* flags */
@@ -1339,14 +1339,14 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Cellpb__Beat, registry_revision),
+    offsetof(Cellpb__Heartbeat, registry_revision),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned cellpb__beat__field_indices_by_name[] = {
+static const unsigned cellpb__heartbeat__field_indices_by_name[] = {
   8,   /* field[8] = config_version */
   11,   /* field[11] = cpu_share */
   1,   /* field[1] = domain */
@@ -1364,24 +1364,24 @@
   15,   /* field[15] = registry_revision */
   12,   /* field[12] = registry_stale */
 };
-static const ProtobufCIntRange cellpb__beat__number_ranges[1 + 1] =
+static const ProtobufCIntRange cellpb__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 16 }
 };
-const ProtobufCMessageDescriptor cellpb__beat__descriptor =
+const ProtobufCMessageDescriptor cellpb__heartbeat__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "cellpb.Beat",
-  "Beat",
-  "Cellpb__Beat",
+  "cellpb.Heartbeat",
+  "Heartbeat",
+  "Cellpb__Heartbeat",
   "cellpb",
-  sizeof(Cellpb__Beat),
+  sizeof(Cellpb__Heartbeat),
   16,
-  cellpb__beat__field_descriptors,
-  cellpb__beat__field_indices_by_name,
-  1,  cellpb__beat__number_ranges,
-  (ProtobufCMessageInit) cellpb__beat__init,
+  cellpb__heartbeat__field_descriptors,
+  cellpb__heartbeat__field_indices_by_name,
+  1,  cellpb__heartbeat__number_ranges,
+  (ProtobufCMessageInit) cellpb__heartbeat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor cellpb__amount__field_descriptors[3] =
@@ -3185,13 +3185,13 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "beat",
+    "heartbeat",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     offsetof(Cellpb__Envelope, body_case),
-    offsetof(Cellpb__Envelope, beat),
-    &cellpb__beat__descriptor,
+    offsetof(Cellpb__Envelope, heartbeat),
+    &cellpb__heartbeat__descriptor,
     NULL,
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -3415,7 +3415,6 @@
 };
 static const unsigned cellpb__envelope__field_indices_by_name[] = {
   2,   /* field[2] = ask */
-  1,   /* field[1] = beat */
   13,   /* field[13] = config */
   15,   /* field[15] = crashes */
   3,   /* field[3] = drop */
@@ -3423,6 +3422,7 @@
   17,   /* field[17] = find */
   18,   /* field[18] = found */
   4,   /* field[4] = grant */
+  1,   /* field[1] = heartbeat */
   5,   /* field[5] = refuse */
   19,   /* field[19] = registry */
   6,   /* field[6] = release */
--- a/lib/cell/cell.pb-c.h
+++ b/lib/cell/cell.pb-c.h
@@ -16,7 +16,7 @@
 
 
 typedef struct Cellpb__Held Cellpb__Held;
-typedef struct Cellpb__Beat Cellpb__Beat;
+typedef struct Cellpb__Heartbeat Cellpb__Heartbeat;
 typedef struct Cellpb__Amount Cellpb__Amount;
 typedef struct Cellpb__Ask Cellpb__Ask;
 typedef struct Cellpb__Drop Cellpb__Drop;
@@ -67,7 +67,7 @@
 /*
  * Heartbeat, sent to all peers periodically.
  */
-struct  Cellpb__Beat
+struct  Cellpb__Heartbeat
 {
   ProtobufCMessage base;
   char *name;
@@ -115,8 +115,8 @@
    */
   int64_t registry_revision;
 };
-#define CELLPB__BEAT__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&cellpb__beat__descriptor) \
+#define CELLPB__HEARTBEAT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cellpb__heartbeat__descriptor) \
     , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0 }
 
 
@@ -565,7 +565,7 @@
 
 typedef enum {
   CELLPB__ENVELOPE__BODY__NOT_SET = 0,
-  CELLPB__ENVELOPE__BODY_BEAT = 2,
+  CELLPB__ENVELOPE__BODY_HEARTBEAT = 2,
   CELLPB__ENVELOPE__BODY_ASK = 3,
   CELLPB__ENVELOPE__BODY_DROP = 4,
   CELLPB__ENVELOPE__BODY_GRANT = 5,
@@ -599,7 +599,7 @@
   int64_t sent_us;
   Cellpb__Envelope__BodyCase body_case;
   union {
-    Cellpb__Beat *beat;
+    Cellpb__Heartbeat *heartbeat;
     Cellpb__Ask *ask;
     Cellpb__Drop *drop;
     Cellpb__Grant *grant;
@@ -643,24 +643,24 @@
 void   cellpb__held__free_unpacked
                      (Cellpb__Held *message,
                       ProtobufCAllocator *allocator);
-/* Cellpb__Beat methods */
-void   cellpb__beat__init
-                     (Cellpb__Beat         *message);
-size_t cellpb__beat__get_packed_size
-                     (const Cellpb__Beat   *message);
-size_t cellpb__beat__pack
-                     (const Cellpb__Beat   *message,
+/* Cellpb__Heartbeat methods */
+void   cellpb__heartbeat__init
+                     (Cellpb__Heartbeat         *message);
+size_t cellpb__heartbeat__get_packed_size
+                     (const Cellpb__Heartbeat   *message);
+size_t cellpb__heartbeat__pack
+                     (const Cellpb__Heartbeat   *message,
                       uint8_t             *out);
-size_t cellpb__beat__pack_to_buffer
-                     (const Cellpb__Beat   *message,
+size_t cellpb__heartbeat__pack_to_buffer
+                     (const Cellpb__Heartbeat   *message,
                       ProtobufCBuffer     *buffer);
-Cellpb__Beat *
-       cellpb__beat__unpack
+Cellpb__Heartbeat *
+       cellpb__heartbeat__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   cellpb__beat__free_unpacked
-                     (Cellpb__Beat *message,
+void   cellpb__heartbeat__free_unpacked
+                     (Cellpb__Heartbeat *message,
                       ProtobufCAllocator *allocator);
 /* Cellpb__Amount methods */
 void   cellpb__amount__init
@@ -1085,8 +1085,8 @@
 typedef void (*Cellpb__Held_Closure)
                  (const Cellpb__Held *message,
                   void *closure_data);
-typedef void (*Cellpb__Beat_Closure)
-                 (const Cellpb__Beat *message,
+typedef void (*Cellpb__Heartbeat_Closure)
+                 (const Cellpb__Heartbeat *message,
                   void *closure_data);
 typedef void (*Cellpb__Amount_Closure)
                  (const Cellpb__Amount *message,
@@ -1161,7 +1161,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor cellpb__held__descriptor;
-extern const ProtobufCMessageDescriptor cellpb__beat__descriptor;
+extern const ProtobufCMessageDescriptor cellpb__heartbeat__descriptor;
 extern const ProtobufCMessageDescriptor cellpb__amount__descriptor;
 extern const ProtobufCMessageDescriptor cellpb__ask__descriptor;
 extern const ProtobufCMessageDescriptor cellpb__drop__descriptor;
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -25,14 +25,14 @@
   uint64_t id;          /* incarnation; 0: not heard yet */
   char *name;
   uint64_t domain;
-  uint32_t cpu_share;       /* thousandths of a core; 0: not known */
-  int64_t heard_us;         /* last heartbeat */
+  uint32_t cpu_share; /* thousandths of a core; 0: not known */
+  int64_t last_heartbeat_us;
   int64_t link_closed_us;   /* when its link to us was closed; 0: open */
   bool refuses_connections; /* at its address, when last tried */
   /* Our clock minus its clock plus the shortest delay of a frame.  */
   int64_t clock_offset_us;
   int64_t clock_offset_at_us; /* when that was measured; 0: never */
-  bool hears_this_instance;   /* by its latest heartbeat */
+  bool two_way; /* it hears this instance, by its latest heartbeat */
   bool draining;
   bool ready;
   bool alive;             /* as acted on last; see cell_is_peer_alive */
@@ -57,7 +57,7 @@
   int64_t reachable_us;     /* when a probe was last answered; 0: not */
   uint64_t holder;          /* that should hold it; see cell_weigh_worker */
   bool removed;             /* it is no longer in the registry */
-  bool report_due;          /* it has changed since its last report */
+  bool needs_report;        /* it has changed since its last report */
 };
 
 /* Counters that the log event LOAD shows, see load.c.  */
@@ -129,14 +129,14 @@
 bool cell_serves_domain (const struct cell *cell, uint64_t domain);
 
 /* Peers: failure detection and the choice of the planner (member.c),
-   heartbeats (beat.c).  */
+   heartbeats (heartbeat.c).  */
 struct peer *cell_find_peer (struct cell *cell, uint64_t id);
 struct peer *cell_find_peer_at (const struct cell *cell, struct pl_addr addr);
 /* Whether PEER and this instance hear each other now.  PEER->alive is the
    state that was acted on last.  */
 bool cell_is_peer_alive (struct cell *cell, const struct peer *peer);
-void cell_on_beat (struct cell *cell, uint64_t sender,
-                   const Cellpb__Beat *beat);
+void cell_on_heartbeat (struct cell *cell, uint64_t sender,
+                        const Cellpb__Heartbeat *msg);
 /* Whether some instance may have taken workers of this one since SINCE_US
    without this one having heard of it: an instance that was or may be out of
    reach, or any if this process was paused.  */
@@ -203,7 +203,7 @@
 /* Reading the registry for the domain (reader.c).  Tells PEER of the workers
    that it does not know yet by its heartbeat.  */
 void cell_tell_workers (struct cell *cell, struct peer *peer,
-                        const Cellpb__Beat *beat);
+                        const Cellpb__Heartbeat *msg);
 void cell_on_registry (struct cell *cell, const Cellpb__Registry *msg);
 
 /* Reports of held workers to the planner (report.c, message Room).  */
--- a/lib/cell/check.c
+++ b/lib/cell/check.c
@@ -76,12 +76,12 @@
 }
 
 static bool
-is_beat (const Cellpb__Beat *beat)
+is_heartbeat (const Cellpb__Heartbeat *msg)
 {
-  for (size_t i = 0; i < beat->n_held; i++)
-    if (!is_token (beat->held[i]->token))
+  for (size_t i = 0; i < msg->n_held; i++)
+    if (!is_token (msg->held[i]->token))
       return false;
-  return beat->port != 0 && beat->port <= UINT16_MAX;
+  return msg->port != 0 && msg->port <= UINT16_MAX;
 }
 
 static bool
@@ -125,8 +125,8 @@
     return false;
   switch (env->body_case)
     {
-    case CELLPB__ENVELOPE__BODY_BEAT:
-      return is_beat (env->beat);
+    case CELLPB__ENVELOPE__BODY_HEARTBEAT:
+      return is_heartbeat (env->heartbeat);
     case CELLPB__ENVELOPE__BODY_ASK:
       return is_ask (env->ask);
     case CELLPB__ENVELOPE__BODY_GRANT:
--- a/lib/cell/beat.c
+++ b/lib/cell/heartbeat.c
@@ -20,7 +20,7 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       const struct peer *peer = value;
-      if (peer->id == 0 || now_us - peer->heard_us > PEER_LOST_US)
+      if (peer->id == 0 || now_us - peer->last_heartbeat_us > PEER_LOST_US)
         continue;
       uint32_t port = peer->addr.port;
       g_array_append_val (heard->ids, peer->id);
@@ -30,14 +30,14 @@
 }
 
 static void
-fill_heard (Cellpb__Beat *beat, const struct heard *heard)
+fill_heard (Cellpb__Heartbeat *msg, const struct heard *heard)
 {
-  beat->heard = (uint64_t *)(void *)heard->ids->data;
-  beat->n_heard = heard->ids->len;
-  beat->known_ip = (uint32_t *)(void *)heard->ips->data;
-  beat->n_known_ip = heard->ips->len;
-  beat->known_port = (uint32_t *)(void *)heard->ports->data;
-  beat->n_known_port = heard->ports->len;
+  msg->heard = (uint64_t *)(void *)heard->ids->data;
+  msg->n_heard = heard->ids->len;
+  msg->known_ip = (uint32_t *)(void *)heard->ips->data;
+  msg->n_known_ip = heard->ips->len;
+  msg->known_port = (uint32_t *)(void *)heard->ports->data;
+  msg->n_known_port = heard->ports->len;
 }
 
 /* Collects the held workers in HELD, and in POINTERS pointers to its entries.
@@ -75,25 +75,25 @@
   g_autoptr (GArray) ips = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   g_autoptr (GArray) ports = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   struct heard heard = { ids, ips, ports };
-  Cellpb__Beat beat = CELLPB__BEAT__INIT;
+  Cellpb__Heartbeat msg = CELLPB__HEARTBEAT__INIT;
   collect_heard (cell, &heard);
-  fill_heard (&beat, &heard);
+  fill_heard (&msg, &heard);
   collect_held (cell, held, pointers);
-  beat.held = (Cellpb__Held **)pointers->pdata;
-  beat.n_held = pointers->len;
-  beat.name = cell->name;
-  beat.domain = cell->domain_name;
-  beat.ip = cell->addr.ip;
-  beat.port = cell->addr.port;
-  beat.draining = cell->draining;
-  beat.ready = cell->ready;
-  beat.config_version = cell->config_version;
-  beat.cpu_share = cell->cpu_share;
-  beat.registry_stale = !cell->registry_fresh;
-  beat.domain_only = cell->domain_only;
-  beat.reads_registry = cell_reads_registry (cell);
-  beat.registry_revision = beat.reads_registry ? 0 : cell->registry_revision;
-  Cellpb__Envelope env = CELL_ENVELOPE (beat, BEAT, &beat);
+  msg.held = (Cellpb__Held **)pointers->pdata;
+  msg.n_held = pointers->len;
+  msg.name = cell->name;
+  msg.domain = cell->domain_name;
+  msg.ip = cell->addr.ip;
+  msg.port = cell->addr.port;
+  msg.draining = cell->draining;
+  msg.ready = cell->ready;
+  msg.config_version = cell->config_version;
+  msg.cpu_share = cell->cpu_share;
+  msg.registry_stale = !cell->registry_fresh;
+  msg.domain_only = cell->domain_only;
+  msg.reads_registry = cell_reads_registry (cell);
+  msg.registry_revision = msg.reads_registry ? 0 : cell->registry_revision;
+  Cellpb__Envelope env = CELL_ENVELOPE (heartbeat, HEARTBEAT, &msg);
   if (to != NULL)
     cell_send_to_peer (cell, to, &env);
   else
--- a/lib/cell/member.c
+++ b/lib/cell/member.c
@@ -31,7 +31,7 @@
     return;
   struct peer *peer = g_new0 (struct peer, 1);
   peer->addr = addr;
-  peer->heard_us = pl_now_us (cell->clock);
+  peer->last_heartbeat_us = pl_now_us (cell->clock);
   peer->held
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   uint64_t *key = g_new (uint64_t, 1);
@@ -56,8 +56,8 @@
 cell_is_peer_alive (struct cell *cell, const struct peer *peer)
 {
   int64_t now_us = pl_now_us (cell->clock);
-  if (peer->id == 0 || !peer->hears_this_instance
-      || now_us - peer->heard_us > PEER_LOST_US)
+  if (peer->id == 0 || !peer->two_way
+      || now_us - peer->last_heartbeat_us > PEER_LOST_US)
     return false;
   return peer->link_closed_us == 0
          || now_us - peer->link_closed_us < PEER_RECONNECT_US;
@@ -67,8 +67,8 @@
    SINCE_US, and may have taken its workers.  An address at which nobody was
    ever heard counts only if an instance is registered there.  */
 static bool
-may_have_missed_beats (struct cell *cell, const struct peer *peer,
-                       int64_t since_us)
+may_have_missed_heartbeats (struct cell *cell, const struct peer *peer,
+                            int64_t since_us)
 {
   if (cell_has_peer_ended (peer) || (peer->id == 0 && !peer->registered))
     return false;
@@ -91,7 +91,7 @@
   gpointer value;
   g_hash_table_iter_init (&it, cell->peers);
   while (g_hash_table_iter_next (&it, NULL, &value))
-    if (may_have_missed_beats (cell, value, since_us))
+    if (may_have_missed_heartbeats (cell, value, since_us))
       return true;
   return false;
 }
@@ -107,7 +107,7 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       struct peer *peer = value;
-      peer->heard_us += gap_us;
+      peer->last_heartbeat_us += gap_us;
       if (peer->link_closed_us != 0)
         peer->link_closed_us += gap_us;
     }
@@ -138,9 +138,9 @@
 {
   int64_t now_us = pl_now_us (cell->clock);
   pl_log (PL_EV_PEER_GONE, "peer=%s reason=%s silence_ms=%" PRId64, peer->name,
-          reason, (now_us - peer->heard_us) / 1000);
+          reason, (now_us - peer->last_heartbeat_us) / 1000);
   lease_stop_runs_of_owner (cell->leases, peer->id, now_us);
-  owner_on_holder_lost (cell->jobs, peer->id, peer->heard_us);
+  owner_on_holder_lost (cell->jobs, peer->id, peer->last_heartbeat_us);
   planner_remove_holder (cell->planner, peer->id);
   planner_remove_owner (cell->planner, peer->id);
   /* Even if the peer is heard again before the planner is chosen anew, it has
@@ -196,40 +196,40 @@
 }
 
 static void
-read_held (struct cell *cell, struct peer *peer, const Cellpb__Beat *beat)
+read_held (struct cell *cell, struct peer *peer, const Cellpb__Heartbeat *msg)
 {
   g_hash_table_remove_all (peer->held);
-  for (size_t i = 0; i < beat->n_held; i++)
+  for (size_t i = 0; i < msg->n_held; i++)
     {
       uint64_t *key = g_new (uint64_t, 1);
       int64_t *token = g_new (int64_t, 1);
-      *key = beat->held[i]->worker;
-      *token = beat->held[i]->token;
+      *key = msg->held[i]->worker;
+      *token = msg->held[i]->token;
       g_hash_table_insert (peer->held, key, token);
       struct known_worker *known = g_hash_table_lookup (cell->workers, key);
       if (known != NULL)
         cell_record_token (cell, known, *token);
-      if (beat->registry_stale)
-        cell_relay_changes (cell, peer, beat->held[i]);
+      if (msg->registry_stale)
+        cell_relay_changes (cell, peer, msg->held[i]);
     }
 }
 
 static bool
-lists_this_instance (struct cell *cell, const Cellpb__Beat *beat)
+lists_this_instance (struct cell *cell, const Cellpb__Heartbeat *msg)
 {
-  for (size_t i = 0; i < beat->n_heard; i++)
-    if (beat->heard[i] == cell->id)
+  for (size_t i = 0; i < msg->n_heard; i++)
+    if (msg->heard[i] == cell->id)
       return true;
   return false;
 }
 
 static void
-add_listed_peers (struct cell *cell, const Cellpb__Beat *beat)
+add_listed_peers (struct cell *cell, const Cellpb__Heartbeat *msg)
 {
-  size_t n = MIN (beat->n_known_ip, beat->n_known_port);
+  size_t n = MIN (msg->n_known_ip, msg->n_known_port);
   for (size_t i = 0; i < n; i++)
-    cell_add_peer (cell, (struct pl_addr){ beat->known_ip[i],
-                                           (uint16_t)beat->known_port[i] });
+    cell_add_peer (cell, (struct pl_addr){ msg->known_ip[i],
+                                           (uint16_t)msg->known_port[i] });
 }
 
 static void
@@ -264,8 +264,7 @@
 reconnect_if_unheard (struct cell *cell, struct peer *peer)
 {
   int64_t now_us = pl_now_us (cell->clock);
-  if (peer->hears_this_instance
-      || now_us - peer->reconnect_us < RECONNECT_MIN_US)
+  if (peer->two_way || now_us - peer->reconnect_us < RECONNECT_MIN_US)
     return;
   peer->reconnect_us = now_us;
   cell->ops->reconnect (cell->ctx, peer->link);
@@ -275,10 +274,10 @@
    tick removes its sender.  */
 static bool
 is_of_other_domain (struct cell *cell, struct peer *peer,
-                    const Cellpb__Beat *beat)
+                    const Cellpb__Heartbeat *msg)
 {
-  if (!cell->domain_only || !beat->domain_only
-      || cell_name_hash (pl_str (beat->domain)) == cell->domain)
+  if (!cell->domain_only || !msg->domain_only
+      || cell_name_hash (pl_str (msg->domain)) == cell->domain)
     return false;
   if (peer != NULL)
     peer->domain_only = true;
@@ -286,10 +285,11 @@
 }
 
 void
-cell_on_beat (struct cell *cell, uint64_t sender, const Cellpb__Beat *beat)
+cell_on_heartbeat (struct cell *cell, uint64_t sender,
+                   const Cellpb__Heartbeat *msg)
 {
-  struct pl_addr addr = { beat->ip, (uint16_t)beat->port };
-  if (is_of_other_domain (cell, cell_find_peer_at (cell, addr), beat))
+  struct pl_addr addr = { msg->ip, (uint16_t)msg->port };
+  if (is_of_other_domain (cell, cell_find_peer_at (cell, addr), msg))
     return;
   cell_add_peer (cell, addr);
   struct peer *peer = cell_find_peer_at (cell, addr);
@@ -307,30 +307,30 @@
     }
   peer->id = sender;
   g_free (peer->name);
-  peer->name = g_strdup (beat->name);
-  peer->domain = cell_name_hash (pl_str (beat->domain));
-  peer->heard_us = pl_now_us (cell->clock);
+  peer->name = g_strdup (msg->name);
+  peer->domain = cell_name_hash (pl_str (msg->domain));
+  peer->last_heartbeat_us = pl_now_us (cell->clock);
   peer->link_closed_us = 0;
   peer->refuses_connections = false;
-  if (peer->draining != beat->draining || peer->ready != beat->ready)
+  if (peer->draining != msg->draining || peer->ready != msg->ready)
     cell->candidates_changed = true;
-  if (cell->candidates_changed || peer->cpu_share != beat->cpu_share)
+  if (cell->candidates_changed || peer->cpu_share != msg->cpu_share)
     cell->membership_changed = true;
-  peer->cpu_share = beat->cpu_share;
-  peer->hears_this_instance = lists_this_instance (cell, beat);
+  peer->cpu_share = msg->cpu_share;
+  peer->two_way = lists_this_instance (cell, msg);
   reconnect_if_unheard (cell, peer);
-  peer->draining = beat->draining;
-  peer->ready = beat->ready;
-  peer->config_version = beat->config_version;
-  peer->domain_only = beat->domain_only;
-  peer->registry_stale = beat->registry_stale;
+  peer->draining = msg->draining;
+  peer->ready = msg->ready;
+  peer->config_version = msg->config_version;
+  peer->domain_only = msg->domain_only;
+  peer->registry_stale = msg->registry_stale;
   cell_follow_mode (cell, peer);
-  read_held (cell, peer, beat);
-  add_listed_peers (cell, beat);
+  read_held (cell, peer, msg);
+  add_listed_peers (cell, msg);
   send_newer_config (cell, peer);
   if (peer->domain == cell->domain)
-    cell_tell_workers (cell, peer, beat);
-  set_alive (cell, peer, peer->hears_this_instance, "one-way");
+    cell_tell_workers (cell, peer, msg);
+  set_alive (cell, peer, peer->two_way, "one-way");
   if (new_peer)
     cell_send_heartbeat (cell, peer); /* tells it at once that we hear it */
 }
@@ -457,7 +457,7 @@
     {
       struct peer *peer = value;
       bool replaced = !peer->alive && !peer->registered
-                      && now_us - peer->heard_us >= PEER_FORGET_US;
+                      && now_us - peer->last_heartbeat_us >= PEER_FORGET_US;
       if (!replaced && cell_is_peer_wanted (cell, peer))
         continue;
       set_alive (cell, peer, false, "unwanted");
@@ -485,8 +485,9 @@
       if (peer->alive && !cell_is_peer_alive (cell, peer))
         set_alive (cell, peer, false,
                    peer->link_closed_us != 0 ? "closed" : "silent");
-      set_suspected (cell, peer,
-                     peer->alive && now_us - peer->heard_us > PEER_SUSPECT_US);
+      set_suspected (
+          cell, peer,
+          peer->alive && now_us - peer->last_heartbeat_us > PEER_SUSPECT_US);
     }
   if (now_us - cell->heartbeat_us < HEARTBEAT_PERIOD_US)
     return;
--- a/lib/cell/msg.c
+++ b/lib/cell/msg.c
@@ -119,8 +119,8 @@
 {
   switch (env->body_case)
     {
-    case CELLPB__ENVELOPE__BODY_BEAT:
-      cell_on_beat (cell, sender, env->beat);
+    case CELLPB__ENVELOPE__BODY_HEARTBEAT:
+      cell_on_heartbeat (cell, sender, env->heartbeat);
       break;
     case CELLPB__ENVELOPE__BODY_ASK:
       cell_on_ask (cell, sender, env->ask);
--- a/lib/cell/report.c
+++ b/lib/cell/report.c
@@ -10,7 +10,7 @@
   struct known_worker *known = g_hash_table_lookup (cell->workers, &worker);
   if (known == NULL)
     return;
-  known->report_due = true;
+  known->needs_report = true;
   cell->reports_due = true;
   cell->ops->wake (cell->ctx);
 }
@@ -27,7 +27,7 @@
       struct known_worker *known
           = g_hash_table_lookup (cell->workers, &w->info.worker);
       if (known != NULL)
-        known->report_due = true;
+        known->needs_report = true;
     }
   cell->reports_due = true;
 }
@@ -96,9 +96,9 @@
       const struct lease_worker *w = value;
       struct known_worker *known
           = g_hash_table_lookup (cell->workers, &w->info.worker);
-      if (known == NULL || !known->report_due)
+      if (known == NULL || !known->needs_report)
         continue;
-      known->report_due = false;
+      known->needs_report = false;
       if (w->token != LEASE_PROBE_TOKEN)
         send_report (cell, w, now_us);
     }
--- a/tests/cell_loss_test.c
+++ b/tests/cell_loss_test.c
@@ -253,7 +253,7 @@
   const uint8_t *data = g_bytes_get_data (frame, &len);
   Cellpb__Envelope *env = cellpb__envelope__unpack (NULL, len, data);
   if (env->sender == world->instances[1].incarnation
-      && env->body_case == CELLPB__ENVELOPE__BODY_BEAT)
+      && env->body_case == CELLPB__ENVELOPE__BODY_HEARTBEAT)
     {
       g_bytes_unref (*latest);
       *latest = g_bytes_ref (frame);
@@ -270,12 +270,12 @@
   world_run_for (world, SECOND);
   uint64_t *former = world->instances[0].link_peers[1];
   world_reset_link (world, 1, 0);
-  GBytes *beat = g_bytes_new (NULL, 0);
-  world->user = &beat;
+  GBytes *heartbeat = g_bytes_new (NULL, 0);
+  world->user = &heartbeat;
   world->on_frame = keep_heartbeat;
   world_run_for (world, SECOND);
   gsize len;
-  const char *data = g_bytes_get_data (beat, &len);
+  const char *data = g_bytes_get_data (heartbeat, &len);
   CU_ASSERT_TRUE_FATAL (len > 0);
   struct pl_str frame = { data, len };
   int64_t dropped = pl_counter (PL_CTR_PEER_MESSAGES_DROPPED_TOTAL);
@@ -285,7 +285,7 @@
   cell_receive_frame (world->instances[0].cell, former, frame);
   CU_ASSERT_EQUAL (pl_counter (PL_CTR_PEER_MESSAGES_DROPPED_TOTAL),
                    dropped + 1);
-  g_bytes_unref (beat);
+  g_bytes_unref (heartbeat);
   world_free (world);
 }
 
