--- /dev/null
+++ b/tests/faults/mutants/empty-read-closes.sed
@@ -0,0 +1,4 @@
+# file: lib/net/client.c
+# test: net_test
+# change: a read callback that finds nothing closes the connection
+s/if (!has_unread_input (conn))/if (conn == NULL)/
