--- a/lib/cell/cell.pb-c.c
+++ b/lib/cell/cell.pb-c.c
@@ -1151,7 +1151,7 @@
   (ProtobufCMessageInit) cellpb__held__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__heartbeat__field_descriptors[16] =
+static const ProtobufCFieldDescriptor cellpb__heartbeat__field_descriptors[20] =
 {
   {
     "name",
@@ -1345,8 +1345,57 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "takes_repeats",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Heartbeat, takes_repeats),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Heartbeat, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "repeats",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Heartbeat, repeats),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asks_state",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Heartbeat, asks_state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cellpb__heartbeat__field_indices_by_name[] = {
+  19,   /* field[19] = asks_state */
   8,   /* field[8] = config_version */
   11,   /* field[11] = cpu_share */
   1,   /* field[1] = domain */
@@ -1363,11 +1412,14 @@
   5,   /* field[5] = ready */
   15,   /* field[15] = registry_revision */
   12,   /* field[12] = registry_stale */
+  18,   /* field[18] = repeats */
+  17,   /* field[17] = state */
+  16,   /* field[16] = takes_repeats */
 };
 static const ProtobufCIntRange cellpb__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor cellpb__heartbeat__descriptor =
 {
@@ -1377,7 +1429,7 @@
   "Cellpb__Heartbeat",
   "cellpb",
   sizeof(Cellpb__Heartbeat),
-  16,
+  20,
   cellpb__heartbeat__field_descriptors,
   cellpb__heartbeat__field_indices_by_name,
   1,  cellpb__heartbeat__number_ranges,
--- a/lib/cell/cell.pb-c.h
+++ b/lib/cell/cell.pb-c.h
@@ -114,10 +114,26 @@
    * up to which it knows them, if it does not
    */
   int64_t registry_revision;
+  /*
+   * the sender understands repeats
+   */
+  protobuf_c_boolean takes_repeats;
+  /*
+   * hash of all of the above; 0: sent by a former build
+   */
+  uint64_t state;
+  /*
+   * nothing but ip, port and state: as in the last one with it
+   */
+  protobuf_c_boolean repeats;
+  /*
+   * the sender lacks the state of the receiver
+   */
+  protobuf_c_boolean asks_state;
 };
 #define CELLPB__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cellpb__heartbeat__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -41,6 +41,10 @@
   bool registered;  /* in the registry of instances */
   bool domain_only; /* it sends heartbeats in its failure domain only */
   bool registry_stale; /* the registry does not serve it */
+  bool takes_repeats;  /* of heartbeats without their unchanged state */
+  uint64_t state;      /* hash of the state in its latest full heartbeat */
+  bool reads_registry;
+  int64_t registry_revision; /* up to which it knows the workers */
   int64_t config_version;
   GHashTable *held; /* workers that it holds -> token (int64_t *) */
 };
@@ -97,9 +101,11 @@
   int64_t registry_revision;        /* up to which the workers are known */
   int64_t workers_changed_revision; /* of the latest change of a worker */
   int64_t ticked_us;                /* the latest tick; 0: none yet */
-  int64_t resumed_us;      /* end of the latest pause of this process */
-  int64_t heartbeat_us;    /* when the last one was sent; 0: send one now */
-  int64_t all_reported_us; /* when all workers were reported last */
+  int64_t resumed_us;        /* end of the latest pause of this process */
+  int64_t heartbeat_us;      /* when the last one was sent; 0: send one now */
+  uint64_t heartbeat_state;  /* hash of what the latest heartbeat has told */
+  int64_t heartbeat_full_us; /* when that was sent in full to all */
+  int64_t all_reported_us;   /* when all workers were reported last */
   int64_t config_version;
   GBytes *config;
   GQueue inbox;         /* GBytes of messages of this instance to itself */
@@ -161,8 +167,14 @@
                         Cellpb__Envelope *env);
 /* To all peers, alive or not, without this instance.  */
 void cell_send_to_all_peers (struct cell *cell, Cellpb__Envelope *env);
-/* TO null: all peers.  */
-void cell_send_heartbeat (struct cell *cell, struct peer *to);
+/* To all peers; to those that know the state of this instance only that it
+   has not changed.  */
+void cell_send_heartbeats (struct cell *cell);
+/* In full, to one peer, which is to do the same if ASKS_STATE.  */
+void cell_send_heartbeat (struct cell *cell, struct peer *to, bool asks_state);
+/* A message as sent to several peers.  The caller frees it.  */
+GBytes *cell_pack (struct cell *cell, Cellpb__Envelope *env);
+void cell_send_packed (struct cell *cell, struct peer *peer, GBytes *frame);
 void cell_dispatch (struct cell *cell, uint64_t sender,
                     const Cellpb__Envelope *env);
 
@@ -202,8 +214,7 @@
 
 /* Reading the registry for the domain (reader.c).  Tells PEER of the workers
    that it does not know yet by its heartbeat.  */
-void cell_tell_workers (struct cell *cell, struct peer *peer,
-                        const Cellpb__Heartbeat *msg);
+void cell_tell_workers (struct cell *cell, struct peer *peer);
 void cell_on_registry (struct cell *cell, const Cellpb__Registry *msg);
 
 /* Reports of held workers to the planner (report.c, message Room).  */
--- a/lib/cell/heartbeat.c
+++ b/lib/cell/heartbeat.c
@@ -2,6 +2,9 @@
    hears and the workers that it holds, sent to all peers periodically.  */
 #include "cell_priv.h"
 
+/* All is told again after this time, though nothing has changed.  */
+#define FULL_PERIOD_US 1000000
+
 /* The peers that this instance hears, as parallel arrays like in Beat.  */
 struct heard
 {
@@ -66,8 +69,19 @@
     g_ptr_array_add (pointers, &g_array_index (held, Cellpb__Held, i));
 }
 
-void
-cell_send_heartbeat (struct cell *cell, struct peer *to)
+/* Hash of what MSG tells, never 0.  */
+static uint64_t
+hash_state (const Cellpb__Heartbeat *msg)
+{
+  size_t len = cellpb__heartbeat__get_packed_size (msg);
+  g_autofree uint8_t *data = g_malloc (len);
+  cellpb__heartbeat__pack (msg, data);
+  return cell_name_hash ((struct pl_str){ (const char *)data, len });
+}
+
+/* A full heartbeat.  Sets STATE.  */
+static GBytes *
+pack_full (struct cell *cell, bool asks_state, uint64_t *state)
 {
   g_autoptr (GArray) held = g_array_new (FALSE, FALSE, sizeof (Cellpb__Held));
   g_autoptr (GPtrArray) pointers = g_ptr_array_new ();
@@ -93,9 +107,56 @@
   msg.domain_only = cell->domain_only;
   msg.reads_registry = cell_reads_registry (cell);
   msg.registry_revision = msg.reads_registry ? 0 : cell->registry_revision;
+  msg.takes_repeats = true;
+  *state = hash_state (&msg);
+  msg.state = *state;
+  msg.asks_state = asks_state;
+  Cellpb__Envelope env = CELL_ENVELOPE (heartbeat, HEARTBEAT, &msg);
+  return cell_pack (cell, &env);
+}
+
+/* A heartbeat that says only that nothing has changed.  */
+static GBytes *
+pack_repeat (struct cell *cell, uint64_t state)
+{
+  Cellpb__Heartbeat msg = CELLPB__HEARTBEAT__INIT;
+  msg.ip = cell->addr.ip;
+  msg.port = cell->addr.port;
+  msg.state = state;
+  msg.repeats = true;
   Cellpb__Envelope env = CELL_ENVELOPE (heartbeat, HEARTBEAT, &msg);
-  if (to != NULL)
-    cell_send_to_peer (cell, to, &env);
-  else
-    cell_send_to_all_peers (cell, &env);
+  return cell_pack (cell, &env);
+}
+
+void
+cell_send_heartbeat (struct cell *cell, struct peer *to, bool asks_state)
+{
+  uint64_t state;
+  g_autoptr (GBytes) full = pack_full (cell, asks_state, &state);
+  cell_send_packed (cell, to, full);
+}
+
+void
+cell_send_heartbeats (struct cell *cell)
+{
+  int64_t now_us = pl_now_us (cell->clock);
+  uint64_t state;
+  g_autoptr (GBytes) full = pack_full (cell, false, &state);
+  g_autoptr (GBytes) repeat = pack_repeat (cell, state);
+  /* Peers that the registry does not serve are told of changes as of the
+     workers in their heartbeats.  */
+  bool in_full = state != cell->heartbeat_state || !cell->registry_fresh
+                 || now_us - cell->heartbeat_full_us >= FULL_PERIOD_US;
+  if (in_full)
+    cell->heartbeat_full_us = now_us;
+  cell->heartbeat_state = state;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, cell->peers);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      struct peer *peer = value;
+      bool repeats = !in_full && peer->alive && peer->takes_repeats;
+      cell_send_packed (cell, peer, repeats ? repeat : full);
+    }
 }
--- a/lib/cell/member.c
+++ b/lib/cell/member.c
@@ -284,10 +284,47 @@
   return true;
 }
 
+/* What each heartbeat of a peer sets off, also one that repeats its state.  */
+static void
+on_heard (struct cell *cell, struct peer *peer)
+{
+  peer->last_heartbeat_us = pl_now_us (cell->clock);
+  peer->link_closed_us = 0;
+  peer->refuses_connections = false;
+  reconnect_if_unheard (cell, peer);
+  send_newer_config (cell, peer);
+  if (peer->domain == cell->domain)
+    cell_tell_workers (cell, peer);
+  set_alive (cell, peer, peer->two_way, "one-way");
+}
+
+/* A heartbeat without its state, which is that of an earlier one.  Without
+   that one it says nothing.  */
+static void
+on_repeat (struct cell *cell, uint64_t sender, const Cellpb__Heartbeat *msg)
+{
+  struct pl_addr addr = { msg->ip, (uint16_t)msg->port };
+  struct peer *peer = cell_find_peer_at (cell, addr);
+  if (peer == NULL)
+    return;
+  if (peer->id != sender || peer->state != msg->state)
+    {
+      cell_send_heartbeat (cell, peer, true);
+      return;
+    }
+  set_suspected (cell, peer, false);
+  on_heard (cell, peer);
+}
+
 void
 cell_on_heartbeat (struct cell *cell, uint64_t sender,
                    const Cellpb__Heartbeat *msg)
 {
+  if (msg->repeats)
+    {
+      on_repeat (cell, sender, msg);
+      return;
+    }
   struct pl_addr addr = { msg->ip, (uint16_t)msg->port };
   if (is_of_other_domain (cell, cell_find_peer_at (cell, addr), msg))
     return;
@@ -309,16 +346,16 @@
   g_free (peer->name);
   peer->name = g_strdup (msg->name);
   peer->domain = cell_name_hash (pl_str (msg->domain));
-  peer->last_heartbeat_us = pl_now_us (cell->clock);
-  peer->link_closed_us = 0;
-  peer->refuses_connections = false;
+  peer->state = msg->state;
+  peer->takes_repeats = msg->takes_repeats;
+  peer->reads_registry = msg->reads_registry;
+  peer->registry_revision = msg->registry_revision;
   if (peer->draining != msg->draining || peer->ready != msg->ready)
     cell->candidates_changed = true;
   if (cell->candidates_changed || peer->cpu_share != msg->cpu_share)
     cell->membership_changed = true;
   peer->cpu_share = msg->cpu_share;
   peer->two_way = lists_this_instance (cell, msg);
-  reconnect_if_unheard (cell, peer);
   peer->draining = msg->draining;
   peer->ready = msg->ready;
   peer->config_version = msg->config_version;
@@ -327,12 +364,9 @@
   cell_follow_mode (cell, peer);
   read_held (cell, peer, msg);
   add_listed_peers (cell, msg);
-  send_newer_config (cell, peer);
-  if (peer->domain == cell->domain)
-    cell_tell_workers (cell, peer, msg);
-  set_alive (cell, peer, peer->two_way, "one-way");
-  if (new_peer)
-    cell_send_heartbeat (cell, peer); /* tells it at once that we hear it */
+  on_heard (cell, peer);
+  if (new_peer || msg->asks_state) /* tells it at once that we hear it */
+    cell_send_heartbeat (cell, peer, false);
 }
 
 static struct peer *
@@ -354,7 +388,7 @@
   if (peer == NULL)
     return;
   peer->refuses_connections = false;
-  cell_send_heartbeat (cell, peer);
+  cell_send_heartbeat (cell, peer, false);
   cell_send_crashes (cell, peer);
   cell_on_link_replaced (cell, peer);
   cell->ops->wake (cell->ctx);
@@ -494,7 +528,7 @@
   cell->heartbeat_us = now_us;
   forget_peers (cell, now_us);
   cell_tick_domains (cell);
-  cell_send_heartbeat (cell, NULL);
+  cell_send_heartbeats (cell);
 }
 
 unsigned
--- a/lib/cell/msg.c
+++ b/lib/cell/msg.c
@@ -45,30 +45,45 @@
   cell->ops->wake (cell->ctx);
 }
 
-void
-cell_send_to_peer (struct cell *cell, struct peer *peer, Cellpb__Envelope *env)
+GBytes *
+cell_pack (struct cell *cell, Cellpb__Envelope *env)
 {
   env->sender = cell->id;
   env->sent_us = pl_now_us (cell->clock);
   size_t len = cellpb__envelope__get_packed_size (env);
-  g_autofree uint8_t *data = g_malloc (len);
+  uint8_t *data = g_malloc (len);
   cellpb__envelope__pack (env, data);
+  return g_bytes_new_take (data, len);
+}
+
+void
+cell_send_packed (struct cell *cell, struct peer *peer, GBytes *frame)
+{
+  gsize len;
+  const char *data = g_bytes_get_data (frame, &len);
   pl_count (PL_CTR_PEER_MESSAGES_SENT_TOTAL, 1);
   pl_count (PL_CTR_PEER_BYTES_SENT_TOTAL, (int64_t)len);
   if (peer->domain != cell->domain)
     pl_count (PL_CTR_PEER_BYTES_OTHER_DOMAIN_TOTAL, (int64_t)len);
-  cell->ops->send (cell->ctx, peer->link,
-                   (struct pl_str){ (const char *)data, len });
+  cell->ops->send (cell->ctx, peer->link, (struct pl_str){ data, len });
+}
+
+void
+cell_send_to_peer (struct cell *cell, struct peer *peer, Cellpb__Envelope *env)
+{
+  g_autoptr (GBytes) frame = cell_pack (cell, env);
+  cell_send_packed (cell, peer, frame);
 }
 
 void
 cell_send_to_all_peers (struct cell *cell, Cellpb__Envelope *env)
 {
+  g_autoptr (GBytes) frame = cell_pack (cell, env);
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, cell->peers);
   while (g_hash_table_iter_next (&it, NULL, &value))
-    cell_send_to_peer (cell, value, env);
+    cell_send_packed (cell, value, frame);
 }
 
 void
--- a/lib/cell/reader.c
+++ b/lib/cell/reader.c
@@ -112,17 +112,16 @@
 }
 
 void
-cell_tell_workers (struct cell *cell, struct peer *peer,
-                   const Cellpb__Heartbeat *msg)
+cell_tell_workers (struct cell *cell, struct peer *peer)
 {
-  if (msg->reads_registry || !cell->domain_only || !cell->registry_fresh
-      || cell->workers_changed_revision <= msg->registry_revision
+  if (peer->reads_registry || !cell->domain_only || !cell->registry_fresh
+      || cell->workers_changed_revision <= peer->registry_revision
       || !cell_reads_registry (cell))
     return;
   g_autoptr (GArray) names = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   g_autoptr (GPtrArray) changed = g_ptr_array_new ();
   struct worker_list list = { names, changed };
-  list_workers (cell, msg->registry_revision, &list);
+  list_workers (cell, peer->registry_revision, &list);
   send_workers (cell, peer, &list);
 }
 
--- a/tests/cell_size_test.c
+++ b/tests/cell_size_test.c
@@ -68,6 +68,16 @@
   CU_ASSERT_TRUE (large.bytes <= 1.5 * small.bytes);
 }
 
+/* Guards against heartbeats that tell all peers and workers ten times a second
+   though nothing has changed: in a domain of 25 they would use 1 Mbit/s of a
+   small instance's link.  */
+static void
+test_heartbeats_repeat_no_state (void)
+{
+  struct idle_cost cost = measure_idle (12);
+  CU_ASSERT_TRUE (cost.bytes <= 100 * cost.frames);
+}
+
 /* Guards against weighing all workers against all instances at each tick,
    which used up the processors of a large fleet before any job came.  */
 static void
@@ -394,6 +404,7 @@
   pl_log_init ("text", level == NULL ? "error" : level);
   CU_TestInfo tests[] = {
     { "messages follow the domain", test_messages_follow_the_domain },
+    { "heartbeats repeat no state", test_heartbeats_repeat_no_state },
     { "nothing is weighed while nothing changes",
       test_nothing_is_weighed_while_nothing_changes },
     { "a slow link loses no work", test_a_slow_link_loses_no_work },
