--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -82,6 +82,7 @@
 cell_free (struct cell *cell)
 {
   disconnect_all (cell);
+  cell_end_calls (cell);
   g_queue_clear_full (&cell->inbox, (GDestroyNotify)g_bytes_unref);
   g_queue_clear_full (&cell->sent_ends, g_free);
   g_hash_table_unref (cell->searches);
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -129,6 +129,10 @@
 void cell_follow_mode (struct cell *cell, const struct peer *peer);
 /* Notes that there are workers of DOMAIN.  */
 void cell_know_domain (struct cell *cell, uint64_t domain);
+/* Ends the links to instances that have left.  */
+void cell_end_calls (struct cell *cell);
+/* The link to an instance that has left is up, or not.  */
+void cell_note_call (struct cell *cell, const void *link, bool up);
 /* Adopts domains without instances, or gives them back.  */
 void cell_tick_domains (struct cell *cell);
 /* Whether this instance's domain holds the workers of DOMAIN.  */
--- a/lib/cell/fleet.c
+++ b/lib/cell/fleet.c
@@ -3,9 +3,11 @@
    so with those of its own failure domain only: what an instance sends,
    computes and keeps then follows its domain.  Of other domains it knows what
    the registry says: whether they have instances.  The workers of a domain
-   that has none are adopted by one other domain, until it has some again.  */
+   that has none are adopted by one other domain, until it has some again, and
+   not while an instance that the registry has lost still answers.  */
 #include "cell_priv.h"
 
+#include <string.h>
 #include <xxhash.h>
 
 /* In a fleet above this size, heartbeats to all would be the largest part of
@@ -25,6 +27,21 @@
   uint64_t domain; /* 0: not known */
 };
 
+/* Of the instances that a domain had last, so many are called before its
+   workers are adopted.  */
+#define MAX_FORMER_INSTANCES 8
+/* An instance that left longer before the domain was empty has ended.  */
+#define FORMER_FOR_US 10000000
+
+/* An instance that is registered no longer.  */
+struct former_instance
+{
+  struct pl_addr addr;
+  int64_t left_us;
+  void *link; /* null: not called */
+  bool up;    /* it has answered: it lives, and only the store has lost it */
+};
+
 /* A failure domain of workers or instances.  */
 struct fleet_domain
 {
@@ -32,6 +49,8 @@
   unsigned n_instances; /* registered */
   int64_t empty_us;     /* since when it has none */
   bool adopted;         /* its workers are held by this instance's domain */
+  unsigned n_former;
+  struct former_instance former[MAX_FORMER_INSTANCES]; /* the latest first */
 };
 
 uint64_t
@@ -110,6 +129,25 @@
     cell_add_peer (cell, ((struct fleet_member *)value)->addr);
 }
 
+static void
+end_calls (struct cell *cell, struct fleet_domain *domain)
+{
+  for (unsigned i = 0; i < domain->n_former; i++)
+    if (domain->former[i].link != NULL)
+      cell->ops->disconnect (cell->ctx, domain->former[i].link);
+  domain->n_former = 0;
+}
+
+void
+cell_end_calls (struct cell *cell)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, cell->domains);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    end_calls (cell, value);
+}
+
 static void
 set_domain_only (struct cell *cell, bool domain_only)
 {
@@ -121,8 +159,10 @@
   cell->heartbeat_us = 0; /* the next tick announces it */
   pl_log (PL_EV_SHARD, "domain_only=%d instances=%u", domain_only,
           g_hash_table_size (cell->fleet));
-  if (!domain_only)
-    add_all_members (cell);
+  if (domain_only)
+    return;
+  cell_end_calls (cell);
+  add_all_members (cell);
 }
 
 /* Chooses the mode by the size of the fleet.  */
@@ -146,14 +186,37 @@
     set_domain_only (cell, true);
 }
 
+/* Notes an instance that has left, in place of the one that left first.  */
 static void
-leave_domain (struct cell *cell, uint64_t domain)
+add_former (struct fleet_domain *domain, struct pl_addr addr, int64_t now_us)
 {
-  if (domain == 0)
+  domain->n_former = MIN (domain->n_former + 1, MAX_FORMER_INSTANCES);
+  memmove (&domain->former[1], &domain->former[0],
+           (domain->n_former - 1) * sizeof domain->former[0]);
+  domain->former[0]
+      = (struct former_instance){ .addr = addr, .left_us = now_us };
+}
+
+static void
+leave_domain (struct cell *cell, const struct fleet_member *member)
+{
+  int64_t now_us = pl_now_us (cell->clock);
+  if (member->domain == 0)
     return;
-  struct fleet_domain *left = find_or_add_domain (cell, domain);
+  struct fleet_domain *left = find_or_add_domain (cell, member->domain);
+  add_former (left, member->addr, now_us);
   if (--left->n_instances == 0)
-    left->empty_us = pl_now_us (cell->clock);
+    left->empty_us = now_us;
+}
+
+static void
+enter_domain (struct cell *cell, uint64_t domain)
+{
+  if (domain == 0)
+    return;
+  struct fleet_domain *entered = find_or_add_domain (cell, domain);
+  if (entered->n_instances++ == 0)
+    end_calls (cell, entered);
 }
 
 static void
@@ -162,7 +225,7 @@
   const struct fleet_member *member = find_member (cell, addr);
   if (member == NULL)
     return;
-  leave_domain (cell, member->domain);
+  leave_domain (cell, member);
   uint64_t key = cell_addr_key (addr);
   g_hash_table_remove (cell->fleet, &key);
 }
@@ -176,8 +239,7 @@
   uint64_t *key = g_new (uint64_t, 1);
   *key = cell_addr_key (addr);
   g_hash_table_insert (cell->fleet, key, member);
-  if (domain != 0)
-    find_or_add_domain (cell, domain)->n_instances++;
+  enter_domain (cell, domain);
 }
 
 void
@@ -224,6 +286,58 @@
   return best;
 }
 
+/* Calls the instances that an empty domain had last.  */
+static void
+call_former (struct cell *cell, struct fleet_domain *domain)
+{
+  for (unsigned i = 0; i < domain->n_former; i++)
+    {
+      struct former_instance *former = &domain->former[i];
+      if (former->link == NULL
+          && domain->empty_us - former->left_us < FORMER_FOR_US)
+        former->link = cell->ops->connect (cell->ctx, former->addr);
+    }
+}
+
+static bool
+has_answered (const struct fleet_domain *domain)
+{
+  for (unsigned i = 0; i < domain->n_former; i++)
+    if (domain->former[i].up)
+      return true;
+  return false;
+}
+
+void
+cell_note_call (struct cell *cell, const void *link, bool up)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, cell->domains);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      struct fleet_domain *domain = value;
+      for (unsigned i = 0; i < domain->n_former; i++)
+        if (domain->former[i].link == link)
+          domain->former[i].up = up;
+    }
+}
+
+/* Whether the workers of DOMAIN are to be held by this instance's domain.  */
+static bool
+is_to_be_adopted (struct cell *cell, struct fleet_domain *domain,
+                  int64_t now_us)
+{
+  if (domain->n_instances > 0 || domain->domain == cell->domain
+      || choose_adopter (cell, domain->domain) != cell->domain)
+    return false;
+  if (now_us - domain->empty_us < PEER_FORGET_US)
+    call_former (cell, domain);
+  else
+    end_calls (cell, domain);
+  return now_us - domain->empty_us > ADOPT_AFTER_US && !has_answered (domain);
+}
+
 void
 cell_tick_domains (struct cell *cell)
 {
@@ -238,9 +352,7 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       struct fleet_domain *domain = value;
-      bool adopted = domain->n_instances == 0 && domain->domain != cell->domain
-                     && now_us - domain->empty_us > ADOPT_AFTER_US
-                     && choose_adopter (cell, domain->domain) == cell->domain;
+      bool adopted = is_to_be_adopted (cell, domain, now_us);
       if (adopted == domain->adopted)
         continue;
       domain->adopted = adopted;
--- a/lib/cell/member.c
+++ b/lib/cell/member.c
@@ -386,7 +386,10 @@
 {
   struct peer *peer = find_peer_of_link (cell, link);
   if (peer == NULL)
-    return;
+    {
+      cell_note_call (cell, link, true);
+      return;
+    }
   peer->refuses_connections = false;
   cell_send_heartbeat (cell, peer, false);
   cell_send_crashes (cell, peer);
@@ -400,6 +403,8 @@
   struct peer *peer = find_peer_of_link (cell, link);
   if (peer != NULL)
     peer->refuses_connections = refused;
+  else
+    cell_note_call (cell, link, false);
 }
 
 void
--- a/tests/cell_size_test.c
+++ b/tests/cell_size_test.c
@@ -191,6 +191,25 @@
   world_free (world);
 }
 
+/* Guards against adopting the workers of a domain whose instances live and
+   serve, and which only the store has lost.  */
+static void
+test_a_domain_that_the_store_has_lost_keeps_its_workers (void)
+{
+  struct world *world = new_fleet (6);
+  unsigned per_domain = (unsigned)world->n_workers / 6;
+  soak_set_registered (world, 2, false);
+  int64_t taken = pl_counter (PL_CTR_WORKERS_TAKEN_TOTAL);
+  world_run_for (world, 12 * SECOND);
+  CU_ASSERT_EQUAL (pl_counter (PL_CTR_WORKERS_TAKEN_TOTAL), taken);
+  CU_ASSERT_EQUAL (count_held_in (world, 2), per_domain);
+  soak_set_registered (world, 2, true);
+  world_run_for (world, 2 * SECOND);
+  CU_ASSERT_EQUAL (count_held (world), (unsigned)world->n_workers);
+  check_violations (world, "lost by the store", 1);
+  world_free (world);
+}
+
 /* Guards against a fleet that stays divided, or falls apart, when its size
    passes the bound between the two modes and comes back.  */
 static void
@@ -412,6 +431,8 @@
       test_a_domain_without_instances_is_adopted },
     { "a domain that is cut off keeps its workers",
       test_a_domain_that_is_cut_off_keeps_its_workers },
+    { "a domain that the store has lost keeps its workers",
+      test_a_domain_that_the_store_has_lost_keeps_its_workers },
     { "a fleet that grows and shrinks holds all workers",
       test_a_fleet_that_grows_and_shrinks_holds_all_workers },
     { "two of a domain read the registry",
