--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -145,6 +145,11 @@
 /* Whether PEER and this instance hear each other now.  PEER->alive is the
    state that was acted on last.  */
 bool cell_is_peer_alive (struct cell *cell, const struct peer *peer);
+/* Acts on a peer that has become alive, or is lost for REASON.  */
+void cell_set_alive (struct cell *cell, struct peer *peer, bool alive,
+                     const char *reason);
+/* Acts on a peer of which heartbeats are missing, or are heard again.  */
+void cell_set_suspected (struct cell *cell, struct peer *peer, bool suspected);
 void cell_on_heartbeat (struct cell *cell, uint64_t sender,
                         const Cellpb__Heartbeat *msg);
 /* Whether some instance may have taken workers of this one since SINCE_US
--- a/lib/cell/member.c
+++ b/lib/cell/member.c
@@ -12,9 +12,6 @@
 /* A tick that comes this late shows that the process was paused: stopped by a
    signal, or its machine not scheduled.  */
 #define PAUSE_US 200000
-/* Least time between two forced attempts to connect; a connection across
-   regions is set up in less.  */
-#define RECONNECT_MIN_US 50000
 
 struct peer *
 cell_find_peer_at (const struct cell *cell, struct pl_addr addr)
@@ -150,9 +147,9 @@
   cell->membership_changed = true;
 }
 
-static void
-set_alive (struct cell *cell, struct peer *peer, bool alive,
-           const char *reason)
+void
+cell_set_alive (struct cell *cell, struct peer *peer, bool alive,
+                const char *reason)
 {
   if (peer->alive == alive)
     return;
@@ -191,63 +188,12 @@
     return false;
   /* The frame's message is not handled.  Treating the sender as lost makes
      both sides send their state again.  */
-  set_alive (cell, peer, false, "stale");
+  cell_set_alive (cell, peer, false, "stale");
   return true;
 }
 
-static void
-read_held (struct cell *cell, struct peer *peer, const Cellpb__Heartbeat *msg)
-{
-  g_hash_table_remove_all (peer->held);
-  for (size_t i = 0; i < msg->n_held; i++)
-    {
-      uint64_t *key = g_new (uint64_t, 1);
-      int64_t *token = g_new (int64_t, 1);
-      *key = msg->held[i]->worker;
-      *token = msg->held[i]->token;
-      g_hash_table_insert (peer->held, key, token);
-      struct known_worker *known = g_hash_table_lookup (cell->workers, key);
-      if (known != NULL)
-        cell_record_token (cell, known, *token);
-      if (msg->registry_stale)
-        cell_relay_changes (cell, peer, msg->held[i]);
-    }
-}
-
-static bool
-lists_this_instance (struct cell *cell, const Cellpb__Heartbeat *msg)
-{
-  for (size_t i = 0; i < msg->n_heard; i++)
-    if (msg->heard[i] == cell->id)
-      return true;
-  return false;
-}
-
-static void
-add_listed_peers (struct cell *cell, const Cellpb__Heartbeat *msg)
-{
-  size_t n = MIN (msg->n_known_ip, msg->n_known_port);
-  for (size_t i = 0; i < n; i++)
-    cell_add_peer (cell, (struct pl_addr){ msg->known_ip[i],
-                                           (uint16_t)msg->known_port[i] });
-}
-
-static void
-send_newer_config (struct cell *cell, struct peer *peer)
-{
-  if (peer->config_version >= cell->config_version)
-    return;
-  gsize len;
-  const void *data = g_bytes_get_data (cell->config, &len);
-  Cellpb__Config msg = CELLPB__CONFIG__INIT;
-  msg.version = cell->config_version;
-  msg.text = (ProtobufCBinaryData){ len, (uint8_t *)data };
-  Cellpb__Envelope env = CELL_ENVELOPE (config, CONFIG, &msg);
-  cell_send_to_peer (cell, peer, &env);
-}
-
-static void
-set_suspected (struct cell *cell, struct peer *peer, bool suspected)
+void
+cell_set_suspected (struct cell *cell, struct peer *peer, bool suspected)
 {
   if (peer->suspected == suspected)
     return;
@@ -257,118 +203,6 @@
   cell->membership_changed = true;
 }
 
-/* Forces a new attempt to connect to a peer that is up and does not hear us.
-   The pending attempt may have begun while the peer was down, and would wait
-   for its timeout.  */
-static void
-reconnect_if_unheard (struct cell *cell, struct peer *peer)
-{
-  int64_t now_us = pl_now_us (cell->clock);
-  if (peer->two_way || now_us - peer->reconnect_us < RECONNECT_MIN_US)
-    return;
-  peer->reconnect_us = now_us;
-  cell->ops->reconnect (cell->ctx, peer->link);
-}
-
-/* Whether a heartbeat of another failure domain is to be ignored.  The next
-   tick removes its sender.  */
-static bool
-is_of_other_domain (struct cell *cell, struct peer *peer,
-                    const Cellpb__Heartbeat *msg)
-{
-  if (!cell->domain_only || !msg->domain_only
-      || cell_name_hash (pl_str (msg->domain)) == cell->domain)
-    return false;
-  if (peer != NULL)
-    peer->domain_only = true;
-  return true;
-}
-
-/* What each heartbeat of a peer sets off, also one that repeats its state.  */
-static void
-on_heard (struct cell *cell, struct peer *peer)
-{
-  peer->last_heartbeat_us = pl_now_us (cell->clock);
-  peer->link_closed_us = 0;
-  peer->refuses_connections = false;
-  reconnect_if_unheard (cell, peer);
-  send_newer_config (cell, peer);
-  if (peer->domain == cell->domain)
-    cell_tell_workers (cell, peer);
-  set_alive (cell, peer, peer->two_way, "one-way");
-}
-
-/* A heartbeat without its state, which is that of an earlier one.  Without
-   that one it says nothing.  */
-static void
-on_repeat (struct cell *cell, uint64_t sender, const Cellpb__Heartbeat *msg)
-{
-  struct pl_addr addr = { msg->ip, (uint16_t)msg->port };
-  struct peer *peer = cell_find_peer_at (cell, addr);
-  if (peer == NULL)
-    return;
-  if (peer->id != sender || peer->state != msg->state)
-    {
-      cell_send_heartbeat (cell, peer, true);
-      return;
-    }
-  set_suspected (cell, peer, false);
-  on_heard (cell, peer);
-}
-
-void
-cell_on_heartbeat (struct cell *cell, uint64_t sender,
-                   const Cellpb__Heartbeat *msg)
-{
-  if (msg->repeats)
-    {
-      on_repeat (cell, sender, msg);
-      return;
-    }
-  struct pl_addr addr = { msg->ip, (uint16_t)msg->port };
-  if (is_of_other_domain (cell, cell_find_peer_at (cell, addr), msg))
-    return;
-  cell_add_peer (cell, addr);
-  struct peer *peer = cell_find_peer_at (cell, addr);
-  if (peer == NULL)
-    return; /* our own heartbeat */
-  bool restarted = peer->id != 0 && peer->id != sender;
-  set_suspected (cell, peer, false);
-  if (restarted)
-    set_alive (cell, peer, false, "restarted");
-  bool new_peer = peer->id != sender;
-  if (new_peer)
-    {
-      peer->clock_offset_at_us = 0;
-      peer->link_in = NULL; /* of its former process */
-    }
-  peer->id = sender;
-  g_free (peer->name);
-  peer->name = g_strdup (msg->name);
-  peer->domain = cell_name_hash (pl_str (msg->domain));
-  peer->state = msg->state;
-  peer->takes_repeats = msg->takes_repeats;
-  peer->reads_registry = msg->reads_registry;
-  peer->registry_revision = msg->registry_revision;
-  if (peer->draining != msg->draining || peer->ready != msg->ready)
-    cell->candidates_changed = true;
-  if (cell->candidates_changed || peer->cpu_share != msg->cpu_share)
-    cell->membership_changed = true;
-  peer->cpu_share = msg->cpu_share;
-  peer->two_way = lists_this_instance (cell, msg);
-  peer->draining = msg->draining;
-  peer->ready = msg->ready;
-  peer->config_version = msg->config_version;
-  peer->domain_only = msg->domain_only;
-  peer->registry_stale = msg->registry_stale;
-  cell_follow_mode (cell, peer);
-  read_held (cell, peer, msg);
-  add_listed_peers (cell, msg);
-  on_heard (cell, peer);
-  if (new_peer || msg->asks_state) /* tells it at once that we hear it */
-    cell_send_heartbeat (cell, peer, false);
-}
-
 static struct peer *
 find_peer_of_link (struct cell *cell, const void *link)
 {
@@ -499,7 +333,7 @@
                       && now_us - peer->last_heartbeat_us >= PEER_FORGET_US;
       if (!replaced && cell_is_peer_wanted (cell, peer))
         continue;
-      set_alive (cell, peer, false, "unwanted");
+      cell_set_alive (cell, peer, false, "unwanted");
       cell->ops->disconnect (cell->ctx, peer->link);
       g_hash_table_iter_remove (&it);
     }
@@ -522,9 +356,9 @@
     {
       struct peer *peer = value;
       if (peer->alive && !cell_is_peer_alive (cell, peer))
-        set_alive (cell, peer, false,
-                   peer->link_closed_us != 0 ? "closed" : "silent");
-      set_suspected (
+        cell_set_alive (cell, peer, false,
+                        peer->link_closed_us != 0 ? "closed" : "silent");
+      cell_set_suspected (
           cell, peer,
           peer->alive && now_us - peer->last_heartbeat_us > PEER_SUSPECT_US);
     }
