--- a/tests/platform_store_test.c
+++ b/tests/platform_store_test.c
@@ -14,8 +14,9 @@
 {
   struct pf pf;
   struct net_server *server;
-  const char *listing;        /* the store's answer to each listing */
-  unsigned listings;          /* calls so far */
+  const char *listing; /* the store's answer to each listing */
+  const char *later;   /* the same to pages but the first; null: as it */
+  unsigned listings;   /* calls so far */
   struct net_exchange *watch; /* the call that waits; may be null */
   unsigned configs;
 };
@@ -72,7 +73,11 @@
       && memcmp (request->target.data, "/kv-range", 9) == 0)
     {
       f->listings++;
-      net_reply (exchange, 200, "application/json", pl_str (f->listing), 0);
+      bool later = f->later != NULL
+                   && g_strstr_len (request->target.data,
+                                    (gssize)request->target.len, "after=");
+      net_reply (exchange, 200, "application/json",
+                 pl_str (later ? f->later : f->listing), 0);
     }
   else
     f->watch = exchange;
@@ -226,6 +231,48 @@
   CU_ASSERT_TRUE (knows_worker (&f));
 }
 
+/* Has two peers of the domain read the registry in place of this instance.  */
+static void
+let_peers_read (struct fixture *f)
+{
+  GHashTableIter it;
+  gpointer value;
+  f->pf.cell->domain_only = true;
+  g_hash_table_iter_init (&it, f->pf.cell->peers);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      struct peer *peer = value;
+      peer->alive = true;
+      peer->ready = true;
+      peer->domain = f->pf.cell->domain;
+      peer->cpu_share = 1000;
+    }
+}
+
+/* Guards against taking all instances for gone because the workers' entries
+   are read no longer while a listing is under way: the rest of the listing was
+   taken for all of the instances.  */
+static void
+test_a_listing_that_is_given_up_removes_nothing (void)
+{
+  static struct fixture f; /* nothing of it is freed, as in the daemon */
+  fixture_init (&f, all);
+  run_ms (&f, 500);
+  CU_ASSERT_TRUE (is_registered (&f, 7));
+  f.listing = "{\"items\":[" WORKER "],\"truncated\":true,\"current_rev\":20}";
+  f.later = "{\"items\":[],\"truncated\":true,\"current_rev\":-1}";
+  lose_history (&f);
+  run_ms (&f, 100);
+  f.listing = all;
+  f.later = "{\"items\":[],\"truncated\":false,\"current_rev\":21}";
+  let_peers_read (&f);
+  for (int i = 0; i < 50; i++)
+    {
+      run_ms (&f, 20);
+      CU_ASSERT_TRUE (is_registered (&f, 7));
+    }
+}
+
 #define NESTING 100000
 
 /* A copy of the sound entry with PART replaced by ODD.  */
@@ -368,6 +415,8 @@
   CU_TestInfo tests[] = {
     { "an answer without items removes nothing",
       test_an_answer_without_items_removes_nothing },
+    { "a listing that is given up removes nothing",
+      test_a_listing_that_is_given_up_removes_nothing },
     { "an instance that left unseen is not registered",
       test_an_instance_that_left_unseen_is_not_registered },
     { "an odd entry hides no other", test_an_odd_entry_hides_no_other },
