--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -224,6 +224,10 @@
 /* Reading the registry for the domain (reader.c).  Tells PEER of the workers
    that it does not know yet by its heartbeat.  */
 void cell_tell_workers (struct cell *cell, struct peer *peer);
+/* Has each peer told the names of all workers, and what it does not know.  */
+void cell_tell_all_anew (struct cell *cell);
+/* Has the readers tell this instance all workers, if it does not read them. */
+void cell_ask_for_workers (struct cell *cell);
 void cell_on_registry (struct cell *cell, const Cellpb__Registry *msg);
 
 /* Reports of held workers to the planner (report.c, message Room).  */
--- a/lib/cell/fleet.c
+++ b/lib/cell/fleet.c
@@ -358,6 +358,9 @@
       domain->adopted = adopted;
       cell->candidates_changed = true;
       cell->membership_changed = true;
+      /* Until now its workers were of no interest here.  */
+      cell_tell_all_anew (cell);
+      cell_ask_for_workers (cell);
       pl_log (PL_EV_ADOPT, "domain=%016" PRIx64 " adopted=%d", domain->domain,
               adopted);
     }
--- a/lib/cell/reader.c
+++ b/lib/cell/reader.c
@@ -43,6 +43,20 @@
   cell->registry_revision = MAX (cell->registry_revision, revision);
 }
 
+void
+cell_tell_all_anew (struct cell *cell)
+{
+  cell->workers_changed_revision
+      = MAX (cell->workers_changed_revision, cell->registry_revision + 1);
+}
+
+void
+cell_ask_for_workers (struct cell *cell)
+{
+  if (!cell_reads_registry (cell))
+    cell->registry_revision = 0;
+}
+
 static Cellpb__Worker
 encode_worker (const struct known_worker *known, Cellpb__Amount *capacity)
 {
@@ -166,6 +180,17 @@
     }
 }
 
+/* Whether a worker that a reader names is not known here: its entry changed
+   before its domain was adopted.  */
+static bool
+lacks_named (const struct cell *cell, const Cellpb__Registry *msg)
+{
+  for (size_t i = 0; i < msg->n_names; i++)
+    if (!cell_is_worker_registered (cell, msg->names[i]))
+      return true;
+  return false;
+}
+
 void
 cell_on_registry (struct cell *cell, const Cellpb__Registry *msg)
 {
@@ -175,4 +200,6 @@
     set_told_worker (cell, msg->changed[i]);
   remove_unnamed (cell, msg->names, msg->n_names);
   cell_set_registry_revision (cell, msg->revision);
+  if (lacks_named (cell, msg))
+    cell_ask_for_workers (cell);
 }
--- a/lib/cell/registry.c
+++ b/lib/cell/registry.c
@@ -44,7 +44,8 @@
     }
   cell_know_domain (cell, info->domain);
   /* A peer may have told of a later change.  */
-  if (info->revision != 0 && info->revision < known->info.revision)
+  if (info->revision != 0 && info->revision < known->info.revision
+      && !known->removed)
     return;
   if (has_changed (&known->info, info))
     {
@@ -104,7 +105,7 @@
     return;
   known->removed = true;
   /* The removal has no revision; peers that know less than this are told.  */
-  cell->workers_changed_revision = cell->registry_revision + 1;
+  cell_tell_all_anew (cell);
   cell_unsettle_worker (cell, known);
   if (w == NULL)
     return;
--- a/tests/cell_size_test.c
+++ b/tests/cell_size_test.c
@@ -165,6 +165,27 @@
   world_free (world);
 }
 
+/* Guards against workers of an adopted domain that nobody takes because their
+   new holders don't read the registry, and know them only as they were.  */
+static void
+test_adopters_know_what_has_changed_before (void)
+{
+  struct world *world = new_fleet (6);
+  for (int i = 0; i < 6; i++)
+    {
+      world_add_worker (world, 2, 32000);
+      world_boot_worker (world, world->n_workers - 1);
+    }
+  world_run_for (world, 2 * SECOND);
+  for (int i = 0; i < world->n_instances; i++)
+    if (world->instances[i].domain == 2)
+      world_kill (world, i, false);
+  world_run_for (world, 9 * SECOND);
+  CU_ASSERT_EQUAL (count_held (world), (unsigned)world->n_workers);
+  check_violations (world, "adopters", 1);
+  world_free (world);
+}
+
 /* Guards against adopting the workers of a domain that is only cut off from
    the others and the store: its instances go on, and must keep them.  */
 static void
@@ -429,6 +450,8 @@
     { "a slow link loses no work", test_a_slow_link_loses_no_work },
     { "a domain without instances is adopted",
       test_a_domain_without_instances_is_adopted },
+    { "adopters know what has changed before",
+      test_adopters_know_what_has_changed_before },
     { "a domain that is cut off keeps its workers",
       test_a_domain_that_is_cut_off_keeps_its_workers },
     { "a domain that the store has lost keeps its workers",
