--- a/lib/net/client.c
+++ b/lib/net/client.c
@@ -55,8 +55,10 @@
 conn_fail (struct net_client_conn *conn, bool refused)
 {
   bool busy = conn->busy;
-  struct net_response resp
-      = { .status = 0, .sent = may_have_been_sent (conn), .refused = refused };
+  struct net_response resp = { .status = 0,
+                               .sent = may_have_been_sent (conn),
+                               .refused = refused,
+                               .too_large = conn->message.too_large };
   net_response_fn done = conn->done;
   void *arg = conn->arg;
   conn_free (conn);
--- a/lib/net/net.h
+++ b/lib/net/net.h
@@ -70,14 +70,16 @@
 
 /* STATUS 0 means that no complete response arrived.  SENT then tells whether
    any byte of the request may have been sent: if not, the request can safely
-   be repeated.  REFUSED: nothing listens at the address.  BODY is valid during
-   the callback.  */
+   be repeated.  REFUSED: nothing listens at the address.  TOO_LARGE: a
+   response arrived that exceeds the limit.  BODY is valid during the callback.
+ */
 struct net_response
 {
   int status;
   bool sent;
   bool refused;
   struct pl_str body;
+  bool too_large;
 };
 
 /* Receives the response, or the failure, of a request.  */
--- a/tests/platform_store_test.c
+++ b/tests/platform_store_test.c
@@ -273,6 +273,29 @@
     }
 }
 
+/* More than an answer of the store may have.  */
+#define TOO_LARGE_BYTES 3000000
+
+/* Guards against a watch that stands still for ever: once the changes since
+   the last revision made too large an answer, each further try had to read
+   still more of them.  */
+static void
+test_too_many_changes_are_read_as_a_listing (void)
+{
+  static struct fixture f; /* nothing of it is freed, as in the daemon */
+  fixture_init (&f, all);
+  run_ms (&f, 500);
+  unsigned before = f.listings;
+  g_autofree char *changes = g_strnfill (TOO_LARGE_BYTES, ' ');
+  CU_ASSERT_PTR_NOT_NULL_FATAL (f.watch);
+  net_reply (f.watch, 200, "application/json", pl_str (changes), 0);
+  f.watch = NULL;
+  run_ms (&f, 300);
+  CU_ASSERT_EQUAL (f.listings, before + 1);
+  CU_ASSERT_TRUE (pf_store_watch_is_current (f.pf.store_watch));
+  CU_ASSERT_TRUE (knows_worker (&f));
+}
+
 #define NESTING 100000
 
 /* A copy of the sound entry with PART replaced by ODD.  */
@@ -417,6 +440,8 @@
       test_an_answer_without_items_removes_nothing },
     { "a listing that is given up removes nothing",
       test_a_listing_that_is_given_up_removes_nothing },
+    { "too many changes are read as a listing",
+      test_too_many_changes_are_read_as_a_listing },
     { "an instance that left unseen is not registered",
       test_an_instance_that_left_unseen_is_not_registered },
     { "an odd entry hides no other", test_an_odd_entry_hides_no_other },
