--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -65,6 +65,7 @@
   cell->unsettled = g_hash_table_new (g_int64_hash, g_int64_equal);
   cell->membership_changed = true;
   cell->candidates_changed = true;
+  cell->reads_registry = true; /* all do when they start */
   return cell;
 }
 
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -98,7 +98,9 @@
   bool candidates_changed; /* the same: who may hold workers */
   bool reports_due;        /* some worker's report is due */
   bool registry_fresh;
-  int64_t registry_revision;        /* up to which the workers are known */
+  int64_t registry_revision; /* up to which the workers are known */
+  bool reads_registry;       /* in the mode domain_only; see reader.c */
+  int64_t reader_change_us;  /* since when that is to change; 0: it is not */
   int64_t workers_changed_revision; /* of the latest change of a worker */
   int64_t ticked_us;                /* the latest tick; 0: none yet */
   int64_t resumed_us;        /* end of the latest pause of this process */
@@ -224,6 +226,8 @@
 /* Reading the registry for the domain (reader.c).  Tells PEER of the workers
    that it does not know yet by its heartbeat.  */
 void cell_tell_workers (struct cell *cell, struct peer *peer);
+/* Has this instance begin or end to read the registry.  */
+void cell_tick_reader (struct cell *cell);
 /* Has each peer told the names of all workers, and what it does not know.  */
 void cell_tell_all_anew (struct cell *cell);
 /* Has the readers tell this instance all workers, if it does not read them. */
--- a/lib/cell/member.c
+++ b/lib/cell/member.c
@@ -367,6 +367,7 @@
   cell->heartbeat_us = now_us;
   forget_peers (cell, now_us);
   cell_tick_domains (cell);
+  cell_tick_reader (cell);
   cell_send_heartbeats (cell);
 }
 
--- a/lib/cell/reader.c
+++ b/lib/cell/reader.c
@@ -7,6 +7,10 @@
 #include "cell_priv.h"
 
 #define READERS_PER_DOMAIN 2
+/* A reader that seems silent is heard again, or lost, within this time.  To
+   begin to read costs more than all else: a moment without heartbeats must not
+   make all begin.  */
+#define READER_CHANGE_US 1000000
 
 /* Whether the registry is better read by PEER: it is served, and has more
    processor time.  Equals are told apart by name.  */
@@ -23,20 +27,41 @@
   return g_strcmp0 (peer->name, cell->name) < 0;
 }
 
-bool
-cell_reads_registry (const struct cell *cell)
+/* Whether this instance is one of the best readers of its domain now.  */
+static bool
+is_best_reader (const struct cell *cell)
 {
   unsigned n_better = 0;
   GHashTableIter it;
   gpointer value;
-  if (!cell->domain_only)
-    return true;
   g_hash_table_iter_init (&it, cell->peers);
   while (g_hash_table_iter_next (&it, NULL, &value))
     n_better += reads_better (cell, value);
   return n_better < READERS_PER_DOMAIN;
 }
 
+bool
+cell_reads_registry (const struct cell *cell)
+{
+  return !cell->domain_only || cell->reads_registry;
+}
+
+void
+cell_tick_reader (struct cell *cell)
+{
+  int64_t now_us = pl_now_us (cell->clock);
+  bool reads = !cell->domain_only || is_best_reader (cell);
+  if (reads == cell->reads_registry)
+    cell->reader_change_us = 0;
+  else if (cell->reader_change_us == 0)
+    cell->reader_change_us = now_us;
+  else if (now_us - cell->reader_change_us >= READER_CHANGE_US)
+    {
+      cell->reads_registry = reads;
+      cell->reader_change_us = 0;
+    }
+}
+
 void
 cell_set_registry_revision (struct cell *cell, int64_t revision)
 {
--- a/tests/cell_size_test.c
+++ b/tests/cell_size_test.c
@@ -324,6 +324,21 @@
   world_free (world);
 }
 
+/* Guards against many instances that begin to read all workers at once because
+   the readers were silent for a moment: that takes the processor time without
+   which they seem silent themselves.  */
+static void
+test_a_short_silence_of_readers_makes_no_others_read (void)
+{
+  struct world *world = new_fleet (6);
+  for (int i = 0; i < world->n_instances; i++)
+    world_set_frozen (world, i, world->instances[i].reads_registry);
+  world_run_for (world, 400000);
+  for (int domain = 0; domain < 6; domain++)
+    CU_ASSERT_EQUAL (count_readers (world, domain), 2);
+  world_free (world);
+}
+
 /* Guards against a worker that has left and is known for ever where peers tell
    of workers.  */
 static void
@@ -460,6 +475,8 @@
       test_a_fleet_that_grows_and_shrinks_holds_all_workers },
     { "two of a domain read the registry",
       test_two_of_a_domain_read_the_registry },
+    { "a short silence of readers makes no others read",
+      test_a_short_silence_of_readers_makes_no_others_read },
     { "a worker that left is forgotten everywhere",
       test_a_worker_that_left_is_forgotten_everywhere },
     { "a fleet of full size serves among faults",
--- a/tests/platform_store_test.c
+++ b/tests/platform_store_test.c
@@ -231,24 +231,6 @@
   CU_ASSERT_TRUE (knows_worker (&f));
 }
 
-/* Has two peers of the domain read the registry in place of this instance.  */
-static void
-let_peers_read (struct fixture *f)
-{
-  GHashTableIter it;
-  gpointer value;
-  f->pf.cell->domain_only = true;
-  g_hash_table_iter_init (&it, f->pf.cell->peers);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    {
-      struct peer *peer = value;
-      peer->alive = true;
-      peer->ready = true;
-      peer->domain = f->pf.cell->domain;
-      peer->cpu_share = 1000;
-    }
-}
-
 /* Guards against taking all instances for gone because the workers' entries
    are read no longer while a listing is under way: the rest of the listing was
    taken for all of the instances.  */
@@ -265,7 +247,8 @@
   run_ms (&f, 100);
   f.listing = all;
   f.later = "{\"items\":[],\"truncated\":false,\"current_rev\":21}";
-  let_peers_read (&f);
+  f.pf.cell->domain_only = true;
+  f.pf.cell->reads_registry = false; /* peers do */
   for (int i = 0; i < 50; i++)
     {
       run_ms (&f, 20);
