--- a/review/standin-2/lib.sh
+++ b/review/standin-2/lib.sh
@@ -4,7 +4,7 @@
 # shellcheck shell=bash
 
 BIN=target/bin/papayaloft-platformd
-FLEET=build/review-2/fleet-2
+FLEET=target/review-2/fleet-2
 [ -x "$BIN" ] && [ -x "$FLEET" ] || { echo "not built" >&2; exit 2; }
 DIR=$(mktemp -d)
 RECORD=$CASE/record.txt
