--- a/review/standin-2/fleet-2/fleet.h
+++ b/review/standin-2/fleet-2/fleet.h
@@ -50,10 +50,10 @@
   int64_t incarnation_ms;    /* time of its start */
   struct net_exchange *poll; /* a /hold request that waits for a run to end */
   int64_t poll_deadline_us;
-  const char *kind; /* its first label */
-  bool dark;        /* it answers nothing */
+  const char *kind;    /* its first label */
+  bool dark;           /* it answers nothing */
   int64_t printed_end; /* number of the last end that was printed */
-  bool tasks_hang; /* tasks started from now on never end by themselves */
+  bool tasks_hang;     /* tasks started from now on never end by themselves */
 };
 
 /* Starts the worker's process again: it knows nothing of before.  */
--- a/review/standin-2/lib.sh
+++ b/review/standin-2/lib.sh
@@ -22,6 +22,7 @@
   rm -rf "$DIR"
 }
 trap cleanup EXIT
+trap 'exit 2' INT TERM HUP
 
 now_ms() { date +%s%3N; }
 note() { echo "$(($(now_ms) - T0)) ms: $*" | tee -a "$RECORD"; }
