owner: wait for the last renewal of a holder that is cut off and dies

Cause: RUN_EXPIRY_US, 1.3 s, took a lost holder either for alive, when it stops the runs after 0.5 s of silence, or for dead, when it has renewed their lease at most one heartbeat after it was last heard. A holder that is cut off first renews until it notices the owner's silence, up to 0.62 s after it was last heard, and may die then: its runs last for 1.64 s.

Change: the wait is the sum of the two times that it depends on, 0.7 s until the holder renews no more and 1.05 s until its lease has expired, with 3% for the clocks: 1.77 s. A static assertion ties it to PEER_LOST_US.

The bounds of "lost run expires before next start" had the wrong premise, one heartbeat; they are 1.64 and 1.8 s now instead of 1.12 and 1.42 s, a narrower window.

Ruled out: stops of the live holder (it had noticed the loss and was killed before one took effect; the run lapsed), and a successor (cut off as well).

--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -12,6 +12,10 @@
    treated as lost.  */
 #define PEER_RECONNECT_US 160000
 #define HEARTBEAT_PERIOD_US 100000
+/* Two instances that are cut off from each other have last heard each other up
+   to a heartbeat apart, and a tick may come late.  */
+G_STATIC_ASSERT (PEER_LOST_US + 2 * HEARTBEAT_PERIOD_US
+                 <= LEASE_OWNER_LOST_US);
 /* A peer that is neither heard nor registered for this long has been replaced
    by an instance at another address, and is removed.  */
 #define PEER_FORGET_US 30000000
--- a/lib/lease/lease.h
+++ b/lib/lease/lease.h
@@ -18,6 +18,12 @@
 #include "pl.h"
 
 #define LEASE_MAX_MS 1000 /* longest lease that is asked for */
+/* Time after which a lease that is not renewed has certainly expired: the
+   worker's clock may be 2% slow, and its answers take time to arrive.  */
+#define LEASE_EXPIRY_US (LEASE_MAX_MS * 1000 * 102 / 100 + 30000)
+/* A holder that its owner last heard this long ago has noticed that, and does
+   not renew the lease of the owner's runs any more.  */
+#define LEASE_OWNER_LOST_US 700000
 
 /* Identifies one start of one task; RUN is higher for each further start.  */
 struct lease_run_id
--- a/lib/lease/poll.c
+++ b/lib/lease/poll.c
@@ -11,9 +11,6 @@
 #define POLL_WAIT_SHORT_FOR_US 3000000 /* since the latest lost answer */
 /* Pause between polls of a silent worker; each opens a new connection.  */
 #define SILENT_POLL_US 100000
-/* Time after which a lease that is not renewed has certainly expired: the
-   worker's clock may be 2% slow, and its answers take time to arrive.  */
-#define EXPIRY_US (LEASE_MAX_MS * 1000 * 102 / 100 + 30000)
 #define CLOCK_VALID_US 900000 /* an older reading of its clock is not used */
 
 int64_t
@@ -84,7 +81,7 @@
   enum lease_end end = LEASE_END_STOPPED;
   if (table->ops->may_be_taken (table->ctx, w, w->renewed_us))
     {
-      if (w->polled_us - w->renewed_us <= EXPIRY_US)
+      if (w->polled_us - w->renewed_us <= LEASE_EXPIRY_US)
         return;
       end = LEASE_END_UNKNOWN;
     }
@@ -102,14 +99,14 @@
     lease_call_lost (&table->call_time);
   /* A worker that refuses connections has ended or is cut off.  */
   bool silent = reply == LEASE_REPLY_CONN_REFUSED
-                || now_us - w->answered_us > EXPIRY_US / 2;
+                || now_us - w->answered_us > LEASE_EXPIRY_US / 2;
   if (w->state != LEASE_WORKER_SILENT && silent)
     {
       w->state = LEASE_WORKER_SILENT;
       table->ops->silent (table->ctx, w, reply, now_us - w->answered_us);
       table->ops->changed (table->ctx, w);
     }
-  if (now_us - w->renewed_us > EXPIRY_US)
+  if (now_us - w->renewed_us > LEASE_EXPIRY_US)
     on_lease_expired (table, w, now_us);
   w->poll_lost_us = now_us;
   pl_count (PL_CTR_LOOKS_LOST_TOTAL, 1);
--- a/lib/owner/task.c
+++ b/lib/owner/task.c
@@ -1,12 +1,13 @@
 /* Tasks of jobs: grants, ends of runs, lost and new holders.  */
 #include "owner_priv.h"
 
-/* How long a run may go on after its holder was last heard.  A live holder
-   stops the runs of an owner that it no longer hears: after 500 ms of silence,
-   a heartbeat and the stop.  The runs of a dead holder expire: it renewed
-   their lease at most one heartbeat after it was last heard, for 1,020 ms by
-   the slowest clock.  Also used for runs that a holder reports as unknown.  */
-#define RUN_EXPIRY_US 1300000
+/* How long a run may go on after its holder was last heard: until the holder
+   renews its lease no more, by a clock that is up to 3% slow, and then until
+   that lease has expired.  A holder that has died in the meantime has renewed
+   it no longer than that, and its successor, which may be out of reach as
+   well, stops the run.  Also used for runs that a holder reports as unknown.
+ */
+#define RUN_EXPIRY_US (LEASE_OWNER_LOST_US * 103 / 100 + LEASE_EXPIRY_US)
 /* After a holder rejects a start, the planner's report of that worker is out
    of date for a moment; a request sent at once would get the same grant.  */
 #define REJECTED_RETRY_US 5000
--- a/tests/owner_test.c
+++ b/tests/owner_test.c
@@ -382,13 +382,14 @@
   fixture_init (&fixture, 1);
   grant (&fixture, 0, 10);
   owner_on_holder_lost (fixture.table, HOLDER, 1000 * MS);
-  /* The holder renewed its leases at most one heartbeat (100 ms) after it was
-     last heard, and a lease lasts 1,020 ms by the slowest clock.  */
-  pl_manual_clock_advance (&fixture.clock, 1120 * MS);
+  /* A holder that is cut off renews its leases until it takes the owner for
+     lost, up to 620 ms after it was last heard, and may die then.  A lease
+     lasts 1,020 ms by the slowest clock.  */
+  pl_manual_clock_advance (&fixture.clock, 1640 * MS);
   owner_tick (fixture.table);
   owner_flush_requests (fixture.table);
   CU_ASSERT_EQUAL (fixture.calls.requests, 1);
-  pl_manual_clock_advance (&fixture.clock, 300 * MS);
+  pl_manual_clock_advance (&fixture.clock, 160 * MS);
   owner_tick (fixture.table);
   owner_flush_requests (fixture.table);
   CU_ASSERT_EQUAL (fixture.calls.requests, 2);
