lease: renew a lease only for owners that are known to hear the holder

Cause: an owner starts a task again some time after it last heard the holder, on the premise that the holder renews no more by then. Nothing held the holder to that. A second holder renewed the lease of runs that it had found before their owners had claimed them.

Change: a heartbeat echoes when its receiver sent the latest one that was handled. A holder renews a lease only if the owner of each run there has heard it within 0.7 s by that echo, or the worker has acknowledged the run's stop. Both ends count from the same message, so that pauses, delays and cuts can only make the holder stop sooner. A worker whose renewal is withheld is polled every 20 ms and takes no starts; a claim, or an echo, ends that. After a pause peers are asked for heartbeats at once. A peer of a former build has no echo; there hearing it counts, as before.

Ruled out: counting the pause as silence (a holder would take workers of live peers, "a pause takes no workers of others"), and counting from the arrival of the owner's heartbeats ("only hears and dies" fails).

--- a/lib/cell/cell.pb-c.c
+++ b/lib/cell/cell.pb-c.c
@@ -1151,7 +1151,7 @@
   (ProtobufCMessageInit) cellpb__held__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__heartbeat__field_descriptors[20] =
+static const ProtobufCFieldDescriptor cellpb__heartbeat__field_descriptors[22] =
 {
   {
     "name",
@@ -1393,6 +1393,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "echoes",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Heartbeat, echoes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "echo_us",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Heartbeat, echo_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cellpb__heartbeat__field_indices_by_name[] = {
   19,   /* field[19] = asks_state */
@@ -1401,6 +1425,8 @@
   1,   /* field[1] = domain */
   13,   /* field[13] = domain_only */
   4,   /* field[4] = draining */
+  21,   /* field[21] = echo_us */
+  20,   /* field[20] = echoes */
   6,   /* field[6] = heard */
   7,   /* field[7] = held */
   2,   /* field[2] = ip */
@@ -1419,7 +1445,7 @@
 static const ProtobufCIntRange cellpb__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 20 }
+  { 0, 22 }
 };
 const ProtobufCMessageDescriptor cellpb__heartbeat__descriptor =
 {
@@ -1429,7 +1455,7 @@
   "Cellpb__Heartbeat",
   "cellpb",
   sizeof(Cellpb__Heartbeat),
-  20,
+  22,
   cellpb__heartbeat__field_descriptors,
   cellpb__heartbeat__field_indices_by_name,
   1,  cellpb__heartbeat__number_ranges,
--- a/lib/cell/cell.pb-c.h
+++ b/lib/cell/cell.pb-c.h
@@ -119,21 +119,30 @@
    */
   protobuf_c_boolean takes_repeats;
   /*
-   * hash of all of the above; 0: sent by a former build
+   * hash of the fields above and echoes; 0: of a former build
    */
   uint64_t state;
   /*
-   * nothing but ip, port and state: as in the last one with it
+   * nothing but ip, port, state and echo_us: as in the last one
    */
   protobuf_c_boolean repeats;
   /*
-   * the sender lacks the state of the receiver
+   * the sender wants the state of the receiver at once
    */
   protobuf_c_boolean asks_state;
+  /*
+   * the sender fills echo_us
+   */
+  protobuf_c_boolean echoes;
+  /*
+   * Time on the receiver's clock at which it sent the latest heartbeat that the
+   * sender has handled. 0: the sender treats the receiver as lost.
+   */
+  int64_t echo_us;
 };
 #define CELLPB__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cellpb__heartbeat__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -12,8 +12,9 @@
    treated as lost.  */
 #define PEER_RECONNECT_US 160000
 #define HEARTBEAT_PERIOD_US 100000
-/* Two instances that are cut off from each other have last heard each other up
-   to a heartbeat apart, and a tick may come late.  */
+/* The heartbeat that an echo is of may be a period older than the one that
+   brings it, which may be a period old: the runs of a lost peer are stopped
+   before the renewal of their leases is withheld.  */
 G_STATIC_ASSERT (PEER_LOST_US + 2 * HEARTBEAT_PERIOD_US
                  <= LEASE_OWNER_LOST_US);
 /* A peer that is neither heard nor registered for this long has been replaced
@@ -44,9 +45,14 @@
   bool suspected;   /* heartbeats are missing: it is not chosen as planner */
   bool registered;  /* in the registry of instances */
   bool domain_only; /* it sends heartbeats in its failure domain only */
-  bool registry_stale; /* the registry does not serve it */
-  bool takes_repeats;  /* of heartbeats without their unchanged state */
-  uint64_t state;      /* hash of the state in its latest full heartbeat */
+  bool registry_stale;   /* the registry does not serve it */
+  bool takes_repeats;    /* of heartbeats without their unchanged state */
+  bool echoes;           /* its heartbeats tell which of ours it has heard */
+  int64_t heard_sent_us; /* when it sent its latest heartbeat, on its clock */
+  /* Until then its runs may have their leases renewed here; see
+     cell_is_heard_by.  */
+  int64_t renew_until_us;
+  uint64_t state; /* hash of the state in its latest full heartbeat */
   bool reads_registry;
   int64_t registry_revision; /* up to which it knows the workers */
   int64_t config_version;
@@ -156,8 +162,11 @@
                      const char *reason);
 /* Acts on a peer of which heartbeats are missing, or are heard again.  */
 void cell_set_suspected (struct cell *cell, struct peer *peer, bool suspected);
-void cell_on_heartbeat (struct cell *cell, uint64_t sender,
-                        const Cellpb__Heartbeat *msg);
+void cell_on_heartbeat (struct cell *cell, const Cellpb__Envelope *env);
+/* Whether the instance ID has heard this one within LEASE_OWNER_LOST_US, as
+   its heartbeats show.  Unlike cell_is_peer_alive this does not discount a
+   pause of this process, nor the time that a heartbeat was under way.  */
+bool cell_is_heard_by (struct cell *cell, uint64_t id);
 /* Whether some instance may have taken workers of this one since SINCE_US
    without this one having heard of it: an instance that was or may be out of
    reach, or any if this process was paused.  */
@@ -187,9 +196,6 @@
 void cell_send_heartbeats (struct cell *cell);
 /* In full, to one peer, which is to do the same if ASKS_STATE.  */
 void cell_send_heartbeat (struct cell *cell, struct peer *to, bool asks_state);
-/* A message as sent to several peers.  The caller frees it.  */
-GBytes *cell_pack (struct cell *cell, Cellpb__Envelope *env);
-void cell_send_packed (struct cell *cell, struct peer *peer, GBytes *frame);
 void cell_dispatch (struct cell *cell, uint64_t sender,
                     const Cellpb__Envelope *env);
 
--- a/lib/cell/check.c
+++ b/lib/cell/check.c
@@ -81,7 +81,7 @@
   for (size_t i = 0; i < msg->n_held; i++)
     if (!is_token (msg->held[i]->token))
       return false;
-  return msg->port != 0 && msg->port <= UINT16_MAX;
+  return msg->port != 0 && msg->port <= UINT16_MAX && is_token (msg->echo_us);
 }
 
 static bool
--- a/lib/cell/heartbeat.c
+++ b/lib/cell/heartbeat.c
@@ -82,77 +82,97 @@
   return cell_name_hash ((struct pl_str){ (const char *)data, len });
 }
 
-/* A full heartbeat.  Sets STATE.  */
-static GBytes *
-pack_full (struct cell *cell, bool asks_state, uint64_t *state)
+/* A heartbeat in full, but for the echo, which differs between its receivers.
+ */
+struct full_heartbeat
+{
+  Cellpb__Heartbeat msg;
+  struct heard heard;
+  GArray *held;            /* Cellpb__Held */
+  GPtrArray *held_entries; /* pointers to them */
+};
+
+static void
+full_heartbeat_init (struct full_heartbeat *full, struct cell *cell)
 {
-  g_autoptr (GArray) held = g_array_new (FALSE, FALSE, sizeof (Cellpb__Held));
-  g_autoptr (GPtrArray) pointers = g_ptr_array_new ();
-  g_autoptr (GArray) ids = g_array_new (FALSE, FALSE, sizeof (uint64_t));
-  g_autoptr (GArray) ips = g_array_new (FALSE, FALSE, sizeof (uint32_t));
-  g_autoptr (GArray) ports = g_array_new (FALSE, FALSE, sizeof (uint32_t));
-  struct heard heard = { ids, ips, ports };
-  Cellpb__Heartbeat msg = CELLPB__HEARTBEAT__INIT;
-  collect_heard (cell, &heard);
-  fill_heard (&msg, &heard);
-  collect_held (cell, held, pointers);
-  msg.held = (Cellpb__Held **)pointers->pdata;
-  msg.n_held = pointers->len;
-  msg.name = cell->name;
-  msg.domain = cell->domain_name;
-  msg.ip = cell->addr.ip;
-  msg.port = cell->addr.port;
-  msg.draining = cell->draining;
-  msg.ready = cell->ready;
-  msg.config_version = cell->config_version;
-  msg.cpu_share = cell->cpu_share;
-  msg.registry_stale = !cell->registry_fresh;
-  msg.domain_only = cell->domain_only;
-  msg.reads_registry = cell_reads_registry (cell);
-  msg.registry_revision = msg.reads_registry ? 0 : cell->registry_revision;
-  msg.takes_repeats = true;
-  *state = hash_state (&msg);
-  msg.state = *state;
-  msg.asks_state = asks_state;
-  Cellpb__Envelope env = CELL_ENVELOPE (heartbeat, HEARTBEAT, &msg);
-  return cell_pack (cell, &env);
+  full->heard.ids = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  full->heard.ips = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  full->heard.ports = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  full->held = g_array_new (FALSE, FALSE, sizeof (Cellpb__Held));
+  full->held_entries = g_ptr_array_new ();
+  Cellpb__Heartbeat *msg = &full->msg;
+  cellpb__heartbeat__init (msg);
+  collect_heard (cell, &full->heard);
+  fill_heard (msg, &full->heard);
+  collect_held (cell, full->held, full->held_entries);
+  msg->held = (Cellpb__Held **)full->held_entries->pdata;
+  msg->n_held = full->held_entries->len;
+  msg->name = cell->name;
+  msg->domain = cell->domain_name;
+  msg->ip = cell->addr.ip;
+  msg->port = cell->addr.port;
+  msg->draining = cell->draining;
+  msg->ready = cell->ready;
+  msg->config_version = cell->config_version;
+  msg->cpu_share = cell->cpu_share;
+  msg->registry_stale = !cell->registry_fresh;
+  msg->domain_only = cell->domain_only;
+  msg->reads_registry = cell_reads_registry (cell);
+  msg->registry_revision = msg->reads_registry ? 0 : cell->registry_revision;
+  msg->takes_repeats = true;
+  msg->echoes = true;
+  msg->state = hash_state (msg);
 }
 
-/* A heartbeat that says only that nothing has changed.  */
-static GBytes *
-pack_repeat (struct cell *cell, uint64_t state)
+static void
+full_heartbeat_clear (struct full_heartbeat *full)
 {
-  Cellpb__Heartbeat msg = CELLPB__HEARTBEAT__INIT;
-  msg.ip = cell->addr.ip;
-  msg.port = cell->addr.port;
-  msg.state = state;
-  msg.repeats = true;
-  Cellpb__Envelope env = CELL_ENVELOPE (heartbeat, HEARTBEAT, &msg);
-  return cell_pack (cell, &env);
+  g_array_unref (full->heard.ids);
+  g_array_unref (full->heard.ips);
+  g_array_unref (full->heard.ports);
+  g_array_unref (full->held);
+  g_ptr_array_unref (full->held_entries);
+}
+
+/* Sends MSG with the echo for PEER.  A peer that is taken for lost gets none:
+   the time after which its runs count as expired has begun already.  */
+static void
+send_with_echo (struct cell *cell, struct peer *peer, Cellpb__Heartbeat *msg)
+{
+  msg->echo_us = peer->alive ? peer->heard_sent_us : 0;
+  Cellpb__Envelope env = CELL_ENVELOPE (heartbeat, HEARTBEAT, msg);
+  cell_send_to_peer (cell, peer, &env);
 }
 
 void
 cell_send_heartbeat (struct cell *cell, struct peer *to, bool asks_state)
 {
-  uint64_t state;
-  g_autoptr (GBytes) full = pack_full (cell, asks_state, &state);
-  cell_send_packed (cell, to, full);
+  struct full_heartbeat full;
+  full_heartbeat_init (&full, cell);
+  full.msg.asks_state = asks_state;
+  send_with_echo (cell, to, &full.msg);
+  full_heartbeat_clear (&full);
 }
 
 void
 cell_send_heartbeats (struct cell *cell)
 {
   int64_t now_us = pl_now_us (cell->clock);
-  uint64_t state;
-  g_autoptr (GBytes) full = pack_full (cell, false, &state);
-  g_autoptr (GBytes) repeat = pack_repeat (cell, state);
+  struct full_heartbeat full;
+  full_heartbeat_init (&full, cell);
+  Cellpb__Heartbeat repeat = CELLPB__HEARTBEAT__INIT;
+  repeat.ip = cell->addr.ip;
+  repeat.port = cell->addr.port;
+  repeat.state = full.msg.state;
+  repeat.repeats = true;
   /* Peers that the registry does not serve are told of changes as of the
      workers in their heartbeats.  */
-  bool in_full = state != cell->heartbeat_state || !cell->registry_fresh
+  bool in_full = full.msg.state != cell->heartbeat_state
+                 || !cell->registry_fresh
                  || now_us - cell->heartbeat_full_us >= FULL_PERIOD_US;
   if (in_full)
     cell->heartbeat_full_us = now_us;
-  cell->heartbeat_state = state;
+  cell->heartbeat_state = full.msg.state;
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, cell->peers);
@@ -160,8 +180,9 @@
     {
       struct peer *peer = value;
       bool repeats = !in_full && peer->alive && peer->takes_repeats;
-      cell_send_packed (cell, peer, repeats ? repeat : full);
+      send_with_echo (cell, peer, repeats ? &repeat : &full.msg);
     }
+  full_heartbeat_clear (&full);
 }
 
 /* Receiving.  */
@@ -244,11 +265,35 @@
   return true;
 }
 
+bool
+cell_is_heard_by (struct cell *cell, uint64_t id)
+{
+  if (id == cell->id)
+    return true;
+  const struct peer *peer = cell_find_peer (cell, id);
+  return peer != NULL && pl_now_us (cell->clock) <= peer->renew_until_us;
+}
+
+/* Takes over from a heartbeat until when the sender's runs may have their
+   leases renewed here.  A time that is still to come is of a former process on
+   this machine.  */
+static void
+record_echo (struct peer *peer, const Cellpb__Heartbeat *msg, int64_t now_us)
+{
+  /* A former build tells only that it has heard one of the latest.  */
+  int64_t heard_us = peer->echoes ? msg->echo_us : now_us;
+  bool valid = heard_us > 0 && heard_us <= now_us;
+  peer->renew_until_us = valid ? heard_us + LEASE_OWNER_LOST_US : 0;
+}
+
 /* What each heartbeat of a peer sets off, also one that repeats its state.  */
 static void
-on_heard (struct cell *cell, struct peer *peer)
+on_heard (struct cell *cell, struct peer *peer, const Cellpb__Envelope *env)
 {
-  peer->last_heartbeat_us = pl_now_us (cell->clock);
+  int64_t now_us = pl_now_us (cell->clock);
+  peer->last_heartbeat_us = now_us;
+  peer->heard_sent_us = env->sent_us;
+  record_echo (peer, env->heartbeat, now_us);
   peer->link_closed_us = 0;
   peer->refuses_connections = false;
   reconnect_if_unheard (cell, peer);
@@ -261,28 +306,30 @@
 /* A heartbeat without its state, which is that of an earlier one.  Without
    that one it says nothing.  */
 static void
-on_repeat (struct cell *cell, uint64_t sender, const Cellpb__Heartbeat *msg)
+on_repeat (struct cell *cell, const Cellpb__Envelope *env)
 {
+  const Cellpb__Heartbeat *msg = env->heartbeat;
   struct pl_addr addr = { msg->ip, (uint16_t)msg->port };
   struct peer *peer = cell_find_peer_at (cell, addr);
   if (peer == NULL)
     return;
-  if (peer->id != sender || peer->state != msg->state)
+  if (peer->id != env->sender || peer->state != msg->state)
     {
       cell_send_heartbeat (cell, peer, true);
       return;
     }
   cell_set_suspected (cell, peer, false);
-  on_heard (cell, peer);
+  on_heard (cell, peer, env);
 }
 
 void
-cell_on_heartbeat (struct cell *cell, uint64_t sender,
-                   const Cellpb__Heartbeat *msg)
+cell_on_heartbeat (struct cell *cell, const Cellpb__Envelope *env)
 {
+  const Cellpb__Heartbeat *msg = env->heartbeat;
+  uint64_t sender = env->sender;
   if (msg->repeats)
     {
-      on_repeat (cell, sender, msg);
+      on_repeat (cell, env);
       return;
     }
   struct pl_addr addr = { msg->ip, (uint16_t)msg->port };
@@ -308,6 +355,7 @@
   peer->domain = cell_name_hash (pl_str (msg->domain));
   peer->state = msg->state;
   peer->takes_repeats = msg->takes_repeats;
+  peer->echoes = msg->echoes;
   peer->reads_registry = msg->reads_registry;
   peer->registry_revision = msg->registry_revision;
   if (peer->draining != msg->draining || peer->ready != msg->ready)
@@ -324,7 +372,7 @@
   cell_follow_mode (cell, peer);
   read_held (cell, peer, msg);
   add_listed_peers (cell, msg);
-  on_heard (cell, peer);
+  on_heard (cell, peer, env);
   if (new_peer || msg->asks_state) /* tells it at once that we hear it */
     cell_send_heartbeat (cell, peer, false);
 }
--- a/lib/cell/hold.c
+++ b/lib/cell/hold.c
@@ -202,6 +202,12 @@
   return cell_may_be_succeeded (ctx, since_us);
 }
 
+static bool
+is_heard_by (void *ctx, uint64_t owner)
+{
+  return cell_is_heard_by (ctx, owner);
+}
+
 const struct lease_ops cell_lease_ops = {
   .poll = pass_poll,
   .start = pass_start,
@@ -212,6 +218,7 @@
   .lost = on_lost,
   .changed = on_changed,
   .may_be_taken = may_be_taken,
+  .is_heard_by = is_heard_by,
 };
 
 /* Messages to the holder.  */
@@ -257,7 +264,7 @@
      one that is started after that.  */
   bool owner_alive = sender == cell->id || (peer != NULL && peer->alive);
   bool ok = w != NULL && owner_alive
-            && (msg->claim ? lease_claim (cell->leases, w, &order)
+            && (msg->claim ? lease_claim (cell->leases, w, &order, now_us)
                            : lease_start (cell->leases, w, &order, now_us));
   pl_log (PL_EV_RUN_START,
           "job=%016" PRIx64 " task=%u run=%u worker=%s owner=%016" PRIx64
--- a/lib/cell/member.c
+++ b/lib/cell/member.c
@@ -94,7 +94,8 @@
 }
 
 /* What peers sent during a pause has not been read yet: their silence is
-   counted without the pause.  */
+   counted without the pause.  They are asked at once whether they still hear
+   this instance, which decides on the renewal of leases.  */
 static void
 discount_pause (struct cell *cell, int64_t gap_us)
 {
@@ -107,6 +108,7 @@
       peer->last_heartbeat_us += gap_us;
       if (peer->link_closed_us != 0)
         peer->link_closed_us += gap_us;
+      cell_send_heartbeat (cell, peer, true);
     }
 }
 
@@ -164,6 +166,9 @@
     }
   pl_log (PL_EV_PEER_UP, "peer=%s domain=%016" PRIx64, peer->name,
           peer->domain);
+  /* Starts and claims are accepted from an instance that has told that it
+     hears the holder.  */
+  cell_send_heartbeat (cell, peer, false);
   owner_on_holder_recovered (cell->jobs, peer->id);
 }
 
--- a/lib/cell/msg.c
+++ b/lib/cell/msg.c
@@ -45,8 +45,9 @@
   cell->ops->wake (cell->ctx);
 }
 
-GBytes *
-cell_pack (struct cell *cell, Cellpb__Envelope *env)
+/* A message as sent to several peers.  The caller frees it.  */
+static GBytes *
+pack (struct cell *cell, Cellpb__Envelope *env)
 {
   env->sender = cell->id;
   env->sent_us = pl_now_us (cell->clock);
@@ -56,8 +57,8 @@
   return g_bytes_new_take (data, len);
 }
 
-void
-cell_send_packed (struct cell *cell, struct peer *peer, GBytes *frame)
+static void
+send_packed (struct cell *cell, struct peer *peer, GBytes *frame)
 {
   gsize len;
   const char *data = g_bytes_get_data (frame, &len);
@@ -71,19 +72,19 @@
 void
 cell_send_to_peer (struct cell *cell, struct peer *peer, Cellpb__Envelope *env)
 {
-  g_autoptr (GBytes) frame = cell_pack (cell, env);
-  cell_send_packed (cell, peer, frame);
+  g_autoptr (GBytes) frame = pack (cell, env);
+  send_packed (cell, peer, frame);
 }
 
 void
 cell_send_to_all_peers (struct cell *cell, Cellpb__Envelope *env)
 {
-  g_autoptr (GBytes) frame = cell_pack (cell, env);
+  g_autoptr (GBytes) frame = pack (cell, env);
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, cell->peers);
   while (g_hash_table_iter_next (&it, NULL, &value))
-    cell_send_packed (cell, value, frame);
+    send_packed (cell, value, frame);
 }
 
 void
@@ -135,7 +136,7 @@
   switch (env->body_case)
     {
     case CELLPB__ENVELOPE__BODY_HEARTBEAT:
-      cell_on_heartbeat (cell, sender, env->heartbeat);
+      cell_on_heartbeat (cell, env);
       break;
     case CELLPB__ENVELOPE__BODY_ASK:
       cell_on_ask (cell, sender, env->ask);
--- a/lib/lease/lease.h
+++ b/lib/lease/lease.h
@@ -6,8 +6,9 @@
 
    The holder polls each worker without a pause while it answers.  A poll
    renews the lease, acknowledges ends, and returns what runs and what has
-   ended since.  A run is reported as ended when it certainly does not run any
-   more; where that can't be known, as LEASE_END_UNKNOWN.
+   ended since.  The lease is not renewed while the owner of some run there may
+   take this holder for lost.  A run is reported as ended when it certainly
+   does not run any more; where that can't be known, as LEASE_END_UNKNOWN.
 
    A state machine without input, output or clock: calls to workers go through
    a vtable, and their results and the time are passed in.  All calls must come
@@ -21,8 +22,9 @@
 /* Time after which a lease that is not renewed has certainly expired: the
    worker's clock may be 2% slow, and its answers take time to arrive.  */
 #define LEASE_EXPIRY_US (LEASE_MAX_MS * 1000 * 102 / 100 + 30000)
-/* A holder that its owner last heard this long ago has noticed that, and does
-   not renew the lease of the owner's runs any more.  */
+/* An owner starts a task again when LEASE_EXPIRY_US have passed since this
+   long after it last heard the holder.  A holder therefore renews the lease of
+   a run only if its owner has heard it within this time.  */
 #define LEASE_OWNER_LOST_US 700000
 
 /* Identifies one start of one task; RUN is higher for each further start.  */
@@ -182,6 +184,7 @@
   int64_t last_end;        /* number of the last end that was read */
   int64_t acked_end;       /* up to which the latest poll acknowledges ends */
   bool poll_renews;        /* the latest poll carries a lease */
+  bool renewal_withheld;   /* the owner of some run may not hear this holder */
   int poll_wait_ms;        /* how long the latest poll waits */
   int64_t polled_us;       /* when the latest poll was sent */
   int64_t renewed_us;      /* when the latest call with a lease was sent */
@@ -261,6 +264,9 @@
      this one knowing: it would have renewed the leases of what runs there.  */
   bool (*may_be_taken) (void *ctx, const struct lease_worker *w,
                         int64_t since_us);
+  /* Whether OWNER is known to have heard this holder within
+     LEASE_OWNER_LOST_US.  A pause of either process counts as silence.  */
+  bool (*is_heard_by) (void *ctx, uint64_t owner);
 };
 
 struct lease_table *lease_table_new (const struct lease_ops *ops, void *ctx);
@@ -316,7 +322,7 @@
 /* Sets the owner of a run that was found on the worker; false if the run is
    not there or has another owner.  */
 bool lease_claim (struct lease_table *table, struct lease_worker *w,
-                  const struct lease_order *order);
+                  const struct lease_order *order, int64_t now_us);
 bool lease_has_run (const struct lease_worker *w,
                     const struct lease_run_id *id);
 void lease_stop (struct lease_table *table, struct lease_worker *w,
--- a/lib/lease/lease_priv.h
+++ b/lib/lease/lease_priv.h
@@ -76,5 +76,10 @@
 struct planner_resources lease_used_resources (const struct lease_worker *w);
 
 /* End of a lease that is granted now, on the worker's clock; 0 if that is not
-   known well enough.  */
-int64_t lease_deadline_ms (const struct lease_worker *w, int64_t now_us);
+   known well enough, or if the lease may not be renewed.  */
+int64_t lease_deadline_ms (const struct lease_table *table,
+                           const struct lease_worker *w, int64_t now_us);
+/* Sends the poll that waits for its time, with a lease if that was withheld
+   and may be granted now.  */
+void lease_poll_again (struct lease_table *table, struct lease_worker *w,
+                       int64_t now_us);
--- a/lib/lease/poll.c
+++ b/lib/lease/poll.c
@@ -9,15 +9,40 @@
 #define POLL_WAIT_SHORT_MS 40
 #define POLL_WAIT_CALLS 8
 #define POLL_WAIT_SHORT_FOR_US 3000000 /* since the latest lost answer */
+/* Pause between polls of a worker whose lease is not renewed.  */
+#define WITHHELD_POLL_US 20000
 /* Pause between polls of a silent worker; each opens a new connection.  */
 #define SILENT_POLL_US 100000
 #define CLOCK_VALID_US 900000 /* an older reading of its clock is not used */
 
+/* Whether the lease that RUN has may be renewed: its owner has heard this
+   holder lately, and so does not start the task again before the lease would
+   expire; or the run ends soon, as the worker has acknowledged its stop.  */
+static bool
+is_renewable (const struct lease_table *table, const struct lease_run *run)
+{
+  if (run->stop_acked_us != 0)
+    return true;
+  return run->owner != 0 && table->ops->is_heard_by (table->ctx, run->owner);
+}
+
+/* The lease is one for all runs on the worker.  */
+static bool
+may_renew (const struct lease_table *table, const struct lease_worker *w)
+{
+  for (guint i = 0; i < w->runs->len; i++)
+    if (!is_renewable (table, g_ptr_array_index (w->runs, i)))
+      return false;
+  return true;
+}
+
 int64_t
-lease_deadline_ms (const struct lease_worker *w, int64_t now_us)
+lease_deadline_ms (const struct lease_table *table,
+                   const struct lease_worker *w, int64_t now_us)
 {
   /* Before the first answer the worker's clock is not known.  */
-  if (!w->answered || now_us - w->answered_us > CLOCK_VALID_US)
+  if (!w->answered || now_us - w->answered_us > CLOCK_VALID_US
+      || !may_renew (table, w))
     return 0;
   return now_us / 1000 + w->clock_offset_ms + LEASE_MAX_MS;
 }
@@ -26,7 +51,7 @@
 send_poll (struct lease_table *table, struct lease_worker *w, bool renew,
            int wait_ms, int64_t now_us)
 {
-  int64_t deadline_ms = renew ? lease_deadline_ms (w, now_us) : 0;
+  int64_t deadline_ms = renew ? lease_deadline_ms (table, w, now_us) : 0;
   w->poll_renews = deadline_ms != 0;
   /* After a poll without an answer, the worker may have been restarted; its
      new process numbers ends from 1 again, and would forget those that were
@@ -70,6 +95,38 @@
   send_poll (table, w, false, 0, now_us);
 }
 
+static void
+set_renewal_withheld (struct lease_table *table, struct lease_worker *w,
+                      bool withheld)
+{
+  if (w->renewal_withheld == withheld)
+    return;
+  w->renewal_withheld = withheld;
+  table->ops->changed (table->ctx, w);
+}
+
+/* Sends the next poll of a worker that answers.  */
+static void
+poll_answering_worker (struct lease_table *table, struct lease_worker *w,
+                       int wait_ms, int64_t now_us)
+{
+  set_renewal_withheld (table, w, !may_renew (table, w));
+  if (w->renewal_withheld)
+    w->next_poll_us = now_us + WITHHELD_POLL_US;
+  else
+    send_poll (table, w, true, wait_ms, now_us);
+}
+
+void
+lease_poll_again (struct lease_table *table, struct lease_worker *w,
+                  int64_t now_us)
+{
+  if (w->renewal_withheld && may_renew (table, w))
+    poll_answering_worker (table, w, usual_wait_ms (table, w, now_us), now_us);
+  else
+    lease_send_poll (table, w, now_us);
+}
+
 /* This holder's last renewal has expired.  That ends the runs only if nobody
    else has renewed their lease.  Where another instance may have, the worker
    is asked once more, since it can tell; without an answer it is not known
@@ -109,6 +166,7 @@
   if (now_us - w->renewed_us > LEASE_EXPIRY_US)
     on_lease_expired (table, w, now_us);
   w->poll_lost_us = now_us;
+  set_renewal_withheld (table, w, false);
   pl_count (PL_CTR_LOOKS_LOST_TOTAL, 1);
   w->next_poll_us
       = now_us + (w->state == LEASE_WORKER_SILENT ? SILENT_POLL_US : 0);
@@ -278,8 +336,8 @@
   w->state = LEASE_WORKER_HELD;
   /* After a restart the next list, which settles what this one does not, is
      asked for at once.  */
-  send_poll (table, w, true, restarted ? 0 : usual_wait_ms (table, w, now_us),
-             now_us);
+  poll_answering_worker (
+      table, w, restarted ? 0 : usual_wait_ms (table, w, now_us), now_us);
   if (first)
     {
       w->taken_us = now_us;
--- a/lib/lease/run.c
+++ b/lib/lease/run.c
@@ -178,9 +178,10 @@
 lease_start (struct lease_table *table, struct lease_worker *w,
              const struct lease_order *order, int64_t now_us)
 {
-  int64_t deadline_ms = lease_deadline_ms (w, now_us);
+  int64_t deadline_ms = lease_deadline_ms (table, w, now_us);
   if (order->token != w->token || !lease_is_usable (w, now_us)
       || deadline_ms == 0
+      || !table->ops->is_heard_by (table->ctx, order->owner)
       || !planner_resources_fit (w->info.capacity, lease_used_resources (w),
                                  order->size))
     return false;
@@ -206,7 +207,7 @@
 
 bool
 lease_claim (struct lease_table *table, struct lease_worker *w,
-             const struct lease_order *order)
+             const struct lease_order *order, int64_t now_us)
 {
   struct lease_run *run = lease_find_run (w, &order->id);
   if (run == NULL || (run->owner != 0 && run->owner != order->owner))
@@ -215,6 +216,8 @@
   run->unclaimed_us = 0;
   run->size = order->size;
   run->expect_us = order->expect_us;
+  if (w->renewal_withheld && w->next_poll_us != 0)
+    lease_poll_again (table, w, now_us);
   table->ops->changed (table->ctx, w);
   return true;
 }
--- a/lib/lease/table.c
+++ b/lib/lease/table.c
@@ -191,7 +191,7 @@
       table->ops->changed (table->ctx, w);
     }
   if (w->next_poll_us != 0 && w->next_poll_us <= now_us)
-    lease_send_poll (table, w, now_us);
+    lease_poll_again (table, w, now_us);
 }
 
 void
--- /dev/null
+++ b/tests/cell_cut_test.c
@@ -0,0 +1,213 @@
+/* Tests of lib/cell for holders that can't reach the owners of the runs on
+   their workers, and pause, die or get no answers meanwhile.  No run may last
+   longer than its owner waits before it starts the task again.  */
+#include "cell_checks.h"
+
+#define SEEDS 10
+#define ROUNDS 8
+#define N_WORKERS 32
+#define RUN_US (3 * SECOND) /* longer than owners wait */
+
+static struct world *
+start_deployment (uint64_t seed, int n_instances, int n_domains)
+{
+  struct world *world = world_new (seed, n_instances, N_WORKERS, n_domains);
+  world->job_deadline_us = 2 * RUN_US + 3 * SECOND;
+  world_run_for (world, SECOND);
+  return world;
+}
+
+static void
+run_load_between (struct world *world, int64_t low_us, int64_t high_us)
+{
+  int64_t us = world_random_between (world, low_us, high_us);
+  run_load (world, us - us % 100000, 1, RUN_US);
+  world_run_for (world, us % 100000);
+}
+
+static void
+end_deployment (struct world *world, const char *name, uint64_t seed)
+{
+  settle (world);
+  settle (world); /* deadlines are up to 9 s away */
+  CU_ASSERT_TRUE (all_answered (world));
+  check_violations (world, name, seed);
+  world_free (world);
+}
+
+/* Guards against a task that is started elsewhere while its first run goes on:
+   the holder of that run was cut off from the owner, renewed the lease until
+   it noticed that, and died.  */
+static void
+test_a_holder_that_is_cut_off_and_dies (void)
+{
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      struct world *world = start_deployment (seed, 4, 4);
+      for (int i = 0; i < ROUNDS; i++)
+        {
+          run_load (world, SECOND, 1, RUN_US);
+          world_set_domain_cut (world, i % 4, true);
+          run_load_between (world, 300000, 550000);
+          world_kill (world, i % 4, true);
+          run_load (world, 2 * SECOND, 1, RUN_US);
+          world_set_domain_cut (world, i % 4, false);
+          world_boot (world, i % 4);
+        }
+      end_deployment (world, "cut off and killed", seed);
+    }
+}
+
+/* Guards against a holder that takes a pause of its own off the silence of an
+   owner that it can't hear, and renews the lease of runs that the owner takes
+   for ended.  */
+static void
+cut_off_and_pause (bool dies)
+{
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      struct world *world = start_deployment (seed, 4, 4);
+      for (int i = 0; i < ROUNDS; i++)
+        {
+          run_load (world, SECOND, 1, RUN_US);
+          world_set_domain_cut (world, i % 4, true);
+          run_load_between (world, 0, 450000);
+          world_set_frozen (world, i % 4, true);
+          run_load_between (world, 700000, 1000000);
+          world_thaw (world, i % 4, i % 3 != 0);
+          run_load_between (world, 50000, 550000);
+          if (dies)
+            world_kill (world, i % 4, true);
+          run_load (world, SECOND, 1, RUN_US);
+          world_set_domain_cut (world, i % 4, false);
+          if (dies)
+            world_boot (world, i % 4);
+        }
+      end_deployment (world, "cut off and paused", seed);
+    }
+}
+
+static void
+test_a_holder_that_is_cut_off_and_pauses (void)
+{
+  cut_off_and_pause (false);
+}
+
+static void
+test_a_holder_that_is_cut_off_pauses_and_dies (void)
+{
+  cut_off_and_pause (true);
+}
+
+/* The links from an instance to the others are cut, or healed, and so are
+   those from the others to its failure domain's workers.  */
+static void
+set_mute (struct world *world, int instance, bool mute)
+{
+  for (int i = 0; i < world->n_instances; i++)
+    {
+      if (i == instance)
+        continue;
+      world_set_link_cut (world, instance, i, mute);
+      for (int k = 0; k < world->n_workers; k++)
+        if (world->workers[k].domain == world->instances[instance].domain)
+          world->cut_worker[i][k] = mute;
+    }
+}
+
+/* Guards against a holder that is not heard, hears the owner for longer and
+   goes on renewing on the strength of that.  */
+static void
+test_a_holder_that_only_hears_and_dies (void)
+{
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      struct world *world = start_deployment (seed, 4, 4);
+      for (int i = 0; i < ROUNDS; i++)
+        {
+          run_load (world, SECOND, 1, RUN_US);
+          set_mute (world, i % 4, true);
+          run_load_between (world, 500000, 650000);
+          set_silent (world, i % 4, true);
+          run_load_between (world, 300000, 550000);
+          world_kill (world, i % 4, true);
+          run_load (world, 2 * SECOND, 1, RUN_US);
+          set_silent (world, i % 4, false);
+          set_mute (world, i % 4, false);
+          world_boot (world, i % 4);
+        }
+      end_deployment (world, "hears only", seed);
+    }
+}
+
+/* Guards against a second holder, on the same side of a cut, that takes the
+   workers of the first, finds its runs, renews their lease before their owner
+   has claimed them, and dies.  */
+static void
+test_two_holders_that_are_cut_off_and_die (void)
+{
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      struct world *world = start_deployment (seed, 4, 2);
+      for (int i = 0; i < ROUNDS; i++)
+        {
+          run_load (world, SECOND, 1, RUN_US);
+          world_set_domain_cut (world, i % 2, true);
+          run_load_between (world, 350000, 500000);
+          world_kill (world, i % 2, false);
+          run_load_between (world, 200000, 1000000);
+          world_kill (world, i % 2 + 2, true);
+          run_load (world, 2 * SECOND, 1, RUN_US);
+          world_set_domain_cut (world, i % 2, false);
+          world_boot (world, i % 2);
+          world_boot (world, i % 2 + 2);
+          run_load (world, SECOND, 1, RUN_US);
+        }
+      end_deployment (world, "two cut off and killed", seed);
+    }
+}
+
+/* Guards against a holder that can't stop the runs of a lost owner, since its
+   orders get no answer and are carried out late, and renews their lease.  */
+static void
+test_a_holder_that_is_cut_off_and_cannot_stop (void)
+{
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      struct world *world = start_deployment (seed, 4, 4);
+      for (int i = 0; i < ROUNDS; i++)
+        {
+          run_load (world, SECOND, 1, RUN_US);
+          world_set_domain_cut (world, i % 4, true);
+          run_load (world, 400000, 1, RUN_US);
+          world->instances[i % 4].orders_late = true;
+          run_load (world, 2 * SECOND, 1, RUN_US);
+          world->instances[i % 4].orders_late = false;
+          world_set_domain_cut (world, i % 4, false);
+        }
+      end_deployment (world, "stops unanswered", seed);
+    }
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = {
+    { "a holder that is cut off and dies",
+      test_a_holder_that_is_cut_off_and_dies },
+    { "a holder that is cut off and pauses",
+      test_a_holder_that_is_cut_off_and_pauses },
+    { "a holder that is cut off, pauses and dies",
+      test_a_holder_that_is_cut_off_pauses_and_dies },
+    { "a holder that only hears and dies",
+      test_a_holder_that_only_hears_and_dies },
+    { "two holders that are cut off and die",
+      test_two_holders_that_are_cut_off_and_die },
+    { "a holder that is cut off and cannot stop",
+      test_a_holder_that_is_cut_off_and_cannot_stop },
+    CU_TEST_INFO_NULL,
+  };
+  const char *level = getenv ("PAPAYALOFT_LOG");
+  pl_log_init ("text", level == NULL ? "error" : level);
+  return test_run ("cell_cut_test", tests);
+}
--- a/tests/cell_loss_test.c
+++ b/tests/cell_loss_test.c
@@ -109,44 +109,6 @@
     }
 }
 
-/* A failure domain with one instance is cut off, and so are its workers;
-   DELAY_US later its instance dies, and comes back after the cut has healed.
- */
-static void
-cut_off_and_kill (struct world *world, int domain, int64_t delay_us)
-{
-  world_set_domain_cut (world, domain, true);
-  run_load (world, delay_us / 100000 * 100000, 2, 2 * SECOND);
-  world_run_for (world, delay_us % 100000);
-  world_kill (world, domain, true);
-  run_load (world, 2 * SECOND, 2, 2 * SECOND);
-  world_set_domain_cut (world, domain, false);
-  world_boot (world, domain);
-}
-
-/* Guards against a task that is started elsewhere while its first run goes on:
-   the holder of that run was cut off from the owner, renewed the lease until
-   it noticed that, and died.  */
-static void
-test_a_holder_that_is_cut_off_and_dies_leaves_nothing_twice (void)
-{
-  for (uint64_t seed = 1; seed <= SEEDS; seed++)
-    {
-      struct world *world = world_new (seed, 4, 16, 4);
-      world_run_for (world, SECOND);
-      for (int i = 0; i < 8; i++)
-        {
-          run_load (world, SECOND, 4, 2 * SECOND);
-          cut_off_and_kill (world, i % 4,
-                            world_random_between (world, 300000, 550000));
-        }
-      settle (world);
-      CU_ASSERT_TRUE (all_answered (world));
-      check_violations (world, "cut off and killed", seed);
-      world_free (world);
-    }
-}
-
 /* The caller of one of the unanswered jobs leaves, and submits the job again
    to another instance after the resend time.  */
 static struct world_job *
@@ -341,8 +303,6 @@
       test_messages_lost_with_a_connection_are_made_good },
     { "a pause is not the silence of others",
       test_a_pause_is_not_the_silence_of_others },
-    { "a holder that is cut off and dies leaves nothing twice",
-      test_a_holder_that_is_cut_off_and_dies_leaves_nothing_twice },
     { "a pause takes no workers of others",
       test_a_pause_takes_no_workers_of_others },
     { "a peer that restarts after a reset is heard",
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -413,6 +413,7 @@
   world->n_instances = n_instances;
   world->n_domains = n_domains;
   world->call_timeout_us = WORLD_CALL_TIMEOUT_US;
+  world->job_deadline_us = WORLD_JOB_DEADLINE_US;
   for (int i = 0; i < n_workers; i++)
     world_add_worker (world, i % n_domains, i % 3 == 2 ? 48000 : 32000);
   for (int i = 0; i < n_instances; i++)
@@ -515,7 +516,7 @@
     .declared_us = job->run_us,
     .stretch = 1.6,
     .target_us = 60000,
-    .deadline_us = world_now (world) + WORLD_JOB_DEADLINE_US,
+    .deadline_us = world_now (world) + world->job_deadline_us,
     .max_attempts = 3,
   };
   (void)owner_submit_job (cell_jobs (in->cell), &submission, job);
--- a/tests/lease_fixture.h
+++ b/tests/lease_fixture.h
@@ -28,7 +28,8 @@
   enum lease_blame blames[4]; /* by index of the task */
   enum lease_reply silent_reply;
   struct lease_run_id ended;
-  int64_t exposed_us; /* another instance may have taken the worker then */
+  int64_t exposed_us;  /* another instance may have taken the worker then */
+  uint64_t deaf_owner; /* does not hear this holder */
 };
 
 static void
@@ -112,6 +113,13 @@
   return sink->exposed_us > since_us;
 }
 
+static bool
+is_heard_by (void *ctx, uint64_t owner)
+{
+  const struct sink *sink = ctx;
+  return owner != sink->deaf_owner;
+}
+
 static const struct lease_ops ops = {
   .poll = on_poll,
   .start = on_start,
@@ -122,6 +130,7 @@
   .lost = on_lost,
   .changed = on_changed,
   .may_be_taken = may_be_taken,
+  .is_heard_by = is_heard_by,
 };
 
 static const struct lease_worker_info info = {
--- a/tests/lease_test.c
+++ b/tests/lease_test.c
@@ -171,12 +171,87 @@
       = { { .id = { 1, 0, 1 } }, { .id = { 2, 0, 1 } } };
   answer_poll (table, running, 2, NULL, 0, MS);
   struct lease_order claim = make_order (1, 1);
-  CU_ASSERT_TRUE (lease_claim (table, w, &claim));
+  CU_ASSERT_TRUE (lease_claim (table, w, &claim, MS));
   lease_tick (table, 300 * MS);
   CU_ASSERT_EQUAL (sink.stops, 1);
   lease_table_free (table);
 }
 
+/* Whether the worker is reported as one that takes starts.  */
+static bool
+is_usable (struct lease_table *table, int64_t now_us)
+{
+  struct planner_worker_report report;
+  lease_fill_report (lease_find_worker (table, 1), 7, now_us, &report);
+  return report.usable;
+}
+
+/* Guards against a lease that is renewed for a run whose owner may take this
+   holder for lost and start the task again; and against one that is not
+   renewed any more although the owner hears the holder again.  */
+static void
+test_the_lease_is_renewed_only_for_owners_that_hear (void)
+{
+  struct sink sink = { 0 };
+  struct lease_table *table = lease_table_new (&ops, &sink);
+  struct lease_order order = take_and_start (table);
+  struct lease_running running = { .id = order.id };
+  struct lease_order other = make_order (2, 1);
+  other.owner = 10;
+  sink.deaf_owner = order.owner;
+  answer_poll (table, &running, 1, NULL, 0, 100 * MS);
+  CU_ASSERT_EQUAL (sink.polls, 2); /* the next one waits */
+  CU_ASSERT_FALSE (is_usable (table, 100 * MS));
+  CU_ASSERT_FALSE (
+      lease_start (table, lease_find_worker (table, 1), &other, 100 * MS));
+  lease_tick (table, 120 * MS);
+  CU_ASSERT_EQUAL (sink.polls, 3);
+  CU_ASSERT_EQUAL (sink.poll_deadline_ms, 0);
+  answer_poll (table, &running, 1, NULL, 0, 121 * MS);
+  sink.deaf_owner = 0;
+  lease_tick (table, 141 * MS);
+  CU_ASSERT_EQUAL (sink.poll_deadline_ms, 500000 + 141 + LEASE_MAX_MS);
+  CU_ASSERT_TRUE (is_usable (table, 141 * MS));
+  lease_table_free (table);
+}
+
+/* Guards against other runs on a worker that lapse because its lease is not
+   renewed for longer than it takes to stop those of a lost owner.  */
+static void
+test_a_stopped_run_does_not_hold_up_the_lease (void)
+{
+  struct sink sink = { 0 };
+  struct lease_table *table = lease_table_new (&ops, &sink);
+  struct lease_order order = take_and_start (table);
+  struct lease_running running = { .id = order.id };
+  sink.deaf_owner = order.owner;
+  lease_stop_runs_of_owner (table, order.owner, 50 * MS);
+  answer_poll (table, &running, 1, NULL, 0, 51 * MS);
+  CU_ASSERT_EQUAL (sink.polls, 2);
+  lease_stop_done (table, 1, TOKEN, &order.id, LEASE_REPLY_OK, 52 * MS);
+  lease_tick (table, 71 * MS);
+  CU_ASSERT_EQUAL (sink.poll_deadline_ms, 500000 + 71 + LEASE_MAX_MS);
+  lease_table_free (table);
+}
+
+/* Guards against a new holder that renews the lease of runs whose owners know
+   nothing of it; and against one that renews it late once they do.  */
+static void
+test_the_lease_of_found_runs_is_renewed_when_claimed (void)
+{
+  struct sink sink = { 0 };
+  struct lease_table *table = lease_table_new (&ops, &sink);
+  struct lease_worker *w = lease_take (table, &info, TOKEN, 0);
+  struct lease_running running = { .id = { 1, 0, 1 } };
+  answer_poll (table, &running, 1, NULL, 0, MS);
+  CU_ASSERT_EQUAL (sink.polls, 1);
+  struct lease_order claim = make_order (1, 1);
+  CU_ASSERT_TRUE (lease_claim (table, w, &claim, 2 * MS));
+  CU_ASSERT_EQUAL (sink.polls, 2);
+  CU_ASSERT_EQUAL (sink.poll_deadline_ms, 500000 + 2 + LEASE_MAX_MS);
+  lease_table_free (table);
+}
+
 /* Guards against a worker that fails every run at once and, being free again,
    gets the next.  */
 static void
@@ -350,6 +425,12 @@
       test_ends_are_read_once_and_acknowledged },
     { "a silent worker is not renewed", test_a_silent_worker_is_not_renewed },
     { "a fenced holder gives up", test_a_fenced_holder_gives_up },
+    { "the lease is renewed only for owners that hear",
+      test_the_lease_is_renewed_only_for_owners_that_hear },
+    { "a stopped run does not hold up the lease",
+      test_a_stopped_run_does_not_hold_up_the_lease },
+    { "the lease of found runs is renewed when claimed",
+      test_the_lease_of_found_runs_is_renewed_when_claimed },
     { "unclaimed runs are stopped", test_unclaimed_runs_are_stopped },
     { "a failing worker is ejected and tried again",
       test_a_failing_worker_is_ejected_and_tried_again },
--- a/tests/world_base.h
+++ b/tests/world_base.h
@@ -89,6 +89,7 @@
   uint32_t cpu_share; /* thousandths of a core */
   bool frozen;
   bool reads_registry;
+  bool orders_late;  /* all its orders are carried out late, see world */
   GPtrArray *missed; /* struct world_event: answers that came while frozen */
   /* Ids of the peers of incoming links; each connection has one of its own. */
   uint64_t *link_peers[WORLD_MAX_INSTANCES];
@@ -131,6 +132,7 @@
   GPtrArray *delayed_frames; /* struct world_event */
   GPtrArray *link_peers;     /* uint64_t: those of all connections */
   int64_t call_timeout_us;   /* least time limit of a call to a worker */
+  int64_t job_deadline_us;   /* of jobs, from their submission */
   int64_t link_delay_us; /* one way, added to what instances send and get */
   bool registry_down;
   int64_t registry_revision;
--- a/tests/world_workers.h
+++ b/tests/world_workers.h
@@ -521,7 +521,8 @@
 world_send_order (struct world *world, struct world_event *event,
                   void (*arrives) (struct world *, struct world_event *))
 {
-  if (world_random_chance (world, world->late_order_share))
+  if (world->instances[event->from].orders_late
+      || world_random_chance (world, world->late_order_share))
     {
       world_schedule_reply (world, event, LEASE_REPLY_NO_ANSWER,
                             WORLD_NEVER_US, arrives);
