lease, cell: lists of polls, renewals and heartbeats as they arrive in files of their own

What the answer of a poll lists is in lease/listed.c, whether and until when a lease is granted in lease/renew.c, and what hearing a peer sets off in cell/heard.c.

--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -151,7 +151,7 @@
 bool cell_serves_domain (const struct cell *cell, uint64_t domain);
 
 /* Peers: failure detection and the choice of the planner (member.c),
-   heartbeats (heartbeat.c).  */
+   heartbeats (heartbeat.c, heard.c).  */
 struct peer *cell_find_peer (struct cell *cell, uint64_t id);
 struct peer *cell_find_peer_at (const struct cell *cell, struct pl_addr addr);
 /* Whether PEER and this instance hear each other now.  PEER->alive is the
--- a/lib/lease/lease_priv.h
+++ b/lib/lease/lease_priv.h
@@ -75,6 +75,17 @@
 bool lease_is_usable (const struct lease_worker *w, int64_t now_us);
 struct planner_resources lease_used_resources (const struct lease_worker *w);
 
+/* Applies the lists of a poll's answer.  */
+void lease_apply_lists (struct lease_table *table, struct lease_worker *w,
+                        const struct lease_poll_result *result,
+                        int64_t now_us);
+/* Another incarnation of the worker has answered than before.  */
+void lease_apply_restart (struct lease_table *table, struct lease_worker *w,
+                          int64_t now_us);
+
+/* Whether the lease of W, which is one for all runs there, may be renewed.  */
+bool lease_may_renew (const struct lease_table *table,
+                      const struct lease_worker *w);
 /* End of a lease that is granted now, on the worker's clock; 0 if that is not
    known well enough, or if the lease may not be renewed.  */
 int64_t lease_deadline_ms (const struct lease_table *table,
--- a/lib/lease/poll.c
+++ b/lib/lease/poll.c
@@ -13,39 +13,6 @@
 #define WITHHELD_POLL_US 20000
 /* Pause between polls of a silent worker; each opens a new connection.  */
 #define SILENT_POLL_US 100000
-#define CLOCK_VALID_US 900000 /* an older reading of its clock is not used */
-
-/* Whether the lease that RUN has may be renewed: its owner has heard this
-   holder lately, and so does not start the task again before the lease would
-   expire; or the run ends soon, as the worker has acknowledged its stop.  */
-static bool
-is_renewable (const struct lease_table *table, const struct lease_run *run)
-{
-  if (run->stop_acked_us != 0)
-    return true;
-  return run->owner != 0 && table->ops->is_heard_by (table->ctx, run->owner);
-}
-
-/* The lease is one for all runs on the worker.  */
-static bool
-may_renew (const struct lease_table *table, const struct lease_worker *w)
-{
-  for (guint i = 0; i < w->runs->len; i++)
-    if (!is_renewable (table, g_ptr_array_index (w->runs, i)))
-      return false;
-  return true;
-}
-
-int64_t
-lease_deadline_ms (const struct lease_table *table,
-                   const struct lease_worker *w, int64_t now_us)
-{
-  /* Before the first answer the worker's clock is not known.  */
-  if (!w->answered || now_us - w->answered_us > CLOCK_VALID_US
-      || !may_renew (table, w))
-    return 0;
-  return now_us / 1000 + w->clock_offset_ms + LEASE_MAX_MS;
-}
 
 static void
 send_poll (struct lease_table *table, struct lease_worker *w, bool renew,
@@ -110,7 +77,7 @@
 poll_answering_worker (struct lease_table *table, struct lease_worker *w,
                        int wait_ms, int64_t now_us)
 {
-  set_renewal_withheld (table, w, !may_renew (table, w));
+  set_renewal_withheld (table, w, !lease_may_renew (table, w));
   if (w->renewal_withheld)
     w->next_poll_us = now_us + WITHHELD_POLL_US;
   else
@@ -121,7 +88,7 @@
 lease_poll_again (struct lease_table *table, struct lease_worker *w,
                   int64_t now_us)
 {
-  if (w->renewal_withheld && may_renew (table, w))
+  if (w->renewal_withheld && lease_may_renew (table, w))
     poll_answering_worker (table, w, usual_wait_ms (table, w, now_us), now_us);
   else
     lease_send_poll (table, w, now_us);
@@ -172,137 +139,6 @@
       = now_us + (w->state == LEASE_WORKER_SILENT ? SILENT_POLL_US : 0);
 }
 
-static enum lease_end
-end_of_outcome (enum lease_outcome outcome)
-{
-  switch (outcome)
-    {
-    case LEASE_OUTCOME_DONE:
-      return LEASE_END_DONE;
-    case LEASE_OUTCOME_FAILED:
-      return LEASE_END_FAILED;
-    default:
-      return LEASE_END_STOPPED;
-    }
-}
-
-static void
-apply_end (struct lease_table *table, struct lease_worker *w,
-           const struct lease_end_record *end, int64_t now_us)
-{
-  struct lease_run *run = lease_find_run (w, &end->id);
-  if (end->number <= w->last_end)
-    return;
-  w->last_end = end->number;
-  if (run != NULL)
-    run->blame = LEASE_BLAME_NONE; /* the worker goes on */
-  if (run == NULL)
-    {
-      /* The run was started by an earlier holder.  */
-      struct lease_run_end run_end = {
-        .id = end->id,
-        .end = end_of_outcome (end->outcome),
-        .cause = LEASE_CAUSE_ANSWER,
-        .acknowledged = true,
-      };
-      table->ops->ended (table->ctx, w, &run_end);
-      return;
-    }
-  /* Only a poll that was waiting when the run ended shows when that was;
-     otherwise the run time is not known.  */
-  if (!w->poll_renews)
-    run->started_us = 0;
-  if (end->outcome == LEASE_OUTCOME_DONE)
-    lease_record_success (&w->health, lease_run_time_us (run, now_us),
-                          run->expect_us, now_us);
-  else if (end->outcome == LEASE_OUTCOME_FAILED)
-    lease_record_failure (table, w, now_us);
-  lease_end_run (table, w, run, end_of_outcome (end->outcome),
-                 LEASE_CAUSE_ANSWER, now_us);
-}
-
-/* Applies an entry of the list of runs.  A run that is not known is added
-   without an owner.  */
-static void
-apply_running (struct lease_table *table, struct lease_worker *w,
-               const struct lease_running *running, int64_t now_us)
-{
-  struct lease_run *run = lease_find_run (w, &running->id);
-  if (run == NULL)
-    {
-      run = lease_add_run (w, &running->id);
-      run->state = LEASE_RUN_RUNNING;
-      run->added_us = now_us;
-      run->unclaimed_us = now_us;
-      if (w->state == LEASE_WORKER_HELD)
-        /* The worker has carried out a start that was given up already.  */
-        lease_order_stop (table, w, run, now_us);
-    }
-  if (run->started_us == 0)
-    run->started_us = now_us;
-  run->listed = true;
-  run->blame = LEASE_BLAME_NONE;
-}
-
-static bool
-is_listed (const struct lease_poll_result *result,
-           const struct lease_run_id *id)
-{
-  for (unsigned i = 0; i < result->n_running; i++)
-    if (lease_same_run (&result->running[i].id, id))
-      return true;
-  return false;
-}
-
-/* Ends runs that the worker does not list although it must know them: their
-   stop was acknowledged, or they were known to run, before the poll was sent.
- */
-static void
-end_unlisted_runs (struct lease_table *table, struct lease_worker *w,
-                   const struct lease_poll_result *result, int64_t now_us)
-{
-  for (guint i = w->runs->len; i-- > 0;)
-    {
-      struct lease_run *run = g_ptr_array_index (w->runs, i);
-      if (is_listed (result, &run->id))
-        continue;
-      bool stopped = run->state == LEASE_RUN_STOPPING && run->stop_acked_us > 0
-                     && run->stop_acked_us <= w->polled_us;
-      bool vanished = run->state == LEASE_RUN_RUNNING && run->started_us > 0
-                      && run->started_us <= w->polled_us;
-      if (stopped || vanished)
-        lease_end_run (table, w, run, LEASE_END_STOPPED, LEASE_CAUSE_UNLISTED,
-                       now_us);
-    }
-}
-
-/* The worker's process was restarted: runs that the former process has listed
-   have ended with it, and ends are numbered from 1 again.  A start that was
-   not listed may have reached either process.  It is settled by what the new
-   one lists and acknowledges; a stop that the former one has acknowledged
-   says nothing of the new one and is ordered again.  */
-static void
-on_restarted (struct lease_table *table, struct lease_worker *w,
-              int64_t now_us)
-{
-  w->last_end = 0;
-  lease_blame_runs (table, w, LEASE_CAUSE_RESTARTED);
-  for (guint i = w->runs->len; i-- > 0;)
-    {
-      struct lease_run *run = g_ptr_array_index (w->runs, i);
-      if (run->listed)
-        {
-          lease_end_run (table, w, run, LEASE_END_STOPPED,
-                         LEASE_CAUSE_RESTARTED, now_us);
-          continue;
-        }
-      run->stop_acked_us = 0;
-      if (run->state == LEASE_RUN_STOPPING)
-        lease_order_stop (table, w, run, now_us);
-    }
-  table->ops->changed (table->ctx, w);
-}
-
 /* Whether the worker answers as another incarnation than before.  */
 static bool
 update_incarnation (struct lease_worker *w,
@@ -324,15 +160,11 @@
   bool was_silent = w->state == LEASE_WORKER_SILENT;
   bool restarted = update_incarnation (w, result);
   if (restarted)
-    on_restarted (table, w, now_us);
+    lease_apply_restart (table, w, now_us);
   w->answered = true;
   w->answered_us = now_us;
   w->clock_offset_ms = result->clock_ms - now_us / 1000;
-  for (unsigned i = 0; i < result->n_ended; i++)
-    apply_end (table, w, &result->ended[i], now_us);
-  for (unsigned i = 0; i < result->n_running; i++)
-    apply_running (table, w, &result->running[i], now_us);
-  end_unlisted_runs (table, w, result, now_us);
+  lease_apply_lists (table, w, result, now_us);
   w->state = LEASE_WORKER_HELD;
   /* After a restart the next list, which settles what this one does not, is
      asked for at once.  */
--- a/tests/faults/mutants/readers-tell-nothing.sed
+++ b/tests/faults/mutants/readers-tell-nothing.sed
@@ -1,4 +1,4 @@
-# file: lib/cell/heartbeat.c
+# file: lib/cell/heard.c
 # test: cell_size_test
 # change: the readers of the registry tell their peers nothing
 s/cell_tell_workers (cell, peer);/(void)cell_tell_workers;/
--- a/tests/faults/mutants/restart-ends-all-runs.sed
+++ b/tests/faults/mutants/restart-ends-all-runs.sed
@@ -1,4 +1,4 @@
-# file: lib/lease/poll.c
+# file: lib/lease/listed.c
 # test: cell_loss_test
 # change: a restart of a worker ends also runs that its new process has started
 s/^      if (run->listed)$/      if (run != NULL)/
