tests: a paused holder beside holders of a former build

Cause: the mutant has a holder that was paused take its runs for expired although another holder may have renewed their lease. Since leases of found runs are renewed only once their owners have claimed them, no other holder of this build does that before the owner follows it, so that the emulated deployment can't show the difference. During an upgrade holders of the former build still renew at once, so that the mechanism is needed.

The test "a pause is not the silence of others" now renews the leases of the workers that are taken during a pause as such a holder does. The other bounds of the test are as they were.

--- a/tests/cell_loss_test.c
+++ b/tests/cell_loss_test.c
@@ -66,17 +66,54 @@
 
 #define REGISTRATION_US 700000 /* after which a silent one lapses */
 
+/* Renews the leases of the workers whose token is not the one in TOKENS any
+   more, as a holder of a former build does before the owners have claimed the
+   runs that it finds.  */
+static void
+renew_as_former_holders (struct world *world, const int64_t *tokens)
+{
+  int64_t now_us = world_now (world);
+  for (int i = 0; i < world->n_workers; i++)
+    {
+      struct world_worker *w = &world->workers[i];
+      if (w->model.token == tokens[i])
+        continue;
+      model_renew (&w->model, now_us + MODEL_MAX_LEASE_US, now_us);
+      world_schedule_worker (world, w);
+    }
+}
+
+/* Lets jobs arrive for US, while former holders renew.  */
+static void
+run_load_with_former_holders (struct world *world, int64_t us,
+                              const int64_t *tokens)
+{
+  int64_t end_us = world_now (world) + us;
+  for (int i = 0; world_now (world) < end_us; i++)
+    {
+      int to = (int)world_random_between (world, 0, world->n_instances - 1);
+      if (i % 50 == 0)
+        (void)world_submit (world, to, 2, 400000);
+      world_resend_lost_jobs (world);
+      world_run_for (world, 2000);
+      renew_as_former_holders (world, tokens);
+    }
+}
+
 /* Freezes an instance for PAUSE_US under load; its registration lapses
-   meanwhile.  */
+   meanwhile, and the others take its workers.  */
 static void
 pause_instance (struct world *world, int index, int64_t pause_us,
                 bool timers_first)
 {
   int64_t registered_us = MIN (pause_us, REGISTRATION_US);
+  int64_t tokens[WORLD_MAX_WORKERS];
+  for (int i = 0; i < world->n_workers; i++)
+    tokens[i] = world->workers[i].model.token;
   world_set_frozen (world, index, true);
-  run_load (world, registered_us, 2, 400000);
+  run_load_with_former_holders (world, registered_us, tokens);
   world_set_registered (world, index, false);
-  run_load (world, pause_us - registered_us, 2, 400000);
+  run_load_with_former_holders (world, pause_us - registered_us, tokens);
   world_thaw (world, index, timers_first);
   world_run_for (world, 50000);
   world_set_registered (world, index, true);
