tests: a start of an owner that has just been lost

Mutant lost-owner-served (a holder starts runs for an owner that it takes for lost) was not detected any more: 1 s after an owner has fallen silent, its start is refused anyway, since it is not known to hear the holder. For up to 0.2 s after the loss only the check that the mutant removes refuses it. The test now sends the start at that moment too, besides the two that it sent before; it passes, and fails with the mutant.

--- a/tests/cell_test.c
+++ b/tests/cell_test.c
@@ -439,6 +439,12 @@
   struct cell *cell = world->instances[0].cell;
   uint64_t owner = world->instances[1].incarnation;
   world_set_frozen (world, 1, true);
+  for (int i = 0; i < 30 && cell_count_live_peers (cell) > 0; i++)
+    world_run_for (world, 20000);
+  CU_ASSERT_EQUAL (cell_count_live_peers (cell), 0);
+  /* Its latest heartbeats still allow the renewal of leases.  */
+  CU_ASSERT_TRUE (cell_is_heard_by (cell, owner));
+  cell_on_start (cell, owner, &start);
   world_run_for (world, SECOND);
   cell_on_start (cell, owner, &start);
   cell_on_start (cell, owner + 2, &start);
