--- a/tests/cell_loss_test.c
+++ b/tests/cell_loss_test.c
@@ -107,7 +107,7 @@
                 bool timers_first)
 {
   int64_t registered_us = MIN (pause_us, REGISTRATION_US);
-  int64_t tokens[WORLD_MAX_WORKERS];
+  int64_t tokens[WORLD_MAX_WORKERS] = { 0 };
   for (int i = 0; i < world->n_workers; i++)
     tokens[i] = world->workers[i].model.token;
   world_set_frozen (world, index, true);
