lease: runs that a new holder finds do not expire before the former lease

What callers saw: two tasks more on a worker than its capacity, one task twice.

Cause: a failed poll takes the lease for expired if this holder has not renewed it for 1.05 s. A new holder used to renew with its first answered poll; now it waits for the claims of the runs that it finds, and until then the time of its last renewal was 0, so that one failed poll ended all of them, while the former holder's lease went on.

Change: the former holder may have renewed until the worker saw the new token, so that this counts as the latest renewal.

--- a/lib/lease/lease.h
+++ b/lib/lease/lease.h
@@ -187,7 +187,8 @@
   bool renewal_withheld;   /* the owner of some run may not hear this holder */
   int poll_wait_ms;        /* how long the latest poll waits */
   int64_t polled_us;       /* when the latest poll was sent */
-  int64_t renewed_us;      /* when the latest call with a lease was sent */
+  int64_t renewed_us;      /* latest time at which the lease may have been
+                              renewed, by this holder or a former one */
   int64_t answered_us;     /* when a poll was answered last, or it was taken */
   int64_t next_poll_us;    /* when to poll after a failure; 0: not waiting */
   int64_t poll_lost_us;    /* when a poll got no answer last; 0: never */
--- a/lib/lease/poll.c
+++ b/lib/lease/poll.c
@@ -161,6 +161,9 @@
   bool restarted = update_incarnation (w, result);
   if (restarted)
     lease_apply_restart (table, w, now_us);
+  /* A former holder may have renewed the lease until this token was seen.  */
+  if (first)
+    w->renewed_us = now_us;
   w->answered = true;
   w->answered_us = now_us;
   w->clock_offset_ms = result->clock_ms - now_us / 1000;
--- a/tests/lease_test.c
+++ b/tests/lease_test.c
@@ -252,6 +252,28 @@
   lease_table_free (table);
 }
 
+/* Guards against runs that a new holder finds and takes for expired while the
+   lease that the former holder has granted goes on: their resources would be
+   used twice, and their tasks started again beside them.  */
+static void
+test_found_runs_expire_only_with_the_former_lease (void)
+{
+  struct sink sink = { 0 };
+  struct lease_table *table = lease_table_new (&ops, &sink);
+  struct lease_running running = { .id = { 1, 0, 1 } };
+  (void)lease_take (table, &info, TOKEN, 5000 * MS);
+  answer_poll (table, &running, 1, NULL, 0, 5001 * MS);
+  lease_tick (table, 5021 * MS);
+  fail_poll (table, LEASE_REPLY_NO_ANSWER, 5100 * MS);
+  lease_tick (table, 5950 * MS);
+  fail_poll (table, LEASE_REPLY_NO_ANSWER, 6000 * MS);
+  CU_ASSERT_EQUAL (sink.ends, 0);
+  lease_tick (table, 6100 * MS);
+  fail_poll (table, LEASE_REPLY_NO_ANSWER, 6150 * MS);
+  CU_ASSERT_EQUAL (sink.ends, 1);
+  lease_table_free (table);
+}
+
 /* Guards against a worker that fails every run at once and, being free again,
    gets the next.  */
 static void
@@ -429,6 +451,8 @@
       test_the_lease_is_renewed_only_for_owners_that_hear },
     { "a stopped run does not hold up the lease",
       test_a_stopped_run_does_not_hold_up_the_lease },
+    { "found runs expire only with the former lease",
+      test_found_runs_expire_only_with_the_former_lease },
     { "the lease of found runs is renewed when claimed",
       test_the_lease_of_found_runs_is_renewed_when_claimed },
     { "unclaimed runs are stopped", test_unclaimed_runs_are_stopped },
