lease, owner, docs: what a second reading found; no change of behaviour

The comment at RUN_EXPIRY_US said that a successor stops the run; what counts is that it does not renew its lease unclaimed. "Deaf" was a word of this project's own. Two tests of cell_cut_test shared one line on what they guard against.

--- a/lib/owner/task.c
+++ b/lib/owner/task.c
@@ -3,9 +3,9 @@
 
 /* How long a run may go on after its holder was last heard: until the holder
    renews its lease no more, by a clock that is up to 3% slow, and then until
-   that lease has expired.  A holder that has died in the meantime has renewed
-   it no longer than that, and its successor, which may be out of reach as
-   well, stops the run.  Also used for runs that a holder reports as unknown.
+   that lease has expired.  A successor, which may be out of reach as well,
+   does not renew it before the owner has claimed the run.  Also used for runs
+   that a holder reports as unknown.
  */
 #define RUN_EXPIRY_US (LEASE_OWNER_LOST_US * 103 / 100 + LEASE_EXPIRY_US)
 /* After a holder rejects a start, the planner's report of that worker is out
--- a/tests/cell_cut_test.c
+++ b/tests/cell_cut_test.c
@@ -58,9 +58,7 @@
     }
 }
 
-/* Guards against a holder that takes a pause of its own off the silence of an
-   owner that it can't hear, and renews the lease of runs that the owner takes
-   for ended.  */
+/* Plays holders that are cut off, pause, and then die if DIES.  */
 static void
 cut_off_and_pause (bool dies)
 {
@@ -87,12 +85,17 @@
     }
 }
 
+/* Guards against a holder that takes a pause of its own off the silence of an
+   owner that it can't hear, and stops too late the runs that the owner takes
+   for ended.  */
 static void
 test_a_holder_that_is_cut_off_and_pauses (void)
 {
   cut_off_and_pause (false);
 }
 
+/* Guards against a holder that renews the lease of such runs when it goes on,
+   and dies before it has stopped them.  */
 static void
 test_a_holder_that_is_cut_off_pauses_and_dies (void)
 {
--- a/tests/lease_fixture.h
+++ b/tests/lease_fixture.h
@@ -29,7 +29,7 @@
   enum lease_reply silent_reply;
   struct lease_run_id ended;
   int64_t exposed_us;  /* another instance may have taken the worker then */
-  uint64_t deaf_owner; /* does not hear this holder */
+  uint64_t lost_owner; /* does not hear this holder */
 };
 
 static void
@@ -117,7 +117,7 @@
 is_heard_by (void *ctx, uint64_t owner)
 {
   const struct sink *sink = ctx;
-  return owner != sink->deaf_owner;
+  return owner != sink->lost_owner;
 }
 
 static const struct lease_ops ops = {
--- a/tests/lease_test.c
+++ b/tests/lease_test.c
@@ -198,7 +198,7 @@
   struct lease_running running = { .id = order.id };
   struct lease_order other = make_order (2, 1);
   other.owner = 10;
-  sink.deaf_owner = order.owner;
+  sink.lost_owner = order.owner;
   answer_poll (table, &running, 1, NULL, 0, 100 * MS);
   CU_ASSERT_EQUAL (sink.polls, 2); /* the next one waits */
   CU_ASSERT_FALSE (is_usable (table, 100 * MS));
@@ -208,7 +208,7 @@
   CU_ASSERT_EQUAL (sink.polls, 3);
   CU_ASSERT_EQUAL (sink.poll_deadline_ms, 0);
   answer_poll (table, &running, 1, NULL, 0, 121 * MS);
-  sink.deaf_owner = 0;
+  sink.lost_owner = 0;
   lease_tick (table, 141 * MS);
   CU_ASSERT_EQUAL (sink.poll_deadline_ms, 500000 + 141 + LEASE_MAX_MS);
   CU_ASSERT_TRUE (is_usable (table, 141 * MS));
@@ -224,7 +224,7 @@
   struct lease_table *table = lease_table_new (&ops, &sink);
   struct lease_order order = take_and_start (table);
   struct lease_running running = { .id = order.id };
-  sink.deaf_owner = order.owner;
+  sink.lost_owner = order.owner;
   lease_stop_runs_of_owner (table, order.owner, 50 * MS);
   answer_poll (table, &running, 1, NULL, 0, 51 * MS);
   CU_ASSERT_EQUAL (sink.polls, 2);
