cell, owner, lease: messages about runs name their lease and are applied under it only

A holder that lost a worker for a moment and found its runs again repeated the end of its former lease (unknown) after a connection was replaced.

Ended, Stop and Release name the token of the lease. The owner applies an end of another lease only if it says done or failed, which stays true. A holder refuses claims and stops of another lease, and stops of another owner; a claim of a former lease is answered with what was found under the present one. A hand-over of a former lease is ignored. A message without a token, from a former build, is applied as before.

Ruled out: remembering at the holder which ends belong to which lease and not repeating the former ones; a late message would still be applied.

--- a/lib/cell/assign.c
+++ b/lib/cell/assign.c
@@ -329,13 +329,15 @@
     return;
   int64_t now_us = pl_now_us (cell->clock);
   struct lease_worker *w = lease_find_worker (cell->leases, msg->worker);
-  if (w != NULL && w->token > msg->token)
+  /* A later lease than the one that was given up is in use, or was: whoever
+     has it has learned that from the worker.  */
+  if (known->highest_token > msg->token)
     return;
   /* This instance has not noticed yet that the sender's lease has fenced its
      own, older one.  */
   if (w != NULL)
     lease_worker_fenced (cell->leases, w, now_us);
-  known->highest_token = MAX (known->highest_token, msg->token);
+  known->highest_token = msg->token;
   take_worker (cell, known, now_us);
   cell_unsettle_worker (cell, known);
 }
--- a/lib/cell/cell.pb-c.c
+++ b/lib/cell/cell.pb-c.c
@@ -1964,7 +1964,7 @@
   (ProtobufCMessageInit) cellpb__refuse__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__release__field_descriptors[2] =
+static const ProtobufCFieldDescriptor cellpb__release__field_descriptors[3] =
 {
   {
     "worker",
@@ -1990,15 +1990,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "token",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Release, token),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cellpb__release__field_indices_by_name[] = {
   1,   /* field[1] = tag */
+  2,   /* field[2] = token */
   0,   /* field[0] = worker */
 };
 static const ProtobufCIntRange cellpb__release__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor cellpb__release__descriptor =
 {
@@ -2008,7 +2021,7 @@
   "Cellpb__Release",
   "cellpb",
   sizeof(Cellpb__Release),
-  2,
+  3,
   cellpb__release__field_descriptors,
   cellpb__release__field_indices_by_name,
   1,  cellpb__release__number_ranges,
@@ -2195,7 +2208,7 @@
   (ProtobufCMessageInit) cellpb__start__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__stop__field_descriptors[2] =
+static const ProtobufCFieldDescriptor cellpb__stop__field_descriptors[3] =
 {
   {
     "worker",
@@ -2221,15 +2234,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "token",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Stop, token),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cellpb__stop__field_indices_by_name[] = {
   1,   /* field[1] = id */
+  2,   /* field[2] = token */
   0,   /* field[0] = worker */
 };
 static const ProtobufCIntRange cellpb__stop__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor cellpb__stop__descriptor =
 {
@@ -2239,14 +2265,14 @@
   "Cellpb__Stop",
   "cellpb",
   sizeof(Cellpb__Stop),
-  2,
+  3,
   cellpb__stop__field_descriptors,
   cellpb__stop__field_indices_by_name,
   1,  cellpb__stop__number_ranges,
   (ProtobufCMessageInit) cellpb__stop__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__ended__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cellpb__ended__field_descriptors[6] =
 {
   {
     "worker",
@@ -2308,18 +2334,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "token",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Ended, token),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cellpb__ended__field_indices_by_name[] = {
   4,   /* field[4] = blame */
   2,   /* field[2] = end */
   1,   /* field[1] = id */
+  5,   /* field[5] = token */
   3,   /* field[3] = took_us */
   0,   /* field[0] = worker */
 };
 static const ProtobufCIntRange cellpb__ended__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor cellpb__ended__descriptor =
 {
@@ -2329,7 +2368,7 @@
   "Cellpb__Ended",
   "cellpb",
   sizeof(Cellpb__Ended),
-  5,
+  6,
   cellpb__ended__field_descriptors,
   cellpb__ended__field_indices_by_name,
   1,  cellpb__ended__number_ranges,
--- a/lib/cell/cell.pb-c.h
+++ b/lib/cell/cell.pb-c.h
@@ -275,10 +275,14 @@
    * of the task; see planner_task_tag
    */
   uint64_t tag;
+  /*
+   * of the lease in the grant; 0: of a former build
+   */
+  int64_t token;
 };
 #define CELLPB__RELEASE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cellpb__release__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 struct  Cellpb__RunId
@@ -326,10 +330,14 @@
   ProtobufCMessage base;
   uint64_t worker;
   Cellpb__RunId *id;
+  /*
+   * the lease that the run is on; 0: of a former build
+   */
+  int64_t token;
 };
 #define CELLPB__STOP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cellpb__stop__descriptor) \
-    , 0, NULL }
+    , 0, NULL, 0 }
 
 
 /*
@@ -350,10 +358,15 @@
    * enum lease_blame
    */
   uint32_t blame;
+  /*
+   * The lease under which the run ended, or which the order that is answered
+   * names. 0: of a former build.
+   */
+  int64_t token;
 };
 #define CELLPB__ENDED__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cellpb__ended__descriptor) \
-    , 0, NULL, 0, 0, 0 }
+    , 0, NULL, 0, 0, 0, 0 }
 
 
 /*
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -283,7 +283,8 @@
                       const struct lease_run_end *end);
 void cell_on_start (struct cell *cell, uint64_t sender,
                     const Cellpb__Start *msg);
-void cell_on_stop (struct cell *cell, const Cellpb__Stop *msg);
+void cell_on_stop (struct cell *cell, uint64_t sender,
+                   const Cellpb__Stop *msg);
 void cell_on_taken (struct cell *cell, uint64_t sender,
                     const Cellpb__Taken *msg);
 
--- a/lib/cell/check.c
+++ b/lib/cell/check.c
@@ -65,7 +65,8 @@
 {
   return ended->id != NULL && ended->end >= LEASE_END_DONE
          && ended->end <= LEASE_END_UNKNOWN
-         && ended->blame <= LEASE_BLAME_LIKELY && is_duration (ended->took_us);
+         && ended->blame <= LEASE_BLAME_LIKELY && is_duration (ended->took_us)
+         && is_token (ended->token);
 }
 
 static bool
@@ -136,7 +137,9 @@
     case CELLPB__ENVELOPE__BODY_START:
       return is_start (env->start);
     case CELLPB__ENVELOPE__BODY_STOP:
-      return env->stop->id != NULL;
+      return env->stop->id != NULL && is_token (env->stop->token);
+    case CELLPB__ENVELOPE__BODY_RELEASE:
+      return is_token (env->release->token);
     case CELLPB__ENVELOPE__BODY_ENDED:
       return is_ended (env->ended);
     case CELLPB__ENVELOPE__BODY_ROOM:
--- a/lib/cell/hold.c
+++ b/lib/cell/hold.c
@@ -50,6 +50,7 @@
   msg.end = (uint32_t)end->end;
   msg.took_us = end->took_us;
   msg.blame = (uint32_t)end->blame;
+  msg.token = end->token;
   Cellpb__Envelope env = CELL_ENVELOPE (ended, ENDED, &msg);
   cell_send (cell, to, &env);
 }
@@ -227,9 +228,12 @@
    - The run is still here: it is being stopped, and its end will be sent.
    - The run is not here, and the lease is the one that the claim names: the
      run has ended.
-   - This instance has another lease of the worker, or none: unknown.  A new
-     holder, if there is one, lists the run again for its owner, or stops the
-     run as unclaimed.  */
+   - This instance has a later lease of the worker: the owner has not learned
+     of that yet.  It is told again what was found, and claims its run under
+     this lease.
+   - This instance has no lease of the worker: unknown.  A new holder, if there
+     is one, lists the run again for its owner, or stops the run as unclaimed.
+ */
 static void
 answer_failed_claim (struct cell *cell, uint64_t worker,
                      const struct lease_worker *w,
@@ -238,10 +242,16 @@
   bool same_lease = w != NULL && w->answered && w->token == order->token;
   if (same_lease && lease_has_run (w, &order->id))
     return;
+  if (w != NULL && w->answered && w->token > order->token)
+    {
+      cell_send_taken (cell, order->owner, w);
+      return;
+    }
   struct lease_run_end end = {
     .id = order->id,
     .owner = order->owner,
     .end = same_lease ? LEASE_END_STOPPED : LEASE_END_UNKNOWN,
+    .token = order->token,
   };
   cell_send_ended (cell, worker, &end);
 }
@@ -280,6 +290,7 @@
         .id = order.id,
         .owner = sender,
         .end = LEASE_END_REJECTED,
+        .token = order.token,
       };
       cell_send_ended (cell, msg->worker, &end);
     }
@@ -287,12 +298,13 @@
 }
 
 void
-cell_on_stop (struct cell *cell, const Cellpb__Stop *msg)
+cell_on_stop (struct cell *cell, uint64_t sender, const Cellpb__Stop *msg)
 {
   struct lease_worker *w = lease_find_worker (cell->leases, msg->worker);
   struct lease_run_id id = cell_decode_run_id (msg->id);
   if (w != NULL)
-    lease_stop (cell->leases, w, &id, pl_now_us (cell->clock));
+    lease_stop (cell->leases, w, &id, sender, msg->token,
+                pl_now_us (cell->clock));
 }
 
 void
--- a/lib/cell/msg.c
+++ b/lib/cell/msg.c
@@ -153,14 +153,14 @@
       break;
     case CELLPB__ENVELOPE__BODY_RELEASE:
       planner_release_grant (cell->planner, env->release->worker,
-                             env->release->tag);
+                             env->release->token, env->release->tag);
       cell->plan_due = true;
       break;
     case CELLPB__ENVELOPE__BODY_START:
       cell_on_start (cell, sender, env->start);
       break;
     case CELLPB__ENVELOPE__BODY_STOP:
-      cell_on_stop (cell, env->stop);
+      cell_on_stop (cell, sender, env->stop);
       break;
     case CELLPB__ENVELOPE__BODY_ENDED:
       cell_on_ended (cell, sender, env->ended);
--- a/lib/cell/plan.c
+++ b/lib/cell/plan.c
@@ -167,12 +167,13 @@
 }
 
 static void
-send_release (void *ctx, uint64_t worker, uint64_t tag)
+send_release (void *ctx, uint64_t worker, int64_t token, uint64_t tag)
 {
   struct cell *cell = ctx;
   Cellpb__Release msg = CELLPB__RELEASE__INIT;
   msg.worker = worker;
   msg.tag = tag;
+  msg.token = token;
   Cellpb__Envelope env = CELL_ENVELOPE (release, RELEASE, &msg);
   cell_send_to_planner (cell, &env);
 }
@@ -212,7 +213,7 @@
 }
 
 static void
-send_stop (void *ctx, uint64_t holder, uint64_t worker,
+send_stop (void *ctx, uint64_t holder, uint64_t worker, int64_t token,
            const struct lease_run_id *id)
 {
   struct cell *cell = ctx;
@@ -220,6 +221,7 @@
   Cellpb__Stop msg = CELLPB__STOP__INIT;
   msg.worker = worker;
   msg.id = &run;
+  msg.token = token;
   Cellpb__Envelope env = CELL_ENVELOPE (stop, STOP, &msg);
   cell_send (cell, holder, &env);
 }
@@ -252,6 +254,7 @@
     .end = (enum lease_end)msg->end,
     .blame = (enum lease_blame)msg->blame,
     .took_us = msg->took_us,
+    .token = msg->token,
   };
   owner_on_run_end (cell->jobs, &end);
 }
--- a/lib/lease/lease.h
+++ b/lib/lease/lease.h
@@ -93,6 +93,7 @@
   enum lease_blame blame;
   int64_t took_us;   /* run time; 0: not known */
   int64_t age_us;    /* since its start was sent or it was found; 0: unknown */
+  int64_t token;     /* of the lease that END is about; 0: not known */
   bool acknowledged; /* the worker has shown that the run had started */
 };
 
@@ -320,14 +321,18 @@
    for it, or still has another run of the task.  */
 bool lease_start (struct lease_table *table, struct lease_worker *w,
                   const struct lease_order *order, int64_t now_us);
-/* Sets the owner of a run that was found on the worker; false if the run is
-   not there or has another owner.  */
+/* Sets the owner of a run that was found on the worker; false if the claim
+   names another lease, or the run is not there or has another owner.  */
 bool lease_claim (struct lease_table *table, struct lease_worker *w,
                   const struct lease_order *order, int64_t now_us);
 bool lease_has_run (const struct lease_worker *w,
                     const struct lease_run_id *id);
+/* Stops a run by order of OWNER, if the run is its own or has no owner yet.
+   TOKEN is that of the lease which the order names, 0 if it names none; an
+   order for another lease is ignored.  */
 void lease_stop (struct lease_table *table, struct lease_worker *w,
-                 const struct lease_run_id *id, int64_t now_us);
+                 const struct lease_run_id *id, uint64_t owner, int64_t token,
+                 int64_t now_us);
 /* The owner's messages may have been lost, stops among them: it has to claim
    its runs again, or they are stopped.  */
 void lease_require_claims (struct lease_table *table, uint64_t owner,
--- a/lib/lease/listed.c
+++ b/lib/lease/listed.c
@@ -33,6 +33,7 @@
         .id = end->id,
         .end = end_of_outcome (end->outcome),
         .cause = LEASE_CAUSE_ANSWER,
+        .token = w->token,
         .acknowledged = true,
       };
       table->ops->ended (table->ctx, w, &run_end);
--- a/lib/lease/run.c
+++ b/lib/lease/run.c
@@ -130,6 +130,7 @@
     .blame = never_started ? LEASE_BLAME_NONE : run->blame,
     .took_us = lease_run_time_us (run, now_us),
     .age_us = now_us - run->added_us,
+    .token = w->token,
     .acknowledged = lease_is_acknowledged (run),
   };
   g_ptr_array_remove_fast (w->runs, run);
@@ -210,7 +211,8 @@
              const struct lease_order *order, int64_t now_us)
 {
   struct lease_run *run = lease_find_run (w, &order->id);
-  if (run == NULL || (run->owner != 0 && run->owner != order->owner))
+  if (order->token != w->token || run == NULL
+      || (run->owner != 0 && run->owner != order->owner))
     return false;
   run->owner = order->owner;
   run->unclaimed_us = 0;
@@ -224,10 +226,14 @@
 
 void
 lease_stop (struct lease_table *table, struct lease_worker *w,
-            const struct lease_run_id *id, int64_t now_us)
+            const struct lease_run_id *id, uint64_t owner, int64_t token,
+            int64_t now_us)
 {
   struct lease_run *run = lease_find_run (w, id);
-  if (run != NULL && run->state != LEASE_RUN_STOPPING)
+  if (run == NULL || run->state == LEASE_RUN_STOPPING
+      || (token != 0 && token != w->token))
+    return;
+  if (run->owner == 0 || run->owner == owner)
     lease_order_stop (table, w, run, now_us);
 }
 
--- a/lib/owner/job.c
+++ b/lib/owner/job.c
@@ -137,7 +137,8 @@
       if (!owner_task_is_assigned (task))
         continue;
       struct lease_run_id id = { job->id, i, task->run };
-      table->ops->stop (table->ctx, task->holder, task->worker, &id);
+      table->ops->stop (table->ctx, task->holder, task->worker, task->token,
+                        &id);
     }
 }
 
--- a/lib/owner/owner.h
+++ b/lib/owner/owner.h
@@ -109,14 +109,16 @@
   void (*ask) (void *ctx, const struct planner_request *request);
   /* Withdraws the request of JOB.  */
   void (*drop) (void *ctx, uint64_t job);
-  /* Returns an unused grant; TAG is the task's planner_task_tag.  */
-  void (*release) (void *ctx, uint64_t worker, uint64_t tag);
+  /* Returns an unused grant under the lease TOKEN; TAG is the task's
+     planner_task_tag.  */
+  void (*release) (void *ctx, uint64_t worker, int64_t token, uint64_t tag);
   void (*start) (void *ctx, uint64_t holder, uint64_t worker,
                  const struct lease_order *order);
   /* Tells the holder that this instance owns a run on the worker.  */
   void (*claim) (void *ctx, uint64_t holder, uint64_t worker,
                  const struct lease_order *order);
-  void (*stop) (void *ctx, uint64_t holder, uint64_t worker,
+  /* TOKEN is that of the lease that the run is on.  */
+  void (*stop) (void *ctx, uint64_t holder, uint64_t worker, int64_t token,
                 const struct lease_run_id *id);
   /* The final answer; JOB is freed after the call.  */
   void (*answer) (void *ctx, struct owner_job *job,
@@ -165,6 +167,7 @@
   enum lease_end end;
   enum lease_blame blame;
   int64_t took_us; /* run time; 0: not known */
+  int64_t token;   /* of the lease that END is about; 0: not known */
 };
 
 /* END may be of a run of a job of another instance.  */
--- a/lib/owner/task.c
+++ b/lib/owner/task.c
@@ -51,7 +51,7 @@
                  && job->tasks[index].state == OWNER_TASK_WAITING;
   if (!waiting || is_bound_reached (job, placement->worker))
     {
-      table->ops->release (table->ctx, placement->worker,
+      table->ops->release (table->ctx, placement->worker, placement->token,
                            planner_task_tag (id, index));
       if (waiting)
         owner_requeue_task (table, job, &job->tasks[index]);
@@ -111,6 +111,18 @@
   return true;
 }
 
+/* Whether END is about the lease that TASK is on.  A holder that has lost the
+   worker and has it again repeats the ends of its former lease after those of
+   the present one, and a former holder doesn't know which runs its successor
+   found.  */
+static bool
+is_of_present_lease (const struct owner_task *task,
+                     const struct owner_run_end *end)
+{
+  return end->holder == task->holder
+         && (end->token == 0 || end->token == task->token);
+}
+
 void
 owner_on_run_end (struct owner_table *table, const struct owner_run_end *end)
 {
@@ -124,10 +136,10 @@
   if (!owner_task_is_assigned (task) || task->run != id->run
       || task->worker != end->worker)
     return;
-  /* A former holder doesn't know which runs its successor found: of its
-     messages only those count that tell of a run that was done or failed.  */
+  /* Of another lease only what stays true counts: that the run was done or has
+     failed.  */
   if (end->end != LEASE_END_DONE && end->end != LEASE_END_FAILED
-      && task->holder != end->holder)
+      && !is_of_present_lease (task, end))
     return;
   switch (end->end)
     {
--- a/lib/planner/planner.c
+++ b/lib/planner/planner.c
@@ -163,14 +163,17 @@
 
 void
 planner_release_grant (struct planner_state *planner, uint64_t worker,
-                       uint64_t tag)
+                       int64_t token, uint64_t tag)
 {
   struct worker_entry *w = g_hash_table_lookup (planner->workers, &worker);
   if (w == NULL)
     return;
   for (guint i = w->grants->len; i-- > 0;)
-    if (g_array_index (w->grants, struct grant, i).tag == tag)
-      g_array_remove_index_fast (w->grants, i);
+    {
+      const struct grant *grant = &g_array_index (w->grants, struct grant, i);
+      if (grant->tag == tag && (token == 0 || grant->token == token))
+        g_array_remove_index_fast (w->grants, i);
+    }
 }
 
 static void
@@ -273,6 +276,7 @@
 {
   struct grant grant = {
     .tag = planner_task_tag (job->request.job, index),
+    .token = w->report.token,
     .size = job->request.size,
     .granted_us = now_us,
   };
--- a/lib/planner/planner.h
+++ b/lib/planner/planner.h
@@ -159,10 +159,10 @@
                              uint64_t job);
 /* Removes all jobs of OWNER.  */
 void planner_remove_owner (struct planner_state *planner, uint64_t owner);
-/* Frees the capacity of an unused grant; TAG is the task's planner_task_tag.
- */
+/* Frees the capacity of an unused grant under the lease TOKEN, 0 if the lease
+   is not known; TAG is the task's planner_task_tag.  */
 void planner_release_grant (struct planner_state *planner, uint64_t worker,
-                            uint64_t tag);
+                            int64_t token, uint64_t tag);
 /* Grants and refuses what can be decided at NOW_US.  */
 void planner_schedule (struct planner_state *planner, int64_t now_us);
 /* The number of jobs with waiting tasks.  */
--- a/lib/planner/planner_priv.h
+++ b/lib/planner/planner_priv.h
@@ -6,7 +6,8 @@
 /* A granted task that no report of the worker's holder lists yet.  */
 struct grant
 {
-  uint64_t tag; /* planner_task_tag */
+  uint64_t tag;  /* planner_task_tag */
+  int64_t token; /* of the lease under which the task may start */
   struct planner_resources size;
   int64_t granted_us;
 };
--- a/tests/cell_cut_test.c
+++ b/tests/cell_cut_test.c
@@ -226,6 +226,57 @@
     }
 }
 
+/* Cuts a failure domain off for US, as a firewall does that resets connections
+   and refuses new ones: the instances inside take the others for ended, and
+   their workers, which they can reach when the cut heals.  */
+static void
+reset_and_refuse (struct world *world, int domain, int64_t us)
+{
+  world_set_domain_cut (world, domain, true);
+  for (int from = 0; from < world->n_instances; from++)
+    for (int to = 0; to < world->n_instances; to++)
+      if (world->cut[from][to])
+        world_reset_link (world, from, to);
+  run_load (world, us, 2, RUN_US);
+  world_set_domain_cut (world, domain, false);
+}
+
+/* Resets a tenth of the connections between instances.  */
+static void
+reset_some_links (struct world *world)
+{
+  for (int from = 0; from < world->n_instances; from++)
+    for (int to = 0; to < world->n_instances; to++)
+      if (from != to && world_random_chance (world, 0.1))
+        world_reset_link (world, from, to);
+}
+
+/* Guards against a message of a former lease that is repeated after a
+   connection was lost, and is applied to the run under the lease that followed
+   it: the holder has lost its workers to others for a moment, and has found
+   its runs again.  */
+static void
+test_resets_after_a_cut (void)
+{
+  static const int64_t pauses_us[] = { 50000, 100000, 150000, 300000 };
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      struct world *world = start_deployment (seed, 6, 4);
+      world->cut_refuses = true;
+      for (int i = 0; i < ROUNDS; i++)
+        {
+          run_load (world, 2 * SECOND, 2, RUN_US);
+          reset_and_refuse (world, i % 4, 1300000);
+          for (size_t k = 0; k < G_N_ELEMENTS (pauses_us); k++)
+            {
+              world_run_for (world, pauses_us[k]);
+              reset_some_links (world);
+            }
+        }
+      end_deployment (world, "resets after a cut", seed);
+    }
+}
+
 int
 main (void)
 {
@@ -244,6 +295,7 @@
       test_an_owner_that_dies_before_its_holder },
     { "a holder that is cut off and cannot stop",
       test_a_holder_that_is_cut_off_and_cannot_stop },
+    { "resets after a cut", test_resets_after_a_cut },
     CU_TEST_INFO_NULL,
   };
   const char *level = getenv ("PAPAYALOFT_LOG");
--- a/tests/cell_test.c
+++ b/tests/cell_test.c
@@ -119,6 +119,12 @@
   cell_on_yield (cell, &yield);
   CU_ASSERT_EQUAL (lease_find_worker (cell_leases (cell), worker)->token,
                    token);
+  /* Nor does it when this instance has lost the worker to a later lease.  */
+  lease_worker_fenced (cell_leases (cell),
+                       lease_find_worker (cell_leases (cell), worker),
+                       world_now (world));
+  cell_on_yield (cell, &yield);
+  CU_ASSERT_PTR_NULL (lease_find_worker (cell_leases (cell), worker));
   world_free (world);
 }
 
--- a/tests/lease_test.c
+++ b/tests/lease_test.c
@@ -377,6 +377,30 @@
   lease_table_free (table);
 }
 
+/* Guards against a claim of a former lease that keeps a run which its owner
+   has given up since, and against a stop that ends the run of another owner or
+   of a later lease.  An order without a lease is of a former build.  */
+static void
+test_orders_for_other_leases_are_ignored (void)
+{
+  struct sink sink = { 0 };
+  struct lease_table *table = lease_table_new (&ops, &sink);
+  struct lease_worker *w = lease_take (table, &info, TOKEN, 0);
+  struct lease_running running[] = { { .id = { 1, 0, 1 } } };
+  answer_poll (table, running, 1, NULL, 0, MS);
+  struct lease_order claim = make_order (1, 1);
+  claim.token = TOKEN - 1;
+  CU_ASSERT_FALSE (lease_claim (table, w, &claim, MS));
+  claim.token = TOKEN;
+  CU_ASSERT_TRUE (lease_claim (table, w, &claim, MS));
+  lease_stop (table, w, &claim.id, claim.owner, TOKEN - 1, 2 * MS);
+  lease_stop (table, w, &claim.id, claim.owner + 1, TOKEN, 2 * MS);
+  CU_ASSERT_EQUAL (sink.stops, 0);
+  lease_stop (table, w, &claim.id, claim.owner, 0, 2 * MS);
+  CU_ASSERT_EQUAL (sink.stops, 1);
+  lease_table_free (table);
+}
+
 /* Guards against runs that hang until the deadline of their job.  */
 static void
 test_a_hanging_run_is_stopped (void)
@@ -463,6 +487,8 @@
     { "no run is a straggler without fresh answers",
       test_no_run_is_a_straggler_without_fresh_answers },
     { "at most half are ejected", test_at_most_half_are_ejected },
+    { "orders for other leases are ignored",
+      test_orders_for_other_leases_are_ignored },
     { "a hanging run is stopped", test_a_hanging_run_is_stopped },
     { "a late first answer is a take", test_a_late_first_answer_is_a_take },
     { "a worker that refuses connections gets no starts",
--- a/tests/owner_test.c
+++ b/tests/owner_test.c
@@ -47,9 +47,10 @@
 }
 
 static void
-on_release (void *ctx, uint64_t worker, uint64_t tag)
+on_release (void *ctx, uint64_t worker, int64_t token, uint64_t tag)
 {
   (void)worker;
+  (void)token;
   (void)tag;
   ((struct calls *)ctx)->releases++;
 }
@@ -76,10 +77,11 @@
 }
 
 static void
-on_stop (void *ctx, uint64_t holder, uint64_t worker,
+on_stop (void *ctx, uint64_t holder, uint64_t worker, int64_t token,
          const struct lease_run_id *id)
 {
   (void)holder;
+  (void)token;
   (void)worker;
   (void)id;
   ((struct calls *)ctx)->stops++;
@@ -146,9 +148,11 @@
   owner_on_grant (fixture->table, 1, index, &placement);
 }
 
+/* Reports an end under the lease TOKEN; 0: by a holder of a former build,
+   which does not name the lease.  */
 static void
-end_run (struct fixture *fixture, uint32_t index, uint32_t run,
-         enum lease_end end)
+end_run_under (struct fixture *fixture, int64_t token, uint32_t index,
+               uint32_t run, enum lease_end end)
 {
   struct owner_run_end run_end = {
     .worker = WORKER,
@@ -156,10 +160,18 @@
     .id = { 1, index, run },
     .end = end,
     .took_us = 100 * MS,
+    .token = token,
   };
   owner_on_run_end (fixture->table, &run_end);
 }
 
+static void
+end_run (struct fixture *fixture, uint32_t index, uint32_t run,
+         enum lease_end end)
+{
+  end_run_under (fixture, 0, index, run, end);
+}
+
 /* Guards against a job that is answered before all its tasks are done.  */
 static void
 test_answer_waits_for_all_tasks (void)
@@ -374,6 +386,55 @@
   owner_table_free (fixture.table);
 }
 
+/* Has the holder lose the worker for a moment and find run 1 of task 0 again
+   under the lease 11, and repeat END of the lease 10.  */
+static void
+repeat_end_of_former_lease (struct fixture *fixture, enum lease_end end)
+{
+  fixture_init (fixture, 1);
+  grant (fixture, 0, 10);
+  end_run_under (fixture, 10, 0, 1, LEASE_END_UNKNOWN);
+  struct owner_placement later = { WORKER, HOLDER, 11 };
+  struct lease_run_id id = { 1, 0, 1 };
+  owner_on_worker_taken (fixture->table, &later, &id, 1);
+  CU_ASSERT_EQUAL (fixture->calls.claims, 1);
+  end_run_under (fixture, 10, 0, 1, end);
+  pl_manual_clock_advance (&fixture->clock, 1800 * MS);
+  owner_tick (fixture->table);
+  owner_flush_requests (fixture->table);
+}
+
+/* Guards against a second start of a run that goes on, because the end of a
+   former lease of the same holder is repeated after the run was claimed.  */
+static void
+test_ends_of_former_leases_are_ignored (void)
+{
+  static const enum lease_end ends[]
+      = { LEASE_END_UNKNOWN, LEASE_END_STOPPED, LEASE_END_REJECTED,
+          LEASE_END_OLD_RUN };
+  for (size_t i = 0; i < G_N_ELEMENTS (ends); i++)
+    {
+      struct fixture fixture;
+      repeat_end_of_former_lease (&fixture, ends[i]);
+      CU_ASSERT_EQUAL (fixture.calls.requests, 1);
+      end_run_under (&fixture, 11, 0, 1, LEASE_END_STOPPED);
+      owner_flush_requests (fixture.table);
+      CU_ASSERT_EQUAL (fixture.calls.requests, 2);
+      owner_table_free (fixture.table);
+    }
+}
+
+/* Guards against a task that is started again after it was done, because its
+   end came under another lease than the one that its owner knows.  */
+static void
+test_a_done_run_counts_under_every_lease (void)
+{
+  struct fixture fixture;
+  repeat_end_of_former_lease (&fixture, LEASE_END_DONE);
+  CU_ASSERT_EQUAL (fixture.calls.codes[PL_OK], 1);
+  owner_table_free (fixture.table);
+}
+
 /* Guards against a second start while the first run may still have a lease. */
 static void
 test_lost_run_expires_before_next_start (void)
@@ -541,6 +602,10 @@
     { "notices of earlier leases are ignored",
       test_notices_of_earlier_leases_are_ignored },
     { "a listed run is claimed", test_a_listed_run_is_claimed },
+    { "ends of former leases are ignored",
+      test_ends_of_former_leases_are_ignored },
+    { "a done run counts under every lease",
+      test_a_done_run_counts_under_every_lease },
     { "a lost run expires before the next start",
       test_lost_run_expires_before_next_start },
     { "an aborted job is stopped", test_aborted_job_is_stopped },
--- a/tests/planner_test.c
+++ b/tests/planner_test.c
@@ -182,7 +182,7 @@
   request.waiting = second;
   request.n_placed = 1;
   request.placed = &placed;
-  planner_release_grant (planner, decisions.workers[1],
+  planner_release_grant (planner, decisions.workers[1], 0,
                          planner_task_tag (10, 1));
   planner_put_request (planner, &request);
   struct planner_worker_report report
@@ -289,13 +289,36 @@
   CU_ASSERT_EQUAL (decisions.grants, 1);
   put_request (planner, 11, 1, 14000, 60 * MS, MS);
   report_worker (planner, 1, 16000, 14000);
-  planner_release_grant (planner, 1, planner_task_tag (10, 0));
+  planner_release_grant (planner, 1, 0, planner_task_tag (10, 0));
   report_worker (planner, 1, 16000, 0);
   planner_schedule (planner, 2 * MS);
   CU_ASSERT_EQUAL (decisions.jobs[1], 10);
   planner_free (planner);
 }
 
+/* Guards against a grant that is taken for unused because the release of an
+   earlier one, under a former lease of the worker, comes late.  */
+static void
+test_a_release_names_its_lease (void)
+{
+  struct decisions decisions = { 0 };
+  struct planner_state *planner = planner_new (&ops, &decisions);
+  struct planner_worker_report report = make_report (1, 16000, 0);
+  report.token = 2;
+  planner_update_worker (planner, &report, 0);
+  put_request (planner, 10, 1, 14000, 900 * MS, 0);
+  put_request (planner, 11, 1, 14000, 900 * MS, 0);
+  planner_schedule (planner, 0);
+  uint64_t tag = planner_task_tag (decisions.jobs[0], 0);
+  planner_release_grant (planner, 1, 1, tag);
+  planner_schedule (planner, MS);
+  CU_ASSERT_EQUAL (decisions.grants, 1);
+  planner_release_grant (planner, 1, 2, tag);
+  planner_schedule (planner, MS);
+  CU_ASSERT_EQUAL (decisions.grants, 2);
+  planner_free (planner);
+}
+
 /* Guards against jobs that wait for their deadline when all workers are lost,
    although they can't end in time any more.  */
 static void
@@ -508,7 +531,7 @@
   report_slowness (planner, 1, 14000, 100, 0);
   report_slowness (planner, 2, 0, 400, 0);
   put_request (planner, 11, 1, 14000, 200 * MS, 0);
-  planner_release_grant (planner, 2, planner_task_tag (10, 0));
+  planner_release_grant (planner, 2, 0, planner_task_tag (10, 0));
   planner_schedule (planner, 0);
   CU_ASSERT_EQUAL (decisions.grants, 1);
   planner_schedule (planner, 180 * MS);
@@ -562,6 +585,7 @@
       test_jobs_behind_a_long_queue_are_refused_at_once },
     { "started jobs are finished first",
       test_started_jobs_are_finished_first },
+    { "a release names its lease", test_a_release_names_its_lease },
     { "a hopeless job is refused at once",
       test_a_hopeless_job_is_refused_at_once },
     { "retries of refused callers are spread",
--- a/tests/world_base.h
+++ b/tests/world_base.h
@@ -130,6 +130,7 @@
   bool cut[WORLD_MAX_INSTANCES][WORLD_MAX_INSTANCES];
   bool cut_worker[WORLD_MAX_INSTANCES][WORLD_MAX_WORKERS];
   bool delay_cut_frames;     /* frames of a cut link arrive when it heals */
+  bool cut_refuses;          /* connections over a cut link are refused */
   GPtrArray *delayed_frames; /* struct world_event */
   GPtrArray *link_peers;     /* uint64_t: those of all connections */
   int64_t call_timeout_us;   /* least time limit of a call to a worker */
--- a/tests/world_links.h
+++ b/tests/world_links.h
@@ -40,9 +40,11 @@
       world_process_queued (world, event->from);
       return;
     }
+  if (cut && world->cut_refuses)
+    cell_outgoing_link_down (cell, link, true);
   struct world_event *again = g_memdup2 (event, sizeof *event);
   again->at_us = world_now (world) + WORLD_RECONNECT_US
-                 + (cut ? WORLD_CONNECT_TIMEOUT_US : 0);
+                 + (cut && !world->cut_refuses ? WORLD_CONNECT_TIMEOUT_US : 0);
   again->seq = world->seq++;
   world_schedule (world, again);
 }
