evac: no task starts on the workers of an evacuated failure domain

lib/evac keeps, for each domain, the store's revision of the latest change and whether the domain is evacuated. It is read from the store and relayed by heartbeats (field 23); the higher revision counts. The holder refuses starts on workers of the domain as not run and reports them as unusable; the planner refuses at once the jobs of services that have no other workers.

Ruled out: marking workers as draining one by one (new workers of the domain would not be marked), and a check at the planner only (two planners may plan for a while).

--- a/lib/base/events.gen.c
+++ b/lib/base/events.gen.c
@@ -54,6 +54,8 @@
   { .event = PL_EV_RESUMED, .name = "RESUMED", .level = G_LOG_LEVEL_WARNING },
   { .event = PL_EV_SHARD, .name = "SHARD", .level = G_LOG_LEVEL_MESSAGE },
   { .event = PL_EV_ADOPT, .name = "ADOPT", .level = G_LOG_LEVEL_MESSAGE },
+  { .event = PL_EV_EVACUATE, .name = "EVACUATE", .level = G_LOG_LEVEL_MESSAGE },
+  { .event = PL_EV_EVACUATION_END, .name = "EVACUATION_END", .level = G_LOG_LEVEL_MESSAGE },
   { .event = PL_EV_LOAD, .name = "LOAD", .level = G_LOG_LEVEL_INFO },
   { .event = PL_EV_CONF_APPLIED, .name = "CONF_APPLIED", .level = G_LOG_LEVEL_MESSAGE },
   { .event = PL_EV_CONF_STALE, .name = "CONF_STALE", .level = G_LOG_LEVEL_INFO },
@@ -63,6 +65,7 @@
   { .event = PL_EV_WATCH, .name = "WATCH", .level = G_LOG_LEVEL_MESSAGE },
   { .event = PL_EV_LEASE_LOST, .name = "LEASE_LOST", .level = G_LOG_LEVEL_WARNING },
   { .event = PL_EV_LOG_DROPPED, .name = "LOG_DROPPED", .level = G_LOG_LEVEL_WARNING },
+  { .event = PL_EV_EVACUATION_BAD, .name = "EVACUATION_BAD", .level = G_LOG_LEVEL_WARNING },
   { .event = PL_EV_TOOL, .name = "TOOL", .level = G_LOG_LEVEL_INFO },
 };
 
--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -57,6 +57,7 @@
   cell->searches = table_new (NULL, g_free);
   cell->leases = lease_table_new (&cell_lease_ops, cell);
   cell->jobs = owner_table_new (cell->clock, &cell_owner_ops, cell);
+  cell->evacuations = evac_table_new ();
   cell->planner = planner_new (&cell_planner_ops, cell);
   cell->config = g_bytes_new (NULL, 0);
   g_queue_init (&cell->inbox);
@@ -90,6 +91,7 @@
   lease_table_free (cell->leases);
   owner_table_free (cell->jobs);
   planner_free (cell->planner);
+  evac_table_free (cell->evacuations);
   g_hash_table_unref (cell->fleet);
   g_hash_table_unref (cell->domains);
   g_hash_table_unref (cell->peers);
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -16,6 +16,7 @@
    must come from one thread.  */
 #pragma once
 
+#include "evac.h"
 #include "lease.h"
 #include "owner.h"
 
@@ -105,6 +106,14 @@
 /* Sets whether what is known here of the registry is complete and up to date.
    If not, a silent peer's registration does not show that it is running.  */
 void cell_set_registry_fresh (struct cell *cell, bool fresh);
+/* Takes over what the store tells of the evacuation of a failure domain.
+   False if it is no valid entry, or there are too many of them.  */
+bool cell_set_evacuation (struct cell *cell, const struct evac_entry *entry);
+/* A complete listing of the store as of REVISION names just the N domains at
+   LISTED as evacuated.  */
+void cell_end_unlisted_evacuations (struct cell *cell, const uint64_t *listed,
+                                    unsigned n, int64_t revision);
+unsigned cell_count_evacuated_domains (const struct cell *cell);
 /* Adds ADDR as the address of a possible peer and connects to it.  */
 void cell_add_peer (struct cell *cell, struct pl_addr addr);
 
--- a/lib/cell/cell.pb-c.c
+++ b/lib/cell/cell.pb-c.c
@@ -52,6 +52,51 @@
   assert(message->base.descriptor == &cellpb__held__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cellpb__evacuation__init
+                     (Cellpb__Evacuation         *message)
+{
+  static const Cellpb__Evacuation init_value = CELLPB__EVACUATION__INIT;
+  *message = init_value;
+}
+size_t cellpb__evacuation__get_packed_size
+                     (const Cellpb__Evacuation *message)
+{
+  assert(message->base.descriptor == &cellpb__evacuation__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cellpb__evacuation__pack
+                     (const Cellpb__Evacuation *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cellpb__evacuation__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cellpb__evacuation__pack_to_buffer
+                     (const Cellpb__Evacuation *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cellpb__evacuation__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cellpb__Evacuation *
+       cellpb__evacuation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cellpb__Evacuation *)
+     protobuf_c_message_unpack (&cellpb__evacuation__descriptor,
+                                allocator, len, data);
+}
+void   cellpb__evacuation__free_unpacked
+                     (Cellpb__Evacuation *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cellpb__evacuation__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cellpb__heartbeat__init
                      (Cellpb__Heartbeat         *message)
 {
@@ -1151,7 +1196,71 @@
   (ProtobufCMessageInit) cellpb__held__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__heartbeat__field_descriptors[22] =
+static const ProtobufCFieldDescriptor cellpb__evacuation__field_descriptors[3] =
+{
+  {
+    "domain",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Evacuation, domain),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "revision",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Evacuation, revision),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "active",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Evacuation, active),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cellpb__evacuation__field_indices_by_name[] = {
+  2,   /* field[2] = active */
+  0,   /* field[0] = domain */
+  1,   /* field[1] = revision */
+};
+static const ProtobufCIntRange cellpb__evacuation__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cellpb__evacuation__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cellpb.Evacuation",
+  "Evacuation",
+  "Cellpb__Evacuation",
+  "cellpb",
+  sizeof(Cellpb__Evacuation),
+  3,
+  cellpb__evacuation__field_descriptors,
+  cellpb__evacuation__field_indices_by_name,
+  1,  cellpb__evacuation__number_ranges,
+  (ProtobufCMessageInit) cellpb__evacuation__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cellpb__heartbeat__field_descriptors[23] =
 {
   {
     "name",
@@ -1417,6 +1526,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "evacuations",
+    23,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cellpb__Heartbeat, n_evacuations),
+    offsetof(Cellpb__Heartbeat, evacuations),
+    &cellpb__evacuation__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cellpb__heartbeat__field_indices_by_name[] = {
   19,   /* field[19] = asks_state */
@@ -1427,6 +1548,7 @@
   4,   /* field[4] = draining */
   21,   /* field[21] = echo_us */
   20,   /* field[20] = echoes */
+  22,   /* field[22] = evacuations */
   6,   /* field[6] = heard */
   7,   /* field[7] = held */
   2,   /* field[2] = ip */
@@ -1445,7 +1567,7 @@
 static const ProtobufCIntRange cellpb__heartbeat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 22 }
+  { 0, 23 }
 };
 const ProtobufCMessageDescriptor cellpb__heartbeat__descriptor =
 {
@@ -1455,7 +1577,7 @@
   "Cellpb__Heartbeat",
   "cellpb",
   sizeof(Cellpb__Heartbeat),
-  22,
+  23,
   cellpb__heartbeat__field_descriptors,
   cellpb__heartbeat__field_indices_by_name,
   1,  cellpb__heartbeat__number_ranges,
--- a/lib/cell/cell.pb-c.h
+++ b/lib/cell/cell.pb-c.h
@@ -16,6 +16,7 @@
 
 
 typedef struct Cellpb__Held Cellpb__Held;
+typedef struct Cellpb__Evacuation Cellpb__Evacuation;
 typedef struct Cellpb__Heartbeat Cellpb__Heartbeat;
 typedef struct Cellpb__Amount Cellpb__Amount;
 typedef struct Cellpb__Ask Cellpb__Ask;
@@ -64,6 +65,27 @@
     , 0, 0, 0 }
 
 
+/*
+ * The latest change that the sender knows of the evacuation of a failure domain.
+ */
+struct  Cellpb__Evacuation
+{
+  ProtobufCMessage base;
+  uint64_t domain;
+  /*
+   * of the store
+   */
+  int64_t revision;
+  /*
+   * it is evacuated
+   */
+  protobuf_c_boolean active;
+};
+#define CELLPB__EVACUATION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cellpb__evacuation__descriptor) \
+    , 0, 0, 0 }
+
+
 /*
  * Heartbeat, sent to all peers periodically.
  */
@@ -139,10 +161,15 @@
    * sender has handled. 0: the sender treats the receiver as lost.
    */
   int64_t echo_us;
+  /*
+   * a domain that is missing: no news of it
+   */
+  size_t n_evacuations;
+  Cellpb__Evacuation **evacuations;
 };
 #define CELLPB__HEARTBEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cellpb__heartbeat__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL }
 
 
 /*
@@ -668,6 +695,25 @@
 void   cellpb__held__free_unpacked
                      (Cellpb__Held *message,
                       ProtobufCAllocator *allocator);
+/* Cellpb__Evacuation methods */
+void   cellpb__evacuation__init
+                     (Cellpb__Evacuation         *message);
+size_t cellpb__evacuation__get_packed_size
+                     (const Cellpb__Evacuation   *message);
+size_t cellpb__evacuation__pack
+                     (const Cellpb__Evacuation   *message,
+                      uint8_t             *out);
+size_t cellpb__evacuation__pack_to_buffer
+                     (const Cellpb__Evacuation   *message,
+                      ProtobufCBuffer     *buffer);
+Cellpb__Evacuation *
+       cellpb__evacuation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cellpb__evacuation__free_unpacked
+                     (Cellpb__Evacuation *message,
+                      ProtobufCAllocator *allocator);
 /* Cellpb__Heartbeat methods */
 void   cellpb__heartbeat__init
                      (Cellpb__Heartbeat         *message);
@@ -1110,6 +1156,9 @@
 typedef void (*Cellpb__Held_Closure)
                  (const Cellpb__Held *message,
                   void *closure_data);
+typedef void (*Cellpb__Evacuation_Closure)
+                 (const Cellpb__Evacuation *message,
+                  void *closure_data);
 typedef void (*Cellpb__Heartbeat_Closure)
                  (const Cellpb__Heartbeat *message,
                   void *closure_data);
@@ -1186,6 +1235,7 @@
 /* --- descriptors --- */
 
 extern const ProtobufCMessageDescriptor cellpb__held__descriptor;
+extern const ProtobufCMessageDescriptor cellpb__evacuation__descriptor;
 extern const ProtobufCMessageDescriptor cellpb__heartbeat__descriptor;
 extern const ProtobufCMessageDescriptor cellpb__amount__descriptor;
 extern const ProtobufCMessageDescriptor cellpb__ask__descriptor;
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -96,6 +96,7 @@
   GHashTable *unsettled; /* set of keys of WORKERS, see assign.c */
   struct lease_table *leases;
   struct owner_table *jobs;
+  struct evac_table *evacuations;
   struct planner_state *planner; /* in use while this instance plans */
   /* The instance that plans.  0: it was lost and the next one is not chosen
      yet.  */
@@ -244,6 +245,12 @@
 void cell_ask_for_workers (struct cell *cell);
 void cell_on_registry (struct cell *cell, const Cellpb__Registry *msg);
 
+/* Evacuations of failure domains (evacuate.c).  */
+/* Whether no task may start on the workers of DOMAIN.  */
+bool cell_is_evacuated (const struct cell *cell, uint64_t domain);
+/* Takes over what a peer tells.  */
+void cell_read_evacuations (struct cell *cell, const Cellpb__Heartbeat *msg);
+
 /* Reports of held workers to the planner (report.c, message Room).  */
 void cell_send_due_reports (struct cell *cell);
 void cell_mark_all_reports_due (struct cell *cell);
--- a/lib/cell/check.c
+++ b/lib/cell/check.c
@@ -75,13 +75,25 @@
          && is_duration (start->expect_us) && is_token (start->token);
 }
 
+static bool
+are_evacuations (const Cellpb__Heartbeat *msg)
+{
+  for (size_t i = 0; i < msg->n_evacuations; i++)
+    if (msg->evacuations[i]->revision <= 0
+        || !is_token (msg->evacuations[i]->revision)
+        || msg->evacuations[i]->domain == 0)
+      return false;
+  return msg->n_evacuations <= EVAC_MAX_DOMAINS;
+}
+
 static bool
 is_heartbeat (const Cellpb__Heartbeat *msg)
 {
   for (size_t i = 0; i < msg->n_held; i++)
     if (!is_token (msg->held[i]->token))
       return false;
-  return msg->port != 0 && msg->port <= UINT16_MAX && is_token (msg->echo_us);
+  return msg->port != 0 && msg->port <= UINT16_MAX && is_token (msg->echo_us)
+         && are_evacuations (msg);
 }
 
 static bool
--- a/lib/cell/heard.c
+++ b/lib/cell/heard.c
@@ -190,6 +190,7 @@
   peer->registry_stale = msg->registry_stale;
   cell_follow_mode (cell, peer);
   read_held (cell, peer, msg);
+  cell_read_evacuations (cell, msg);
   add_listed_peers (cell, msg);
   on_heard (cell, peer, env);
   if (new_peer || msg->asks_state) /* tells it at once that we hear it */
--- a/lib/cell/heartbeat.c
+++ b/lib/cell/heartbeat.c
@@ -70,6 +70,28 @@
     g_ptr_array_add (pointers, &g_array_index (held, Cellpb__Held, i));
 }
 
+/* Collects what is known of evacuations in EVACUATIONS, and in POINTERS
+   pointers to its entries.  */
+static void
+collect_evacuations (struct cell *cell, GArray *evacuations,
+                     GPtrArray *pointers)
+{
+  g_autoptr (GArray) known = evac_list (cell->evacuations);
+  for (guint i = 0; i < known->len; i++)
+    {
+      const struct evac_entry *entry
+          = &g_array_index (known, struct evac_entry, i);
+      Cellpb__Evacuation msg = CELLPB__EVACUATION__INIT;
+      msg.domain = entry->domain;
+      msg.revision = entry->revision;
+      msg.active = entry->active;
+      g_array_append_val (evacuations, msg);
+    }
+  for (guint i = 0; i < evacuations->len; i++)
+    g_ptr_array_add (pointers,
+                     &g_array_index (evacuations, Cellpb__Evacuation, i));
+}
+
 /* Hash of what MSG tells, never 0.  */
 static uint64_t
 hash_state (const Cellpb__Heartbeat *msg)
@@ -88,6 +110,8 @@
   struct heard heard;
   GArray *held;            /* Cellpb__Held */
   GPtrArray *held_entries; /* pointers to them */
+  GArray *evacuations;     /* Cellpb__Evacuation */
+  GPtrArray *evacuation_entries;
 };
 
 static void
@@ -98,6 +122,8 @@
   full->heard.ports = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   full->held = g_array_new (FALSE, FALSE, sizeof (Cellpb__Held));
   full->held_entries = g_ptr_array_new ();
+  full->evacuations = g_array_new (FALSE, FALSE, sizeof (Cellpb__Evacuation));
+  full->evacuation_entries = g_ptr_array_new ();
   Cellpb__Heartbeat *msg = &full->msg;
   cellpb__heartbeat__init (msg);
   collect_heard (cell, &full->heard);
@@ -105,6 +131,9 @@
   collect_held (cell, full->held, full->held_entries);
   msg->held = (Cellpb__Held **)full->held_entries->pdata;
   msg->n_held = full->held_entries->len;
+  collect_evacuations (cell, full->evacuations, full->evacuation_entries);
+  msg->evacuations = (Cellpb__Evacuation **)full->evacuation_entries->pdata;
+  msg->n_evacuations = full->evacuation_entries->len;
   msg->name = cell->name;
   msg->domain = cell->domain_name;
   msg->ip = cell->addr.ip;
@@ -130,6 +159,8 @@
   g_array_unref (full->heard.ports);
   g_array_unref (full->held);
   g_ptr_array_unref (full->held_entries);
+  g_array_unref (full->evacuations);
+  g_ptr_array_unref (full->evacuation_entries);
 }
 
 /* Sends MSG with the echo for PEER.  A peer that is taken for lost gets none:
--- a/lib/cell/hold.c
+++ b/lib/cell/hold.c
@@ -263,7 +263,11 @@
   /* The runs of a lost owner were stopped when it was lost; nothing would stop
      one that is started after that.  */
   bool owner_alive = sender == cell->id || (peer != NULL && peer->alive);
-  bool ok = w != NULL && owner_alive
+  bool evacuated
+      = w != NULL && !msg->claim && cell_is_evacuated (cell, w->info.domain);
+  if (evacuated)
+    pl_count (PL_CTR_EVACUATED_STARTS_REFUSED_TOTAL, 1);
+  bool ok = w != NULL && owner_alive && !evacuated
             && (msg->claim ? lease_claim (cell->leases, w, &order, now_us)
                            : lease_start (cell->leases, w, &order, now_us));
   pl_log (PL_EV_RUN_START,
--- a/lib/cell/report.c
+++ b/lib/cell/report.c
@@ -68,7 +68,7 @@
   msg.n_labels = PLANNER_MAX_LABELS;
   msg.capacity = &capacity;
   msg.used = &used;
-  msg.usable = report.usable;
+  msg.usable = report.usable && !cell_is_evacuated (cell, report.domain);
   msg.slowness = report.slowness;
   msg.runs = report.runs;
   msg.n_runs = report.n_runs;
@@ -128,7 +128,7 @@
     {
       struct planner_worker_report report;
       lease_fill_report (value, cell->id, now_us, &report);
-      n += report.usable;
+      n += report.usable && !cell_is_evacuated (cell, report.domain);
     }
   return n;
 }
--- a/lib/planner/choose.c
+++ b/lib/planner/choose.c
@@ -81,12 +81,20 @@
   return n;
 }
 
+bool
+planner_worker_evacuated (const struct planner_state *planner,
+                          const struct worker_entry *w)
+{
+  return g_hash_table_contains (planner->evacuated, &w->report.domain);
+}
+
 bool
 planner_worker_usable (const struct planner_state *planner,
                        const struct worker_entry *w)
 {
   return w->report.usable && w->report.capacity.cpu > 0
-         && !g_hash_table_contains (planner->paused, &w->report.holder);
+         && !g_hash_table_contains (planner->paused, &w->report.holder)
+         && !planner_worker_evacuated (planner, w);
 }
 
 static bool
--- a/lib/planner/planner.c
+++ b/lib/planner/planner.c
@@ -66,6 +66,8 @@
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, worker_free);
   planner->paused
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  planner->evacuated
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   planner->services
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   planner->full = g_array_new (FALSE, FALSE, sizeof (struct full_size));
@@ -80,6 +82,7 @@
   g_hash_table_unref (planner->by_id);
   g_hash_table_unref (planner->workers);
   g_hash_table_unref (planner->paused);
+  g_hash_table_unref (planner->evacuated);
   g_hash_table_unref (planner->services);
   g_array_unref (planner->full);
   g_ptr_array_unref (planner->jobs);
@@ -161,6 +164,16 @@
     g_hash_table_remove (planner->paused, &holder);
 }
 
+void
+planner_set_evacuated (struct planner_state *planner, uint64_t domain,
+                       bool evacuated)
+{
+  if (evacuated)
+    g_hash_table_add (planner->evacuated, g_memdup2 (&domain, sizeof domain));
+  else
+    g_hash_table_remove (planner->evacuated, &domain);
+}
+
 void
 planner_release_grant (struct planner_state *planner, uint64_t worker,
                        uint64_t tag)
@@ -369,6 +382,43 @@
          && now_us - service->no_worker_since_us > NO_WORKER_TIMEOUT_US;
 }
 
+/* Counts the workers of each service, and those in evacuated domains.  */
+static void
+count_evacuated_workers (struct planner_state *planner)
+{
+  GHashTableIter it;
+  gpointer value;
+  if (g_hash_table_size (planner->evacuated) == 0)
+    return;
+  g_hash_table_iter_init (&it, planner->services);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      struct service *service = value;
+      service->n_workers = 0;
+      service->n_evacuated = 0;
+    }
+  g_hash_table_iter_init (&it, planner->workers);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const struct worker_entry *w = value;
+      struct service *service
+          = find_or_add_service (planner, w->report.service);
+      service->n_workers++;
+      service->n_evacuated += planner_worker_evacuated (planner, w);
+    }
+}
+
+/* Whether all workers of SERVICE are in evacuated domains.  One without any
+   worker is not taken for evacuated: those of a lost holder may be reported
+   again soon.  */
+static bool
+is_evacuated (const struct planner_state *planner,
+              const struct service *service)
+{
+  return g_hash_table_size (planner->evacuated) > 0 && service->n_workers > 0
+         && service->n_evacuated == service->n_workers;
+}
+
 const char *
 planner_refusal_reason_name (enum planner_refusal_reason reason)
 {
@@ -376,6 +426,7 @@
     [PLANNER_HOPELESS] = "hopeless",
     [PLANNER_CROWDED] = "crowded",
     [PLANNER_NO_WORKER] = "no-room",
+    [PLANNER_EVACUATED] = "evacuated",
   };
   return names[reason];
 }
@@ -399,6 +450,8 @@
     .ahead_us = b == NULL ? 0 : queueing_delay_us (service, b, now_us),
     .slack_us = planner_latest_start (job) - now_us,
   };
+  if (reason == PLANNER_EVACUATED)
+    pl_count (PL_CTR_EVACUATED_JOBS_REFUSED_TOTAL, 1);
   remove_job (planner, job);
   planner->ops->refuse (planner->ctx, &request, &refusal);
 }
@@ -433,7 +486,8 @@
   return jobs;
 }
 
-/* Refuses jobs that can't end in time, jobs of services that lack workers and,
+/* Refuses jobs that can't end in time, jobs of services that lack workers,
+   also the rest of started ones if all workers are in evacuated domains, and,
    if the policy sheds load, jobs that would start too late because of the work
    queued before them.  The planner's jobs must be in order.  */
 static void
@@ -443,6 +497,7 @@
   if (jobs->len == 0)
     return;
   g_autoptr (GHashTable) backlogs = new_backlogs (planner);
+  count_evacuated_workers (planner);
   for (guint i = 0; i < jobs->len; i++)
     {
       struct job *job = g_ptr_array_index (jobs, i);
@@ -454,6 +509,8 @@
       bool no_worker = lacks_workers_too_long (service, b, now_us);
       if (planner_is_hopeless (job, now_us))
         refuse_job (planner, job, PLANNER_HOPELESS, b, now_us);
+      else if (is_evacuated (planner, service))
+        refuse_job (planner, job, PLANNER_EVACUATED, b, now_us);
       else if (no_worker && !job->request.started)
         refuse_job (planner, job, PLANNER_NO_WORKER, b, now_us);
       else if (b == NULL || !planner->policy->sheds_load)
--- a/lib/planner/planner.h
+++ b/lib/planner/planner.h
@@ -104,6 +104,8 @@
   PLANNER_HOPELESS,  /* the job can't end in time even if it started now */
   PLANNER_CROWDED,   /* the work queued before the job takes too long */
   PLANNER_NO_WORKER, /* the service has had no usable worker for a while */
+  PLANNER_EVACUATED, /* all domains with workers of the service are evacuated
+                      */
 };
 
 const char *planner_refusal_reason_name (enum planner_refusal_reason reason);
@@ -148,6 +150,10 @@
    lost.  */
 void planner_pause_holder (struct planner_state *planner, uint64_t holder,
                            bool paused);
+/* While DOMAIN is EVACUATED, nothing is placed on its workers, and jobs of
+   services that have no other workers are refused at once.  */
+void planner_set_evacuated (struct planner_state *planner, uint64_t domain,
+                            bool evacuated);
 /* Adds a job, or replaces its request.  */
 void planner_put_request (struct planner_state *planner,
                           const struct planner_request *request);
--- a/lib/planner/planner_priv.h
+++ b/lib/planner/planner_priv.h
@@ -59,6 +59,8 @@
 {
   int64_t no_worker_since_us; /* 0: it had a usable worker when last seen */
   int64_t last_crowded_us;    /* latest refusal as PLANNER_CROWDED */
+  unsigned n_workers;         /* only counted while some domain is evacuated */
+  unsigned n_evacuated;       /* of them, in evacuated domains */
 };
 
 /* A size of a task that fits on no worker of the service now.  */
@@ -74,11 +76,12 @@
   const struct planner_policy *policy;
   const struct planner_ops *ops;
   void *ctx;
-  GHashTable *workers;  /* worker -> struct worker_entry */
-  GHashTable *paused;   /* set of holders */
-  GPtrArray *jobs;      /* struct job; planner_schedule sorts them */
-  GHashTable *by_id;    /* job -> struct job */
-  GHashTable *services; /* service -> struct service */
+  GHashTable *workers;   /* worker -> struct worker_entry */
+  GHashTable *paused;    /* set of holders */
+  GHashTable *evacuated; /* set of domains */
+  GPtrArray *jobs;       /* struct job; planner_schedule sorts them */
+  GHashTable *by_id;     /* job -> struct job */
+  GHashTable *services;  /* service -> struct service */
   GArray
       *full; /* struct full_size, found in the present pass over the queue */
   uint64_t next_seq;
@@ -105,6 +108,9 @@
 bool planner_worker_can_take (struct planner_state *planner,
                               struct worker_entry *w, const struct job *job,
                               uint32_t index, int64_t now_us);
+/* Whether the domain of W is evacuated.  */
+bool planner_worker_evacuated (const struct planner_state *planner,
+                               const struct worker_entry *w);
 /* Whether tasks of any job may be placed on W.  */
 bool planner_worker_usable (const struct planner_state *planner,
                             const struct worker_entry *w);
