--- a/tests/world_base.h
+++ b/tests/world_base.h
@@ -27,6 +27,7 @@
 #define WORLD_CRASH_DELAY_US 5000
 #define WORLD_REBOOT_US 3000000
 #define WORLD_UNKNOWN_RUN_US 100000 /* of a job that no caller submitted */
+#define WORLD_MAX_DOMAINS 13
 #define WORLD_CODE_LIMIT 700        /* above every result code */
 
 struct world;
@@ -148,6 +149,9 @@
   unsigned overfull_starts; /* above the capacity of the worker */
   unsigned false_refusals;  /* DEADLINE_LOST of jobs that had started */
   unsigned draining_starts; /* on a worker that is leaving */
+  /* Domains on whose workers no task may start any more.  */
+  bool evacuated[WORLD_MAX_DOMAINS];
+  unsigned evacuated_starts;
   unsigned crowded_starts;  /* above a job's bound of tasks per worker */
   unsigned frames;          /* sent between instances */
   /* Results of searches for jobs, by enum cell_search_result.  */
--- a/tests/world_workers.h
+++ b/tests/world_workers.h
@@ -172,6 +172,7 @@
   if (job != NULL)
     job->ran = true;
   world->draining_starts += w->draining;
+  world->evacuated_starts += world->evacuated[w->domain];
   world_trace (world, "start %016" PRIx64 ".%u run %u on %s by i%d",
                event->id.job, event->id.index, event->id.run, w->id,
                event->from);
