--- a/tests/platform_store_test.c
+++ b/tests/platform_store_test.c
@@ -373,6 +373,52 @@
   CU_ASSERT_EQUAL (g_hash_table_size (f.pf.cell->workers), 1);
 }
 
+#define EVACUATION "{\"key\":\"op/evacuate/a\",\"revision\":"
+
+/* Guards against an evacuation that is not read, that ends without its end, or
+   that outlasts an end in the history that the store has lost, and against odd
+   keys and values, which end no process.  */
+static void
+test_evacuations_follow_the_store (void)
+{
+  static const struct
+  {
+    const char *answer; /* null: the history is lost */
+    bool evacuated;     /* after it */
+  } steps[] = {
+    { "{\"events\":[{\"key\":\"op/evacuate/\",\"revision\":10},"
+      "{\"key\":\"op/evacuate\",\"revision\":10},"
+      "{\"key\":\"op/evacuate/a\"}],\"current_rev\":10}",
+      false },
+    { "{\"events\":[" EVACUATION "11,\"value\":\"?\"}],\"current_rev\":11}",
+      true },
+    { "{\"events\":[" EVACUATION "13,\"deleted\":true}," EVACUATION
+      "12}],\"current_rev\":13}",
+      false },
+    { "{\"events\":[" EVACUATION "14}],\"current_rev\":14}", true },
+    { NULL, true },
+    { "{\"items\":[" WORKER "],\"truncated\":true,\"current_rev\":20}", true },
+    { "{\"items\":[" EVACUATION "14}],\"current_rev\":21}", true },
+    { NULL, true },
+    { "{\"items\":[],\"current_rev\":13}", true }, /* is out of date */
+    { NULL, true },
+    { "{\"items\":[" WORKER "],\"current_rev\":30}", false },
+  };
+  static struct fixture f; /* nothing of it is freed, as in the daemon */
+  struct net_response resp = { .status = 200, .sent = true };
+  fixture_init (&f, all);
+  resp.body = pl_str (all);
+  CU_ASSERT_TRUE (pf_store_watch_read (f.pf.store_watch, &resp));
+  for (size_t i = 0; i < G_N_ELEMENTS (steps); i++)
+    {
+      resp.status = steps[i].answer == NULL ? 410 : 200;
+      resp.body = pl_str (steps[i].answer == NULL ? "" : steps[i].answer);
+      CU_ASSERT_TRUE (pf_store_watch_read (f.pf.store_watch, &resp));
+      CU_ASSERT_EQUAL (cell_count_evacuated_domains (f.pf.cell),
+                       steps[i].evacuated);
+    }
+}
+
 #define MUTATIONS 10000
 
 /* Passes a damaged copy of TEXT as the store's answer; true if it is read.  */
@@ -393,7 +439,9 @@
   static const char changes[]
       = "{\"events\":[" WORKER
         ",{\"key\":\"servers/w1\",\"revision\":12,\"deleted\":true}," WORKER
-        "," INSTANCES "],\"current_rev\":15}";
+        "," INSTANCES
+        ",{\"key\":\"op/evacuate/a\",\"revision\":13,\"value\":\"\"}],"
+        "\"current_rev\":15}";
   static struct fixture f; /* nothing of it is freed, as in the daemon */
   fixture_init (&f, all);
   struct net_response lost = { .status = 410, .sent = true };
@@ -430,6 +478,7 @@
     { "an odd entry hides no other", test_an_odd_entry_hides_no_other },
     { "an id that no header can carry names no worker",
       test_an_id_that_no_header_can_carry_names_no_worker },
+    { "evacuations follow the store", test_evacuations_follow_the_store },
     { "damaged answers do no harm", test_damaged_answers_do_no_harm },
     CU_TEST_INFO_NULL,
   };
