--- a/tests/planner_test.c
+++ b/tests/planner_test.c
@@ -542,6 +542,38 @@
   planner_free (planner);
 }
 
+/* Guards against grants on workers of an evacuated domain whose holder, of a
+   former build, reports them as usable; against jobs that wait for them; and
+   against refusing what other domains have room for.  */
+static void
+test_an_evacuated_domain_gets_nothing (void)
+{
+  struct decisions decisions = { 0 };
+  struct planner_state *planner = planner_new (&ops, &decisions);
+  struct planner_worker_report other = make_report (2, 32000, 0);
+  other.domain = 2;
+  report_worker (planner, 1, 32000, 0);
+  planner_update_worker (planner, &other, 0);
+  planner_set_evacuated (planner, 1, true);
+  put_request (planner, 10, 2, 16000, 60 * MS, 0);
+  put_request (planner, 11, 1, 16000, 60 * MS, 0);
+  planner_schedule (planner, 0);
+  CU_ASSERT_EQUAL (decisions.grants, 2);
+  CU_ASSERT_EQUAL (decisions.workers[0], 2);
+  CU_ASSERT_EQUAL (decisions.workers[1], 2);
+  CU_ASSERT_EQUAL (decisions.refusals, 0);
+  planner_set_evacuated (planner, 2, true);
+  planner_schedule (planner, 0);
+  CU_ASSERT_EQUAL (decisions.refusals, 1);
+  CU_ASSERT_TRUE (decisions.retry_after_ms[0] > 0);
+  planner_set_evacuated (planner, 1, false);
+  put_request (planner, 12, 1, 16000, 60 * MS, 0);
+  planner_schedule (planner, 0);
+  CU_ASSERT_EQUAL (decisions.grants, 3);
+  CU_ASSERT_EQUAL (decisions.workers[2], 1);
+  planner_free (planner);
+}
+
 int
 main (void)
 {
@@ -583,6 +615,8 @@
       test_slow_workers_are_better_than_none },
     { "a queue delays its own service only",
       test_a_queue_delays_its_own_service_only },
+    { "an evacuated domain gets nothing",
+      test_an_evacuated_domain_gets_nothing },
     CU_TEST_INFO_NULL,
   };
   return test_run ("planner_test", tests);
