--- a/tests/world_base.h
+++ b/tests/world_base.h
@@ -28,7 +28,7 @@
 #define WORLD_REBOOT_US 3000000
 #define WORLD_UNKNOWN_RUN_US 100000 /* of a job that no caller submitted */
 #define WORLD_MAX_DOMAINS 13
-#define WORLD_CODE_LIMIT 700        /* above every result code */
+#define WORLD_CODE_LIMIT 700 /* above every result code */
 
 struct world;
 
@@ -152,8 +152,8 @@
   /* Domains on whose workers no task may start any more.  */
   bool evacuated[WORLD_MAX_DOMAINS];
   unsigned evacuated_starts;
-  unsigned crowded_starts;  /* above a job's bound of tasks per worker */
-  unsigned frames;          /* sent between instances */
+  unsigned crowded_starts; /* above a job's bound of tasks per worker */
+  unsigned frames;         /* sent between instances */
   /* Results of searches for jobs, by enum cell_search_result.  */
   unsigned searches[CELL_SEARCH_OUT_OF_REACH + 1];
   /* Receives a copy of each frame that is sent; may be null.  */
