papayaloft: evacuate DOMAIN, restore DOMAIN, evacuations

Instances of an evacuated domain take its workers for withdrawn.

Ruled out: a key of its own in the store, as on the users' platform: peers would have to relay a second kind of state.

--- a/cmd/papayaloft/apply.c
+++ b/cmd/papayaloft/apply.c
@@ -18,10 +18,8 @@
   return true;
 }
 
-/* Polls the entries until REVISION is in force at all of them, for
-   cmd->wait_s at most.  */
-static int
-wait_in_force (const struct cmd *cmd, int64_t revision)
+int
+cmd_wait_in_force (const struct cmd *cmd, int64_t revision)
 {
   struct pl_clock *clock = pl_clock_real ();
   int64_t deadline = pl_now_us (clock) + (int64_t)cmd->wait_s * G_USEC_PER_SEC;
@@ -69,5 +67,5 @@
                       "%s: %s", pl_code_info (err.code)->name, err.text);
   printf ("accepted revision %lld\n", (long long)revision);
   fflush (stdout);
-  return cmd->wait_s >= 0 ? wait_in_force (cmd, revision) : CMD_DONE;
+  return cmd->wait_s >= 0 ? cmd_wait_in_force (cmd, revision) : CMD_DONE;
 }
--- a/cmd/papayaloft/cmd.h
+++ b/cmd/papayaloft/cmd.h
@@ -35,6 +35,9 @@
 
 int cmd_validate (const struct cmd *cmd);
 int cmd_apply (const struct cmd *cmd);
+int cmd_evacuate (const struct cmd *cmd);
+int cmd_restore (const struct cmd *cmd);
+int cmd_evacuations (const struct cmd *cmd);
 int cmd_history (const struct cmd *cmd);
 int cmd_show (const struct cmd *cmd);
 int cmd_status (const struct cmd *cmd);
@@ -46,6 +49,8 @@
 
 /* Prints "papayaloft: " and the message on standard error; returns EXIT.  */
 int cmd_error (enum cmd_exit exit, const char *fmt, ...) G_GNUC_PRINTF (2, 3);
+/* Waits until REVISION is in force at all entries, for CMD->wait_s at most. */
+int cmd_wait_in_force (const struct cmd *cmd, int64_t revision);
 /* Reads a file ("-": standard input) of at most MAX_BYTES bytes.  On failure,
    prints a message and returns null.  */
 GBytes *cmd_read_file (const char *path, size_t max_bytes);
--- a/cmd/papayaloft/main.c
+++ b/cmd/papayaloft/main.c
@@ -16,11 +16,19 @@
 };
 
 static const struct subcommand subcommands[] = {
-  { "validate", cmd_validate, 1, 1 }, { "apply", cmd_apply, 1, 1 },
-  { "history", cmd_history, 0, 0 },   { "show", cmd_show, 0, 1 },
-  { "status", cmd_status, 0, 0 },     { "drain", cmd_drain, 1, 1 },
-  { "submit", cmd_submit, 1, 1 },     { "cancel", cmd_cancel, 1, 1 },
-  { "prefix", cmd_prefix, 0, 0 },     { "version", cmd_version, 0, 0 },
+  { "validate", cmd_validate, 1, 1 },
+  { "apply", cmd_apply, 1, 1 },
+  { "evacuate", cmd_evacuate, 1, 1 },
+  { "restore", cmd_restore, 1, 1 },
+  { "evacuations", cmd_evacuations, 0, 0 },
+  { "history", cmd_history, 0, 0 },
+  { "show", cmd_show, 0, 1 },
+  { "status", cmd_status, 0, 0 },
+  { "drain", cmd_drain, 1, 1 },
+  { "submit", cmd_submit, 1, 1 },
+  { "cancel", cmd_cancel, 1, 1 },
+  { "prefix", cmd_prefix, 0, 0 },
+  { "version", cmd_version, 0, 0 },
 };
 
 struct args
@@ -124,7 +132,9 @@
     "Address of the platform's store, http://ip:port", 0 },
   { "entry", 'e', "IP:PORT,...", 0, "Entry instances", 0 },
   { "wait-s", 'w', "N", 0,
-    "apply: wait up to N s until the revision is in force at all entries", 0 },
+    "apply, evacuate, restore: wait up to N s until the revision is in force "
+    "at all entries",
+    0 },
   { "key", 'k', "SUFFIX", 0, "submit: suffix of the key, or a whole key", 0 },
   { "service", 's', "S/K", 0, "submit: post to /v1/services/S/K", 0 },
   { "tries", 't', "N", 0, "submit: largest number of attempts (default 3)",
@@ -140,7 +150,8 @@
     .parser = parse_option,
     .args_doc = "SUBCOMMAND [ARGUMENT]",
     .doc = "Command-line tool of papayaloft.  Subcommands: validate, apply, "
-           "history, show, status, drain, submit, cancel, prefix, version.",
+           "evacuate, restore, evacuations, history, show, status, drain, "
+           "submit, cancel, prefix, version.",
   };
   struct args args = { .cmd = { .wait_s = -1, .tries = 3 } };
   argp_err_exit_status = CMD_USAGE;
--- a/lib/note/apply.c
+++ b/lib/note/apply.c
@@ -17,7 +17,7 @@
 static const char *const note_member_names[]
     = { "id", "base", "comment", "added", "changed", "withdrawn", NULL };
 static const char *const section_names[]
-    = { "services", "teams", "workers", NULL };
+    = { "services", "teams", "workers", "evacuations", NULL };
 #define MAX_COMMENT_BYTES 1024
 
 static bool
--- a/lib/note/conf.c
+++ b/lib/note/conf.c
@@ -7,6 +7,7 @@
   [NOTE_SERVICES] = &note_service_ops,
   [NOTE_TEAMS] = &note_team_ops,
   [NOTE_WORKERS] = &note_worker_ops,
+  [NOTE_EVACUATIONS] = &note_evacuation_ops,
 };
 
 const void *
@@ -21,6 +22,9 @@
     case NOTE_TEAMS:
       *n = conf->n_teams;
       return conf->teams;
+    case NOTE_EVACUATIONS:
+      *n = conf->n_evacuations;
+      return conf->evacuations;
     default:
       *n = conf->n_workers;
       return conf->workers;
@@ -77,6 +81,13 @@
   return note_lookup (conf, NOTE_WORKERS, &probe);
 }
 
+bool
+note_is_evacuated (const struct note_conf *conf, const char *domain)
+{
+  const struct note_evacuation probe = { .domain = (char *)domain };
+  return note_lookup (conf, NOTE_EVACUATIONS, &probe) != NULL;
+}
+
 static void
 conf_free (struct pl_shared *shared)
 {
@@ -118,6 +129,8 @@
   conf->services = take_items (lists[NOTE_SERVICES], &conf->n_services);
   conf->teams = take_items (lists[NOTE_TEAMS], &conf->n_teams);
   conf->workers = take_items (lists[NOTE_WORKERS], &conf->n_workers);
+  conf->evacuations
+      = take_items (lists[NOTE_EVACUATIONS], &conf->n_evacuations);
   for (int s = 0; s < NOTE_SECTION_COUNT; s++)
     {
       unsigned n;
--- a/lib/note/doc.c
+++ b/lib/note/doc.c
@@ -2,7 +2,7 @@
 #include "item.h"
 
 static const char *const members[]
-    = { "revision", "services", "teams", "workers", NULL };
+    = { "revision", "services", "teams", "workers", "evacuations", NULL };
 
 char *
 note_conf_to_json (const struct note_conf *conf)
@@ -12,6 +12,9 @@
     {
       unsigned n;
       const char *item = note_items (conf, s, &n);
+      /* Former builds refuse the member.  */
+      if (s == NOTE_EVACUATIONS && n == 0)
+        continue;
       json_t *list = json_array ();
       for (unsigned i = 0; i < n; i++, item += note_section_ops[s]->size)
         json_array_append_new (list, note_section_ops[s]->to_json (item));
@@ -45,6 +48,8 @@
 {
   const struct note_item_ops *ops = note_section_ops[section];
   struct note_path path = { .member = ops->name };
+  if (section == NOTE_EVACUATIONS && json_object_get (root, ops->name) == NULL)
+    return note_list_new (ops, 0);
   GArray *list = note_list_parse (ops, json_object_get (root, ops->name),
                                   &path, true, err);
   if (list != NULL && !check_repeats (ops, list, &path, err))
--- a/lib/note/item.h
+++ b/lib/note/item.h
@@ -1,6 +1,6 @@
 /* Private to lib/note: the items of a configuration.  Each section (services,
-   teams, workers) describes its items by one vtable, so that parsing, applying
-   and writing are the same for all.  */
+   teams, workers, evacuations) describes its items by one vtable, so that
+   parsing, applying and writing are the same for all.  */
 #pragma once
 
 #include "note.h"
@@ -41,6 +41,7 @@
   NOTE_SERVICES,
   NOTE_TEAMS,
   NOTE_WORKERS,
+  NOTE_EVACUATIONS,
   NOTE_SECTION_COUNT,
 };
 
@@ -68,6 +69,7 @@
 extern const struct note_item_ops note_service_ops;
 extern const struct note_item_ops note_team_ops;
 extern const struct note_item_ops note_worker_ops;
+extern const struct note_item_ops note_evacuation_ops;
 extern const struct note_item_ops *const note_section_ops[NOTE_SECTION_COUNT];
 
 /* The array of N items of SECTION of CONF.  */
--- a/lib/note/note.h
+++ b/lib/note/note.h
@@ -1,9 +1,9 @@
 /* Release notes and the configuration that results from applying them.
 
-   Operators change the configuration (services, teams, workers) by release
-   notes.  The note of revision N is applied to the configuration of revision
-   N - 1.  A snapshot is the whole configuration of one revision as a JSON
-   document.  */
+   Operators change the configuration (services, teams, workers, evacuations)
+   by release notes.  The note of revision N is applied to the configuration of
+   revision N - 1.  A snapshot is the whole configuration of one revision as a
+   JSON document.  */
 #pragma once
 
 #include "pl.h"
@@ -43,6 +43,12 @@
   int64_t added_revision; /* the latest revision that added the worker */
 };
 
+/* A failure domain on whose workers no task starts; what runs there ends.  */
+struct note_evacuation
+{
+  char *domain;
+};
+
 /* The configuration in force: immutable, published through a pl_rcu_ptr.  */
 struct note_conf
 {
@@ -54,7 +60,9 @@
   unsigned n_teams;
   struct note_worker *workers; /* of all failure domains */
   unsigned n_workers;
-  GHashTable *index[3]; /* private: the items of each section by key; null:
+  struct note_evacuation *evacuations;
+  unsigned n_evacuations;
+  GHashTable *index[4]; /* private: the items of each section by key; null:
                            searched in order */
 };
 
@@ -65,6 +73,8 @@
                                         const char *team);
 const struct note_worker *note_find_worker (const struct note_conf *conf,
                                             struct pl_addr addr);
+/* Whether no task may start on the workers of DOMAIN; CONF may be null.  */
+bool note_is_evacuated (const struct note_conf *conf, const char *domain);
 
 /* The members that identify a note.  */
 #define NOTE_MAX_ID_BYTES 64
@@ -79,8 +89,9 @@
 
 /* A note is an object with "id" (1 to 64 letters, digits or hyphens), "base",
    optionally "comment", "added", "changed" and "withdrawn".  "added" and
-   "changed" hold whole services, teams and workers; "withdrawn" holds names
-   of services and teams and addresses of workers.  */
+   "changed" hold whole services, teams, workers and evacuations; "withdrawn"
+   holds names of services, teams and evacuated domains and addresses of
+   workers.  */
 
 /* Validates a note as a whole against BASE (null: the empty configuration).
    ERR names the JSON path and the rule broken.  */
--- a/lib/slot/table.c
+++ b/lib/slot/table.c
@@ -181,6 +181,8 @@
     slot_worker_at (table, i)->listed = false;
   table->n_listed = 0;
   table->revision = conf->revision;
+  if (note_is_evacuated (conf, table->domain))
+    return; /* as if the workers were withdrawn */
   for (unsigned i = 0; i < conf->n_workers; i++)
     {
       const struct note_worker *note = &conf->workers[i];
--- a/tests/note_test.c
+++ b/tests/note_test.c
@@ -140,6 +140,12 @@
     "$.withdrawn.workers[0]: does not exist" },
   { NOTE ("1", "\"withdrawn\":{\"workers\":[7]}"),
     "$.withdrawn.workers[0]: must be an address" },
+  { NOTE ("1", ADDED ("evacuations", "{\"domain\":\"X\"}")),
+    "$.added.evacuations[0].domain: " },
+  { NOTE ("1", ADDED ("evacuations", "{\"domain\":\"x\",\"until\":1}")),
+    "$.added.evacuations[0].until: unknown member" },
+  { NOTE ("1", "\"withdrawn\":{\"evacuations\":[\"x\"]}"),
+    "$.withdrawn.evacuations[0]: does not exist" },
   { NOTE ("1", "\"withdrawn\":{\"teams\":[\"a\",\"a\"]}"),
     "$.withdrawn.teams[1]: occurs twice" },
   { NOTE ("1", "\"changed\":{\"teams\":[" TEAM (
@@ -430,6 +436,33 @@
   pl_shared_unref ((struct pl_shared *)copy);
 }
 
+/* Guards against an evacuation that a restart of an instance forgets, and
+   against snapshots that former builds can't read though nothing is evacuated.
+ */
+static void
+test_evacuations_are_part_of_the_configuration (void)
+{
+  struct pl_err err = { 0 };
+  struct note_conf *base = apply (
+      NOTE ("0", ADDED ("evacuations", "{\"domain\":\"x\"}")), NULL, 1);
+  char *text = note_conf_to_json (base);
+  struct note_conf *read = note_conf_from_json (pl_str (text), &err);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (read);
+  CU_ASSERT_TRUE (note_is_evacuated (read, "x"));
+  CU_ASSERT_FALSE (note_is_evacuated (read, "y"));
+  CU_ASSERT_FALSE (note_is_evacuated (NULL, "x"));
+  free (text);
+  struct note_conf *ended
+      = apply (NOTE ("1", "\"withdrawn\":{\"evacuations\":[\"x\"]}"), read, 2);
+  CU_ASSERT_FALSE (note_is_evacuated (ended, "x"));
+  text = note_conf_to_json (ended);
+  CU_ASSERT_PTR_NULL (strstr (text, "evacuations"));
+  free (text);
+  pl_shared_unref (&base->base);
+  pl_shared_unref (&read->base);
+  pl_shared_unref (&ended->base);
+}
+
 int
 main (void)
 {
@@ -442,6 +475,8 @@
     { "applying on two threads", test_apply_on_threads },
     { "history never goes back", test_history },
     { "full size", test_full_size },
+    { "evacuations are part of the configuration",
+      test_evacuations_are_part_of_the_configuration },
     CU_TEST_INFO_NULL,
   };
   pl_log_init ("text", "error");
--- a/tests/session/golden.sh
+++ b/tests/session/golden.sh
@@ -111,6 +111,14 @@
   ENTRIES=(brum-2)
   run_step papayaloft show 2
   run_step papayaloft status
+  run_step papayaloft --wait-s 12 evacuate brum
+  run_step papayaloft evacuate brum
+  run_step papayaloft evacuations
+  run_step papayaloft --tries 1 --key evacuated submit "$DIR/one.json"
+  run_step papayaloft --wait-s 12 restore brum
+  run_step papayaloft evacuations
+  wait_for 5 eval 'papayaloft status | grep -q "\"free_slots\":[1-9]"'
+  run_step papayaloft --tries 1 --key restored submit "$DIR/one.json"
 }
 
 start_platform || die "platform"
--- a/tests/slot_test.c
+++ b/tests/slot_test.c
@@ -413,6 +413,35 @@
   slot_table_free (f.table);
 }
 
+/* Guards against tasks on the workers of an evacuated domain, and against
+   workers that don't come back.  */
+static void
+test_an_evacuated_domain_has_no_slots (void)
+{
+  struct fixture f;
+  struct note_evacuation evacuations[] = { { (char *)"e" }, { (char *)"d" } };
+  fixture_init (&f, 1);
+  unsigned all = slot_free_total (f.table);
+  struct slot_worker *worker = slot_choose (f.table, 0, false, NULL);
+  slot_take (f.table, worker, 0);
+  f.conf.evacuations = evacuations;
+  for (f.conf.n_evacuations = 1; f.conf.n_evacuations <= 2;
+       f.conf.n_evacuations++)
+    {
+      slot_update (f.table, &f.conf, &f.view);
+      bool here = f.conf.n_evacuations == 2;
+      CU_ASSERT_EQUAL (slot_free_total (f.table), here ? 0 : all - 1);
+      CU_ASSERT_EQUAL (slot_choose (f.table, 0, false, NULL) == NULL, here);
+    }
+  slot_release (f.table, worker, 0);
+  CU_ASSERT_EQUAL (slot_free_total (f.table), 0);
+  f.conf.n_evacuations = 0;
+  slot_update (f.table, &f.conf, &f.view);
+  advance_ms (&f, 1000);
+  CU_ASSERT_EQUAL (slot_free_total (f.table), all);
+  slot_table_free (f.table);
+}
+
 int
 main (void)
 {
@@ -432,6 +461,8 @@
     { "open request", test_open_request },
     { "recall", test_recall },
     { "borrowing", test_borrowing },
+    { "an evacuated domain has no slots",
+      test_an_evacuated_domain_has_no_slots },
     CU_TEST_INFO_NULL,
   };
   return test_run ("slot", tests);
