--- a/tests/platform_store_test.c
+++ b/tests/platform_store_test.c
@@ -417,6 +417,18 @@
       CU_ASSERT_EQUAL (cell_count_evacuated_domains (f.pf.cell),
                        steps[i].evacuated);
     }
+  /* Peers read the keys from now on: a listing has only the instances.  */
+  struct evac_entry entry = { cell_name_hash (pl_str ("a")), 35, true };
+  CU_ASSERT_TRUE (cell_set_evacuation (f.pf.cell, &entry));
+  f.pf.cell->domain_only = true;
+  f.pf.cell->reads_registry = false;
+  pf_store_watch_tick (f.pf.store_watch);
+  resp.status = 410;
+  CU_ASSERT_TRUE (pf_store_watch_read (f.pf.store_watch, &resp));
+  resp.status = 200;
+  resp.body = pl_str ("{\"items\":[" INSTANCES "],\"current_rev\":40}");
+  CU_ASSERT_TRUE (pf_store_watch_read (f.pf.store_watch, &resp));
+  CU_ASSERT_EQUAL (cell_count_evacuated_domains (f.pf.cell), 1);
 }
 
 #define MUTATIONS 10000
