evac: callers of an evacuated domain are sent to other domains

Cause: in a large fleet each domain plans for itself, so that the callers of an evacuated domain were refused until its end.

Small fleets: unchanged, one planner uses all domains.

--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -114,6 +114,10 @@
 void cell_end_unlisted_evacuations (struct cell *cell, const uint64_t *listed,
                                     unsigned n, int64_t revision);
 unsigned cell_count_evacuated_domains (const struct cell *cell);
+/* Whether callers are better served by another failure domain: this one is
+   evacuated, each domain plans for itself, and some other one has instances
+   and is not evacuated.  */
+bool cell_prefers_other_domains (const struct cell *cell);
 /* Adds ADDR as the address of a possible peer and connects to it.  */
 void cell_add_peer (struct cell *cell, struct pl_addr addr);
 
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -148,6 +148,8 @@
 void cell_note_call (struct cell *cell, const void *link, bool up);
 /* Adopts domains without instances, or gives them back.  */
 void cell_tick_domains (struct cell *cell);
+/* Whether some other domain has registered instances and is not evacuated.  */
+bool cell_has_other_domain (const struct cell *cell);
 /* Whether this instance's domain holds the workers of DOMAIN.  */
 bool cell_serves_domain (const struct cell *cell, uint64_t domain);
 
--- a/lib/cell/evacuate.c
+++ b/lib/cell/evacuate.c
@@ -14,6 +14,13 @@
   return evac_count_active (cell->evacuations);
 }
 
+bool
+cell_prefers_other_domains (const struct cell *cell)
+{
+  return cell->domain_only && cell_is_evacuated (cell, cell->domain)
+         && cell_has_other_domain (cell);
+}
+
 /* Has the held workers of DOMAIN reported anew, and returns their number.  */
 static unsigned
 report_workers_of (struct cell *cell, uint64_t domain)
--- a/lib/cell/fleet.c
+++ b/lib/cell/fleet.c
@@ -366,6 +366,22 @@
     }
 }
 
+bool
+cell_has_other_domain (const struct cell *cell)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, cell->domains);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const struct fleet_domain *domain = value;
+      if (domain->domain != cell->domain && domain->n_instances > 0
+          && !cell_is_evacuated (cell, domain->domain))
+        return true;
+    }
+  return false;
+}
+
 bool
 cell_serves_domain (const struct cell *cell, uint64_t domain)
 {
--- a/lib/net/net.h
+++ b/lib/net/net.h
@@ -46,6 +46,8 @@
 struct net_server *net_server_new (struct event_base *base,
                                    const struct net_server_config *config,
                                    struct pl_err *err);
+/* Whether connections stay open after a reply, which is so at first.  */
+void net_server_set_keep_alive (struct net_server *server, bool keep_alive);
 /* Makes each connection close after its next reply.  If CLOSE_IDLE is set,
    idle connections are closed at once.  */
 void net_server_drain (struct net_server *server, bool close_idle);
--- a/lib/net/server.c
+++ b/lib/net/server.c
@@ -31,6 +31,7 @@
   size_t max_body;
   GQueue connections;
   bool draining;
+  bool no_keep_alive; /* see net_server_set_keep_alive */
 };
 
 static void
@@ -111,7 +112,7 @@
            struct pl_str body, int retry_after_s)
 {
   struct evbuffer *out = bufferevent_get_output (exchange->bev);
-  if (exchange->server->draining
+  if (exchange->server->draining || exchange->server->no_keep_alive
       || !http_should_keep_alive (&exchange->message.parser))
     exchange->close_after_reply = true;
   evbuffer_add_printf (out, "HTTP/1.1 %d %s\r\nContent-Length: %zu\r\n",
@@ -212,6 +213,12 @@
   return NULL;
 }
 
+void
+net_server_set_keep_alive (struct net_server *server, bool keep_alive)
+{
+  server->no_keep_alive = !keep_alive;
+}
+
 void
 net_server_drain (struct net_server *server, bool close_idle)
 {
--- a/tests/evac_test.c
+++ b/tests/evac_test.c
@@ -163,6 +163,9 @@
       run_load (world, SECOND, 4, 100000);
       change (world, 1, true, -1);
       CU_ASSERT_TRUE (all_know (world, -1, 1, true));
+      CU_ASSERT_FALSE (cell_prefers_other_domains (world->instances[0].cell));
+      CU_ASSERT_EQUAL (cell_prefers_other_domains (world->instances[1].cell),
+                       fleet == 1);
       run_load (world, 2 * SECOND, 4, 100000);
       CU_ASSERT_TRUE (play_jobs (world) >= (fleet == 0 ? all : all - here));
       change (world, 1, false, -1);
@@ -268,6 +271,7 @@
       world_run_for (world, SECOND / 10);
       CU_ASSERT_TRUE (job->answered && job->code == PL_DEADLINE_LOST);
       CU_ASSERT_EQUAL (play_jobs (world), 0);
+      CU_ASSERT_FALSE (cell_prefers_other_domains (world->instances[1].cell));
       finish (world, "all");
     }
 }
--- a/tests/net_test.c
+++ b/tests/net_test.c
@@ -262,6 +262,28 @@
   close (busy);
 }
 
+/* Guards against callers that stay at an instance that can't serve them now,
+   and against connections that are not kept when it can again.  */
+static void
+test_connections_close_while_they_are_not_kept (void)
+{
+  struct fixture fixture;
+  fixture_init (&fixture);
+  for (int keep = 0; keep < 2; keep++)
+    {
+      int fd = connect_socket ();
+      net_server_set_keep_alive (fixture.server, keep);
+      send_text (fd, "POST /a HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+      run_loop (&fixture, LOOP_US);
+      CU_ASSERT_EQUAL (net_server_count_connections (fixture.server), 1);
+      net_reply (fixture.pending, 200, NULL, pl_str ("done"), 0);
+      run_loop (&fixture, LOOP_US);
+      CU_ASSERT_EQUAL (net_server_count_connections (fixture.server),
+                       (unsigned)keep);
+      close (fd);
+    }
+}
+
 static void
 on_response (void *arg, const struct net_response *resp)
 {
@@ -681,6 +703,8 @@
       test_a_disconnect_behind_unread_input_is_reported },
     { "invalid requests are rejected and closed",
       test_invalid_requests_are_rejected_and_closed },
+    { "connections close while they are not kept",
+      test_connections_close_while_they_are_not_kept },
     { "draining closes idle connections only",
       test_draining_closes_idle_connections_only },
     { "requests reuse an idle connection",
