--- a/tests/platform_store_test.c
+++ b/tests/platform_store_test.c
@@ -14,9 +14,10 @@
 {
   struct pf pf;
   struct net_server *server;
-  const char *listing; /* the store's answer to each listing */
-  const char *later;   /* the same to pages but the first; null: as it */
-  unsigned listings;   /* calls so far */
+  const char *listing;   /* the store's answer to each listing */
+  const char *later;     /* the same to pages but the first; null: as it */
+  const char *operators; /* the same to listings of the operator's keys */
+  unsigned listings;     /* calls so far, without those */
   struct net_exchange *watch; /* the call that waits; may be null */
   unsigned configs;
 };
@@ -69,8 +70,14 @@
             const struct net_request *request)
 {
   struct fixture *f = ctx;
-  if (request->target.len >= 9
-      && memcmp (request->target.data, "/kv-range", 9) == 0)
+  bool of_operator = g_strstr_len (request->target.data,
+                                   (gssize)request->target.len, "prefix=op/")
+                     != NULL;
+  bool lists = request->target.len >= 9
+               && memcmp (request->target.data, "/kv-range", 9) == 0;
+  if (lists && of_operator && f->operators != NULL)
+    net_reply (exchange, 200, "application/json", pl_str (f->operators), 0);
+  else if (lists)
     {
       f->listings++;
       bool later = f->later != NULL
@@ -79,7 +86,7 @@
       net_reply (exchange, 200, "application/json",
                  pl_str (later ? f->later : f->listing), 0);
     }
-  else
+  else if (!of_operator)
     f->watch = exchange;
 }
 
@@ -256,6 +263,26 @@
     }
 }
 
+/* Guards against a failure domain that learns of a configuration seconds late
+   because the store leaves both of its readers without answers: no other
+   instance there looked at the operator's keys.  */
+static void
+test_the_configuration_is_read_where_workers_are_not (void)
+{
+  static struct fixture f; /* nothing of it is freed, as in the daemon */
+  fixture_init (&f, all);
+  f.operators = "{\"items\":[{\"key\":\"op/config\",\"value\":\"e30=\","
+                "\"revision\":12}],\"truncated\":false,\"current_rev\":12}";
+  run_ms (&f, 500);
+  CU_ASSERT_EQUAL (f.configs, 0);
+  f.pf.cell->domain_only = true;
+  f.pf.cell->reads_registry = false; /* peers do */
+  run_ms (&f, 200);
+  CU_ASSERT_EQUAL (f.configs, 1);
+  CU_ASSERT_TRUE (is_registered (&f, 7));
+  CU_ASSERT_TRUE (knows_worker (&f));
+}
+
 /* More than an answer of the store may have.  */
 #define TOO_LARGE_BYTES 3000000
 
@@ -481,6 +508,8 @@
   CU_TestInfo tests[] = {
     { "an answer without items removes nothing",
       test_an_answer_without_items_removes_nothing },
+    { "the configuration is read where workers are not",
+      test_the_configuration_is_read_where_workers_are_not },
     { "a listing that is given up removes nothing",
       test_a_listing_that_is_given_up_removes_nothing },
     { "too many changes are read as a listing",
