lease: slow start of workers that come back cold

A worker that stays slow for some time after its start says so in its entry (cold_left_ms). Nothing read that: it got its full load at once, and its runs were stopped as hanging.

Its holder now reports a part of its cores as its capacity first, and adds the size of each run that is done, in proportion to its speed. The slow start ends when the part is the capacity or the declared time is over, 5 s later at most if the latest run was slow. The shorter limit for hanging runs does not apply meanwhile. A worker that was never cold is treated as before. lease_mark_cold begins the same without an entry.

--- a/lib/base/counters.gen.c
+++ b/lib/base/counters.gen.c
@@ -102,6 +102,8 @@
     .help = "Run starts that this holder refused because the worker's failure domain is evacuated." },
   { .name = "papayaloft_evacuated_jobs_refused_total", .type = "counter",
     .help = "Jobs that this planner refused because all workers of their service are in evacuated failure domains." },
+  { .name = "papayaloft_slow_starts_total", .type = "counter",
+    .help = "Slow starts of workers that were cold." },
   { .name = "papayaloft_planner_looks_total", .type = "counter",
     .help = "Workers that this planner has looked at to place tasks." },
   { .name = "papayaloft_grants_total", .type = "counter",
--- a/lib/base/events.gen.c
+++ b/lib/base/events.gen.c
@@ -33,6 +33,8 @@
   { .event = PL_EV_WORKER_BAD, .name = "WORKER_BAD", .level = G_LOG_LEVEL_WARNING },
   { .event = PL_EV_UNSOLICITED, .name = "UNSOLICITED", .level = G_LOG_LEVEL_WARNING },
   { .event = PL_EV_TASK_GIVEN_UP, .name = "TASK_GIVEN_UP", .level = G_LOG_LEVEL_WARNING },
+  { .event = PL_EV_WORKER_COLD, .name = "WORKER_COLD", .level = G_LOG_LEVEL_INFO },
+  { .event = PL_EV_WORKER_WARM, .name = "WORKER_WARM", .level = G_LOG_LEVEL_INFO },
   { .event = PL_EV_PEER_UP, .name = "PEER_UP", .level = G_LOG_LEVEL_MESSAGE },
   { .event = PL_EV_PEER_SUSPECT, .name = "PEER_SUSPECT", .level = G_LOG_LEVEL_WARNING },
   { .event = PL_EV_PEER_DEAD, .name = "PEER_DEAD", .level = G_LOG_LEVEL_WARNING },
--- a/lib/cell/cell.pb-c.c
+++ b/lib/cell/cell.pb-c.c
@@ -2947,7 +2947,7 @@
   (ProtobufCMessageInit) cellpb__worker_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__worker__field_descriptors[10] =
+static const ProtobufCFieldDescriptor cellpb__worker__field_descriptors[11] =
 {
   {
     "id",
@@ -3069,9 +3069,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cold_left_ms",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Worker, cold_left_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cellpb__worker__field_indices_by_name[] = {
   6,   /* field[6] = capacity */
+  10,   /* field[10] = cold_left_ms */
   4,   /* field[4] = domain */
   8,   /* field[8] = draining */
   0,   /* field[0] = id */
@@ -3082,10 +3095,11 @@
   9,   /* field[9] = revision */
   3,   /* field[3] = service */
 };
-static const ProtobufCIntRange cellpb__worker__number_ranges[1 + 1] =
+static const ProtobufCIntRange cellpb__worker__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 20, 10 },
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor cellpb__worker__descriptor =
 {
@@ -3095,10 +3109,10 @@
   "Cellpb__Worker",
   "cellpb",
   sizeof(Cellpb__Worker),
-  10,
+  11,
   cellpb__worker__field_descriptors,
   cellpb__worker__field_indices_by_name,
-  1,  cellpb__worker__number_ranges,
+  2,  cellpb__worker__number_ranges,
   (ProtobufCMessageInit) cellpb__worker__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/lib/cell/cell.pb-c.h
+++ b/lib/cell/cell.pb-c.h
@@ -528,10 +528,14 @@
    * of its latest change
    */
   int64_t revision;
+  /*
+   * it stays slow for so long; 0: not known
+   */
+  int64_t cold_left_ms;
 };
 #define CELLPB__WORKER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cellpb__worker__descriptor) \
-    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, NULL, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, NULL, 0, 0, 0, 0 }
 
 
 /*
--- a/lib/cell/check.c
+++ b/lib/cell/check.c
@@ -114,6 +114,12 @@
          && state->capacity->cpu > 0;
 }
 
+static bool
+is_cold_time (int64_t ms)
+{
+  return ms >= 0 && ms <= MAX_TIME_US / 1000;
+}
+
 static bool
 is_registry (const Cellpb__Registry *registry)
 {
@@ -123,8 +129,8 @@
       if (worker->id[0] == '\0' || worker->port == 0
           || worker->port > UINT16_MAX || worker->capacity == NULL
           || !is_amount (worker->capacity) || worker->capacity->cpu <= 0
-          || !is_token (worker->revision)
-          || !is_token (worker->incarnation_ms))
+          || !is_token (worker->revision) || !is_token (worker->incarnation_ms)
+          || !is_cold_time (worker->cold_left_ms))
         return false;
     }
   return is_token (registry->revision);
--- a/lib/cell/reader.c
+++ b/lib/cell/reader.c
@@ -83,7 +83,8 @@
 }
 
 static Cellpb__Worker
-encode_worker (const struct known_worker *known, Cellpb__Amount *capacity)
+encode_worker (const struct known_worker *known, int64_t now_us,
+               Cellpb__Amount *capacity)
 {
   const struct lease_worker_info *info = &known->info;
   Cellpb__Worker msg = CELLPB__WORKER__INIT;
@@ -99,6 +100,7 @@
   msg.incarnation_ms = info->incarnation_ms;
   msg.draining = info->draining;
   msg.revision = known->changed_revision;
+  msg.cold_left_ms = MAX (info->cold_until_us - now_us, 0) / 1000;
   return msg;
 }
 
@@ -132,12 +134,14 @@
               const struct worker_list *list)
 {
   guint n = list->changed->len;
+  int64_t now_us = pl_now_us (cell->clock);
   g_autofree Cellpb__Worker *workers = g_new (Cellpb__Worker, n);
   g_autofree Cellpb__Amount *capacities = g_new (Cellpb__Amount, n);
   g_autoptr (GPtrArray) pointers = g_ptr_array_new ();
   for (guint i = 0; i < n; i++)
     {
-      workers[i] = encode_worker (list->changed->pdata[i], &capacities[i]);
+      workers[i]
+          = encode_worker (list->changed->pdata[i], now_us, &capacities[i]);
       g_ptr_array_add (pointers, &workers[i]);
     }
   Cellpb__Registry msg = CELLPB__REGISTRY__INIT;
@@ -177,6 +181,7 @@
     .incarnation_ms = msg->incarnation_ms,
     .draining = msg->draining,
     .revision = msg->revision,
+    .cold_left_ms = msg->cold_left_ms,
   };
   for (size_t i = 0; i < msg->n_labels && i < PLANNER_MAX_LABELS; i++)
     info.labels[i] = msg->labels[i];
--- a/lib/cell/registry.c
+++ b/lib/cell/registry.c
@@ -7,6 +7,18 @@
 
 #include <string.h>
 
+/* An entry tells how long a worker stays cold from the time when it was
+   written; the end of that time moves by less than this between two readings.
+ */
+#define COLD_JITTER_US 2000000
+
+static bool
+has_become_cold (const struct lease_worker_info *before,
+                 const struct lease_worker_info *after)
+{
+  return after->cold_until_us > before->cold_until_us + COLD_JITTER_US;
+}
+
 /* Whether starts on the worker are decided differently from now on.  */
 static bool
 has_changed (const struct lease_worker_info *before,
@@ -14,6 +26,7 @@
 {
   return before->draining != after->draining
          || before->incarnation_ms != after->incarnation_ms
+         || has_become_cold (before, after)
          || !planner_resources_equal (before->capacity, after->capacity);
 }
 
@@ -29,9 +42,23 @@
   known->info.id = known->id;
 }
 
+/* What ENTRY, which was read or told of now, says; its time for which the
+   worker stays cold as an absolute one.  */
+static struct lease_worker_info
+with_absolute_times (struct cell *cell, const struct lease_worker_info *entry)
+{
+  struct lease_worker_info info = *entry;
+  if (info.cold_left_ms > 0)
+    info.cold_until_us = pl_now_us (cell->clock) + info.cold_left_ms * 1000;
+  info.cold_left_ms = 0;
+  return info;
+}
+
 void
-cell_set_worker (struct cell *cell, const struct lease_worker_info *info)
+cell_set_worker (struct cell *cell, const struct lease_worker_info *entry)
 {
+  struct lease_worker_info absolute = with_absolute_times (cell, entry);
+  const struct lease_worker_info *info = &absolute;
   struct known_worker *known
       = g_hash_table_lookup (cell->workers, &info->worker);
   bool changed = known == NULL;
@@ -54,9 +81,9 @@
     }
   if (changed)
     pl_log (PL_EV_WORKER_SET,
-            "worker=%s draining=%d cpu=%d mem=%d revision=%" PRId64, info->id,
-            info->draining, info->capacity.cpu, info->capacity.mem,
-            info->revision);
+            "worker=%s draining=%d cpu=%d mem=%d revision=%" PRId64 " cold=%d",
+            info->id, info->draining, info->capacity.cpu, info->capacity.mem,
+            info->revision, info->cold_until_us != 0);
   changed = changed || known->removed
             || !pl_addr_eq (known->info.addr, info->addr)
             || known->info.domain != info->domain;
--- a/lib/lease/lease.h
+++ b/lib/lease/lease.h
@@ -136,6 +136,12 @@
   int64_t incarnation_ms; /* when its process started; 0: not known */
   bool draining;
   int64_t revision; /* of the registry when this was written; 0: not known */
+  /* How much longer it stays slow after its start, as its entry says; 0: it is
+     not cold, or not known.  */
+  int64_t cold_left_ms;
+  /* The same as a time on the clock of this process, which lib/cell sets when
+     it reads the entry; 0: not cold.  */
+  int64_t cold_until_us;
 };
 
 enum lease_worker_state
@@ -171,6 +177,18 @@
   int64_t last_success_us;  /* when a run was done last */
 };
 
+/* Slow start of a cold worker (ramp.c).  */
+struct lease_ramp
+{
+  bool active;           /* the worker takes a part of its capacity */
+  bool last_slow;        /* the run measured last was */
+  int64_t cold_until_us; /* as known last; 0: the worker was never cold */
+  int64_t began_us;
+  int32_t cpu;     /* the part that it takes now, thousandths of a core */
+  unsigned n_fast; /* runs measured */
+  unsigned n_slow;
+};
+
 /* A worker that is held, being taken, or probed.  */
 struct lease_worker
 {
@@ -195,6 +213,7 @@
   int64_t poll_lost_us;    /* when a poll got no answer last; 0: never */
   enum lease_reply poll_reply; /* result of the latest poll */
   struct lease_health health;
+  struct lease_ramp ramp;
   GPtrArray *runs; /* struct lease_run */
   void *user;      /* of the caller */
 };
@@ -286,6 +305,12 @@
 /* Applies a change of the registry to a held worker.  */
 void lease_update (struct lease_table *table, struct lease_worker *w,
                    const struct lease_worker_info *info);
+/* The worker may be slow for a while, for instance after the evacuation of its
+   failure domain: it takes a part of its capacity first, and more with each
+   run that is done, the faster the more.  Ignored if WORKER is not
+   held.  */
+void lease_mark_cold (struct lease_table *table, uint64_t worker,
+                      int64_t now_us);
 /* Gives the worker up to a successor and removes W: its runs go on, no op is
    called.  */
 void lease_yield (struct lease_table *table, struct lease_worker *w);
@@ -354,7 +379,8 @@
                       enum lease_reply reply, int64_t now_us);
 
 /* Handles timeouts: stops to resend, unclaimed runs, stragglers, polls after
-   failures, ends of ejections.  Call every LEASE_TICK_US.  */
+   failures, ends of ejections and of slow starts.  Call every LEASE_TICK_US.
+ */
 #define LEASE_TICK_US 20000
 void lease_tick (struct lease_table *table, int64_t now_us);
 
--- a/lib/lease/lease_priv.h
+++ b/lib/lease/lease_priv.h
@@ -13,12 +13,21 @@
   unsigned doublings; /* of the time limit, since a call was answered */
 };
 
+/* The largest run that was started of late (ramp.c), thousandths of a core. */
+struct lease_largest
+{
+  int32_t cpu;        /* in the present period; 0: none */
+  int32_t former_cpu; /* in the former one */
+  int64_t since_us;   /* when the present one began */
+};
+
 struct lease_table
 {
   const struct lease_ops *ops;
   void *ctx;
   GHashTable *workers; /* hash of the worker's id -> struct lease_worker */
   struct lease_call_time call_time;
+  struct lease_largest largest;
 };
 
 /* A call was answered after TOOK_US, or got no answer within its limit.  */
@@ -71,6 +80,18 @@
 /* Counts a run that takes far longer than expected as failures.  */
 void lease_record_straggler (struct lease_table *table, struct lease_worker *w,
                              const struct lease_run *run, int64_t now_us);
+/* Records the size of a run that is started now.  */
+void lease_record_size (struct lease_largest *largest, int32_t cpu,
+                        int64_t now_us);
+/* Begins the slow start of W if its entry says that it is cold, and ends it
+   after its time.  */
+void lease_check_ramp (struct lease_table *table, struct lease_worker *w,
+                       int64_t now_us);
+/* Counts RUN, which is done, for the slow start of W.  */
+void lease_measure_ramp (struct lease_table *table, struct lease_worker *w,
+                         const struct lease_run *run, int64_t now_us);
+/* What W takes of its capacity now.  */
+struct planner_resources lease_offered_capacity (const struct lease_worker *w);
 /* Whether the worker takes starts.  */
 bool lease_is_usable (const struct lease_worker *w, int64_t now_us);
 struct planner_resources lease_used_resources (const struct lease_worker *w);
--- a/lib/lease/listed.c
+++ b/lib/lease/listed.c
@@ -44,8 +44,11 @@
   if (!w->poll_renews)
     run->started_us = 0;
   if (end->outcome == LEASE_OUTCOME_DONE)
-    lease_record_success (&w->health, lease_run_time_us (run, now_us),
-                          run->expect_us, now_us);
+    {
+      lease_record_success (&w->health, lease_run_time_us (run, now_us),
+                            run->expect_us, now_us);
+      lease_measure_ramp (table, w, run, now_us);
+    }
   else if (end->outcome == LEASE_OUTCOME_FAILED)
     lease_record_failure (table, w, now_us);
   lease_end_run (table, w, run, end_of_outcome (end->outcome),
--- a/lib/lease/run.c
+++ b/lib/lease/run.c
@@ -200,6 +200,7 @@
   run->expect_us = order->expect_us;
   run->added_us = now_us;
   w->renewed_us = now_us;
+  lease_record_size (&table->largest, order->size.cpu, now_us);
   pl_count (PL_CTR_RUN_STARTS_TOTAL, 1);
   pl_count (PL_CTR_WORKER_ORDERS_TOTAL, 1);
   table->ops->start (table->ctx, w, run, deadline_ms);
--- a/lib/lease/table.c
+++ b/lib/lease/table.c
@@ -82,6 +82,7 @@
   w->answered_us = now_us;
   w->health.slowness = 100;
   g_hash_table_insert (table->workers, &w->info.worker, w);
+  lease_check_ramp (table, w, now_us);
   lease_send_poll (table, w, now_us);
   return w;
 }
@@ -151,7 +152,8 @@
   /* The run may have ended, and the answer that lists its end was lost.  */
   if (now_us - w->answered_us > ANSWER_FRESH_US)
     return false;
-  bool stuck = w->health.last_success_us < run->started_us;
+  /* That a cold worker takes longer is known.  */
+  bool stuck = !w->ramp.active && w->health.last_success_us < run->started_us;
   /* A task that is started again because its run took too long may simply be
      a long one: each further run gets more time.  */
   int64_t expect_us = run->expect_us * run->id.run;
@@ -185,6 +187,7 @@
 {
   for (guint i = 0; i < w->runs->len; i++)
     tick_run (table, w, g_ptr_array_index (w->runs, i), now_us);
+  lease_check_ramp (table, w, now_us);
   if (w->health.ejected_until_us != 0 && w->health.ejected_until_us <= now_us)
     {
       w->health.ejected_until_us = 0;
@@ -212,7 +215,7 @@
     .token = w->token,
     .service = w->info.service,
     .domain = w->info.domain,
-    .capacity = w->info.capacity,
+    .capacity = lease_offered_capacity (w),
     .used = lease_used_resources (w),
     .usable = lease_is_usable (w, now_us),
     .slowness = w->health.slowness,
--- a/tests/cell_size_test.c
+++ b/tests/cell_size_test.c
@@ -357,6 +357,30 @@
   world_free (world);
 }
 
+/* Guards against cold workers that get their full load because their holder
+   does not read the registry itself.  */
+static void
+test_a_worker_is_known_to_be_cold_everywhere (void)
+{
+  struct world *world = new_fleet (6);
+  unsigned cold = 0;
+  for (int i = 0; i < world->n_workers; i++)
+    {
+      world->workers[i].cold_left_ms = 5000;
+      world_change_worker (world, i, 32000, false, -1);
+    }
+  world_run_for (world, SECOND);
+  for (int i = 0; i < world->n_instances; i++)
+    for (int k = 0; k < world->n_workers; k++)
+      {
+        const struct lease_worker *w = lease_find_worker (
+            cell_leases (world->instances[i].cell), world->workers[k].key);
+        cold += w != NULL && w->ramp.active;
+      }
+  CU_ASSERT_EQUAL (cold, (unsigned)world->n_workers);
+  world_free (world);
+}
+
 #define SIZE_WORKERS 1100
 #define SIZE_DOMAINS 6
 #define SIZE_JOBS 300
@@ -475,6 +499,8 @@
       test_a_fleet_that_grows_and_shrinks_holds_all_workers },
     { "two of a domain read the registry",
       test_two_of_a_domain_read_the_registry },
+    { "a worker is known to be cold everywhere",
+      test_a_worker_is_known_to_be_cold_everywhere },
     { "a short silence of readers makes no others read",
       test_a_short_silence_of_readers_makes_no_others_read },
     { "a worker that left is forgotten everywhere",
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -53,6 +53,29 @@
   CU_ASSERT_EQUAL (info.labels[1], cell_name_hash (pl_str ("r1-3")));
   CU_ASSERT_EQUAL (info.incarnation_ms, 77);
   CU_ASSERT_FALSE (info.draining);
+  CU_ASSERT_EQUAL (info.cold_left_ms, 0);
+}
+
+/* Guards against a worker that is not known to be cold, and against a wrong
+   entry that keeps it from its capacity for good or hides the worker.  */
+static void
+test_cold_time_is_decoded (void)
+{
+  static const char *const texts[]
+      = { "4500", "-7", "\"long\"", "900000000000" };
+  static const int64_t left_ms[] = { 4500, 0, 0, 60000 };
+  for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
+    {
+      struct lease_worker_info info;
+      struct pl_err err = { 0 };
+      g_autofree char *entry = g_strdup_printf (
+          "{\"service\":\"s\",\"address\":\"10.1.1.1:1\",\"zone\":\"b\","
+          "\"state\":\"ready\",\"capacity\":{\"cpu\":1,\"mem_mb\":1},"
+          "\"cold_left_ms\":%s}",
+          texts[i]);
+      CU_ASSERT_TRUE (pf_decode_worker ("i-1", pl_str (entry), &info, &err));
+      CU_ASSERT_EQUAL (info.cold_left_ms, left_ms[i]);
+    }
 }
 
 /* Guards against entries that are malformed, or were written by something else
@@ -373,6 +396,7 @@
 main (void)
 {
   CU_TestInfo tests[] = {
+    { "cold time is decoded", test_cold_time_is_decoded },
     { "a worker entry is decoded", test_worker_entry_is_decoded },
     { "malformed worker entries are rejected",
       test_malformed_worker_entries_are_rejected },
