--- a/tests/evac_test.c
+++ b/tests/evac_test.c
@@ -276,6 +276,37 @@
     }
 }
 
+/* Guards against a task that runs twice, or a refusal that is not true, when
+   evacuations begin and end among faults that overlap.  */
+static void
+test_evacuations_among_faults (void)
+{
+  for (uint64_t seed = 1; seed <= 8; seed++)
+    {
+      const struct soak_fleet *fleet = &fleets[seed % 2];
+      struct world *world = world_new (seed, fleet->n_instances,
+                                       fleet->n_workers, fleet->n_domains);
+      world_run_for (world, 2 * SECOND);
+      for (int i = 0; i < 150; i++)
+        {
+          int instance
+              = (int)world_random_between (world, 0, world->n_instances - 1);
+          (void)world_submit (world, instance, 4,
+                              world_random_between (world, 30000, 900000));
+          if (world_random_chance (world, 0.1))
+            soak_inject_fault (world);
+          if (world_random_chance (world, 0.1))
+            tell (world, instance,
+                  new_entry (world, instance % world->n_domains,
+                             world_random_chance (world, 0.5)));
+          world_resend_lost_jobs (world);
+          world_run_for (world, world_random_between (world, 10000, 90000));
+        }
+      check_violations (world, "evacuations", seed);
+      world_free (world);
+    }
+}
+
 /* Guards against lists that make an instance compute with values out of
    range.  */
 static void
@@ -316,6 +347,7 @@
       test_quick_changes_are_seen_out_of_order },
     { "adopters of a lost domain know", test_adopters_of_a_lost_domain_know },
     { "all domains are evacuated", test_all_domains_are_evacuated },
+    { "evacuations among faults", test_evacuations_among_faults },
     { "odd lists of peers are refused", test_odd_lists_of_peers_are_refused },
     CU_TEST_INFO_NULL,
   };
