--- a/lib/cell/evacuate.c
+++ b/lib/cell/evacuate.c
@@ -21,11 +21,13 @@
          && cell_has_other_domain (cell);
 }
 
-/* Has the held workers of DOMAIN reported anew, and returns their number.  */
+/* Has the held workers of DOMAIN reported anew, and returns their number. They
+   may be cold after an evacuation.  */
 static unsigned
-report_workers_of (struct cell *cell, uint64_t domain)
+update_workers (struct cell *cell, uint64_t domain, bool evacuated)
 {
   unsigned n = 0;
+  int64_t now_us = pl_now_us (cell->clock);
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, lease_workers (cell->leases));
@@ -34,6 +36,8 @@
       const struct lease_worker *w = value;
       if (w->info.domain != domain)
         continue;
+      if (!evacuated)
+        lease_mark_cold (cell->leases, w->info.worker, now_us);
       cell_mark_report_due (cell, w->info.worker);
       n++;
     }
@@ -44,7 +48,7 @@
 static void
 apply_change (struct cell *cell, const struct evac_entry *entry)
 {
-  unsigned held = report_workers_of (cell, entry->domain);
+  unsigned held = update_workers (cell, entry->domain, entry->active);
   pl_log (entry->active ? PL_EV_EVACUATE : PL_EV_EVACUATION_END,
           "domain=%016" PRIx64 " revision=%" PRId64 " held=%u", entry->domain,
           entry->revision, held);
--- a/tests/evac_test.c
+++ b/tests/evac_test.c
@@ -151,7 +151,8 @@
 }
 
 /* Guards against starts on an evacuated domain while load is on, jobs that
-   wait for its workers, and workers that don't come back.  */
+   wait for its workers, and workers that don't come back, or come back without
+   a slow start.  */
 static void
 test_nothing_starts_until_the_end (void)
 {
@@ -168,7 +169,10 @@
                        fleet == 1);
       run_load (world, 2 * SECOND, 4, 100000);
       CU_ASSERT_TRUE (play_jobs (world) >= (fleet == 0 ? all : all - here));
+      int64_t slow_starts = pl_counter (PL_CTR_SLOW_STARTS_TOTAL);
       change (world, 1, false, -1);
+      CU_ASSERT_EQUAL (pl_counter (PL_CTR_SLOW_STARTS_TOTAL) - slow_starts,
+                       world->n_workers / world->n_domains);
       CU_ASSERT_EQUAL (play_jobs (world), all);
       finish (world, "evacuated");
     }
