--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -54,7 +54,7 @@
   cell->domains = table_new (NULL, g_free);
   cell->peers = table_new (g_free, peer_free);
   cell->workers = table_new (NULL, worker_free);
-  cell->searches = table_new (NULL, g_free);
+  cell->searches = table_new (NULL, cell_free_search);
   cell->leases = lease_table_new (&cell_lease_ops, cell);
   cell->jobs = owner_table_new (cell->clock, &cell_owner_ops, cell);
   cell->evacuations = evac_table_new ();
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -132,9 +132,9 @@
 
 /* Searches for a job that this instance does not have, and cancels it if
    CANCEL.  The load balancer sends each new connection of a caller to any
-   instance of its failure domain: these are asked, and the planner, which
-   knows the owners of all jobs that wait for workers.  The number of
-   messages does not grow with the fleet.  USER names the search.  */
+   instance of the failure domain where the caller is now: these are asked
+   first, and the planner, which knows the owners of all jobs that wait for
+   workers; then all others.  USER names the search.  */
 enum cell_search_result cell_search_job (struct cell *cell, uint64_t job,
                                          bool cancel, void *user);
 /* Nobody waits for the result of the search USER any more.  */
--- a/lib/cell/cell.pb-c.c
+++ b/lib/cell/cell.pb-c.c
@@ -3282,7 +3282,7 @@
   (ProtobufCMessageInit) cellpb__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__find__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cellpb__find__field_descriptors[5] =
 {
   {
     "job",
@@ -3332,8 +3332,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "asked",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Find, asked),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cellpb__find__field_indices_by_name[] = {
+  4,   /* field[4] = asked */
   1,   /* field[1] = asker */
   3,   /* field[3] = cancel */
   0,   /* field[0] = job */
@@ -3342,7 +3355,7 @@
 static const ProtobufCIntRange cellpb__find__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor cellpb__find__descriptor =
 {
@@ -3352,14 +3365,14 @@
   "Cellpb__Find",
   "cellpb",
   sizeof(Cellpb__Find),
-  4,
+  5,
   cellpb__find__field_descriptors,
   cellpb__find__field_indices_by_name,
   1,  cellpb__find__number_ranges,
   (ProtobufCMessageInit) cellpb__find__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__found__field_descriptors[3] =
+static const ProtobufCFieldDescriptor cellpb__found__field_descriptors[4] =
 {
   {
     "number",
@@ -3397,8 +3410,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "asked",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Found, asked),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cellpb__found__field_indices_by_name[] = {
+  3,   /* field[3] = asked */
   1,   /* field[1] = here */
   0,   /* field[0] = number */
   2,   /* field[2] = out_of_reach */
@@ -3406,7 +3432,7 @@
 static const ProtobufCIntRange cellpb__found__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor cellpb__found__descriptor =
 {
@@ -3416,7 +3442,7 @@
   "Cellpb__Found",
   "cellpb",
   sizeof(Cellpb__Found),
-  3,
+  4,
   cellpb__found__field_descriptors,
   cellpb__found__field_indices_by_name,
   1,  cellpb__found__number_ranges,
--- a/lib/cell/cell.pb-c.h
+++ b/lib/cell/cell.pb-c.h
@@ -607,10 +607,14 @@
    */
   uint64_t number;
   protobuf_c_boolean cancel;
+  /*
+   * the instance that ASKER has asked, which may pass this on; 0: not told
+   */
+  uint64_t asked;
 };
 #define CELLPB__FIND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cellpb__find__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 /*
@@ -626,10 +630,14 @@
    * the sender knows the owner and doesn't reach it
    */
   protobuf_c_boolean out_of_reach;
+  /*
+   * as in Find; 0: the sender
+   */
+  uint64_t asked;
 };
 #define CELLPB__FOUND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cellpb__found__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 typedef enum {
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -268,7 +268,9 @@
 /* Jobs of other instances, for their callers (find.c).  */
 void cell_on_find (struct cell *cell, uint64_t sender,
                    const Cellpb__Find *msg);
-void cell_on_found (struct cell *cell, const Cellpb__Found *msg);
+void cell_on_found (struct cell *cell, uint64_t sender,
+                    const Cellpb__Found *msg);
+void cell_free_search (void *search);
 void cell_tick_searches (struct cell *cell);
 
 /* What is repeated after a connection was lost (resync.c).  Our link to PEER
--- a/lib/cell/find.c
+++ b/lib/cell/find.c
@@ -1,27 +1,58 @@
 /* Searches for the job of a caller at other instances.  A caller may cancel
    its job, or ask for its state, over a new connection, which reaches any
-   instance of its failure domain.  */
+   instance of the failure domain where the caller is now.  First the instances
+   are asked that probably have the job, then all others: that no instance has
+   it is said only when each that may have it has said so.  */
 #include "cell_priv.h"
 
 /* Peers answer in a few milliseconds; callers wait for some seconds.  */
 #define SEARCH_TIMEOUT_US 300000
+/* The others are asked though some of the first have not answered.  */
+#define FIRST_STAGE_US 100000
+
+/* An instance that was asked.  */
+struct asked
+{
+  uint64_t id;
+  bool answered; /* or has ended: its jobs have ended with it */
+};
 
 struct search
 {
   uint64_t number;
+  uint64_t job;
   void *user;
   bool cancel;
-  unsigned n_asked;  /* answers that are still to come */
-  bool out_of_reach; /* not all that may have the job were asked */
-  int64_t until_us;
+  bool asks_all;     /* not only those that probably have the job */
+  GArray *asked;     /* struct asked */
+  bool out_of_reach; /* an answer says that an instance was not asked */
+  int64_t begin_us;
 };
 
+void
+cell_free_search (void *data)
+{
+  struct search *search = data;
+  g_array_unref (search->asked);
+  g_free (search);
+}
+
+/* Whether PEER is asked before the others: the load balancer sends most
+   connections to an instance of the job's domain, and the planner knows the
+   owners of all jobs that wait for workers.  */
 static bool
-may_have_job (const struct cell *cell, const struct peer *peer)
+is_asked_first (const struct cell *cell, const struct peer *peer)
 {
   return peer->domain == cell->domain || peer->id == cell->planner_id;
 }
 
+/* Whether jobs of PEER may be running though nothing is heard of it.  */
+static bool
+is_silent (const struct peer *peer)
+{
+  return !peer->alive && peer->registered && !cell_has_peer_ended (peer);
+}
+
 static void
 send_find (struct cell *cell, uint64_t to, const Cellpb__Find *find)
 {
@@ -30,67 +61,127 @@
   cell_send (cell, to, &env);
 }
 
-/* Asks the peers that may have the job; returns their number.  */
-static unsigned
-ask_peers (struct cell *cell, const Cellpb__Find *find, bool *out_of_reach)
+static struct asked *
+find_asked (const struct search *search, uint64_t id)
+{
+  for (guint i = 0; i < search->asked->len; i++)
+    {
+      struct asked *asked = &g_array_index (search->asked, struct asked, i);
+      if (asked->id == id)
+        return asked;
+    }
+  return NULL;
+}
+
+static void
+ask (struct cell *cell, struct search *search, uint64_t id)
+{
+  struct asked asked = { .id = id };
+  g_array_append_val (search->asked, asked);
+  Cellpb__Find find = CELLPB__FIND__INIT;
+  find.job = search->job;
+  find.asker = cell->id;
+  find.number = search->number;
+  find.cancel = search->cancel;
+  find.asked = id;
+  send_find (cell, id, &find);
+}
+
+/* Asks the live peers that are to be asked now and were not yet.  Those that
+   are silent are asked when they are heard again.  */
+static void
+ask_peers (struct cell *cell, struct search *search)
 {
-  unsigned n = 0;
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, cell->peers);
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       const struct peer *peer = value;
-      if (!may_have_job (cell, peer))
-        continue;
-      if (peer->alive)
-        {
-          send_find (cell, peer->id, find);
-          n++;
-        }
-      else if (peer->registered && !cell_has_peer_ended (peer))
-        *out_of_reach = true;
+      if (peer->alive && (search->asks_all || is_asked_first (cell, peer))
+          && find_asked (search, peer->id) == NULL)
+        ask (cell, search, peer->id);
+    }
+}
+
+/* Whether the process of an instance that was asked has ended.  */
+static bool
+has_ended (struct cell *cell, uint64_t id)
+{
+  const struct peer *peer = cell_find_peer (cell, id);
+  return peer == NULL || cell_has_peer_ended (peer);
+}
+
+static bool
+have_all_answered (struct cell *cell, struct search *search)
+{
+  for (guint i = 0; i < search->asked->len; i++)
+    {
+      struct asked *asked = &g_array_index (search->asked, struct asked, i);
+      asked->answered = asked->answered || has_ended (cell, asked->id);
+      if (!asked->answered)
+        return false;
     }
-  return n;
+  return true;
 }
 
+/* Whether a peer that was not asked may have the job.  */
+static bool
+is_any_silent (struct cell *cell)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, cell->peers);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    if (is_silent (value))
+      return true;
+  return false;
+}
+
+/* Goes on with a search for a job that was not found yet, and returns its
+   result if it has one.  */
 static enum cell_search_result
-result_of_none (bool out_of_reach)
+go_on (struct cell *cell, struct search *search)
 {
-  return out_of_reach ? CELL_SEARCH_OUT_OF_REACH : CELL_SEARCH_NONE;
+  int64_t age_us = pl_now_us (cell->clock) - search->begin_us;
+  if (age_us >= SEARCH_TIMEOUT_US)
+    return CELL_SEARCH_OUT_OF_REACH;
+  bool stage_is_over = !search->asks_all && age_us >= FIRST_STAGE_US;
+  if (!stage_is_over && !have_all_answered (cell, search))
+    return CELL_SEARCH_PENDING;
+  search->asks_all = true;
+  ask_peers (cell, search);
+  if (!have_all_answered (cell, search))
+    return CELL_SEARCH_PENDING;
+  if (search->out_of_reach || is_any_silent (cell))
+    return CELL_SEARCH_OUT_OF_REACH;
+  return CELL_SEARCH_NONE;
 }
 
 enum cell_search_result
 cell_search_job (struct cell *cell, uint64_t job, bool cancel, void *user)
 {
-  Cellpb__Find find = CELLPB__FIND__INIT;
-  find.job = job;
-  find.asker = cell->id;
-  find.number = ++cell->n_searches;
-  find.cancel = cancel;
-  bool out_of_reach = cell->planner_id == 0;
-  unsigned n_asked = ask_peers (cell, &find, &out_of_reach);
-  /* If this instance plans, it knows by itself who has the job.  */
-  uint64_t owner = planner_find_owner (cell->planner, job);
-  const struct peer *peer = owner == 0 ? NULL : cell_find_peer (cell, owner);
-  if (peer != NULL && peer->domain != cell->domain)
-    {
-      send_find (cell, owner, &find);
-      n_asked++;
-    }
-  if (n_asked == 0)
-    return result_of_none (out_of_reach);
   struct search *search = g_new (struct search, 1);
   *search = (struct search){
-    .number = find.number,
+    .number = ++cell->n_searches,
+    .job = job,
     .user = user,
     .cancel = cancel,
-    .n_asked = n_asked,
-    .out_of_reach = out_of_reach,
-    .until_us = pl_now_us (cell->clock) + SEARCH_TIMEOUT_US,
+    .asked = g_array_new (FALSE, FALSE, sizeof (struct asked)),
+    .begin_us = pl_now_us (cell->clock),
   };
-  g_hash_table_insert (cell->searches, &search->number, search);
-  return CELL_SEARCH_PENDING;
+  /* If this instance plans, it knows by itself who has the job.  */
+  uint64_t owner = planner_find_owner (cell->planner, job);
+  const struct peer *peer = owner == 0 ? NULL : cell_find_peer (cell, owner);
+  if (peer != NULL && peer->alive)
+    ask (cell, search, owner);
+  ask_peers (cell, search);
+  enum cell_search_result result = go_on (cell, search);
+  if (result == CELL_SEARCH_PENDING)
+    g_hash_table_insert (cell->searches, &search->number, search);
+  else
+    cell_free_search (search);
+  return result;
 }
 
 static void
@@ -117,13 +208,13 @@
 void
 cell_tick_searches (struct cell *cell)
 {
-  int64_t now_us = pl_now_us (cell->clock);
   g_autoptr (GList) searches = g_hash_table_get_values (cell->searches);
   for (GList *l = searches; l != NULL; l = l->next)
     {
-      const struct search *search = l->data;
-      if (search->until_us <= now_us)
-        end_search (cell, search, CELL_SEARCH_OUT_OF_REACH);
+      struct search *search = l->data;
+      enum cell_search_result result = go_on (cell, search);
+      if (result != CELL_SEARCH_PENDING)
+        end_search (cell, search, result);
     }
 }
 
@@ -144,6 +235,7 @@
   Cellpb__Found found = CELLPB__FOUND__INIT;
   found.number = msg->number;
   found.here = job != NULL;
+  found.asked = msg->asked;
   if (job != NULL && msg->cancel)
     cancel_job (cell, job);
   uint64_t owner = planner_find_owner (cell->planner, msg->job);
@@ -163,16 +255,36 @@
   cell_send (cell, msg->asker, &env);
 }
 
+/* The instance that MSG answers for.  A former build does not tell: if the
+   sender was not asked, the planner has passed the question on to it.  */
+static struct asked *
+find_answerer (struct cell *cell, const struct search *search, uint64_t sender,
+               const Cellpb__Found *msg)
+{
+  if (msg->asked != 0)
+    return find_asked (search, msg->asked);
+  struct asked *asked = find_asked (search, sender);
+  if (asked == NULL || asked->answered)
+    asked = find_asked (search, cell->planner_id);
+  return asked;
+}
+
 void
-cell_on_found (struct cell *cell, const Cellpb__Found *msg)
+cell_on_found (struct cell *cell, uint64_t sender, const Cellpb__Found *msg)
 {
   struct search *search = g_hash_table_lookup (cell->searches, &msg->number);
   if (search == NULL)
     return;
-  search->out_of_reach = search->out_of_reach || msg->out_of_reach;
-  search->n_asked--;
   if (msg->here)
-    end_search (cell, search, CELL_SEARCH_FOUND);
-  else if (search->n_asked == 0)
-    end_search (cell, search, result_of_none (search->out_of_reach));
+    {
+      end_search (cell, search, CELL_SEARCH_FOUND);
+      return;
+    }
+  search->out_of_reach = search->out_of_reach || msg->out_of_reach;
+  struct asked *asked = find_answerer (cell, search, sender, msg);
+  if (asked != NULL)
+    asked->answered = true;
+  enum cell_search_result result = go_on (cell, search);
+  if (result != CELL_SEARCH_PENDING)
+    end_search (cell, search, result);
 }
--- a/lib/cell/msg.c
+++ b/lib/cell/msg.c
@@ -181,7 +181,7 @@
       cell_on_find (cell, sender, env->find);
       break;
     case CELLPB__ENVELOPE__BODY_FOUND:
-      cell_on_found (cell, env->found);
+      cell_on_found (cell, sender, env->found);
       break;
     case CELLPB__ENVELOPE__BODY_TAKEN:
       cell_on_taken (cell, sender, env->taken);
--- a/tests/cell_search_test.c
+++ b/tests/cell_search_test.c
@@ -52,6 +52,47 @@
     }
 }
 
+/* Guards against a cancellation of a running job that is denied because its
+   caller has moved to another failure domain (review/9): neither the planner
+   nor the peers of that domain know the job, and its task started again.  */
+static void
+test_a_running_job_of_another_domain_is_found (void)
+{
+  for (int i = 0; i < 2; i++)
+    {
+      struct world *world = new_world (20);
+      struct world_job *job = world_submit (world, 4, 4, 2 * SECOND);
+      world_run_for (world, 500000);
+      CU_ASSERT_EQUAL (world->starts, 4);
+      bool cancel = i == 0;
+      CU_ASSERT_EQUAL (search (world, 2, job->id, cancel), CELL_SEARCH_FOUND);
+      CU_ASSERT_EQUAL (job->answered, cancel);
+      CU_ASSERT_EQUAL (search (world, 2, job->id + 2, cancel),
+                       CELL_SEARCH_NONE);
+      world_run_for (world, 3 * SECOND);
+      CU_ASSERT_EQUAL (world->starts, 4);
+      world_free (world);
+    }
+}
+
+/* Guards against a search that waits for its time limit because a peer that
+   was asked has ended: the caller would get 503 for a job that nobody has.  */
+static void
+test_an_asked_peer_that_ends_has_answered (void)
+{
+  struct world *world = new_world (21);
+  struct cell *cell = world->instances[2].cell;
+  CU_ASSERT_EQUAL (cell_search_job (cell, 77, true, world),
+                   CELL_SEARCH_PENDING);
+  world_kill (world, 5, false);
+  struct peer *peer = cell_find_peer_at (cell, world_addr (5));
+  world_run_for (world, 2000);
+  peer->refuses_connections = true;
+  world_run_for (world, 250000);
+  CU_ASSERT_EQUAL (world->searches[CELL_SEARCH_NONE], 1);
+  world_free (world);
+}
+
 /* Guards against a request for the state of a job that ends it, or that denies
    a job which another instance has.  */
 static void
@@ -152,6 +193,10 @@
   CU_TestInfo tests[] = {
     { "a cancellation elsewhere takes effect",
       test_a_cancellation_elsewhere_takes_effect },
+    { "a running job of another domain is found",
+      test_a_running_job_of_another_domain_is_found },
+    { "an asked peer that ends has answered",
+      test_an_asked_peer_that_ends_has_answered },
     { "a state request elsewhere finds the job",
       test_a_state_request_elsewhere_finds_the_job },
     { "an owner out of reach is not denied",
--- a/tests/faults/mutants/cancelled-only-here.sed
+++ b/tests/faults/mutants/cancelled-only-here.sed
@@ -1,4 +1,4 @@
 # file: lib/cell/find.c
 # test: cell_search_test
-# change: the peers of the failure domain are not asked for a job
-s/^  return peer->domain == cell->domain || peer->id == cell->planner_id;/  return peer->id == cell->planner_id;/
+# change: only the planner is asked for a job
+s/^      if (peer->alive && (search->asks_all || is_asked_first (cell, peer))/      if (peer->alive \&\& peer->id == cell->planner_id/
