--- a/lib/base/counters.gen.c
+++ b/lib/base/counters.gen.c
@@ -108,6 +108,8 @@
     .help = "Workers that this planner has looked at to place tasks." },
   { .name = "papayaloft_grants_total", .type = "counter",
     .help = "Grants by this planner." },
+  { .name = "papayaloft_cancellations_kept_total", .type = "counter",
+    .help = "Cancellations of jobs that a silent instance may have, which this instance had all instances keep." },
   { .name = "papayaloft_frames_stale_total", .type = "counter",
     .help = "Peer messages dropped because they were too old on arrival." },
   { .name = "papayaloft_registry_bad_total", .type = "counter",
--- a/lib/base/events.gen.c
+++ b/lib/base/events.gen.c
@@ -16,6 +16,7 @@
   { .event = PL_EV_CANCEL, .name = "CANCEL", .level = G_LOG_LEVEL_INFO },
   { .event = PL_EV_FORWARD, .name = "FORWARD", .level = G_LOG_LEVEL_INFO },
   { .event = PL_EV_FORWARD_LOST, .name = "FORWARD_LOST", .level = G_LOG_LEVEL_WARNING },
+  { .event = PL_EV_CANCEL_KEPT, .name = "CANCEL_KEPT", .level = G_LOG_LEVEL_MESSAGE },
   { .event = PL_EV_PLACE, .name = "PLACE", .level = G_LOG_LEVEL_INFO },
   { .event = PL_EV_REPLACE, .name = "REPLACE", .level = G_LOG_LEVEL_INFO },
   { .event = PL_EV_TASK_END, .name = "TASK_END", .level = G_LOG_LEVEL_INFO },
--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -55,6 +55,8 @@
   cell->peers = table_new (g_free, peer_free);
   cell->workers = table_new (NULL, worker_free);
   cell->searches = table_new (NULL, cell_free_search);
+  cell->kept = table_new (NULL, NULL);
+  g_queue_init (&cell->kept_order);
   cell->leases = lease_table_new (&cell_lease_ops, cell);
   cell->jobs = owner_table_new (cell->clock, &cell_owner_ops, cell);
   cell->evacuations = evac_table_new ();
@@ -88,6 +90,8 @@
   g_queue_clear_full (&cell->inbox, (GDestroyNotify)g_bytes_unref);
   g_queue_clear_full (&cell->sent_ends, g_free);
   g_hash_table_unref (cell->searches);
+  g_hash_table_unref (cell->kept);
+  g_queue_clear_full (&cell->kept_order, g_free);
   lease_table_free (cell->leases);
   owner_table_free (cell->jobs);
   planner_free (cell->planner);
@@ -206,6 +210,7 @@
   lease_tick (cell->leases, now_us);
   owner_tick (cell->jobs);
   cell_tick_searches (cell);
+  cell_tick_kept (cell);
   cell_assign_workers (cell);
   if (planner_count_jobs (cell->planner) > 0)
     cell->plan_due = true;
--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -31,6 +31,7 @@
   CELL_SEARCH_FOUND,        /* another instance has the job, or cancelled it */
   CELL_SEARCH_NONE,         /* no instance has it */
   CELL_SEARCH_OUT_OF_REACH, /* an instance that may have it doesn't answer */
+  CELL_SEARCH_KEPT, /* the same; the job is cancelled when that is heard */
 };
 
 struct cell_ops
--- a/lib/cell/cell.pb-c.c
+++ b/lib/cell/cell.pb-c.c
@@ -1087,6 +1087,51 @@
   assert(message->base.descriptor == &cellpb__found__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cellpb__cancels__init
+                     (Cellpb__Cancels         *message)
+{
+  static const Cellpb__Cancels init_value = CELLPB__CANCELS__INIT;
+  *message = init_value;
+}
+size_t cellpb__cancels__get_packed_size
+                     (const Cellpb__Cancels *message)
+{
+  assert(message->base.descriptor == &cellpb__cancels__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cellpb__cancels__pack
+                     (const Cellpb__Cancels *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cellpb__cancels__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cellpb__cancels__pack_to_buffer
+                     (const Cellpb__Cancels *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cellpb__cancels__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cellpb__Cancels *
+       cellpb__cancels__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cellpb__Cancels *)
+     protobuf_c_message_unpack (&cellpb__cancels__descriptor,
+                                allocator, len, data);
+}
+void   cellpb__cancels__free_unpacked
+                     (Cellpb__Cancels *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cellpb__cancels__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cellpb__envelope__init
                      (Cellpb__Envelope         *message)
 {
@@ -3449,7 +3494,58 @@
   (ProtobufCMessageInit) cellpb__found__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__envelope__field_descriptors[20] =
+static const ProtobufCFieldDescriptor cellpb__cancels__field_descriptors[2] =
+{
+  {
+    "jobs",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Cellpb__Cancels, n_jobs),
+    offsetof(Cellpb__Cancels, jobs),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_us",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Cellpb__Cancels, n_age_us),
+    offsetof(Cellpb__Cancels, age_us),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cellpb__cancels__field_indices_by_name[] = {
+  1,   /* field[1] = age_us */
+  0,   /* field[0] = jobs */
+};
+static const ProtobufCIntRange cellpb__cancels__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cellpb__cancels__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cellpb.Cancels",
+  "Cancels",
+  "Cellpb__Cancels",
+  "cellpb",
+  sizeof(Cellpb__Cancels),
+  2,
+  cellpb__cancels__field_descriptors,
+  cellpb__cancels__field_indices_by_name,
+  1,  cellpb__cancels__number_ranges,
+  (ProtobufCMessageInit) cellpb__cancels__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cellpb__envelope__field_descriptors[21] =
 {
   {
     "sender",
@@ -3691,9 +3787,22 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cancels",
+    28,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cellpb__Envelope, body_case),
+    offsetof(Cellpb__Envelope, cancels),
+    &cellpb__cancels__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cellpb__envelope__field_indices_by_name[] = {
   2,   /* field[2] = ask */
+  20,   /* field[20] = cancels */
   13,   /* field[13] = config */
   15,   /* field[15] = crashes */
   3,   /* field[3] = drop */
@@ -3714,10 +3823,11 @@
   16,   /* field[16] = worker_state */
   12,   /* field[12] = yield */
 };
-static const ProtobufCIntRange cellpb__envelope__number_ranges[1 + 1] =
+static const ProtobufCIntRange cellpb__envelope__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 20 }
+  { 28, 20 },
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor cellpb__envelope__descriptor =
 {
@@ -3727,10 +3837,10 @@
   "Cellpb__Envelope",
   "cellpb",
   sizeof(Cellpb__Envelope),
-  20,
+  21,
   cellpb__envelope__field_descriptors,
   cellpb__envelope__field_indices_by_name,
-  1,  cellpb__envelope__number_ranges,
+  2,  cellpb__envelope__number_ranges,
   (ProtobufCMessageInit) cellpb__envelope__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/lib/cell/cell.pb-c.h
+++ b/lib/cell/cell.pb-c.h
@@ -39,6 +39,7 @@
 typedef struct Cellpb__Config Cellpb__Config;
 typedef struct Cellpb__Find Cellpb__Find;
 typedef struct Cellpb__Found Cellpb__Found;
+typedef struct Cellpb__Cancels Cellpb__Cancels;
 typedef struct Cellpb__Envelope Cellpb__Envelope;
 
 
@@ -640,6 +641,26 @@
     , 0, 0, 0, 0 }
 
 
+/*
+ * To all, and to each peer that is heard again: jobs that were cancelled while an
+ * instance that may have them was silent. In parallel.
+ */
+struct  Cellpb__Cancels
+{
+  ProtobufCMessage base;
+  size_t n_jobs;
+  uint64_t *jobs;
+  /*
+   * since the job was cancelled
+   */
+  size_t n_age_us;
+  int64_t *age_us;
+};
+#define CELLPB__CANCELS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cellpb__cancels__descriptor) \
+    , 0,NULL, 0,NULL }
+
+
 typedef enum {
   CELLPB__ENVELOPE__BODY__NOT_SET = 0,
   CELLPB__ENVELOPE__BODY_HEARTBEAT = 2,
@@ -659,7 +680,8 @@
   CELLPB__ENVELOPE__BODY_WORKER_STATE = 17,
   CELLPB__ENVELOPE__BODY_FIND = 18,
   CELLPB__ENVELOPE__BODY_FOUND = 19,
-  CELLPB__ENVELOPE__BODY_REGISTRY = 20
+  CELLPB__ENVELOPE__BODY_REGISTRY = 20,
+  CELLPB__ENVELOPE__BODY_CANCELS = 28
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CELLPB__ENVELOPE__BODY__CASE)
 } Cellpb__Envelope__BodyCase;
 
@@ -694,6 +716,7 @@
     Cellpb__Find *find;
     Cellpb__Found *found;
     Cellpb__Registry *registry;
+    Cellpb__Cancels *cancels;
   };
 };
 #define CELLPB__ENVELOPE__INIT \
@@ -1157,6 +1180,25 @@
 void   cellpb__found__free_unpacked
                      (Cellpb__Found *message,
                       ProtobufCAllocator *allocator);
+/* Cellpb__Cancels methods */
+void   cellpb__cancels__init
+                     (Cellpb__Cancels         *message);
+size_t cellpb__cancels__get_packed_size
+                     (const Cellpb__Cancels   *message);
+size_t cellpb__cancels__pack
+                     (const Cellpb__Cancels   *message,
+                      uint8_t             *out);
+size_t cellpb__cancels__pack_to_buffer
+                     (const Cellpb__Cancels   *message,
+                      ProtobufCBuffer     *buffer);
+Cellpb__Cancels *
+       cellpb__cancels__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cellpb__cancels__free_unpacked
+                     (Cellpb__Cancels *message,
+                      ProtobufCAllocator *allocator);
 /* Cellpb__Envelope methods */
 void   cellpb__envelope__init
                      (Cellpb__Envelope         *message);
@@ -1250,6 +1292,9 @@
 typedef void (*Cellpb__Found_Closure)
                  (const Cellpb__Found *message,
                   void *closure_data);
+typedef void (*Cellpb__Cancels_Closure)
+                 (const Cellpb__Cancels *message,
+                  void *closure_data);
 typedef void (*Cellpb__Envelope_Closure)
                  (const Cellpb__Envelope *message,
                   void *closure_data);
@@ -1283,6 +1328,7 @@
 extern const ProtobufCMessageDescriptor cellpb__config__descriptor;
 extern const ProtobufCMessageDescriptor cellpb__find__descriptor;
 extern const ProtobufCMessageDescriptor cellpb__found__descriptor;
+extern const ProtobufCMessageDescriptor cellpb__cancels__descriptor;
 extern const ProtobufCMessageDescriptor cellpb__envelope__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -124,7 +124,9 @@
   GQueue inbox;         /* GBytes of messages of this instance to itself */
   GHashTable *searches; /* number -> struct search of find.c */
   uint64_t n_searches;
-  GQueue sent_ends; /* struct sent_end of resync.c, oldest first */
+  GHashTable *kept;  /* job -> struct kept of kept.c */
+  GQueue kept_order; /* struct kept, oldest first */
+  GQueue sent_ends;  /* struct sent_end of resync.c, oldest first */
   int64_t load_logged_us;
   int64_t logged_load[CELL_LOAD_COUNTERS];
 };
@@ -272,6 +274,17 @@
                     const Cellpb__Found *msg);
 void cell_free_search (void *search);
 void cell_tick_searches (struct cell *cell);
+/* Ends the job for its caller, who has cancelled it at another instance.  */
+void cell_cancel_job (struct cell *cell, struct owner_job *job);
+
+/* Cancellations for instances that are silent (kept.c).  */
+bool cell_can_keep_cancellation (const struct cell *cell);
+/* Has all instances keep the cancellation of JOB at the time AT_US.  */
+void cell_keep_cancellation (struct cell *cell, uint64_t job, int64_t at_us);
+/* Tells PEER, which was silent or may have lost messages, what is kept.  */
+void cell_send_cancellations (struct cell *cell, struct peer *peer);
+void cell_on_cancels (struct cell *cell, const Cellpb__Cancels *msg);
+void cell_tick_kept (struct cell *cell);
 
 /* What is repeated after a connection was lost (resync.c).  Our link to PEER
    is up again, or the peer's link to us.  */
--- a/lib/cell/check.c
+++ b/lib/cell/check.c
@@ -106,6 +106,17 @@
   return true;
 }
 
+static bool
+are_cancels (const Cellpb__Cancels *msg)
+{
+  if (msg->n_jobs != msg->n_age_us)
+    return false;
+  for (size_t i = 0; i < msg->n_age_us; i++)
+    if (!is_duration (msg->age_us[i]))
+      return false;
+  return true;
+}
+
 static bool
 is_worker_state (const Cellpb__WorkerState *state)
 {
@@ -172,6 +183,8 @@
       return are_crashes (env->crashes);
     case CELLPB__ENVELOPE__BODY_FIND:
       return env->find->asker != 0;
+    case CELLPB__ENVELOPE__BODY_CANCELS:
+      return are_cancels (env->cancels);
     case CELLPB__ENVELOPE__BODY_TAKEN:
       return is_token (env->taken->token);
     case CELLPB__ENVELOPE__BODY_YIELD:
--- a/lib/cell/find.c
+++ b/lib/cell/find.c
@@ -2,7 +2,8 @@
    its job, or ask for its state, over a new connection, which reaches any
    instance of the failure domain where the caller is now.  First the instances
    are asked that probably have the job, then all others: that no instance has
-   it is said only when each that may have it has said so.  */
+   it is said only when each that may have it has said so.  A silent instance
+   may have it until its process is known to have ended.  */
 #include "cell_priv.h"
 
 /* Peers answer in a few milliseconds; callers wait for some seconds.  */
@@ -46,11 +47,14 @@
   return peer->domain == cell->domain || peer->id == cell->planner_id;
 }
 
-/* Whether jobs of PEER may be running though nothing is heard of it.  */
+/* Whether PEER may have jobs though nothing is heard of it.  An address at
+   which nobody was ever heard counts only if an instance is registered there.
+ */
 static bool
 is_silent (const struct peer *peer)
 {
-  return !peer->alive && peer->registered && !cell_has_peer_ended (peer);
+  return !peer->alive && !cell_has_peer_ended (peer)
+         && (peer->registered || peer->id != 0);
 }
 
 static void
@@ -125,17 +129,47 @@
   return true;
 }
 
-/* Whether a peer that was not asked may have the job.  */
-static bool
-is_any_silent (struct cell *cell)
+/* The peers that were not asked and may have the job.  */
+struct silent_peers
+{
+  unsigned n;
+  unsigned n_registered; /* of them, cut off from this instance only */
+};
+
+static struct silent_peers
+count_silent (struct cell *cell)
 {
+  struct silent_peers silent = { 0 };
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, cell->peers);
   while (g_hash_table_iter_next (&it, NULL, &value))
-    if (is_silent (value))
-      return true;
-  return false;
+    {
+      const struct peer *peer = value;
+      silent.n += is_silent (peer);
+      silent.n_registered += is_silent (peer) && peer->registered;
+    }
+  return silent;
+}
+
+/* The result if none of those that were asked has the job.  A peer that is
+   registered and silent goes on with its jobs; one that is not registered is
+   frozen or cut off from all, and cancels the job when it is heard again.  */
+static enum cell_search_result
+result_of_none (struct cell *cell, const struct search *search)
+{
+  struct silent_peers silent = count_silent (cell);
+  if (search->out_of_reach)
+    return CELL_SEARCH_OUT_OF_REACH;
+  if (silent.n == 0)
+    return CELL_SEARCH_NONE;
+  if (silent.n_registered > 0)
+    return CELL_SEARCH_PENDING; /* until it is heard, or the time is up */
+  if (!search->cancel || !cell->registry_fresh
+      || !cell_can_keep_cancellation (cell))
+    return CELL_SEARCH_OUT_OF_REACH;
+  cell_keep_cancellation (cell, search->job, search->begin_us);
+  return CELL_SEARCH_KEPT;
 }
 
 /* Goes on with a search for a job that was not found yet, and returns its
@@ -153,9 +187,7 @@
   ask_peers (cell, search);
   if (!have_all_answered (cell, search))
     return CELL_SEARCH_PENDING;
-  if (search->out_of_reach || is_any_silent (cell))
-    return CELL_SEARCH_OUT_OF_REACH;
-  return CELL_SEARCH_NONE;
+  return result_of_none (cell, search);
 }
 
 enum cell_search_result
@@ -218,9 +250,8 @@
     }
 }
 
-/* Ends the job for its caller, who has cancelled it at another instance.  */
-static void
-cancel_job (struct cell *cell, struct owner_job *job)
+void
+cell_cancel_job (struct cell *cell, struct owner_job *job)
 {
   pl_log (PL_EV_CANCEL, "key=%016" PRIx64 " reason=caller started=%d", job->id,
           job->started);
@@ -237,7 +268,7 @@
   found.here = job != NULL;
   found.asked = msg->asked;
   if (job != NULL && msg->cancel)
-    cancel_job (cell, job);
+    cell_cancel_job (cell, job);
   uint64_t owner = planner_find_owner (cell->planner, msg->job);
   /* A request that the planner has passed on goes no further.  */
   if (job == NULL && sender == msg->asker && owner != 0 && owner != cell->id
--- a/lib/cell/member.c
+++ b/lib/cell/member.c
@@ -169,6 +169,7 @@
   /* Starts and claims are accepted from an instance that has told that it
      hears the holder.  */
   cell_send_heartbeat (cell, peer, false);
+  cell_send_cancellations (cell, peer);
   owner_on_holder_recovered (cell->jobs, peer->id);
 }
 
--- a/lib/cell/msg.c
+++ b/lib/cell/msg.c
@@ -183,6 +183,9 @@
     case CELLPB__ENVELOPE__BODY_FOUND:
       cell_on_found (cell, sender, env->found);
       break;
+    case CELLPB__ENVELOPE__BODY_CANCELS:
+      cell_on_cancels (cell, env->cancels);
+      break;
     case CELLPB__ENVELOPE__BODY_TAKEN:
       cell_on_taken (cell, sender, env->taken);
       break;
--- a/lib/cell/resync.c
+++ b/lib/cell/resync.c
@@ -84,6 +84,7 @@
       repeat_ends (cell, peer);
       repeat_takes (cell, peer);
       owner_claim_runs (cell->jobs, peer->id);
+      cell_send_cancellations (cell, peer);
     }
   repeat_to_planner (cell, peer);
 }
--- a/tests/cell_search_test.c
+++ b/tests/cell_search_test.c
@@ -23,7 +23,7 @@
       = cell_search_job (world->instances[instance].cell, job, cancel, world);
   world_process_queued (world, instance);
   world_run_for (world, 500000);
-  for (unsigned i = CELL_SEARCH_FOUND; i <= CELL_SEARCH_OUT_OF_REACH; i++)
+  for (unsigned i = CELL_SEARCH_FOUND; i <= CELL_SEARCH_KEPT; i++)
     if (world->searches[i] > 0)
       return (enum cell_search_result)i;
   return result;
@@ -123,6 +123,66 @@
   world_free (world);
 }
 
+/* Submits a job to instance 4, which freezes and loses its registration while
+   the tasks run.  */
+static struct world_job *
+submit_and_freeze (struct world *world)
+{
+  struct world_job *job = world_submit (world, 4, 4, 2 * SECOND);
+  world_run_for (world, 300000);
+  CU_ASSERT_EQUAL (world->starts, 4);
+  world_set_frozen (world, 4, true);
+  world_run_for (world, 1200000);
+  world_set_registered (world, 4, false);
+  return job;
+}
+
+/* Guards against a job that is denied while its instance is frozen and no
+   longer registered (review/10), and against one that goes on when the
+   instance wakes, although its cancelling was acknowledged and the instance
+   that did so may have ended meanwhile.  */
+static void
+test_a_frozen_owner_is_not_denied (void)
+{
+  for (unsigned i = 0; i < 2; i++)
+    {
+      struct world *world = new_world (30 + i);
+      const struct world_job *job = submit_and_freeze (world);
+      CU_ASSERT_EQUAL (search (world, 2, job->id, false),
+                       CELL_SEARCH_OUT_OF_REACH);
+      CU_ASSERT_EQUAL (search (world, 2, job->id, true), CELL_SEARCH_KEPT);
+      if (i == 1)
+        world_kill (world, 2, false);
+      world_run_for (world, SECOND); /* what was sent to it is out of date */
+      world_thaw (world, 4, true);
+      world_set_registered (world, 4, true);
+      world_run_for (world, 500000);
+      CU_ASSERT_TRUE (job->answered && job->code == PL_CANCELLED_RAN);
+      unsigned starts = world->starts;
+      world_run_for (world, 3 * SECOND);
+      CU_ASSERT_EQUAL (world->starts, starts);
+      check_violations (world, "frozen owner", 30 + i);
+      world_free (world);
+    }
+}
+
+/* Guards against a cancellation that is kept for a frozen instance and ends a
+   job that was submitted later with the same id.  */
+static void
+test_a_later_job_of_the_same_id_is_not_cancelled (void)
+{
+  struct world *world = new_world (32);
+  const struct world_job *job = submit_and_freeze (world);
+  world_run_for (world, 2 * SECOND); /* its runs have ended */
+  CU_ASSERT_EQUAL (search (world, 2, job->id, true), CELL_SEARCH_KEPT);
+  (void)world_submit_job (world, 1, job->id, job->n_tasks, job->run_us);
+  world_reset_link (world, 2, 1); /* it is told again what is kept */
+  world_reset_link (world, 3, 1);
+  world_run_for (world, 3 * SECOND);
+  CU_ASSERT_TRUE (job->answered && job->code == PL_OK);
+  world_free (world);
+}
+
 /* Guards against a result for a caller that has gone.  */
 static void
 test_a_forgotten_search_has_no_result (void)
@@ -201,6 +261,9 @@
       test_a_state_request_elsewhere_finds_the_job },
     { "an owner out of reach is not denied",
       test_an_owner_out_of_reach_is_not_denied },
+    { "a frozen owner is not denied", test_a_frozen_owner_is_not_denied },
+    { "a later job of the same id is not cancelled",
+      test_a_later_job_of_the_same_id_is_not_cancelled },
     { "a forgotten search has no result",
       test_a_forgotten_search_has_no_result },
     { "a wave of cancellations is cheap",
--- a/tests/world_base.h
+++ b/tests/world_base.h
@@ -157,7 +157,7 @@
   unsigned crowded_starts; /* above a job's bound of tasks per worker */
   unsigned frames;         /* sent between instances */
   /* Results of searches for jobs, by enum cell_search_result.  */
-  unsigned searches[CELL_SEARCH_OUT_OF_REACH + 1];
+  unsigned searches[CELL_SEARCH_KEPT + 1];
   /* Receives a copy of each frame that is sent; may be null.  */
   void (*on_frame) (struct world *world, GBytes *frame);
   void *user; /* of ON_FRAME */
