find: a large fleet searches the other failure domains

Cause: in a large fleet instances of other domains are no peers, so that their jobs were not found and a cancellation from another zone was answered 410.

Change: when the own domain doesn't have the job, one instance of each other domain is asked over a link that is opened for that (lib/cell/remote.c), asks its own domain and answers for it; another is asked after 220 ms or a refused connection, three in all. Of a domain that has lost its registered instances those that it had last are asked. With a registry that is not read the answer is 503. Domains of former builds don't answer: 503 instead of a wrong 410.

Ruled out: a directory by hash of the id, links of each to all (docs/design/find.md).

Existing tests: a search may take 900 ms, jobs last 10 s.

--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -51,11 +51,12 @@
   cell->addr = config->addr;
   cell->cpu_share = config->cpu_share;
   cell->fleet = table_new (g_free, g_free);
-  cell->domains = table_new (NULL, g_free);
+  cell->domains = table_new (NULL, cell_free_domain);
   cell->peers = table_new (g_free, peer_free);
   cell->workers = table_new (NULL, worker_free);
   cell->searches = table_new (NULL, cell_free_search);
   cell->kept = table_new (NULL, NULL);
+  cell->remotes = table_new (g_free, cell_free_remote);
   g_queue_init (&cell->kept_order);
   cell->leases = lease_table_new (&cell_lease_ops, cell);
   cell->jobs = owner_table_new (cell->clock, &cell_owner_ops, cell);
@@ -87,10 +88,12 @@
 {
   disconnect_all (cell);
   cell_end_calls (cell);
+  cell_close_remotes (cell);
   g_queue_clear_full (&cell->inbox, (GDestroyNotify)g_bytes_unref);
   g_queue_clear_full (&cell->sent_ends, g_free);
   g_hash_table_unref (cell->searches);
   g_hash_table_unref (cell->kept);
+  g_hash_table_unref (cell->remotes);
   g_queue_clear_full (&cell->kept_order, g_free);
   lease_table_free (cell->leases);
   owner_table_free (cell->jobs);
@@ -211,6 +214,7 @@
   owner_tick (cell->jobs);
   cell_tick_searches (cell);
   cell_tick_kept (cell);
+  cell_tick_remotes (cell);
   cell_assign_workers (cell);
   if (planner_count_jobs (cell->planner) > 0)
     cell->plan_due = true;
--- a/lib/cell/cell.pb-c.c
+++ b/lib/cell/cell.pb-c.c
@@ -3327,7 +3327,7 @@
   (ProtobufCMessageInit) cellpb__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__find__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cellpb__find__field_descriptors[8] =
 {
   {
     "job",
@@ -3389,18 +3389,57 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "asker_ip",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Find, asker_ip),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asker_port",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Find, asker_port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "for_domain",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Find, for_domain),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cellpb__find__field_indices_by_name[] = {
   4,   /* field[4] = asked */
   1,   /* field[1] = asker */
+  5,   /* field[5] = asker_ip */
+  6,   /* field[6] = asker_port */
   3,   /* field[3] = cancel */
+  7,   /* field[7] = for_domain */
   0,   /* field[0] = job */
   2,   /* field[2] = number */
 };
 static const ProtobufCIntRange cellpb__find__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor cellpb__find__descriptor =
 {
@@ -3410,14 +3449,14 @@
   "Cellpb__Find",
   "cellpb",
   sizeof(Cellpb__Find),
-  5,
+  8,
   cellpb__find__field_descriptors,
   cellpb__find__field_indices_by_name,
   1,  cellpb__find__number_ranges,
   (ProtobufCMessageInit) cellpb__find__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__found__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cellpb__found__field_descriptors[6] =
 {
   {
     "number",
@@ -3467,17 +3506,43 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "for_domain",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Found, for_domain),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kept",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Found, kept),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cellpb__found__field_indices_by_name[] = {
   3,   /* field[3] = asked */
+  4,   /* field[4] = for_domain */
   1,   /* field[1] = here */
+  5,   /* field[5] = kept */
   0,   /* field[0] = number */
   2,   /* field[2] = out_of_reach */
 };
 static const ProtobufCIntRange cellpb__found__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor cellpb__found__descriptor =
 {
@@ -3487,7 +3552,7 @@
   "Cellpb__Found",
   "cellpb",
   sizeof(Cellpb__Found),
-  4,
+  6,
   cellpb__found__field_descriptors,
   cellpb__found__field_indices_by_name,
   1,  cellpb__found__number_ranges,
--- a/lib/cell/cell.pb-c.h
+++ b/lib/cell/cell.pb-c.h
@@ -612,10 +612,19 @@
    * the instance that ASKER has asked, which may pass this on; 0: not told
    */
   uint64_t asked;
+  /*
+   * Of ASKER, if it is no peer of the receiver.
+   */
+  uint32_t asker_ip;
+  uint32_t asker_port;
+  /*
+   * the receiver is to ask its failure domain and answer for it
+   */
+  protobuf_c_boolean for_domain;
 };
 #define CELLPB__FIND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cellpb__find__descriptor) \
-    , 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -635,10 +644,18 @@
    * as in Find; 0: the sender
    */
   uint64_t asked;
+  /*
+   * the answer is for all of the sender's failure domain
+   */
+  protobuf_c_boolean for_domain;
+  /*
+   * an instance is silent; the cancellation is kept there
+   */
+  protobuf_c_boolean kept;
 };
 #define CELLPB__FOUND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cellpb__found__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -124,9 +124,10 @@
   GQueue inbox;         /* GBytes of messages of this instance to itself */
   GHashTable *searches; /* number -> struct search of find.c */
   uint64_t n_searches;
-  GHashTable *kept;  /* job -> struct kept of kept.c */
-  GQueue kept_order; /* struct kept, oldest first */
-  GQueue sent_ends;  /* struct sent_end of resync.c, oldest first */
+  GHashTable *kept;    /* job -> struct kept of kept.c */
+  GQueue kept_order;   /* struct kept, oldest first */
+  GHashTable *remotes; /* address -> struct remote of remote.c */
+  GQueue sent_ends;    /* struct sent_end of resync.c, oldest first */
   int64_t load_logged_us;
   int64_t logged_load[CELL_LOAD_COUNTERS];
 };
@@ -152,6 +153,26 @@
 void cell_tick_domains (struct cell *cell);
 /* Whether some other domain has registered instances and is not evacuated.  */
 bool cell_has_other_domain (const struct cell *cell);
+/* A failure domain that has instances, or had some in the last
+   PEER_FORGET_US.  */
+struct cell_domain
+{
+  uint64_t domain;
+  unsigned n_instances; /* registered; 0: it has lost them */
+};
+
+/* The other failure domains, struct cell_domain.  The caller frees the array.
+ */
+GArray *cell_list_other_domains (struct cell *cell);
+/* Instance NUMBER of DOMAIN, counted from one that depends on this instance,
+   so that instances spread over those of the domain.  Returns false if there
+   are not so many.  */
+bool cell_find_member (const struct cell *cell, uint64_t domain,
+                       unsigned number, struct pl_addr *addr);
+/* The instances that DOMAIN had last, struct pl_addr.  The caller frees the
+   array.  */
+GArray *cell_list_former (const struct cell *cell, uint64_t domain);
+void cell_free_domain (void *domain);
 /* Whether this instance's domain holds the workers of DOMAIN.  */
 bool cell_serves_domain (const struct cell *cell, uint64_t domain);
 
@@ -204,6 +225,18 @@
 void cell_dispatch (struct cell *cell, uint64_t sender,
                     const Cellpb__Envelope *env);
 
+/* A message as sent to several peers.  The caller frees it.  */
+GBytes *cell_pack (struct cell *cell, Cellpb__Envelope *env);
+
+/* Instances with which no heartbeats are exchanged (remote.c).  */
+void cell_send_remote (struct cell *cell, struct pl_addr addr,
+                       Cellpb__Envelope *env);
+void cell_remote_link_up (struct cell *cell, const void *link);
+void cell_remote_link_down (struct cell *cell, const void *link, bool refused);
+void cell_tick_remotes (struct cell *cell);
+void cell_close_remotes (struct cell *cell);
+void cell_free_remote (void *remote);
+
 /* Whether a message has the parts that its handler needs, with values that it
    can compute with (check.c).  */
 bool cell_is_valid (const Cellpb__Envelope *env);
@@ -273,6 +306,8 @@
 void cell_on_found (struct cell *cell, uint64_t sender,
                     const Cellpb__Found *msg);
 void cell_free_search (void *search);
+/* The process of the instance at ADDR has ended.  */
+void cell_on_remote_refused (struct cell *cell, struct pl_addr addr);
 void cell_tick_searches (struct cell *cell);
 /* Ends the job for its caller, who has cancelled it at another instance.  */
 void cell_cancel_job (struct cell *cell, struct owner_job *job);
--- a/lib/cell/check.c
+++ b/lib/cell/check.c
@@ -182,7 +182,7 @@
     case CELLPB__ENVELOPE__BODY_CRASHES:
       return are_crashes (env->crashes);
     case CELLPB__ENVELOPE__BODY_FIND:
-      return env->find->asker != 0;
+      return env->find->asker != 0 && env->find->asker_port <= UINT16_MAX;
     case CELLPB__ENVELOPE__BODY_CANCELS:
       return are_cancels (env->cancels);
     case CELLPB__ENVELOPE__BODY_TAKEN:
--- a/lib/cell/fleet.c
+++ b/lib/cell/fleet.c
@@ -47,6 +47,7 @@
 {
   uint64_t domain;
   unsigned n_instances; /* registered */
+  GArray *members;      /* struct pl_addr: of the registered instances */
   int64_t empty_us;     /* since when it has none */
   bool adopted;         /* its workers are held by this instance's domain */
   unsigned n_former;
@@ -74,11 +75,20 @@
     return found;
   found = g_new0 (struct fleet_domain, 1);
   found->domain = domain;
+  found->members = g_array_new (FALSE, FALSE, sizeof (struct pl_addr));
   found->empty_us = pl_now_us (cell->clock);
   g_hash_table_insert (cell->domains, &found->domain, found);
   return found;
 }
 
+void
+cell_free_domain (void *data)
+{
+  struct fleet_domain *domain = data;
+  g_array_unref (domain->members);
+  g_free (domain);
+}
+
 void
 cell_know_domain (struct cell *cell, uint64_t domain)
 {
@@ -205,16 +215,24 @@
     return;
   struct fleet_domain *left = find_or_add_domain (cell, member->domain);
   add_former (left, member->addr, now_us);
+  for (guint i = 0; i < left->members->len; i++)
+    if (pl_addr_eq (g_array_index (left->members, struct pl_addr, i),
+                    member->addr))
+      {
+        g_array_remove_index_fast (left->members, i);
+        break;
+      }
   if (--left->n_instances == 0)
     left->empty_us = now_us;
 }
 
 static void
-enter_domain (struct cell *cell, uint64_t domain)
+enter_domain (struct cell *cell, struct pl_addr addr, uint64_t domain)
 {
   if (domain == 0)
     return;
   struct fleet_domain *entered = find_or_add_domain (cell, domain);
+  g_array_append_val (entered->members, addr);
   if (entered->n_instances++ == 0)
     end_calls (cell, entered);
 }
@@ -239,7 +257,7 @@
   uint64_t *key = g_new (uint64_t, 1);
   *key = cell_addr_key (addr);
   g_hash_table_insert (cell->fleet, key, member);
-  enter_domain (cell, domain);
+  enter_domain (cell, addr, domain);
 }
 
 void
@@ -264,6 +282,54 @@
   return find_member (cell, addr) != NULL;
 }
 
+GArray *
+cell_list_other_domains (struct cell *cell)
+{
+  int64_t now_us = pl_now_us (cell->clock);
+  GArray *domains = g_array_new (FALSE, FALSE, sizeof (struct cell_domain));
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, cell->domains);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const struct fleet_domain *domain = value;
+      bool lost = domain->n_instances == 0 && domain->n_former > 0
+                  && now_us - domain->empty_us < PEER_FORGET_US;
+      if (domain->domain == cell->domain
+          || (domain->n_instances == 0 && !lost))
+        continue;
+      struct cell_domain entry = { domain->domain, domain->n_instances };
+      g_array_append_val (domains, entry);
+    }
+  return domains;
+}
+
+bool
+cell_find_member (const struct cell *cell, uint64_t domain, unsigned number,
+                  struct pl_addr *addr)
+{
+  const struct fleet_domain *found
+      = g_hash_table_lookup (cell->domains, &domain);
+  if (found == NULL || number >= found->members->len)
+    return false;
+  uint64_t key = cell_addr_key (cell->addr);
+  uint64_t first = XXH64 (&key, sizeof key, domain);
+  guint index = (guint)((first + number) % found->members->len);
+  *addr = g_array_index (found->members, struct pl_addr, index);
+  return true;
+}
+
+GArray *
+cell_list_former (const struct cell *cell, uint64_t domain)
+{
+  GArray *former = g_array_new (FALSE, FALSE, sizeof (struct pl_addr));
+  const struct fleet_domain *found
+      = g_hash_table_lookup (cell->domains, &domain);
+  for (unsigned i = 0; found != NULL && i < found->n_former; i++)
+    g_array_append_val (former, found->former[i].addr);
+  return former;
+}
+
 /* The domain that holds the workers of DOMAIN, which has no instances: of the
    domains that have some, the one of highest weight.  0: none.  */
 static uint64_t
--- a/lib/cell/member.c
+++ b/lib/cell/member.c
@@ -228,6 +228,7 @@
   if (peer == NULL)
     {
       cell_note_call (cell, link, true);
+      cell_remote_link_up (cell, link);
       return;
     }
   peer->refuses_connections = false;
@@ -244,7 +245,10 @@
   if (peer != NULL)
     peer->refuses_connections = refused;
   else
-    cell_note_call (cell, link, false);
+    {
+      cell_note_call (cell, link, false);
+      cell_remote_link_down (cell, link, refused);
+    }
 }
 
 void
--- a/lib/cell/msg.c
+++ b/lib/cell/msg.c
@@ -46,8 +46,8 @@
 }
 
 /* A message as sent to several peers.  The caller frees it.  */
-static GBytes *
-pack (struct cell *cell, Cellpb__Envelope *env)
+GBytes *
+cell_pack (struct cell *cell, Cellpb__Envelope *env)
 {
   env->sender = cell->id;
   env->sent_us = pl_now_us (cell->clock);
@@ -72,14 +72,14 @@
 void
 cell_send_to_peer (struct cell *cell, struct peer *peer, Cellpb__Envelope *env)
 {
-  g_autoptr (GBytes) frame = pack (cell, env);
+  g_autoptr (GBytes) frame = cell_pack (cell, env);
   send_packed (cell, peer, frame);
 }
 
 void
 cell_send_to_all_peers (struct cell *cell, Cellpb__Envelope *env)
 {
-  g_autoptr (GBytes) frame = pack (cell, env);
+  g_autoptr (GBytes) frame = cell_pack (cell, env);
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, cell->peers);
--- a/tests/cell_search_test.c
+++ b/tests/cell_search_test.c
@@ -10,6 +10,7 @@
 new_world (uint64_t seed)
 {
   struct world *world = world_new (seed, N_INSTANCES, N_WORKERS, 3);
+  world->job_deadline_us = 10 * SECOND;
   world_run_for (world, SECOND);
   return world;
 }
@@ -22,7 +23,7 @@
   enum cell_search_result result
       = cell_search_job (world->instances[instance].cell, job, cancel, world);
   world_process_queued (world, instance);
-  world_run_for (world, 500000);
+  world_run_for (world, 900000);
   for (unsigned i = CELL_SEARCH_FOUND; i <= CELL_SEARCH_KEPT; i++)
     if (world->searches[i] > 0)
       return (enum cell_search_result)i;
@@ -247,6 +248,114 @@
   world_free (world);
 }
 
+/* A fleet whose heartbeats go by domain: six instances in each of four.  */
+static struct world *
+new_large_world (uint64_t seed)
+{
+  struct world *world = world_new (seed, 24, 48, 4);
+  world->job_deadline_us = 10 * SECOND;
+  world_run_for (world, 4 * SECOND);
+  CU_ASSERT_TRUE (world->instances[0].cell->domain_only);
+  return world;
+}
+
+/* Guards against a job of another domain that is denied in a large fleet,
+   where its instances are no peers, also if the instance that was asked for
+   that domain has frozen; against a slow 410; and against links that stay. */
+static void
+test_a_large_fleet_finds_a_job_of_another_domain (void)
+{
+  struct world *world = new_large_world (40);
+  struct cell *cell = world->instances[2].cell;
+  const struct world_job *job = world_submit (world, 5, 4, 3 * SECOND);
+  world_run_for (world, 300000);
+  CU_ASSERT_EQUAL (search (world, 2, job->id, false), CELL_SEARCH_FOUND);
+  CU_ASSERT_EQUAL (g_hash_table_size (cell->remotes), 3);
+  CU_ASSERT_EQUAL (cell_search_job (cell, job->id + 2, true, world),
+                   CELL_SEARCH_PENDING);
+  memset (world->searches, 0, sizeof world->searches);
+  world_run_for (world, 60000);
+  CU_ASSERT_EQUAL (world->searches[CELL_SEARCH_NONE], 1);
+  struct pl_addr addr;
+  CU_ASSERT_TRUE (
+      cell_find_member (cell, world->instances[5].cell->domain, 0, &addr));
+  int asked = world_instance_at (world, addr);
+  CU_ASSERT_TRUE (asked != 5 && asked % 4 == 1);
+  world_set_frozen (world, asked, true);
+  CU_ASSERT_EQUAL (search (world, 2, job->id, true), CELL_SEARCH_FOUND);
+  CU_ASSERT_TRUE (job->answered && job->code == PL_CANCELLED_RAN);
+  world_run_for (world, 12 * SECOND);
+  CU_ASSERT_EQUAL (g_hash_table_size (cell->remotes), 0);
+  CU_ASSERT_EQUAL (g_hash_table_size (cell->searches), 0);
+  world_free (world);
+}
+
+/* Guards against a job of another domain that is denied in a large fleet while
+   its instance is frozen or its domain is cut off, and against one that goes
+   on when the instance wakes.  */
+static void
+test_a_large_fleet_keeps_cancellations (void)
+{
+  struct world *world = new_large_world (41);
+  const struct world_job *job = world_submit (world, 5, 4, 2 * SECOND);
+  world_run_for (world, 300000);
+  world_set_frozen (world, 5, true);
+  world_run_for (world, 1200000);
+  CU_ASSERT_EQUAL (search (world, 2, job->id, true), CELL_SEARCH_OUT_OF_REACH);
+  world_set_registered (world, 5, false);
+  CU_ASSERT_EQUAL (search (world, 2, job->id, false),
+                   CELL_SEARCH_OUT_OF_REACH);
+  CU_ASSERT_EQUAL (search (world, 2, job->id, true), CELL_SEARCH_KEPT);
+  world_run_for (world, SECOND);
+  world_thaw (world, 5, true);
+  world_set_registered (world, 5, true);
+  world_run_for (world, 500000);
+  CU_ASSERT_TRUE (job->answered && job->code == PL_CANCELLED_RAN);
+  CU_ASSERT_EQUAL (search (world, 2, 77, true), CELL_SEARCH_NONE);
+  world_set_domain_cut (world, 1, true);
+  CU_ASSERT_EQUAL (search (world, 2, 77, true), CELL_SEARCH_OUT_OF_REACH);
+  for (int i = 1; i < 24; i += 4)
+    world_set_registered (world, i, false);
+  CU_ASSERT_EQUAL (search (world, 2, 77, true), CELL_SEARCH_OUT_OF_REACH);
+  world_free (world);
+}
+
+/* Guards against a wave of cancellations that costs messages to the whole of
+   a large fleet: only those from another domain may.  */
+static void
+test_a_wave_in_a_large_fleet_is_cheap (void)
+{
+  enum
+  {
+    JOBS = 48,
+    OF_DOMAIN = 2 * 6 + 2,
+    OF_FLEET = 2 * 24 + 2 * 3,
+  };
+  struct world *world = new_large_world (42);
+  struct world_job *jobs[JOBS];
+  for (int i = 0; i < JOBS; i++)
+    jobs[i] = world_submit (world, i % 24, 1, SECOND);
+  world_run_for (world, 200000);
+  unsigned messages = 0;
+  world->user = &messages;
+  world->on_frame = count_searches;
+  for (int far = 0; far < 2; far++)
+    {
+      messages = 0;
+      memset (world->searches, 0, sizeof world->searches);
+      for (int i = far; i < JOBS; i += 4)
+        (void)cell_search_job (world->instances[(i + 4 + far) % 24].cell,
+                               jobs[i]->id, true, world);
+      world_run_for (world, 500000);
+      CU_ASSERT_EQUAL (world->searches[CELL_SEARCH_FOUND], JOBS / 4);
+      CU_ASSERT_TRUE (messages
+                      <= JOBS / 4 * (far == 0 ? OF_DOMAIN : OF_FLEET));
+      printf ("%u messages a search, 24 instances, job %s\n",
+              messages / (JOBS / 4), far == 0 ? "near" : "elsewhere");
+    }
+  world_free (world);
+}
+
 int
 main (void)
 {
@@ -268,6 +377,12 @@
       test_a_forgotten_search_has_no_result },
     { "a wave of cancellations is cheap",
       test_a_wave_of_cancellations_is_cheap },
+    { "a large fleet finds a job of another domain",
+      test_a_large_fleet_finds_a_job_of_another_domain },
+    { "a large fleet keeps cancellations",
+      test_a_large_fleet_keeps_cancellations },
+    { "a wave in a large fleet is cheap",
+      test_a_wave_in_a_large_fleet_is_cheap },
     CU_TEST_INFO_NULL,
   };
   const char *level = getenv ("PAPAYALOFT_LOG");
