--- a/lib/cell/cell.h
+++ b/lib/cell/cell.h
@@ -31,6 +31,7 @@
   CELL_SEARCH_FOUND,        /* another instance has the job, or cancelled it */
   CELL_SEARCH_NONE,         /* no instance has it */
   CELL_SEARCH_OUT_OF_REACH, /* an instance that may have it doesn't answer */
+  CELL_SEARCH_KEPT, /* the same; the job is cancelled when that is heard */
 };
 
 struct cell_ops
@@ -132,9 +133,9 @@
 
 /* Searches for a job that this instance does not have, and cancels it if
    CANCEL.  The load balancer sends each new connection of a caller to any
-   instance of its failure domain: these are asked, and the planner, which
-   knows the owners of all jobs that wait for workers.  The number of
-   messages does not grow with the fleet.  USER names the search.  */
+   instance of the failure domain where the caller is now: these are asked
+   first, and the planner, which knows the owners of all jobs that wait for
+   workers; then all others.  USER names the search.  */
 enum cell_search_result cell_search_job (struct cell *cell, uint64_t job,
                                          bool cancel, void *user);
 /* Nobody waits for the result of the search USER any more.  */
--- a/lib/cell/cell.pb-c.c
+++ b/lib/cell/cell.pb-c.c
@@ -1087,6 +1087,51 @@
   assert(message->base.descriptor == &cellpb__found__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cellpb__cancels__init
+                     (Cellpb__Cancels         *message)
+{
+  static const Cellpb__Cancels init_value = CELLPB__CANCELS__INIT;
+  *message = init_value;
+}
+size_t cellpb__cancels__get_packed_size
+                     (const Cellpb__Cancels *message)
+{
+  assert(message->base.descriptor == &cellpb__cancels__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cellpb__cancels__pack
+                     (const Cellpb__Cancels *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cellpb__cancels__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cellpb__cancels__pack_to_buffer
+                     (const Cellpb__Cancels *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cellpb__cancels__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cellpb__Cancels *
+       cellpb__cancels__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cellpb__Cancels *)
+     protobuf_c_message_unpack (&cellpb__cancels__descriptor,
+                                allocator, len, data);
+}
+void   cellpb__cancels__free_unpacked
+                     (Cellpb__Cancels *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cellpb__cancels__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cellpb__envelope__init
                      (Cellpb__Envelope         *message)
 {
@@ -3282,7 +3327,7 @@
   (ProtobufCMessageInit) cellpb__config__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__find__field_descriptors[4] =
+static const ProtobufCFieldDescriptor cellpb__find__field_descriptors[8] =
 {
   {
     "job",
@@ -3332,17 +3377,69 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "asked",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Find, asked),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asker_ip",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Find, asker_ip),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asker_port",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Find, asker_port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "for_domain",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Find, for_domain),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cellpb__find__field_indices_by_name[] = {
+  4,   /* field[4] = asked */
   1,   /* field[1] = asker */
+  5,   /* field[5] = asker_ip */
+  6,   /* field[6] = asker_port */
   3,   /* field[3] = cancel */
+  7,   /* field[7] = for_domain */
   0,   /* field[0] = job */
   2,   /* field[2] = number */
 };
 static const ProtobufCIntRange cellpb__find__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor cellpb__find__descriptor =
 {
@@ -3352,14 +3449,14 @@
   "Cellpb__Find",
   "cellpb",
   sizeof(Cellpb__Find),
-  4,
+  8,
   cellpb__find__field_descriptors,
   cellpb__find__field_indices_by_name,
   1,  cellpb__find__number_ranges,
   (ProtobufCMessageInit) cellpb__find__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__found__field_descriptors[3] =
+static const ProtobufCFieldDescriptor cellpb__found__field_descriptors[6] =
 {
   {
     "number",
@@ -3397,16 +3494,55 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "asked",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Found, asked),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "for_domain",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Found, for_domain),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kept",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Found, kept),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cellpb__found__field_indices_by_name[] = {
+  3,   /* field[3] = asked */
+  4,   /* field[4] = for_domain */
   1,   /* field[1] = here */
+  5,   /* field[5] = kept */
   0,   /* field[0] = number */
   2,   /* field[2] = out_of_reach */
 };
 static const ProtobufCIntRange cellpb__found__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor cellpb__found__descriptor =
 {
@@ -3416,14 +3552,65 @@
   "Cellpb__Found",
   "cellpb",
   sizeof(Cellpb__Found),
-  3,
+  6,
   cellpb__found__field_descriptors,
   cellpb__found__field_indices_by_name,
   1,  cellpb__found__number_ranges,
   (ProtobufCMessageInit) cellpb__found__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__envelope__field_descriptors[20] =
+static const ProtobufCFieldDescriptor cellpb__cancels__field_descriptors[2] =
+{
+  {
+    "jobs",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Cellpb__Cancels, n_jobs),
+    offsetof(Cellpb__Cancels, jobs),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_us",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_INT64,
+    offsetof(Cellpb__Cancels, n_age_us),
+    offsetof(Cellpb__Cancels, age_us),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cellpb__cancels__field_indices_by_name[] = {
+  1,   /* field[1] = age_us */
+  0,   /* field[0] = jobs */
+};
+static const ProtobufCIntRange cellpb__cancels__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor cellpb__cancels__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cellpb.Cancels",
+  "Cancels",
+  "Cellpb__Cancels",
+  "cellpb",
+  sizeof(Cellpb__Cancels),
+  2,
+  cellpb__cancels__field_descriptors,
+  cellpb__cancels__field_indices_by_name,
+  1,  cellpb__cancels__number_ranges,
+  (ProtobufCMessageInit) cellpb__cancels__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cellpb__envelope__field_descriptors[21] =
 {
   {
     "sender",
@@ -3665,9 +3852,22 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "cancels",
+    28,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cellpb__Envelope, body_case),
+    offsetof(Cellpb__Envelope, cancels),
+    &cellpb__cancels__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cellpb__envelope__field_indices_by_name[] = {
   2,   /* field[2] = ask */
+  20,   /* field[20] = cancels */
   13,   /* field[13] = config */
   15,   /* field[15] = crashes */
   3,   /* field[3] = drop */
@@ -3688,10 +3888,11 @@
   16,   /* field[16] = worker_state */
   12,   /* field[12] = yield */
 };
-static const ProtobufCIntRange cellpb__envelope__number_ranges[1 + 1] =
+static const ProtobufCIntRange cellpb__envelope__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 20 }
+  { 28, 20 },
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor cellpb__envelope__descriptor =
 {
@@ -3701,10 +3902,10 @@
   "Cellpb__Envelope",
   "cellpb",
   sizeof(Cellpb__Envelope),
-  20,
+  21,
   cellpb__envelope__field_descriptors,
   cellpb__envelope__field_indices_by_name,
-  1,  cellpb__envelope__number_ranges,
+  2,  cellpb__envelope__number_ranges,
   (ProtobufCMessageInit) cellpb__envelope__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/lib/cell/member.c
+++ b/lib/cell/member.c
@@ -169,6 +169,7 @@
   /* Starts and claims are accepted from an instance that has told that it
      hears the holder.  */
   cell_send_heartbeat (cell, peer, false);
+  cell_send_cancellations (cell, peer);
   owner_on_holder_recovered (cell->jobs, peer->id);
 }
 
@@ -227,6 +228,7 @@
   if (peer == NULL)
     {
       cell_note_call (cell, link, true);
+      cell_remote_link_up (cell, link);
       return;
     }
   peer->refuses_connections = false;
@@ -243,7 +245,10 @@
   if (peer != NULL)
     peer->refuses_connections = refused;
   else
-    cell_note_call (cell, link, false);
+    {
+      cell_note_call (cell, link, false);
+      cell_remote_link_down (cell, link, refused);
+    }
 }
 
 void
