--- a/lib/planner/planner_priv.h
+++ b/lib/planner/planner_priv.h
@@ -92,6 +92,26 @@
 planner_new_with_policy (const struct planner_policy *policy,
                          const struct planner_ops *ops, void *ctx);
 
+/* The state of the service KEY, added if it is not known.  */
+struct service *planner_find_service (struct planner_state *planner,
+                                      uint64_t key);
+
+/* The queue (queue.c).  */
+void planner_job_free (void *data);
+void planner_drop_job (struct planner_state *planner, struct job *job);
+/* Notes that task INDEX is on WORKER.  */
+void planner_record_placed (struct job *job, uint32_t index, uint64_t worker);
+/* Returns the jobs with waiting tasks, in order.  A copy, because refusals
+   remove jobs from the planner's list.  */
+GPtrArray *planner_list_waiting_jobs (const struct planner_state *planner);
+void planner_remove_placed_jobs (struct planner_state *planner);
+
+/* Refuses jobs that can't end in time, jobs of services that lack workers,
+   also the rest of started ones if all workers are in evacuated domains, and,
+   if the policy sheds load, jobs that would start too late because of the work
+   queued before them.  The planner's jobs must be in order (admission.c).  */
+void planner_refuse_jobs (struct planner_state *planner, int64_t now_us);
+
 /* Resources that the reported runs and the grants of W take.  */
 struct planner_resources planner_worker_used (const struct worker_entry *w);
 
