tests: the planner's simulated load reports starts, and draws a width once

Cause: two faults of the simulation. Holders did not report starts, so that a grant whose task ended first counted for 250 ms more, and one of a longer task was forgotten after 250 ms: workers had 14 of 32 cores taken twice, and empty ones got nothing (a dump of the free cores at 1.3 times the rates showed -26 and 32 of 32).

At 0.85 each serves all, so that its comparison with the baselines says nothing: the test asks for the same target at 1.15 times the rates, which is harder.

--- a/tests/planner_load.h
+++ b/tests/planner_load.h
@@ -113,6 +113,7 @@
   struct planner_worker_report report;
   double speed; /* factor on run times */
   struct planner_resources used;
+  bool report_due;
 };
 
 struct load
@@ -167,9 +168,8 @@
   job->kind = kind;
   job->domain = g_rand_int_range (load->rand, 0, LOAD_DOMAINS);
   job->at_us = (int64_t)(at_s * LOAD_S);
-  job->n_tasks
-      = CLAMP ((unsigned)round (load_log_normal (load->rand, k->width, 0.4)),
-               1, k->max_width);
+  double width = round (load_log_normal (load->rand, k->width, 0.4));
+  job->n_tasks = (unsigned)CLAMP (width, 1, k->max_width);
   job->cpu = (int32_t)MIN (load_log_normal (load->rand, LOAD_CPU_MEAN, 0.2),
                            LOAD_CPU_MAX);
   double run_ms
@@ -282,6 +282,7 @@
   job->started = true;
   w->used = planner_resources_add (w->used, request->size);
   w->report.runs[w->report.n_runs++] = planner_task_tag (job->id, index);
+  w->report_due = true;
   struct load_run_end *end = g_new (struct load_run_end, 1);
   *end = (struct load_run_end){
     .at_us = load->now_us + (int64_t)((double)job->run_us[index] * w->speed),
@@ -383,6 +384,18 @@
     }
 }
 
+/* Holders report each start.  */
+static void
+load_report_due (struct load *load)
+{
+  for (unsigned i = 0; i < LOAD_WORKERS; i++)
+    if (load->workers[i].report_due)
+      {
+        load->workers[i].report_due = false;
+        load_report (load, i);
+      }
+}
+
 /* Holders report each second, even without a change.  */
 static void
 load_report_all (struct load *load)
@@ -434,6 +447,7 @@
           report_us = load.now_us + LOAD_S;
         }
       planner_schedule (load.planner, load.now_us);
+      load_report_due (&load);
     }
   load.result.late_refusals
       = load.late_refused_credit / load.result.all.credit_offered;
--- a/tests/planner_load_test.c
+++ b/tests/planner_load_test.c
@@ -54,13 +54,13 @@
 /* The target for the credit share of a day.  */
 #define CREDIT_TARGET 0.9
 
-/* Guards against a default policy that misses CREDIT_TARGET at 85% of the
-   usual rates.  */
+/* Guards against a default policy that misses CREDIT_TARGET at 115% of the
+   usual rates: at 85% of them each policy serves all jobs.  */
 static void
 test_usual_load (void)
 {
   static const struct load_scenario scenario
-      = { .seconds = 20, .rate = 0.85, .seed = 1 };
+      = { .seconds = 20, .rate = 1.15, .seed = 1 };
   struct load_result r = compare_policies ("usual load", &scenario);
   CU_ASSERT (load_credit_share (&r.all) >= CREDIT_TARGET);
 }
