planner: room is held for large tasks that can't start now

Cause: a task that needs more cores than one run leaves waits while smaller ones take each gap.

Change: holders report how long runs have taken and are expected to take (Room, fields 12 to 16; only in the by-domain mode). Refusals are decided as before; those after which room was left over are counted. Where the fleet is not in the by-domain mode nothing is reserved or indexed. docs/design/lookahead.md has what was weighed and left out.

--- a/lib/cell/cell.pb-c.c
+++ b/lib/cell/cell.pb-c.c
@@ -2670,7 +2670,7 @@
   (ProtobufCMessageInit) cellpb__crashes__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__room__field_descriptors[11] =
+static const ProtobufCFieldDescriptor cellpb__room__field_descriptors[16] =
 {
   {
     "worker",
@@ -2804,12 +2804,77 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "run_age_us",
+    12,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cellpb__Room, n_run_age_us),
+    offsetof(Cellpb__Room, run_age_us),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run_expect_us",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cellpb__Room, n_run_expect_us),
+    offsetof(Cellpb__Room, run_expect_us),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run_cpu",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cellpb__Room, n_run_cpu),
+    offsetof(Cellpb__Room, run_cpu),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run_mem",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cellpb__Room, n_run_mem),
+    offsetof(Cellpb__Room, run_mem),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "run_gpu",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Cellpb__Room, n_run_gpu),
+    offsetof(Cellpb__Room, run_gpu),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cellpb__room__field_indices_by_name[] = {
   4,   /* field[4] = capacity */
   2,   /* field[2] = domain */
   9,   /* field[9] = gone */
   3,   /* field[3] = labels */
+  11,   /* field[11] = run_age_us */
+  13,   /* field[13] = run_cpu */
+  12,   /* field[12] = run_expect_us */
+  15,   /* field[15] = run_gpu */
+  14,   /* field[14] = run_mem */
   8,   /* field[8] = runs */
   1,   /* field[1] = service */
   7,   /* field[7] = slowness */
@@ -2821,7 +2886,7 @@
 static const ProtobufCIntRange cellpb__room__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor cellpb__room__descriptor =
 {
@@ -2831,7 +2896,7 @@
   "Cellpb__Room",
   "cellpb",
   sizeof(Cellpb__Room),
-  11,
+  16,
   cellpb__room__field_descriptors,
   cellpb__room__field_indices_by_name,
   1,  cellpb__room__number_ranges,
--- a/lib/cell/cell.pb-c.h
+++ b/lib/cell/cell.pb-c.h
@@ -466,10 +466,29 @@
    */
   protobuf_c_boolean gone;
   int64_t token;
+  /*
+   * Of each of runs, in parallel; only sent to a planner that looks ahead.
+   */
+  /*
+   * since its start
+   */
+  size_t n_run_age_us;
+  uint32_t *run_age_us;
+  /*
+   * run time expected there; 0: not known
+   */
+  size_t n_run_expect_us;
+  uint32_t *run_expect_us;
+  size_t n_run_cpu;
+  uint32_t *run_cpu;
+  size_t n_run_mem;
+  uint32_t *run_mem;
+  size_t n_run_gpu;
+  uint32_t *run_gpu;
 };
 #define CELLPB__ROOM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cellpb__room__descriptor) \
-    , 0, 0, 0, 0,NULL, NULL, NULL, 0, 0, 0,NULL, 0, 0 }
+    , 0, 0, 0, 0,NULL, NULL, NULL, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL }
 
 
 /*
--- a/lib/cell/plan.c
+++ b/lib/cell/plan.c
@@ -44,6 +44,32 @@
   cell->plan_due = true;
 }
 
+static int32_t
+decode_part (uint32_t part)
+{
+  return (int32_t)MIN (part, PLANNER_MAX_AMOUNT);
+}
+
+/* Decodes what MSG tells of the runs; false if it tells nothing.  */
+static bool
+decode_runs (const Cellpb__Room *msg, int64_t now_us,
+             struct planner_run runs[PLANNER_MAX_RUNS])
+{
+  size_t n = msg->n_runs;
+  if (n > PLANNER_MAX_RUNS || msg->n_run_age_us != n
+      || msg->n_run_expect_us != n || msg->n_run_cpu != n
+      || msg->n_run_mem != n || (msg->n_run_gpu != n && msg->n_run_gpu != 0))
+    return false;
+  for (size_t i = 0; i < n; i++)
+    runs[i] = (struct planner_run){
+      .started_us = now_us - msg->run_age_us[i],
+      .expect_us = msg->run_expect_us[i],
+      .size = { decode_part (msg->run_cpu[i]), decode_part (msg->run_mem[i]),
+                msg->n_run_gpu == 0 ? 0 : decode_part (msg->run_gpu[i]) },
+    };
+  return true;
+}
+
 void
 cell_on_room (struct cell *cell, uint64_t sender, const Cellpb__Room *msg)
 {
@@ -68,7 +94,12 @@
     report.labels[i] = msg->labels[i];
   for (unsigned i = 0; i < report.n_runs; i++)
     report.runs[i] = msg->runs[i];
-  planner_update_worker (cell->planner, &report, pl_now_us (cell->clock));
+  struct planner_run runs[PLANNER_MAX_RUNS];
+  int64_t now_us = pl_now_us (cell->clock);
+  if (cell->domain_only && decode_runs (msg, now_us, runs))
+    report.details = runs;
+  planner_set_lookahead (cell->planner, cell->domain_only);
+  planner_update_worker (cell->planner, &report, now_us);
   cell->plan_due = true;
 }
 
--- a/lib/cell/report.c
+++ b/lib/cell/report.c
@@ -52,6 +52,46 @@
     cell_withdraw_report (cell, ((struct lease_worker *)value)->info.worker);
 }
 
+/* The arrays about the runs on one worker in the message Room.  */
+struct run_arrays
+{
+  uint32_t age_us[PLANNER_MAX_RUNS];
+  uint32_t expect_us[PLANNER_MAX_RUNS];
+  uint32_t cpu[PLANNER_MAX_RUNS];
+  uint32_t mem[PLANNER_MAX_RUNS];
+  uint32_t gpu[PLANNER_MAX_RUNS];
+};
+
+/* Has MSG tell how long the runs of W are expected to go on, in the order of
+   its field runs.  */
+static void
+describe_runs (const struct lease_worker *w, int64_t now_us,
+               struct run_arrays *arrays, Cellpb__Room *msg)
+{
+  bool uses_gpu = false;
+  for (size_t i = 0; i < msg->n_runs; i++)
+    {
+      const struct lease_run *run = g_ptr_array_index (w->runs, i);
+      int64_t start_us
+          = run->started_us == 0 ? run->added_us : run->started_us;
+      int64_t expect_us = run->expect_us * w->health.slowness / 100;
+      arrays->age_us[i] = (uint32_t)CLAMP (now_us - start_us, 0, UINT32_MAX);
+      arrays->expect_us[i] = (uint32_t)CLAMP (expect_us, 0, UINT32_MAX);
+      arrays->cpu[i] = (uint32_t)run->size.cpu;
+      arrays->mem[i] = (uint32_t)run->size.mem;
+      arrays->gpu[i] = (uint32_t)run->size.gpu;
+      uses_gpu |= run->size.gpu != 0;
+    }
+  msg->run_age_us = arrays->age_us;
+  msg->run_expect_us = arrays->expect_us;
+  msg->run_cpu = arrays->cpu;
+  msg->run_mem = arrays->mem;
+  msg->run_gpu = arrays->gpu;
+  msg->n_run_age_us = msg->n_run_expect_us = msg->n_runs;
+  msg->n_run_cpu = msg->n_run_mem = msg->n_runs;
+  msg->n_run_gpu = uses_gpu ? msg->n_runs : 0;
+}
+
 static void
 send_report (struct cell *cell, const struct lease_worker *w, int64_t now_us)
 {
@@ -72,6 +112,9 @@
   msg.slowness = report.slowness;
   msg.runs = report.runs;
   msg.n_runs = report.n_runs;
+  struct run_arrays arrays;
+  if (cell->domain_only)
+    describe_runs (w, now_us, &arrays, &msg);
   Cellpb__Envelope env = CELL_ENVELOPE (room, ROOM, &msg);
   cell_send_to_planner (cell, &env);
 }
--- a/lib/planner/admission.c
+++ b/lib/planner/admission.c
@@ -151,9 +151,33 @@
   };
   if (reason == PLANNER_EVACUATED)
     pl_count (PL_CTR_EVACUATED_JOBS_REFUSED_TOTAL, 1);
+  planner->room_given_up |= job->is_reserved;
+  if (planner->policy->looks_ahead)
+    {
+      planner_end_promise (job, now_us);
+      planner_note_refused (planner, job, reason);
+    }
   planner_drop_job (planner, job);
   planner->ops->refuse (planner->ctx, &request, &refusal);
 }
+/* Exports the CPU that is free though tasks wait for the service: none of them
+   fits there.  */
+static void
+export_stranded (GHashTable *backlogs)
+{
+  int64_t stranded = 0;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, backlogs);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const struct backlog *b = value;
+      if (b->queued_work > 0)
+        stranded += MAX (b->cpu - b->used_cpu, 0);
+    }
+  pl_gauge_set (PL_CTR_PLANNER_STRANDED_CORES, stranded / 1000);
+}
+
 void
 planner_refuse_jobs (struct planner_state *planner, int64_t now_us)
 {
@@ -190,4 +214,6 @@
         b->queued_work += (double)job->waiting->len * job->request.size.cpu
                           * (double)job->request.run_us;
     }
+  if (planner->policy->looks_ahead)
+    export_stranded (backlogs);
 }
--- a/lib/planner/choose.c
+++ b/lib/planner/choose.c
@@ -8,11 +8,6 @@
 #define COST_NOT_PREFERRED 20000
 #define COST_SAME_JOB 10      /* for each task of the job on the worker */
 #define COST_SLOW_PERCENT 100 /* for each percent above 100 of slowness */
-/* A grant that no report has listed after this time is dropped.  */
-#define GRANT_TIMEOUT_US 250000
-/* Holders report each second; an older report comes from a holder that now
-   reports to another planner.  */
-#define REPORT_STALE_US 2500000
 
 bool
 planner_resources_fit (struct planner_resources capacity,
@@ -48,12 +43,12 @@
   return used;
 }
 
-static void
-expire_grants (struct worker_entry *w, int64_t now_us)
+void
+planner_expire_grants (struct worker_entry *w, int64_t now_us)
 {
   for (guint i = w->grants->len; i-- > 0;)
     if (g_array_index (w->grants, struct grant, i).granted_us
-            + GRANT_TIMEOUT_US
+            + PLANNER_GRANT_TIMEOUT_US
         < now_us)
       g_array_remove_index_fast (w->grants, i);
 }
@@ -97,12 +92,13 @@
          && !planner_worker_evacuated (planner, w);
 }
 
-static bool
-is_eligible (const struct planner_state *planner, const struct worker_entry *w,
-             const struct job *job, uint32_t index, int64_t now_us)
+bool
+planner_is_eligible (const struct planner_state *planner,
+                     const struct worker_entry *w, const struct job *job,
+                     uint32_t index, int64_t now_us)
 {
   const struct planner_request *request = &job->request;
-  if (now_us - w->reported_us > REPORT_STALE_US)
+  if (now_us - w->reported_us > PLANNER_REPORT_STALE_US)
     return false;
   if (!planner_worker_usable (planner, w)
       || w->report.service != request->service)
@@ -121,7 +117,7 @@
 has_free_capacity (struct worker_entry *w, const struct job *job,
                    int64_t now_us, struct planner_resources *used)
 {
-  expire_grants (w, now_us);
+  planner_expire_grants (w, now_us);
   *used = planner_worker_used (w);
   return planner_resources_fit (w->report.capacity, *used, job->request.size);
 }
@@ -131,7 +127,7 @@
                          const struct job *job, uint32_t index, int64_t now_us)
 {
   struct planner_resources used;
-  return is_eligible (planner, w, job, index, now_us)
+  return planner_is_eligible (planner, w, job, index, now_us)
          && has_free_capacity (w, job, now_us, &used);
 }
 
@@ -231,7 +227,7 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       struct worker_entry *w = value;
-      if (!is_eligible (planner, w, job, index, now_us))
+      if (!planner_is_eligible (planner, w, job, index, now_us))
         continue;
       bool fast_enough = meets_objective (w, job, now_us);
       can_wait |= fast_enough;
@@ -250,3 +246,66 @@
   can_wait &= now_us <= planner_latest_start (job);
   return can_wait ? NULL : any.entry;
 }
+
+/* The walk over the workers that a task fits on ends after this many that may
+   take it: those further on leave larger gaps.  */
+#define MAX_FITTING 16
+/* The same, with those that may not take it: reserved, remote or slow ones,
+   or those without enough memory.  */
+#define MAX_LOOKS 64
+
+/* The walk over the workers that a task fits on ends after this many on which
+   it would end in time: those further on leave larger gaps.  */
+#define MAX_FITTING 16
+
+/* Whether a worker, full or not, would end a task of JOB in time.  */
+static bool
+has_fast_worker (const struct planner_state *planner,
+                 const struct service *service, const struct job *job,
+                 uint32_t index, int64_t now_us)
+{
+  GSequenceIter *it = g_sequence_get_begin_iter (service->by_free);
+  for (; !g_sequence_iter_is_end (it); it = g_sequence_iter_next (it))
+    if (planner_is_eligible (planner, g_sequence_get (it), job, index, now_us)
+        && meets_objective (g_sequence_get (it), job, now_us))
+      return true;
+  return false;
+}
+
+struct worker_entry *
+planner_choose_ahead (struct planner_state *planner, const struct job *job,
+                      uint32_t index, int64_t now_us)
+{
+  struct candidate fast = { 0 };
+  struct candidate any = { 0 };
+  unsigned fitting = 0;
+  int looks = 0;
+  const struct planner_request *request = &job->request;
+  /* Workers with a label may be few and far from the best fit.  */
+  bool all = request->required_label != 0 || request->preferred_label != 0;
+  const struct service *service
+      = planner_find_service (planner, request->service);
+  GSequenceIter *it = planner_index_find (service, request->size.cpu);
+  for (; !g_sequence_iter_is_end (it) && (all || fitting < MAX_FITTING);
+       it = g_sequence_iter_next (it), looks++)
+    {
+      struct worker_entry *w = g_sequence_get (it);
+      struct planner_resources used = planner_worker_used (w);
+      if (!planner_is_eligible (planner, w, job, index, now_us)
+          || !planner_resources_fit (w->report.capacity, used, request->size)
+          || !planner_leaves_reservation (w, job, now_us))
+        continue;
+      int64_t cost = placement_cost (w, job, index, used);
+      keep_cheaper (&any, w, cost);
+      if (!meets_objective (w, job, now_us))
+        continue;
+      keep_cheaper (&fast, w, cost);
+      fitting++;
+    }
+  pl_count (PL_CTR_PLANNER_LOOKS_TOTAL, looks);
+  if (fast.entry != NULL || any.entry == NULL)
+    return fast.entry;
+  bool can_wait = now_us <= planner_latest_start (job)
+                  && has_fast_worker (planner, service, job, index, now_us);
+  return can_wait ? NULL : any.entry;
+}
--- a/lib/planner/planner.c
+++ b/lib/planner/planner.c
@@ -11,10 +11,20 @@
 worker_free (void *data)
 {
   struct worker_entry *w = data;
+  planner_unindex_worker (w);
   g_array_unref (w->grants);
+  g_array_unref (w->runs);
   g_free (w);
 }
 
+static void
+service_free (void *data)
+{
+  struct service *service = data;
+  g_sequence_free (service->by_free);
+  g_free (service);
+}
+
 const struct planner_policy planner_policy_default
     = { .compare = planner_compare_jobs,
         .choose = planner_choose_worker,
@@ -40,8 +50,10 @@
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   planner->evacuated
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
-  planner->services
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  planner->services = g_hash_table_new_full (g_int64_hash, g_int64_equal,
+                                             g_free, service_free);
+  planner->reserved = g_ptr_array_new ();
+  g_queue_init (&planner->timeouts);
   planner->full = g_array_new (FALSE, FALSE, sizeof (struct full_size));
   planner->by_id = g_hash_table_new (g_int64_hash, g_int64_equal);
   planner->jobs = g_ptr_array_new_with_free_func (planner_job_free);
@@ -56,6 +68,8 @@
   g_hash_table_unref (planner->paused);
   g_hash_table_unref (planner->evacuated);
   g_hash_table_unref (planner->services);
+  g_ptr_array_unref (planner->reserved);
+  g_queue_clear_full (&planner->timeouts, g_free);
   g_array_unref (planner->full);
   g_ptr_array_unref (planner->jobs);
   g_free (planner);
@@ -77,7 +91,8 @@
   if (service != NULL)
     return service;
   service = g_new (struct service, 1);
-  *service = (struct service){ .last_crowded_us = INT64_MIN / 2 };
+  *service = (struct service){ .last_crowded_us = INT64_MIN / 2,
+                               .by_free = g_sequence_new (NULL) };
   g_hash_table_insert (planner->services, g_memdup2 (&key, sizeof key),
                        service);
   return service;
@@ -94,16 +109,24 @@
     {
       w = g_new0 (struct worker_entry, 1);
       w->grants = g_array_new (FALSE, FALSE, sizeof (struct grant));
+      w->runs = g_array_new (FALSE, FALSE, sizeof (struct planner_run));
       w->report = *report;
       g_hash_table_insert (planner->workers, &w->report.worker, w);
     }
+  if (w->report.service != report->service)
+    planner_unindex_worker (w);
   w->report = *report;
+  w->report.details = NULL;
+  g_array_set_size (w->runs, 0);
+  if (report->details != NULL)
+    g_array_append_vals (w->runs, report->details, report->n_runs);
   w->reported_us = now_us;
   if (report->usable)
     planner_find_service (planner, report->service)->no_worker_since_us = 0;
   for (guint i = w->grants->len; i-- > 0;)
     if (reports_run (report, g_array_index (w->grants, struct grant, i).tag))
       g_array_remove_index_fast (w->grants, i);
+  planner_index_worker (planner, w);
 }
 
 void
@@ -134,6 +157,7 @@
     g_hash_table_add (planner->paused, g_memdup2 (&holder, sizeof holder));
   else
     g_hash_table_remove (planner->paused, &holder);
+  planner_index_all (planner);
 }
 
 void
@@ -144,6 +168,7 @@
     g_hash_table_add (planner->evacuated, g_memdup2 (&domain, sizeof domain));
   else
     g_hash_table_remove (planner->evacuated, &domain);
+  planner_index_all (planner);
 }
 
 void
@@ -159,4 +184,5 @@
       if (grant->tag == tag && (token == 0 || grant->token == token))
         g_array_remove_index_fast (w->grants, i);
     }
+  planner_index_worker (planner, w);
 }
--- a/lib/planner/planner.h
+++ b/lib/planner/planner.h
@@ -37,6 +37,14 @@
 /* Hash that identifies a task in the reports of holders.  */
 uint64_t planner_task_tag (uint64_t job, uint32_t index);
 
+/* A run on a worker, as its holder expects it to go on.  */
+struct planner_run
+{
+  int64_t started_us; /* by the planner's clock */
+  int64_t expect_us;  /* expected run time on this worker; 0: not known */
+  struct planner_resources size;
+};
+
 /* A holder's report about one worker.  Workers, services, domains and labels
    are given as hashes of their names.  */
 struct planner_worker_report
@@ -53,6 +61,9 @@
   uint32_t slowness;               /* run times in percent of the estimates */
   uint64_t runs[PLANNER_MAX_RUNS]; /* planner_task_tag of each */
   unsigned n_runs;
+  /* Of each of RUNS; null if the holder doesn't tell.  Only valid during the
+     call that takes the report.  */
+  const struct planner_run *details;
 };
 
 /* A task and the worker where it runs or may run.  */
@@ -135,6 +146,10 @@
 
 struct planner_state *planner_new (const struct planner_ops *ops, void *ctx);
 void planner_free (struct planner_state *planner);
+/* Whether the planner looks ahead: it reserves the room that running tasks
+   leave for jobs that can't start now (see docs/design/lookahead.md).  Off in
+   a new planner.  */
+void planner_set_lookahead (struct planner_state *planner, bool on);
 /* Takes a holder's report, which arrived at NOW_US.  It confirms the grants
    whose tasks it lists as runs.  */
 void planner_update_worker (struct planner_state *planner,
--- a/lib/planner/planner_priv.h
+++ b/lib/planner/planner_priv.h
@@ -10,6 +10,7 @@
   int64_t token; /* of the lease under which the task may start */
   struct planner_resources size;
   int64_t granted_us;
+  int64_t run_us; /* expected run time on the worker */
 };
 
 /* Time between two starts of suspect jobs on a worker.  If it crashes, the two
@@ -23,6 +24,12 @@
   int64_t reported_us;                 /* when it arrived */
   int64_t suspect_until_us; /* takes no task of a suspect job until then */
   GArray *grants;           /* struct grant */
+  GArray *runs;             /* struct planner_run, as far as reported */
+  GSequenceIter *in_index;  /* null: not in the index of its service */
+  int32_t free_cpu;         /* its key in the index */
+  bool reserved;            /* in this pass */
+  int64_t reserved_us;      /* when the reserved task is to start */
+  struct planner_resources reserved_used; /* from then on, it included */
 };
 
 /* A job in the queue.  */
@@ -30,8 +37,10 @@
 {
   struct planner_request request; /* its array of tasks is WAITING below */
   GArray *waiting;                /* indexes of tasks (uint32_t) */
-  GArray *placed; /* tasks on workers (struct planner_placed) */
-  uint64_t seq;   /* order of the first requests */
+  GArray *placed;      /* tasks on workers (struct planner_placed) */
+  uint64_t seq;        /* order of the first requests */
+  int64_t promised_us; /* first reserved start of a task; 0: none */
+  bool is_reserved;    /* room is held for it in this pass */
 };
 
 /* How jobs are ordered, placed and refused.  */
@@ -46,9 +55,12 @@
   /* Whether jobs are refused that would start too late because of the work
      queued before them.  */
   bool sheds_load;
+  /* Whether tasks that have to wait reserve room.  */
+  bool looks_ahead;
 };
 
 extern const struct planner_policy planner_policy_default;
+extern const struct planner_policy planner_policy_lookahead;
 /* Baselines: jobs in order of arrival, each task on a random worker or on the
    one with more free CPU of two random workers.  No job is refused because of
    the work queued before it.  */
@@ -62,6 +74,17 @@
   int64_t last_crowded_us;    /* latest refusal as PLANNER_CROWDED */
   unsigned n_workers;         /* only counted while some domain is evacuated */
   unsigned n_evacuated;       /* of them, in evacuated domains */
+  GSequence *by_free;         /* struct worker_entry by free CPU */
+  /* Smoothed size of the tasks that start while the planner looks ahead,
+     thousandths of a core; 0: none has yet.  */
+  int64_t mean_cpu;
+};
+
+/* When a grant times out.  */
+struct grant_timeout
+{
+  uint64_t worker;
+  int64_t at_us;
 };
 
 /* A size of a task that fits on no worker of the service now.  */
@@ -71,6 +94,18 @@
   struct planner_resources size;
 };
 
+/* A job that was refused, to see whether it could have run.  */
+struct refused
+{
+  uint64_t service;
+  struct planner_resources size;
+  unsigned n_tasks;
+  int64_t latest_us; /* its latest start */
+  enum planner_refusal_reason reason;
+};
+
+#define PLANNER_MAX_REFUSED 64
+
 /* The planner's workers and its queue.  */
 struct planner_state
 {
@@ -86,12 +121,84 @@
   GArray
       *full; /* struct full_size, found in the present pass over the queue */
   uint64_t next_seq;
+  GQueue timeouts;     /* struct grant_timeout, oldest first */
+  GPtrArray *reserved; /* struct worker_entry reserved in this pass */
+  bool room_given_up;  /* a job was refused for which room was held */
+  int reserve_looks;   /* at workers in this pass, for reservations */
+  struct refused refused[PLANNER_MAX_REFUSED]; /* the latest ones */
+  unsigned n_refused;
+  unsigned next_refused; /* to be looked at */
 };
 
 struct planner_state *
 planner_new_with_policy (const struct planner_policy *policy,
                          const struct planner_ops *ops, void *ctx);
 
+/* Holders report each second; an older report comes from a holder that now
+   reports to another planner.  */
+#define PLANNER_REPORT_STALE_US 2500000
+/* A grant that no report has listed after this time is dropped.  */
+#define PLANNER_GRANT_TIMEOUT_US 250000
+void planner_expire_grants (struct worker_entry *w, int64_t now_us);
+
+/* The workers of a service by free CPU (index.c); only kept while the planner
+   looks ahead.  Call planner_index_worker after each change of W.  */
+void planner_index_worker (struct planner_state *planner,
+                           struct worker_entry *w);
+void planner_unindex_worker (struct worker_entry *w);
+/* Call after a change of which workers are usable, or of the policy.  */
+void planner_index_all (struct planner_state *planner);
+/* Has the index reflect the grants that have timed out.  */
+void planner_index_expire (struct planner_state *planner, int64_t now_us);
+/* The first worker with at least CPU free; the end if there is none.  */
+GSequenceIter *planner_index_find (const struct service *service, int32_t cpu);
+
+/* When capacity comes free (timeline.c).  */
+int64_t planner_run_end_us (const struct planner_run *run, int64_t now_us);
+/* The earliest time at which NEED is expected to fit on W, and in USED what is
+   taken there from then on without it.  INT64_MAX: not known.  */
+int64_t planner_earliest_start_us (const struct worker_entry *w,
+                                   struct planner_resources need,
+                                   int64_t now_us,
+                                   struct planner_resources *used);
+
+/* Refusals in hindsight (hindsight.c).  Notes that JOB is refused.  */
+void planner_note_refused (struct planner_state *planner,
+                           const struct job *job,
+                           enum planner_refusal_reason reason);
+/* Counts the jobs for which there is room now that they were refused.  */
+void planner_review_refused (struct planner_state *planner, int64_t now_us);
+
+/* Reservations of one pass over the queue (reserve.c).  */
+/* Call first in each pass.  */
+void planner_begin_pass (struct planner_state *planner, int64_t now_us);
+void planner_clear_reservations (struct planner_state *planner);
+/* Reserves room for the waiting tasks of JOB if they are large among those
+   that wait: for all of them, unless the job has started in part.  */
+void planner_reserve_for (struct planner_state *planner, struct job *job,
+                          int64_t now_us);
+/* Whether a task of JOB that starts on W now delays no reserved start.  */
+bool planner_leaves_reservation (const struct worker_entry *w,
+                                 const struct job *job, int64_t now_us);
+/* Notes that a task of JOB starts on W, beside what is reserved there.  */
+void planner_start_beside (struct planner_state *planner,
+                           struct worker_entry *w, const struct job *job,
+                           int64_t now_us);
+/* A task of JOB starts, or the job is refused: counts whether the promised
+   start has been kept.  */
+void planner_end_promise (struct job *job, int64_t now_us);
+/* The expected run time of a task of JOB on W.  */
+int64_t planner_run_us_on (const struct worker_entry *w,
+                           const struct job *job);
+/* Whether W may take task INDEX of JOB, apart from free capacity.  */
+bool planner_is_eligible (const struct planner_state *planner,
+                          const struct worker_entry *w, const struct job *job,
+                          uint32_t index, int64_t now_us);
+/* Choice with the index and beside the reservations.  */
+struct worker_entry *planner_choose_ahead (struct planner_state *planner,
+                                           const struct job *job,
+                                           uint32_t index, int64_t now_us);
+
 /* The state of the service KEY, added if it is not known.  */
 struct service *planner_find_service (struct planner_state *planner,
                                       uint64_t key);
--- a/lib/planner/schedule.c
+++ b/lib/planner/schedule.c
@@ -1,6 +1,20 @@
 /* One pass over the queue: which waiting tasks start now.  */
 #include "planner_priv.h"
 
+/* Has index, reservations and timeouts reflect the grant on W.  */
+static void
+note_start (struct planner_state *planner, struct job *job,
+            struct worker_entry *w, int64_t now_us)
+{
+  struct grant_timeout *timeout = g_new (struct grant_timeout, 1);
+  *timeout = (struct grant_timeout){ w->report.worker,
+                                     now_us + PLANNER_GRANT_TIMEOUT_US };
+  g_queue_push_tail (&planner->timeouts, timeout);
+  planner_end_promise (job, now_us);
+  planner_start_beside (planner, w, job, now_us);
+  planner_index_worker (planner, w);
+}
+
 static void
 place_task (struct planner_state *planner, struct job *job,
             struct worker_entry *w, uint32_t index, int64_t now_us)
@@ -10,6 +24,7 @@
     .token = w->report.token,
     .size = job->request.size,
     .granted_us = now_us,
+    .run_us = planner_run_us_on (w, job),
   };
   struct planner_placement placement = {
     .report = &w->report,
@@ -18,6 +33,8 @@
     .report_age_us = now_us - w->reported_us,
   };
   g_array_append_val (w->grants, grant);
+  if (planner->policy->looks_ahead)
+    note_start (planner, job, w, now_us);
   if (job->request.suspect)
     w->suspect_until_us = now_us + PLANNER_SUSPECT_GAP_US;
   planner_record_placed (job, index, w->report.worker);
@@ -35,7 +52,11 @@
       struct worker_entry *w
           = planner->policy->choose (planner, job, index, now_us);
       if (w == NULL)
-        return;
+        {
+          if (planner->policy->looks_ahead)
+            planner_reserve_for (planner, job, now_us);
+          return;
+        }
       g_array_remove_index (job->waiting, 0);
       place_task (planner, job, w, index, now_us);
     }
@@ -56,20 +77,38 @@
       *(struct job *const *)a, *(struct job *const *)b, sort_context->now_us);
 }
 
-void
-planner_schedule (struct planner_state *planner, int64_t now_us)
+static void
+place_queue (struct planner_state *planner, int64_t now_us)
 {
-  if (planner->jobs->len == 0)
-    return;
   struct sort_context sort_context = { planner->policy, now_us };
   g_array_set_size (planner->full, 0);
   g_ptr_array_sort_with_data (planner->jobs, compare_by_policy, &sort_context);
   for (guint i = 0; i < planner->jobs->len; i++)
     {
       struct job *job = g_ptr_array_index (planner->jobs, i);
+      job->is_reserved = false;
       if (!planner_is_hopeless (job, now_us))
         place_job (planner, job, now_us);
     }
-  planner_refuse_jobs (planner, now_us);
-  planner_remove_placed_jobs (planner);
+}
+
+void
+planner_schedule (struct planner_state *planner, int64_t now_us)
+{
+  bool looks_ahead = planner->policy->looks_ahead;
+  if (looks_ahead)
+    planner_begin_pass (planner, now_us);
+  planner->room_given_up = planner->jobs->len > 0;
+  /* Room that was held for a job that is refused is given to the others at
+     once.  */
+  while (planner->room_given_up)
+    {
+      planner->room_given_up = false;
+      place_queue (planner, now_us);
+      planner_refuse_jobs (planner, now_us);
+      planner_remove_placed_jobs (planner);
+      planner_clear_reservations (planner);
+    }
+  if (looks_ahead)
+    planner_review_refused (planner, now_us);
 }
--- a/tests/planner_load.h
+++ b/tests/planner_load.h
@@ -21,6 +21,8 @@
 /* Exponent of the declared run time in the estimate, as it is learned for
    declared times that are off by 40%.  */
 #define LOAD_DECLARED_EXPONENT 0.5
+#define LOAD_TAIL_FACTOR 7
+#define LOAD_LARGE_CPU 17700 /* a tenth of the jobs needs more for a task */
 #define LOAD_LATE_CREDIT 0.2 /* of the credit in time */
 
 /* One kind of job.  The kinds below are those of the two deployments.  */
@@ -49,9 +51,11 @@
   double rate; /* factor on the rates of all kinds (load_kinds) */
   const struct load_burst *bursts;
   unsigned n_bursts;
-  double slow_share;  /* share of each domain's workers that are slow */
-  double slow_factor; /* factor on the run times of these */
-  bool slow_known;    /* their holders report it */
+  double slow_share;      /* share of each domain's workers that are slow */
+  double slow_factor;     /* factor on the run times of these */
+  bool slow_known;        /* their holders report it */
+  double declared_spread; /* of the declared run times; 0: 0.4 */
+  double tail_share;      /* share of jobs that run LOAD_TAIL_FACTOR as long */
   uint32_t seed;
 };
 
@@ -71,6 +75,8 @@
   struct load_tally all;
   struct load_tally kinds[LOAD_KINDS];
   struct load_tally domains[LOAD_DOMAINS];
+  struct load_tally large; /* with tasks above LOAD_LARGE_CPU */
+  double busy_share;       /* of the cores, while jobs arrived */
   double late_refusals; /* share of the credit refused after a quarter of the
                            objective */
 };
@@ -113,6 +119,7 @@
   struct planner_worker_report report;
   double speed; /* factor on run times */
   struct planner_resources used;
+  struct planner_run details[PLANNER_MAX_RUNS];
   bool report_due;
 };
 
@@ -128,6 +135,7 @@
   int64_t now_us;
   struct load_result result;
   double late_refused_credit;
+  double busy_us; /* thousandths of a core x microseconds */
 };
 
 static double
@@ -174,7 +182,12 @@
                            LOAD_CPU_MAX);
   double run_ms
       = MIN (load_log_normal (load->rand, k->run_ms, 0.4), 4 * k->run_ms);
-  job->declared_ms = load_log_normal (load->rand, run_ms, 0.4);
+  double spread = load->scenario->declared_spread;
+  job->declared_ms
+      = load_log_normal (load->rand, run_ms, spread > 0 ? spread : 0.4);
+  if (load->scenario->tail_share > 0
+      && g_rand_double (load->rand) < load->scenario->tail_share)
+    run_ms *= LOAD_TAIL_FACTOR;
   double work = 0;
   int64_t longest = 0;
   for (unsigned i = 0; i < job->n_tasks; i++)
@@ -225,6 +238,7 @@
 load_report (struct load *load, unsigned worker)
 {
   load->workers[worker].report.used = load->workers[worker].used;
+  load->workers[worker].report.details = load->workers[worker].details;
   planner_update_worker (load->planner, &load->workers[worker].report,
                          load->now_us);
 }
@@ -281,8 +295,15 @@
       job->waiting[i] = job->waiting[--job->n_waiting];
   job->started = true;
   w->used = planner_resources_add (w->used, request->size);
+  w->details[w->report.n_runs] = (struct planner_run){
+    .started_us = load->now_us,
+    .expect_us = request->run_us * w->report.slowness / 100,
+    .size = request->size,
+  };
   w->report.runs[w->report.n_runs++] = planner_task_tag (job->id, index);
   w->report_due = true;
+  load->busy_us
+      += (double)request->size.cpu * (double)job->run_us[index] * w->speed;
   struct load_run_end *end = g_new (struct load_run_end, 1);
   *end = (struct load_run_end){
     .at_us = load->now_us + (int64_t)((double)job->run_us[index] * w->speed),
@@ -322,6 +343,8 @@
   load_tally_add (&load->result.all, job, took_us, refused);
   load_tally_add (&load->result.kinds[job->kind], job, took_us, refused);
   load_tally_add (&load->result.domains[job->domain], job, took_us, refused);
+  if (job->cpu > LOAD_LARGE_CPU)
+    load_tally_add (&load->result.large, job, took_us, refused);
   if (refused && took_us > job->objective_us / 4)
     load->late_refused_credit += job->credit;
 }
@@ -345,7 +368,10 @@
   struct load_worker *w = &load->workers[end.worker];
   for (unsigned i = 0; i < w->report.n_runs; i++)
     if (w->report.runs[i] == end.tag)
-      w->report.runs[i] = w->report.runs[--w->report.n_runs];
+      {
+        w->details[i] = w->details[w->report.n_runs - 1];
+        w->report.runs[i] = w->report.runs[--w->report.n_runs];
+      }
   w->used.cpu -= end.job->cpu;
   w->used.mem -= 64;
   load_report (load, end.worker);
@@ -449,6 +475,11 @@
       planner_schedule (load.planner, load.now_us);
       load_report_due (&load);
     }
+  double cpu = 0;
+  for (unsigned i = 0; i < LOAD_WORKERS; i++)
+    cpu += load.workers[i].report.capacity.cpu;
+  load.result.busy_share
+      = load.busy_us / (cpu * scenario->seconds * (double)LOAD_S);
   load.result.late_refusals
       = load.late_refused_credit / load.result.all.credit_offered;
   planner_free (load.planner);
--- a/tests/planner_test.c
+++ b/tests/planner_test.c
@@ -40,6 +40,17 @@
 static const struct planner_ops ops
     = { .grant = on_grant, .refuse = on_refuse };
 
+/* Whether the planners of the tests look ahead.  */
+static bool lookahead;
+
+static struct planner_state *
+start_planner (struct decisions *decisions)
+{
+  struct planner_state *planner = planner_new (&ops, decisions);
+  planner_set_lookahead (planner, lookahead);
+  return planner;
+}
+
 /* The report of a usable worker of usual speed.  */
 static struct planner_worker_report
 make_report (uint64_t worker, int32_t cpu, int32_t used)
@@ -103,7 +114,7 @@
 test_grants_count_until_they_are_reported (void)
 {
   struct decisions decisions = { 0 };
-  struct planner_state *planner = planner_new (&ops, &decisions);
+  struct planner_state *planner = start_planner (&decisions);
   report_worker (planner, 1, 32000, 0);
   put_request (planner, 10, 3, 14000, 60 * MS, 0);
   planner_schedule (planner, 0);
@@ -122,7 +133,7 @@
   const uint64_t n_workers = 100;
   const uint64_t n_jobs = 100;
   struct decisions decisions = { 0 };
-  struct planner_state *planner = planner_new (&ops, &decisions);
+  struct planner_state *planner = start_planner (&decisions);
   for (uint64_t worker = 1; worker <= n_workers; worker++)
     report_worker (planner, worker, 32000, worker == 50 ? 24000 : 28000);
   for (uint64_t job = 1; job <= n_jobs; job++)
@@ -146,7 +157,7 @@
   for (int32_t cpu = 0; cpu < 2; cpu++)
     {
       struct decisions decisions = { 0 };
-      struct planner_state *planner = planner_new (&ops, &decisions);
+      struct planner_state *planner = start_planner (&decisions);
       report_worker (planner, 1, cpu, 0);
       put_request (planner, 10, 1, 14000, 60 * MS, 0);
       planner_schedule (planner, 0);
@@ -166,7 +177,7 @@
 test_the_bound_per_worker_holds_on_a_retry (void)
 {
   struct decisions decisions = { 0 };
-  struct planner_state *planner = planner_new (&ops, &decisions);
+  struct planner_state *planner = start_planner (&decisions);
   report_worker (planner, 1, 48000, 0);
   report_worker (planner, 2, 48000, 20000);
   struct planner_request request = make_request (10, 2, 14000, 900 * MS, 0);
@@ -201,7 +212,7 @@
 test_the_best_fit_is_taken (void)
 {
   struct decisions decisions = { 0 };
-  struct planner_state *planner = planner_new (&ops, &decisions);
+  struct planner_state *planner = start_planner (&decisions);
   report_worker (planner, 1, 48000, 0);
   report_worker (planner, 2, 32000, 18000);
   put_request (planner, 10, 1, 14000, 60 * MS, 0);
@@ -217,7 +228,7 @@
 test_suspect_tasks_are_placed_apart (void)
 {
   struct decisions decisions = { 0 };
-  struct planner_state *planner = planner_new (&ops, &decisions);
+  struct planner_state *planner = start_planner (&decisions);
   report_worker (planner, 1, 48000, 0);
   report_worker (planner, 2, 32000, 18000);
   for (uint64_t job = 10; job <= 12; job++)
@@ -243,7 +254,7 @@
 test_jobs_that_can_meet_their_objective_go_first (void)
 {
   struct decisions decisions = { 0 };
-  struct planner_state *planner = planner_new (&ops, &decisions);
+  struct planner_state *planner = start_planner (&decisions);
   report_worker (planner, 1, 16000, 14000);
   put_request (planner, 10, 1, 14000, 200 * MS, 0);
   planner_schedule (planner, 0);
@@ -262,7 +273,7 @@
 test_jobs_behind_a_long_queue_are_refused_at_once (void)
 {
   struct decisions decisions = { 0 };
-  struct planner_state *planner = planner_new (&ops, &decisions);
+  struct planner_state *planner = start_planner (&decisions);
   report_worker (planner, 1, 32000, 28000);
   /* Each job takes half of the worker for 200 ms, so that it adds 100 ms to
      the queueing delay.  */
@@ -282,7 +293,7 @@
 test_started_jobs_are_finished_first (void)
 {
   struct decisions decisions = { 0 };
-  struct planner_state *planner = planner_new (&ops, &decisions);
+  struct planner_state *planner = start_planner (&decisions);
   report_worker (planner, 1, 16000, 0);
   put_request (planner, 10, 2, 14000, 900 * MS, 0);
   planner_schedule (planner, 0);
@@ -302,7 +313,7 @@
 test_a_release_names_its_lease (void)
 {
   struct decisions decisions = { 0 };
-  struct planner_state *planner = planner_new (&ops, &decisions);
+  struct planner_state *planner = start_planner (&decisions);
   struct planner_worker_report report = make_report (1, 16000, 0);
   report.token = 2;
   planner_update_worker (planner, &report, 0);
@@ -325,7 +336,7 @@
 test_a_hopeless_job_is_refused_at_once (void)
 {
   struct decisions decisions = { 0 };
-  struct planner_state *planner = planner_new (&ops, &decisions);
+  struct planner_state *planner = start_planner (&decisions);
   put_request (planner, 10, 1, 14000, 200 * MS, 0);
   planner_schedule (planner, 500 * MS);
   CU_ASSERT_EQUAL (decisions.refusals, 0);
@@ -341,7 +352,7 @@
 test_retries_of_refused_callers_are_spread (void)
 {
   struct decisions decisions = { 0 };
-  struct planner_state *planner = planner_new (&ops, &decisions);
+  struct planner_state *planner = start_planner (&decisions);
   for (uint64_t job = 0; job < 100; job++)
     put_request (planner, job * 7919 + 1, 1, 14000, 200 * MS, 0);
   planner_schedule (planner, 1200 * MS);
@@ -359,7 +370,7 @@
 test_unusable_workers_get_nothing (void)
 {
   struct decisions decisions = { 0 };
-  struct planner_state *planner = planner_new (&ops, &decisions);
+  struct planner_state *planner = start_planner (&decisions);
   struct planner_worker_report report = make_report (1, 32000, 0);
   report.usable = false;
   planner_update_worker (planner, &report, 0);
@@ -375,7 +386,7 @@
 test_workers_of_the_owners_domain_are_preferred (void)
 {
   struct decisions decisions = { 0 };
-  struct planner_state *planner = planner_new (&ops, &decisions);
+  struct planner_state *planner = start_planner (&decisions);
   struct planner_worker_report remote = make_report (1, 32000, 0);
   remote.domain = 2;
   planner_update_worker (planner, &remote, 0);
@@ -391,7 +402,7 @@
 test_tasks_per_worker_are_limited (void)
 {
   struct decisions decisions = { 0 };
-  struct planner_state *planner = planner_new (&ops, &decisions);
+  struct planner_state *planner = start_planner (&decisions);
   struct planner_request request = make_request (1, 2, 1000, MS, 0);
   request.per_worker = 1;
   report_worker (planner, 1, 32000, 0);
@@ -410,7 +421,7 @@
 test_workers_of_a_lost_holder_are_removed (void)
 {
   struct decisions decisions = { 0 };
-  struct planner_state *planner = planner_new (&ops, &decisions);
+  struct planner_state *planner = start_planner (&decisions);
   report_worker (planner, 1, 32000, 0);
   planner_remove_holder (planner, 1);
   put_request (planner, 10, 1, 14000, 60 * MS, 0);
@@ -433,7 +444,7 @@
 test_workers_of_a_paused_holder_get_nothing (void)
 {
   struct decisions decisions = { 0 };
-  struct planner_state *planner = planner_new (&ops, &decisions);
+  struct planner_state *planner = start_planner (&decisions);
   report_worker (planner, 1, 32000, 0);
   planner_pause_holder (planner, 1, true);
   put_request (planner, 10, 1, 14000, 200 * MS, 0);
@@ -451,7 +462,7 @@
 test_priority_decides_at_equal_urgency (void)
 {
   struct decisions decisions = { 0 };
-  struct planner_state *planner = planner_new (&ops, &decisions);
+  struct planner_state *planner = start_planner (&decisions);
   report_worker (planner, 1, 16000, 0);
   for (uint32_t i = 0; i < 2; i++)
     {
@@ -476,7 +487,7 @@
 test_jobs_without_any_worker_are_refused (void)
 {
   struct decisions decisions = { 0 };
-  struct planner_state *planner = planner_new (&ops, &decisions);
+  struct planner_state *planner = start_planner (&decisions);
   put_request (planner, 10, 1, 14000, 900 * MS, 0);
   planner_schedule (planner, 0);
   planner_schedule (planner, 400 * MS);
@@ -504,7 +515,7 @@
 test_slow_workers_are_passed_over (void)
 {
   struct decisions decisions = { 0 };
-  struct planner_state *planner = planner_new (&ops, &decisions);
+  struct planner_state *planner = start_planner (&decisions);
   report_slowness (planner, 1, 14000, 100, 0);
   report_slowness (planner, 2, 0, 400, 0);
   put_request (planner, 10, 1, 14000, 200 * MS, 0);
@@ -523,7 +534,7 @@
 test_slow_workers_are_better_than_none (void)
 {
   struct decisions decisions = { 0 };
-  struct planner_state *planner = planner_new (&ops, &decisions);
+  struct planner_state *planner = start_planner (&decisions);
   report_slowness (planner, 2, 0, 400, 0);
   put_request (planner, 10, 1, 14000, 200 * MS, 0);
   planner_schedule (planner, 0);
@@ -545,7 +556,7 @@
 test_a_queue_delays_its_own_service_only (void)
 {
   struct decisions decisions = { 0 };
-  struct planner_state *planner = planner_new (&ops, &decisions);
+  struct planner_state *planner = start_planner (&decisions);
   report_worker (planner, 1, 16000, 14000);
   struct planner_worker_report other = make_report (2, 16000, 14000);
   other.service = 2;
@@ -572,7 +583,7 @@
 test_an_evacuated_domain_gets_nothing (void)
 {
   struct decisions decisions = { 0 };
-  struct planner_state *planner = planner_new (&ops, &decisions);
+  struct planner_state *planner = start_planner (&decisions);
   struct planner_worker_report other = make_report (2, 32000, 0);
   other.domain = 2;
   report_worker (planner, 1, 32000, 0);
@@ -643,5 +654,7 @@
       test_an_evacuated_domain_gets_nothing },
     CU_TEST_INFO_NULL,
   };
-  return test_run ("planner_test", tests);
+  int status = test_run ("planner_test", tests);
+  lookahead = true;
+  return test_run ("planner_test, looking ahead", tests) + status;
 }
