--- a/lib/base/events.gen.c
+++ b/lib/base/events.gen.c
@@ -70,6 +70,11 @@
   { .event = PL_EV_LOG_DROPPED, .name = "LOG_DROPPED", .level = G_LOG_LEVEL_WARNING },
   { .event = PL_EV_EVACUATION_BAD, .name = "EVACUATION_BAD", .level = G_LOG_LEVEL_WARNING },
   { .event = PL_EV_TOOL, .name = "TOOL", .level = G_LOG_LEVEL_INFO },
+  { .event = PL_EV_OVERFLOW_OUT, .name = "OVERFLOW_OUT", .level = G_LOG_LEVEL_INFO },
+  { .event = PL_EV_OVERFLOW_IN, .name = "OVERFLOW_IN", .level = G_LOG_LEVEL_INFO },
+  { .event = PL_EV_OVERFLOW_LOST, .name = "OVERFLOW_LOST", .level = G_LOG_LEVEL_WARNING },
+  { .event = PL_EV_OVERFLOW_CREDIT, .name = "OVERFLOW_CREDIT", .level = G_LOG_LEVEL_INFO },
+  { .event = PL_EV_OVERFLOW_EXPIRED, .name = "OVERFLOW_EXPIRED", .level = G_LOG_LEVEL_MESSAGE },
 };
 
 const unsigned pl_event_count
--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -65,6 +65,11 @@
   cell->config = g_bytes_new (NULL, 0);
   g_queue_init (&cell->inbox);
   g_queue_init (&cell->sent_ends);
+  cell->contacts = cell_contacts_new ();
+  cell->lender = overflow_lender_new (cell->id);
+  cell->borrower = overflow_borrower_new (cell->id);
+  cell->sent = overflow_sent_table_new (cell->id, &cell_sent_ops, cell);
+  cell->received = overflow_received_table_new ();
   cell->planner_id = cell->id;
   cell->unsettled = g_hash_table_new (g_int64_hash, g_int64_equal);
   cell->membership_changed = true;
@@ -95,6 +100,12 @@
   g_hash_table_unref (cell->kept);
   g_hash_table_unref (cell->remotes);
   g_queue_clear_full (&cell->kept_order, g_free);
+  cell_close_contacts (cell);
+  g_hash_table_unref (cell->contacts);
+  overflow_lender_free (cell->lender);
+  overflow_borrower_free (cell->borrower);
+  overflow_sent_table_free (cell->sent);
+  overflow_received_table_free (cell->received);
   lease_table_free (cell->leases);
   owner_table_free (cell->jobs);
   planner_free (cell->planner);
@@ -187,6 +198,8 @@
       cell->membership_changed = false;
       cell_apply_membership (cell);
     }
+  /* After a pause, before anything is started for a received job.  */
+  cell_expire_received (cell);
   /* Each step may queue messages to this instance itself; repeat until none
      is left.  */
   do
@@ -215,6 +228,7 @@
   cell_tick_searches (cell);
   cell_tick_kept (cell);
   cell_tick_remotes (cell);
+  cell_tick_overflow (cell);
   cell_assign_workers (cell);
   if (planner_count_jobs (cell->planner) > 0)
     cell->plan_due = true;
--- a/lib/cell/cell.pb-c.c
+++ b/lib/cell/cell.pb-c.c
@@ -1132,6 +1132,276 @@
   assert(message->base.descriptor == &cellpb__cancels__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   cellpb__credit_request__init
+                     (Cellpb__CreditRequest         *message)
+{
+  static const Cellpb__CreditRequest init_value = CELLPB__CREDIT_REQUEST__INIT;
+  *message = init_value;
+}
+size_t cellpb__credit_request__get_packed_size
+                     (const Cellpb__CreditRequest *message)
+{
+  assert(message->base.descriptor == &cellpb__credit_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cellpb__credit_request__pack
+                     (const Cellpb__CreditRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cellpb__credit_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cellpb__credit_request__pack_to_buffer
+                     (const Cellpb__CreditRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cellpb__credit_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cellpb__CreditRequest *
+       cellpb__credit_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cellpb__CreditRequest *)
+     protobuf_c_message_unpack (&cellpb__credit_request__descriptor,
+                                allocator, len, data);
+}
+void   cellpb__credit_request__free_unpacked
+                     (Cellpb__CreditRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cellpb__credit_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cellpb__credit__init
+                     (Cellpb__Credit         *message)
+{
+  static const Cellpb__Credit init_value = CELLPB__CREDIT__INIT;
+  *message = init_value;
+}
+size_t cellpb__credit__get_packed_size
+                     (const Cellpb__Credit *message)
+{
+  assert(message->base.descriptor == &cellpb__credit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cellpb__credit__pack
+                     (const Cellpb__Credit *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cellpb__credit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cellpb__credit__pack_to_buffer
+                     (const Cellpb__Credit *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cellpb__credit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cellpb__Credit *
+       cellpb__credit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cellpb__Credit *)
+     protobuf_c_message_unpack (&cellpb__credit__descriptor,
+                                allocator, len, data);
+}
+void   cellpb__credit__free_unpacked
+                     (Cellpb__Credit *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cellpb__credit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cellpb__forward__init
+                     (Cellpb__Forward         *message)
+{
+  static const Cellpb__Forward init_value = CELLPB__FORWARD__INIT;
+  *message = init_value;
+}
+size_t cellpb__forward__get_packed_size
+                     (const Cellpb__Forward *message)
+{
+  assert(message->base.descriptor == &cellpb__forward__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cellpb__forward__pack
+                     (const Cellpb__Forward *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cellpb__forward__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cellpb__forward__pack_to_buffer
+                     (const Cellpb__Forward *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cellpb__forward__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cellpb__Forward *
+       cellpb__forward__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cellpb__Forward *)
+     protobuf_c_message_unpack (&cellpb__forward__descriptor,
+                                allocator, len, data);
+}
+void   cellpb__forward__free_unpacked
+                     (Cellpb__Forward *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cellpb__forward__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cellpb__renew__init
+                     (Cellpb__Renew         *message)
+{
+  static const Cellpb__Renew init_value = CELLPB__RENEW__INIT;
+  *message = init_value;
+}
+size_t cellpb__renew__get_packed_size
+                     (const Cellpb__Renew *message)
+{
+  assert(message->base.descriptor == &cellpb__renew__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cellpb__renew__pack
+                     (const Cellpb__Renew *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cellpb__renew__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cellpb__renew__pack_to_buffer
+                     (const Cellpb__Renew *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cellpb__renew__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cellpb__Renew *
+       cellpb__renew__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cellpb__Renew *)
+     protobuf_c_message_unpack (&cellpb__renew__descriptor,
+                                allocator, len, data);
+}
+void   cellpb__renew__free_unpacked
+                     (Cellpb__Renew *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cellpb__renew__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cellpb__renewed__init
+                     (Cellpb__Renewed         *message)
+{
+  static const Cellpb__Renewed init_value = CELLPB__RENEWED__INIT;
+  *message = init_value;
+}
+size_t cellpb__renewed__get_packed_size
+                     (const Cellpb__Renewed *message)
+{
+  assert(message->base.descriptor == &cellpb__renewed__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cellpb__renewed__pack
+                     (const Cellpb__Renewed *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cellpb__renewed__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cellpb__renewed__pack_to_buffer
+                     (const Cellpb__Renewed *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cellpb__renewed__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cellpb__Renewed *
+       cellpb__renewed__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cellpb__Renewed *)
+     protobuf_c_message_unpack (&cellpb__renewed__descriptor,
+                                allocator, len, data);
+}
+void   cellpb__renewed__free_unpacked
+                     (Cellpb__Renewed *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cellpb__renewed__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   cellpb__result__init
+                     (Cellpb__Result         *message)
+{
+  static const Cellpb__Result init_value = CELLPB__RESULT__INIT;
+  *message = init_value;
+}
+size_t cellpb__result__get_packed_size
+                     (const Cellpb__Result *message)
+{
+  assert(message->base.descriptor == &cellpb__result__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t cellpb__result__pack
+                     (const Cellpb__Result *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &cellpb__result__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t cellpb__result__pack_to_buffer
+                     (const Cellpb__Result *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &cellpb__result__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Cellpb__Result *
+       cellpb__result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Cellpb__Result *)
+     protobuf_c_message_unpack (&cellpb__result__descriptor,
+                                allocator, len, data);
+}
+void   cellpb__result__free_unpacked
+                     (Cellpb__Result *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &cellpb__result__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   cellpb__envelope__init
                      (Cellpb__Envelope         *message)
 {
@@ -2080,7 +2350,7 @@
   (ProtobufCMessageInit) cellpb__grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__refuse__field_descriptors[2] =
+static const ProtobufCFieldDescriptor cellpb__refuse__field_descriptors[6] =
 {
   {
     "job",
@@ -2106,15 +2376,67 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "credit",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Refuse, credit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lender",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Refuse, lender),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lender_ip",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Refuse, lender_ip),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "lender_port",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Refuse, lender_port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cellpb__refuse__field_indices_by_name[] = {
+  2,   /* field[2] = credit */
   0,   /* field[0] = job */
+  3,   /* field[3] = lender */
+  4,   /* field[4] = lender_ip */
+  5,   /* field[5] = lender_port */
   1,   /* field[1] = retry_after_ms */
 };
 static const ProtobufCIntRange cellpb__refuse__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor cellpb__refuse__descriptor =
 {
@@ -2124,7 +2446,7 @@
   "Cellpb__Refuse",
   "cellpb",
   sizeof(Cellpb__Refuse),
-  2,
+  6,
   cellpb__refuse__field_descriptors,
   cellpb__refuse__field_indices_by_name,
   1,  cellpb__refuse__number_ranges,
@@ -3610,78 +3932,787 @@
   (ProtobufCMessageInit) cellpb__cancels__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__envelope__field_descriptors[21] =
+static const ProtobufCFieldDescriptor cellpb__credit_request__field_descriptors[6] =
 {
   {
-    "sender",
+    "service",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Cellpb__Envelope, sender),
+    offsetof(Cellpb__CreditRequest, service),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "heartbeat",
+    "cpu",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cellpb__Envelope, body_case),
-    offsetof(Cellpb__Envelope, heartbeat),
-    &cellpb__heartbeat__descriptor,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__CreditRequest, cpu),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "ask",
+    "ip",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cellpb__Envelope, body_case),
-    offsetof(Cellpb__Envelope, ask),
-    &cellpb__ask__descriptor,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__CreditRequest, ip),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "drop",
+    "port",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cellpb__Envelope, body_case),
-    offsetof(Cellpb__Envelope, drop),
-    &cellpb__drop__descriptor,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__CreditRequest, port),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "grant",
+    "asked_us",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cellpb__Envelope, body_case),
-    offsetof(Cellpb__Envelope, grant),
-    &cellpb__grant__descriptor,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__CreditRequest, asked_us),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "refuse",
+    "passed_on",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Cellpb__Envelope, body_case),
-    offsetof(Cellpb__Envelope, refuse),
-    &cellpb__refuse__descriptor,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__CreditRequest, passed_on),
     NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cellpb__credit_request__field_indices_by_name[] = {
+  4,   /* field[4] = asked_us */
+  1,   /* field[1] = cpu */
+  2,   /* field[2] = ip */
+  5,   /* field[5] = passed_on */
+  3,   /* field[3] = port */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange cellpb__credit_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor cellpb__credit_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cellpb.CreditRequest",
+  "CreditRequest",
+  "Cellpb__CreditRequest",
+  "cellpb",
+  sizeof(Cellpb__CreditRequest),
+  6,
+  cellpb__credit_request__field_descriptors,
+  cellpb__credit_request__field_indices_by_name,
+  1,  cellpb__credit_request__number_ranges,
+  (ProtobufCMessageInit) cellpb__credit_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cellpb__credit__field_descriptors[8] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Credit, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Credit, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "domain",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Credit, domain),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cpu",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Credit, cpu),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asked_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Credit, asked_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "valid_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Credit, valid_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ip",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Credit, ip),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "port",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Credit, port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cellpb__credit__field_indices_by_name[] = {
+  4,   /* field[4] = asked_us */
+  3,   /* field[3] = cpu */
+  2,   /* field[2] = domain */
+  6,   /* field[6] = ip */
+  0,   /* field[0] = number */
+  7,   /* field[7] = port */
+  1,   /* field[1] = service */
+  5,   /* field[5] = valid_us */
+};
+static const ProtobufCIntRange cellpb__credit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor cellpb__credit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cellpb.Credit",
+  "Credit",
+  "Cellpb__Credit",
+  "cellpb",
+  sizeof(Cellpb__Credit),
+  8,
+  cellpb__credit__field_descriptors,
+  cellpb__credit__field_indices_by_name,
+  1,  cellpb__credit__number_ranges,
+  (ProtobufCMessageInit) cellpb__credit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cellpb__forward__field_descriptors[20] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Forward, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "credit",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Forward, credit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "to",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Forward, to),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ip",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Forward, ip),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "port",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Forward, port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "job",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Forward, job),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "route",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Forward, route),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Forward, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service_key",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Forward, service_key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "preferred_label",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Forward, preferred_label),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "per_worker",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Forward, per_worker),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "spec",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Forward, spec),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "n_tasks",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Forward, n_tasks),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "size",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Forward, size),
+    &cellpb__amount__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "declared_us",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Forward, declared_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stretch",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Forward, stretch),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target_us",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Forward, target_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "left_us",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Forward, left_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "priority",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Forward, priority),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "max_attempts",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Forward, max_attempts),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cellpb__forward__field_indices_by_name[] = {
+  1,   /* field[1] = credit */
+  14,   /* field[14] = declared_us */
+  3,   /* field[3] = ip */
+  5,   /* field[5] = job */
+  17,   /* field[17] = left_us */
+  19,   /* field[19] = max_attempts */
+  12,   /* field[12] = n_tasks */
+  0,   /* field[0] = number */
+  10,   /* field[10] = per_worker */
+  4,   /* field[4] = port */
+  9,   /* field[9] = preferred_label */
+  18,   /* field[18] = priority */
+  6,   /* field[6] = route */
+  7,   /* field[7] = service */
+  8,   /* field[8] = service_key */
+  13,   /* field[13] = size */
+  11,   /* field[11] = spec */
+  15,   /* field[15] = stretch */
+  16,   /* field[16] = target_us */
+  2,   /* field[2] = to */
+};
+static const ProtobufCIntRange cellpb__forward__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 20 }
+};
+const ProtobufCMessageDescriptor cellpb__forward__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cellpb.Forward",
+  "Forward",
+  "Cellpb__Forward",
+  "cellpb",
+  sizeof(Cellpb__Forward),
+  20,
+  cellpb__forward__field_descriptors,
+  cellpb__forward__field_indices_by_name,
+  1,  cellpb__forward__number_ranges,
+  (ProtobufCMessageInit) cellpb__forward__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cellpb__renew__field_descriptors[5] =
+{
+  {
+    "to",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Renew, to),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "numbers",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Cellpb__Renew, n_numbers),
+    offsetof(Cellpb__Renew, numbers),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "withdrawn",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Cellpb__Renew, n_withdrawn),
+    offsetof(Cellpb__Renew, withdrawn),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ip",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Renew, ip),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "port",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Renew, port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cellpb__renew__field_indices_by_name[] = {
+  3,   /* field[3] = ip */
+  1,   /* field[1] = numbers */
+  4,   /* field[4] = port */
+  0,   /* field[0] = to */
+  2,   /* field[2] = withdrawn */
+};
+static const ProtobufCIntRange cellpb__renew__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor cellpb__renew__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cellpb.Renew",
+  "Renew",
+  "Cellpb__Renew",
+  "cellpb",
+  sizeof(Cellpb__Renew),
+  5,
+  cellpb__renew__field_descriptors,
+  cellpb__renew__field_indices_by_name,
+  1,  cellpb__renew__number_ranges,
+  (ProtobufCMessageInit) cellpb__renew__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cellpb__renewed__field_descriptors[1] =
+{
+  {
+    "sent_us",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Renewed, sent_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cellpb__renewed__field_indices_by_name[] = {
+  0,   /* field[0] = sent_us */
+};
+static const ProtobufCIntRange cellpb__renewed__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor cellpb__renewed__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cellpb.Renewed",
+  "Renewed",
+  "Cellpb__Renewed",
+  "cellpb",
+  sizeof(Cellpb__Renewed),
+  1,
+  cellpb__renewed__field_descriptors,
+  cellpb__renewed__field_indices_by_name,
+  1,  cellpb__renewed__number_ranges,
+  (ProtobufCMessageInit) cellpb__renewed__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cellpb__result__field_descriptors[3] =
+{
+  {
+    "number",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Result, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "code",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Result, code),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "retry_after_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT32,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Result, retry_after_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned cellpb__result__field_indices_by_name[] = {
+  1,   /* field[1] = code */
+  0,   /* field[0] = number */
+  2,   /* field[2] = retry_after_ms */
+};
+static const ProtobufCIntRange cellpb__result__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor cellpb__result__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "cellpb.Result",
+  "Result",
+  "Cellpb__Result",
+  "cellpb",
+  sizeof(Cellpb__Result),
+  3,
+  cellpb__result__field_descriptors,
+  cellpb__result__field_indices_by_name,
+  1,  cellpb__result__number_ranges,
+  (ProtobufCMessageInit) cellpb__result__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor cellpb__envelope__field_descriptors[27] =
+{
+  {
+    "sender",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Envelope, sender),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "heartbeat",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cellpb__Envelope, body_case),
+    offsetof(Cellpb__Envelope, heartbeat),
+    &cellpb__heartbeat__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ask",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cellpb__Envelope, body_case),
+    offsetof(Cellpb__Envelope, ask),
+    &cellpb__ask__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "drop",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cellpb__Envelope, body_case),
+    offsetof(Cellpb__Envelope, drop),
+    &cellpb__drop__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "grant",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cellpb__Envelope, body_case),
+    offsetof(Cellpb__Envelope, grant),
+    &cellpb__grant__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "refuse",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cellpb__Envelope, body_case),
+    offsetof(Cellpb__Envelope, refuse),
+    &cellpb__refuse__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
@@ -3852,6 +4883,78 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "credit_request",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cellpb__Envelope, body_case),
+    offsetof(Cellpb__Envelope, credit_request),
+    &cellpb__credit_request__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "credit",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cellpb__Envelope, body_case),
+    offsetof(Cellpb__Envelope, credit),
+    &cellpb__credit__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "forward",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cellpb__Envelope, body_case),
+    offsetof(Cellpb__Envelope, forward),
+    &cellpb__forward__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "renew",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cellpb__Envelope, body_case),
+    offsetof(Cellpb__Envelope, renew),
+    &cellpb__renew__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "renewed",
+    26,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cellpb__Envelope, body_case),
+    offsetof(Cellpb__Envelope, renewed),
+    &cellpb__renewed__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "result",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Cellpb__Envelope, body_case),
+    offsetof(Cellpb__Envelope, result),
+    &cellpb__result__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
   {
     "cancels",
     28,
@@ -3867,18 +4970,24 @@
 };
 static const unsigned cellpb__envelope__field_indices_by_name[] = {
   2,   /* field[2] = ask */
-  20,   /* field[20] = cancels */
+  26,   /* field[26] = cancels */
   13,   /* field[13] = config */
   15,   /* field[15] = crashes */
+  21,   /* field[21] = credit */
+  20,   /* field[20] = credit_request */
   3,   /* field[3] = drop */
   9,   /* field[9] = ended */
   17,   /* field[17] = find */
+  22,   /* field[22] = forward */
   18,   /* field[18] = found */
   4,   /* field[4] = grant */
   1,   /* field[1] = heartbeat */
   5,   /* field[5] = refuse */
   19,   /* field[19] = registry */
   6,   /* field[6] = release */
+  23,   /* field[23] = renew */
+  24,   /* field[24] = renewed */
+  25,   /* field[25] = result */
   10,   /* field[10] = room */
   0,   /* field[0] = sender */
   14,   /* field[14] = sent_us */
@@ -3891,8 +5000,8 @@
 static const ProtobufCIntRange cellpb__envelope__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 28, 20 },
-  { 0, 21 }
+  { 22, 20 },
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor cellpb__envelope__descriptor =
 {
@@ -3902,7 +5011,7 @@
   "Cellpb__Envelope",
   "cellpb",
   sizeof(Cellpb__Envelope),
-  21,
+  27,
   cellpb__envelope__field_descriptors,
   cellpb__envelope__field_indices_by_name,
   2,  cellpb__envelope__number_ranges,
--- a/lib/cell/cell.pb-c.h
+++ b/lib/cell/cell.pb-c.h
@@ -40,6 +40,12 @@
 typedef struct Cellpb__Find Cellpb__Find;
 typedef struct Cellpb__Found Cellpb__Found;
 typedef struct Cellpb__Cancels Cellpb__Cancels;
+typedef struct Cellpb__CreditRequest Cellpb__CreditRequest;
+typedef struct Cellpb__Credit Cellpb__Credit;
+typedef struct Cellpb__Forward Cellpb__Forward;
+typedef struct Cellpb__Renew Cellpb__Renew;
+typedef struct Cellpb__Renewed Cellpb__Renewed;
+typedef struct Cellpb__Result Cellpb__Result;
 typedef struct Cellpb__Envelope Cellpb__Envelope;
 
 
@@ -286,10 +292,20 @@
   ProtobufCMessage base;
   uint64_t job;
   int32_t retry_after_ms;
+  /*
+   * The job may be forwarded under this credit. 0: it may not.
+   */
+  uint64_t credit;
+  /*
+   * incarnation
+   */
+  uint64_t lender;
+  uint32_t lender_ip;
+  uint32_t lender_port;
 };
 #define CELLPB__REFUSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cellpb__refuse__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -678,6 +694,179 @@
     , 0,NULL, 0,NULL }
 
 
+/*
+ * Planner to an instance of another failure domain, which passes it on to its
+ * planner: the sender has to refuse jobs of this service.
+ */
+struct  Cellpb__CreditRequest
+{
+  ProtobufCMessage base;
+  uint64_t service;
+  /*
+   * wanted, thousandths of a core
+   */
+  int64_t cpu;
+  /*
+   * address of the asking planner
+   */
+  uint32_t ip;
+  uint32_t port;
+  /*
+   * on its clock
+   */
+  int64_t asked_us;
+  /*
+   * by an instance that does not plan
+   */
+  protobuf_c_boolean passed_on;
+};
+#define CELLPB__CREDIT_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cellpb__credit_request__descriptor) \
+    , 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * Planner to the planner that has asked: jobs that it may have forwarded here.
+ */
+struct  Cellpb__Credit
+{
+  ProtobufCMessage base;
+  uint64_t number;
+  uint64_t service;
+  /*
+   * of the sender
+   */
+  uint64_t domain;
+  /*
+   * of the tasks of all these jobs; 0: none now
+   */
+  int64_t cpu;
+  /*
+   * as in the request
+   */
+  int64_t asked_us;
+  int64_t valid_us;
+  /*
+   * address of the sender
+   */
+  uint32_t ip;
+  uint32_t port;
+};
+#define CELLPB__CREDIT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cellpb__credit__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * Front to lender: a job that the lender is to serve as its own.
+ */
+struct  Cellpb__Forward
+{
+  ProtobufCMessage base;
+  /*
+   * of this forwarding
+   */
+  uint64_t number;
+  uint64_t credit;
+  /*
+   * incarnation that granted the credit
+   */
+  uint64_t to;
+  /*
+   * address of the front
+   */
+  uint32_t ip;
+  uint32_t port;
+  uint64_t job;
+  char *route;
+  char *service;
+  uint64_t service_key;
+  uint64_t preferred_label;
+  uint32_t per_worker;
+  ProtobufCBinaryData spec;
+  uint32_t n_tasks;
+  Cellpb__Amount *size;
+  int64_t declared_us;
+  double stretch;
+  /*
+   * less the time that the job has spent at the front
+   */
+  int64_t target_us;
+  /*
+   * until the deadline
+   */
+  int64_t left_us;
+  uint32_t priority;
+  uint32_t max_attempts;
+};
+#define CELLPB__FORWARD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cellpb__forward__descriptor) \
+    , 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, {0,NULL}, 0, NULL, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * Front to lender: forwardings whose jobs are still wanted, all of this front,
+ * and those that are not wanted any more.
+ */
+struct  Cellpb__Renew
+{
+  ProtobufCMessage base;
+  /*
+   * incarnation
+   */
+  uint64_t to;
+  size_t n_numbers;
+  uint64_t *numbers;
+  size_t n_withdrawn;
+  uint64_t *withdrawn;
+  /*
+   * address of the front
+   */
+  uint32_t ip;
+  uint32_t port;
+};
+#define CELLPB__RENEW__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cellpb__renew__descriptor) \
+    , 0, 0,NULL, 0,NULL, 0, 0 }
+
+
+/*
+ * Lender to front: a Renew has been handled.
+ */
+struct  Cellpb__Renewed
+{
+  ProtobufCMessage base;
+  /*
+   * of the Renew, on the clock of the front
+   */
+  int64_t sent_us;
+};
+#define CELLPB__RENEWED__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cellpb__renewed__descriptor) \
+    , 0 }
+
+
+/*
+ * Lender to front: how a forwarded job has ended.
+ */
+struct  Cellpb__Result
+{
+  ProtobufCMessage base;
+  /*
+   * of the forwarding
+   */
+  uint64_t number;
+  /*
+   * enum pl_code
+   */
+  uint32_t code;
+  int32_t retry_after_ms;
+};
+#define CELLPB__RESULT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&cellpb__result__descriptor) \
+    , 0, 0, 0 }
+
+
 typedef enum {
   CELLPB__ENVELOPE__BODY__NOT_SET = 0,
   CELLPB__ENVELOPE__BODY_HEARTBEAT = 2,
@@ -698,7 +887,13 @@
   CELLPB__ENVELOPE__BODY_FIND = 18,
   CELLPB__ENVELOPE__BODY_FOUND = 19,
   CELLPB__ENVELOPE__BODY_REGISTRY = 20,
-  CELLPB__ENVELOPE__BODY_CANCELS = 28
+  CELLPB__ENVELOPE__BODY_CANCELS = 28,
+  CELLPB__ENVELOPE__BODY_CREDIT_REQUEST = 22,
+  CELLPB__ENVELOPE__BODY_CREDIT = 23,
+  CELLPB__ENVELOPE__BODY_FORWARD = 24,
+  CELLPB__ENVELOPE__BODY_RENEW = 25,
+  CELLPB__ENVELOPE__BODY_RENEWED = 26,
+  CELLPB__ENVELOPE__BODY_RESULT = 27
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(CELLPB__ENVELOPE__BODY__CASE)
 } Cellpb__Envelope__BodyCase;
 
@@ -734,6 +929,12 @@
     Cellpb__Found *found;
     Cellpb__Registry *registry;
     Cellpb__Cancels *cancels;
+    Cellpb__CreditRequest *credit_request;
+    Cellpb__Credit *credit;
+    Cellpb__Forward *forward;
+    Cellpb__Renew *renew;
+    Cellpb__Renewed *renewed;
+    Cellpb__Result *result;
   };
 };
 #define CELLPB__ENVELOPE__INIT \
@@ -1216,6 +1417,120 @@
 void   cellpb__cancels__free_unpacked
                      (Cellpb__Cancels *message,
                       ProtobufCAllocator *allocator);
+/* Cellpb__CreditRequest methods */
+void   cellpb__credit_request__init
+                     (Cellpb__CreditRequest         *message);
+size_t cellpb__credit_request__get_packed_size
+                     (const Cellpb__CreditRequest   *message);
+size_t cellpb__credit_request__pack
+                     (const Cellpb__CreditRequest   *message,
+                      uint8_t             *out);
+size_t cellpb__credit_request__pack_to_buffer
+                     (const Cellpb__CreditRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Cellpb__CreditRequest *
+       cellpb__credit_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cellpb__credit_request__free_unpacked
+                     (Cellpb__CreditRequest *message,
+                      ProtobufCAllocator *allocator);
+/* Cellpb__Credit methods */
+void   cellpb__credit__init
+                     (Cellpb__Credit         *message);
+size_t cellpb__credit__get_packed_size
+                     (const Cellpb__Credit   *message);
+size_t cellpb__credit__pack
+                     (const Cellpb__Credit   *message,
+                      uint8_t             *out);
+size_t cellpb__credit__pack_to_buffer
+                     (const Cellpb__Credit   *message,
+                      ProtobufCBuffer     *buffer);
+Cellpb__Credit *
+       cellpb__credit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cellpb__credit__free_unpacked
+                     (Cellpb__Credit *message,
+                      ProtobufCAllocator *allocator);
+/* Cellpb__Forward methods */
+void   cellpb__forward__init
+                     (Cellpb__Forward         *message);
+size_t cellpb__forward__get_packed_size
+                     (const Cellpb__Forward   *message);
+size_t cellpb__forward__pack
+                     (const Cellpb__Forward   *message,
+                      uint8_t             *out);
+size_t cellpb__forward__pack_to_buffer
+                     (const Cellpb__Forward   *message,
+                      ProtobufCBuffer     *buffer);
+Cellpb__Forward *
+       cellpb__forward__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cellpb__forward__free_unpacked
+                     (Cellpb__Forward *message,
+                      ProtobufCAllocator *allocator);
+/* Cellpb__Renew methods */
+void   cellpb__renew__init
+                     (Cellpb__Renew         *message);
+size_t cellpb__renew__get_packed_size
+                     (const Cellpb__Renew   *message);
+size_t cellpb__renew__pack
+                     (const Cellpb__Renew   *message,
+                      uint8_t             *out);
+size_t cellpb__renew__pack_to_buffer
+                     (const Cellpb__Renew   *message,
+                      ProtobufCBuffer     *buffer);
+Cellpb__Renew *
+       cellpb__renew__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cellpb__renew__free_unpacked
+                     (Cellpb__Renew *message,
+                      ProtobufCAllocator *allocator);
+/* Cellpb__Renewed methods */
+void   cellpb__renewed__init
+                     (Cellpb__Renewed         *message);
+size_t cellpb__renewed__get_packed_size
+                     (const Cellpb__Renewed   *message);
+size_t cellpb__renewed__pack
+                     (const Cellpb__Renewed   *message,
+                      uint8_t             *out);
+size_t cellpb__renewed__pack_to_buffer
+                     (const Cellpb__Renewed   *message,
+                      ProtobufCBuffer     *buffer);
+Cellpb__Renewed *
+       cellpb__renewed__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cellpb__renewed__free_unpacked
+                     (Cellpb__Renewed *message,
+                      ProtobufCAllocator *allocator);
+/* Cellpb__Result methods */
+void   cellpb__result__init
+                     (Cellpb__Result         *message);
+size_t cellpb__result__get_packed_size
+                     (const Cellpb__Result   *message);
+size_t cellpb__result__pack
+                     (const Cellpb__Result   *message,
+                      uint8_t             *out);
+size_t cellpb__result__pack_to_buffer
+                     (const Cellpb__Result   *message,
+                      ProtobufCBuffer     *buffer);
+Cellpb__Result *
+       cellpb__result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   cellpb__result__free_unpacked
+                     (Cellpb__Result *message,
+                      ProtobufCAllocator *allocator);
 /* Cellpb__Envelope methods */
 void   cellpb__envelope__init
                      (Cellpb__Envelope         *message);
@@ -1312,6 +1627,24 @@
 typedef void (*Cellpb__Cancels_Closure)
                  (const Cellpb__Cancels *message,
                   void *closure_data);
+typedef void (*Cellpb__CreditRequest_Closure)
+                 (const Cellpb__CreditRequest *message,
+                  void *closure_data);
+typedef void (*Cellpb__Credit_Closure)
+                 (const Cellpb__Credit *message,
+                  void *closure_data);
+typedef void (*Cellpb__Forward_Closure)
+                 (const Cellpb__Forward *message,
+                  void *closure_data);
+typedef void (*Cellpb__Renew_Closure)
+                 (const Cellpb__Renew *message,
+                  void *closure_data);
+typedef void (*Cellpb__Renewed_Closure)
+                 (const Cellpb__Renewed *message,
+                  void *closure_data);
+typedef void (*Cellpb__Result_Closure)
+                 (const Cellpb__Result *message,
+                  void *closure_data);
 typedef void (*Cellpb__Envelope_Closure)
                  (const Cellpb__Envelope *message,
                   void *closure_data);
@@ -1346,6 +1679,12 @@
 extern const ProtobufCMessageDescriptor cellpb__find__descriptor;
 extern const ProtobufCMessageDescriptor cellpb__found__descriptor;
 extern const ProtobufCMessageDescriptor cellpb__cancels__descriptor;
+extern const ProtobufCMessageDescriptor cellpb__credit_request__descriptor;
+extern const ProtobufCMessageDescriptor cellpb__credit__descriptor;
+extern const ProtobufCMessageDescriptor cellpb__forward__descriptor;
+extern const ProtobufCMessageDescriptor cellpb__renew__descriptor;
+extern const ProtobufCMessageDescriptor cellpb__renewed__descriptor;
+extern const ProtobufCMessageDescriptor cellpb__result__descriptor;
 extern const ProtobufCMessageDescriptor cellpb__envelope__descriptor;
 
 PROTOBUF_C__END_DECLS
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -4,6 +4,7 @@
 
 #include "cell.h"
 #include "cell.pb-c.h"
+#include "overflow.h"
 
 /* After this silence a peer is treated as lost: the planner drops its workers
    and jobs, and its runs on workers held here are stopped.  */
@@ -124,10 +125,16 @@
   GQueue inbox;         /* GBytes of messages of this instance to itself */
   GHashTable *searches; /* number -> struct search of find.c */
   uint64_t n_searches;
-  GHashTable *kept;    /* job -> struct kept of kept.c */
-  GQueue kept_order;   /* struct kept, oldest first */
-  GHashTable *remotes; /* address -> struct remote of remote.c */
-  GQueue sent_ends;    /* struct sent_end of resync.c, oldest first */
+  GHashTable *kept;     /* job -> struct kept of kept.c */
+  GQueue kept_order;    /* struct kept, oldest first */
+  GHashTable *remotes;  /* address -> struct remote of remote.c */
+  GQueue sent_ends;     /* struct sent_end of resync.c, oldest first */
+  GHashTable *contacts; /* address -> struct contact of contact.c */
+  struct overflow_lender *lender;
+  struct overflow_borrower *borrower;
+  struct overflow_sent_table *sent;
+  struct overflow_received_table *received;
+  uint64_t n_picked; /* calls of cell_pick_instance */
   int64_t load_logged_us;
   int64_t logged_load[CELL_LOAD_COUNTERS];
 };
@@ -176,6 +183,53 @@
 /* Whether this instance's domain holds the workers of DOMAIN.  */
 bool cell_serves_domain (const struct cell *cell, uint64_t domain);
 
+/* Bound of the domains that room is asked of.  */
+#define CELL_MAX_OVERFLOW_DOMAINS 64
+/* Fills DOMAINS with other domains that have instances; returns their number.
+ */
+unsigned cell_list_other_domains (const struct cell *cell,
+                                  uint64_t domains[CELL_MAX_OVERFLOW_DOMAINS]);
+/* Sets ADDR to a registered instance of DOMAIN, another one with each call.
+   False if there is none.  */
+bool cell_pick_instance (struct cell *cell, uint64_t domain,
+                         struct pl_addr *addr);
+
+/* Links to instances of other failure domains (contact.c).  */
+GHashTable *cell_contacts_new (void);
+/* Opens a link if there is none; the message waits until it is up.  */
+void cell_send_to_contact (struct cell *cell, struct pl_addr addr,
+                           Cellpb__Envelope *env);
+void cell_note_contact (struct cell *cell, const void *link, bool up);
+void cell_tick_contacts (struct cell *cell);
+void cell_close_contacts (struct cell *cell);
+
+/* Overflow between failure domains (overflow.c).  */
+extern const struct overflow_sent_ops cell_sent_ops;
+/* Returns the credit under which the refused job may be forwarded, null if
+   there is none.  */
+const struct overflow_credit *
+cell_borrow (struct cell *cell, const struct planner_request *request,
+             const struct planner_refusal *refusal);
+/* JOB, which may have been forwarded or received, ends here.  */
+void cell_end_overflow (struct cell *cell, const struct owner_job *job,
+                        const struct owner_answer *answer);
+/* Ends the received jobs whose leases have expired.  */
+void cell_expire_received (struct cell *cell);
+void cell_tick_overflow (struct cell *cell);
+void cell_on_refuse (struct cell *cell, const Cellpb__Refuse *msg);
+void cell_on_credit_request (struct cell *cell,
+                             const Cellpb__CreditRequest *msg);
+void cell_on_credit (struct cell *cell, uint64_t sender,
+                     const Cellpb__Credit *msg);
+void cell_on_forward (struct cell *cell, uint64_t sender, int64_t sent_us,
+                      const Cellpb__Forward *msg);
+void cell_on_renew (struct cell *cell, uint64_t sender, int64_t sent_us,
+                    const Cellpb__Renew *msg);
+void cell_on_renewed (struct cell *cell, uint64_t sender,
+                      const Cellpb__Renewed *msg);
+void cell_on_result (struct cell *cell, uint64_t sender,
+                     const Cellpb__Result *msg);
+
 /* Peers: failure detection and the choice of the planner (member.c),
    heartbeats (heartbeat.c, heard.c).  */
 struct peer *cell_find_peer (struct cell *cell, uint64_t id);
@@ -222,6 +276,8 @@
 void cell_send_heartbeats (struct cell *cell);
 /* In full, to one peer, which is to do the same if ASKS_STATE.  */
 void cell_send_heartbeat (struct cell *cell, struct peer *to, bool asks_state);
+/* Returns the frame of a message.  The caller frees it.  */
+GBytes *cell_pack (struct cell *cell, Cellpb__Envelope *env);
 void cell_dispatch (struct cell *cell, uint64_t sender,
                     const Cellpb__Envelope *env);
 
--- a/lib/cell/check.c
+++ b/lib/cell/check.c
@@ -8,6 +8,8 @@
 #define MAX_TIME_US ((int64_t)1000 * 24 * 3600 * 1000000)
 /* With it, a run time of MAX_TIME_US times the slowness does not overflow.  */
 #define MAX_SLOWNESS 100000 /* percent */
+/* No caller allows more than this many times the run time.  */
+#define MAX_STRETCH 1000000
 /* Bound of clocks and fencing tokens: sums of a few of them don't overflow. */
 #define MAX_MAGNITUDE ((int64_t)1 << 60)
 
@@ -147,6 +149,62 @@
   return is_token (registry->revision);
 }
 
+static bool
+is_port (uint32_t port)
+{
+  return port != 0 && port <= UINT16_MAX;
+}
+
+/* Of the tasks of some jobs, thousandths of a core.  */
+static bool
+is_cpu_sum (int64_t cpu)
+{
+  return cpu >= 0 && cpu <= MAX_MAGNITUDE;
+}
+
+static bool
+is_credit (const Cellpb__Credit *credit)
+{
+  return is_cpu_sum (credit->cpu) && is_token (credit->asked_us)
+         && is_duration (credit->valid_us) && is_port (credit->port);
+}
+
+/* The objective of a job: STRETCH times a run time, plus TARGET_US.  */
+static bool
+is_objective (double stretch, int64_t target_us)
+{
+  return stretch >= 0 && stretch <= MAX_STRETCH && is_time (target_us);
+}
+
+static bool
+is_forward (const Cellpb__Forward *msg)
+{
+  return msg->number != 0 && msg->n_tasks > 0
+         && msg->n_tasks <= OWNER_MAX_TASKS && is_amount (msg->size)
+         && is_duration (msg->declared_us) && is_duration (msg->left_us)
+         && is_objective (msg->stretch, msg->target_us) && is_port (msg->port);
+}
+
+/* What a job can end with, by its owner.  */
+static bool
+is_result (const Cellpb__Result *result)
+{
+  switch (result->code)
+    {
+    case PL_OK:
+    case PL_DEADLINE_LOST:
+    case PL_CANCELLED:
+    case PL_STOPPING:
+    case PL_FAILED_RAN:
+    case PL_CANCELLED_RAN:
+    case PL_DEADLINE_RAN:
+    case PL_UNKNOWN_LOST:
+      return result->retry_after_ms >= 0;
+    default:
+      return false;
+    }
+}
+
 bool
 cell_is_valid (const Cellpb__Envelope *env)
 {
@@ -162,7 +220,23 @@
     case CELLPB__ENVELOPE__BODY_GRANT:
       return is_token (env->grant->token);
     case CELLPB__ENVELOPE__BODY_REFUSE:
-      return env->refuse->retry_after_ms >= 0;
+      return env->refuse->retry_after_ms >= 0
+             && (env->refuse->credit == 0
+                 || is_port (env->refuse->lender_port));
+    case CELLPB__ENVELOPE__BODY_CREDIT_REQUEST:
+      return is_cpu_sum (env->credit_request->cpu)
+             && is_token (env->credit_request->asked_us)
+             && is_port (env->credit_request->port);
+    case CELLPB__ENVELOPE__BODY_CREDIT:
+      return is_credit (env->credit);
+    case CELLPB__ENVELOPE__BODY_FORWARD:
+      return is_forward (env->forward);
+    case CELLPB__ENVELOPE__BODY_RENEW:
+      return is_port (env->renew->port);
+    case CELLPB__ENVELOPE__BODY_RENEWED:
+      return is_token (env->renewed->sent_us);
+    case CELLPB__ENVELOPE__BODY_RESULT:
+      return is_result (env->result);
     case CELLPB__ENVELOPE__BODY_START:
       return is_start (env->start);
     case CELLPB__ENVELOPE__BODY_STOP:
--- a/lib/cell/fleet.c
+++ b/lib/cell/fleet.c
@@ -352,6 +352,46 @@
   return best;
 }
 
+unsigned
+cell_list_other_domains (const struct cell *cell,
+                         uint64_t domains[CELL_MAX_OVERFLOW_DOMAINS])
+{
+  unsigned n = 0;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, cell->domains);
+  while (g_hash_table_iter_next (&it, NULL, &value)
+         && n < CELL_MAX_OVERFLOW_DOMAINS)
+    {
+      const struct fleet_domain *domain = value;
+      if (domain->domain != cell->domain && domain->n_instances > 0)
+        domains[n++] = domain->domain;
+    }
+  return n;
+}
+
+bool
+cell_pick_instance (struct cell *cell, uint64_t domain, struct pl_addr *addr)
+{
+  const struct fleet_domain *from
+      = g_hash_table_lookup (cell->domains, &domain);
+  if (from == NULL || from->n_instances == 0)
+    return false;
+  unsigned skip = (unsigned)(cell->n_picked++ % from->n_instances);
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, cell->fleet);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const struct fleet_member *member = value;
+      if (member->domain != domain || skip-- > 0)
+        continue;
+      *addr = member->addr;
+      return true;
+    }
+  return false;
+}
+
 /* Calls the instances that an empty domain had last.  */
 static void
 call_former (struct cell *cell, struct fleet_domain *domain)
--- a/lib/cell/member.c
+++ b/lib/cell/member.c
@@ -229,6 +229,7 @@
     {
       cell_note_call (cell, link, true);
       cell_remote_link_up (cell, link);
+      cell_note_contact (cell, link, true);
       return;
     }
   peer->refuses_connections = false;
@@ -248,6 +249,7 @@
     {
       cell_note_call (cell, link, false);
       cell_remote_link_down (cell, link, refused);
+      cell_note_contact (cell, link, false);
     }
 }
 
@@ -257,6 +259,8 @@
   struct peer *peer = link_peer == 0 ? NULL : cell_find_peer (cell, link_peer);
   if (peer != NULL && peer->link_closed_us == 0)
     peer->link_closed_us = pl_now_us (cell->clock);
+  overflow_on_front_closed (cell->received, link_peer,
+                            pl_now_us (cell->clock));
 }
 
 static bool
--- a/lib/cell/msg.c
+++ b/lib/cell/msg.c
@@ -45,7 +45,6 @@
   cell->ops->wake (cell->ctx);
 }
 
-/* A message as sent to several peers.  The caller frees it.  */
 GBytes *
 cell_pack (struct cell *cell, Cellpb__Envelope *env)
 {
@@ -148,8 +147,25 @@
       on_grant (cell, env->grant);
       break;
     case CELLPB__ENVELOPE__BODY_REFUSE:
-      owner_on_refusal (cell->jobs, env->refuse->job,
-                        env->refuse->retry_after_ms);
+      cell_on_refuse (cell, env->refuse);
+      break;
+    case CELLPB__ENVELOPE__BODY_CREDIT_REQUEST:
+      cell_on_credit_request (cell, env->credit_request);
+      break;
+    case CELLPB__ENVELOPE__BODY_CREDIT:
+      cell_on_credit (cell, sender, env->credit);
+      break;
+    case CELLPB__ENVELOPE__BODY_FORWARD:
+      cell_on_forward (cell, sender, env->sent_us, env->forward);
+      break;
+    case CELLPB__ENVELOPE__BODY_RENEW:
+      cell_on_renew (cell, sender, env->sent_us, env->renew);
+      break;
+    case CELLPB__ENVELOPE__BODY_RENEWED:
+      cell_on_renewed (cell, sender, env->renewed);
+      break;
+    case CELLPB__ENVELOPE__BODY_RESULT:
+      cell_on_result (cell, sender, env->result);
       break;
     case CELLPB__ENVELOPE__BODY_RELEASE:
       planner_release_grant (cell->planner, env->release->worker,
--- a/lib/cell/plan.c
+++ b/lib/cell/plan.c
@@ -40,6 +40,8 @@
   const struct peer *peer = cell_find_peer (cell, sender);
   if (peer != NULL)
     request.domain = peer->domain;
+  request.lent = sender == cell->id
+                 && overflow_find_received (cell->received, msg->job) != NULL;
   planner_put_request (cell->planner, &request);
   cell->plan_due = true;
 }
@@ -102,6 +104,14 @@
   Cellpb__Refuse msg = CELLPB__REFUSE__INIT;
   msg.job = request->job;
   msg.retry_after_ms = refusal->retry_after_ms;
+  const struct overflow_credit *credit = cell_borrow (cell, request, refusal);
+  if (credit != NULL)
+    {
+      msg.credit = credit->number;
+      msg.lender = credit->lender;
+      msg.lender_ip = credit->addr.ip;
+      msg.lender_port = credit->addr.port;
+    }
   Cellpb__Envelope env = CELL_ENVELOPE (refuse, REFUSE, &msg);
   pl_log (PL_EV_SHED,
           "key=%016" PRIx64 " reason=%s waiting=%u usable_cpu=%" PRId64
@@ -231,9 +241,17 @@
              const struct owner_answer *answer)
 {
   struct cell *cell = ctx;
+  cell_end_overflow (cell, job, answer);
   cell->ops->answer (cell->ctx, job, answer);
 }
 
+static void
+on_abandoned (void *ctx, struct owner_job *job)
+{
+  struct owner_answer answer = { .code = PL_CANCELLED_RAN };
+  cell_end_overflow (ctx, job, &answer);
+}
+
 const struct owner_ops cell_owner_ops = {
   .ask = send_ask,
   .drop = send_drop,
@@ -242,6 +260,7 @@
   .claim = send_claim,
   .stop = send_stop,
   .answer = pass_answer,
+  .abandon = on_abandoned,
 };
 
 void
--- a/lib/owner/job.c
+++ b/lib/owner/job.c
@@ -204,6 +204,8 @@
       return;
     }
   stop_job (table, job);
+  if (table->ops->abandon != NULL)
+    table->ops->abandon (table->ctx, job);
   g_hash_table_remove (table->jobs, &job->id);
 }
 
@@ -280,7 +282,7 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       struct owner_job *job = value;
-      if (job->dirty && !job->crash_limit_reached)
+      if (job->dirty && !job->crash_limit_reached && !job->forwarded)
         send_request (table, job);
     }
 }
@@ -324,11 +326,39 @@
 owner_on_refusal (struct owner_table *table, uint64_t id, int retry_after_ms)
 {
   struct owner_job *job = owner_find_job (table, id);
-  if (job == NULL || job->dirty)
+  if (job == NULL || job->dirty || job->forwarded)
     return;
   finish_missed_deadline (table, job, retry_after_ms);
 }
 
+bool
+owner_may_forward (const struct owner_table *table,
+                   const struct owner_job *job)
+{
+  return !job->started && !job->dirty && !job->crash_limit_reached
+         && job->required_label == 0 && !owner_has_suspect_task (table, job);
+}
+
+void
+owner_set_forwarded (struct owner_job *job)
+{
+  job->forwarded = true;
+  job->started = true;
+}
+
+void
+owner_on_forwarded_end (struct owner_table *table, struct owner_job *job,
+                        const struct owner_answer *answer)
+{
+  if (pl_code_info (answer->code)->outcome == PL_OUTCOME_NOT_RUN)
+    {
+      job->started = false;
+      finish_missed_deadline (table, job, answer->retry_after_ms);
+      return;
+    }
+  owner_finish_job (table, job, answer->code, answer->retry_after_ms);
+}
+
 static void
 check_job_timeouts (struct owner_table *table, struct owner_job *job,
                     int64_t now_us)
--- a/lib/owner/owner.h
+++ b/lib/owner/owner.h
@@ -87,6 +87,7 @@
   unsigned n_ended;
   unsigned n_possible_runs; /* starts sent that were not refused for certain */
   bool started;             /* there are such: some task may have run */
+  bool forwarded; /* another instance owns it for this one; it may have run */
   bool crash_limit_reached; /* by a task, before the job was submitted */
   bool dirty; /* the request that the planner has is out of date */
   struct owner_task *tasks;
@@ -123,6 +124,9 @@
   /* The final answer; JOB is freed after the call.  */
   void (*answer) (void *ctx, struct owner_job *job,
                   const struct owner_answer *answer);
+  /* JOB is ended without an answer, and is freed after the call.  May be
+     null.  */
+  void (*abandon) (void *ctx, struct owner_job *job);
 };
 
 struct owner_table *owner_table_new (struct pl_clock *clock,
@@ -158,6 +162,16 @@
                      const struct owner_placement *placement);
 void owner_on_refusal (struct owner_table *table, uint64_t job,
                        int retry_after_ms);
+/* Whether JOB may be forwarded: it has not started, and its request was not
+   changed since it was refused.  */
+bool owner_may_forward (const struct owner_table *table,
+                        const struct owner_job *job);
+/* Another instance serves JOB from now on, under its own ownership: nothing is
+   requested or started here, and the job counts as started.  */
+void owner_set_forwarded (struct owner_job *job);
+/* The end of a forwarded job, as its owner has told it.  */
+void owner_on_forwarded_end (struct owner_table *table, struct owner_job *job,
+                             const struct owner_answer *answer);
 /* A message from a holder: the run has ended.  */
 struct owner_run_end
 {
--- a/lib/owner/task.c
+++ b/lib/owner/task.c
@@ -47,7 +47,7 @@
                 const struct owner_placement *placement)
 {
   struct owner_job *job = owner_find_job (table, id);
-  bool waiting = job != NULL && index < job->n_tasks
+  bool waiting = job != NULL && !job->forwarded && index < job->n_tasks
                  && job->tasks[index].state == OWNER_TASK_WAITING;
   if (!waiting || is_bound_reached (job, placement->worker))
     {
--- a/lib/planner/order.c
+++ b/lib/planner/order.c
@@ -32,12 +32,14 @@
 #define PRIORITY_WINDOW_US 20000
 
 /* 0: has run in part, which a refusal would waste; 1: may still meet its
-   objective; 2: can only be late.  */
+   objective; 2: can only be late; 3: of another failure domain.  */
 static int
 urgency_class (const struct job *job, int64_t now_us)
 {
   if (job->request.started)
     return 0;
+  if (job->request.lent)
+    return 3;
   return planner_latest_start (job) >= now_us ? 1 : 2;
 }
 
--- a/lib/planner/planner.c
+++ b/lib/planner/planner.c
@@ -11,9 +11,9 @@
    one: other instances have taken the workers of a dead holder by then, unless
    they must wait until its registration expires.  */
 #define NO_WORKER_TIMEOUT_US 500000
-/* For this time after a refusal as PLANNER_CROWDED, the queued work of the
-   service counts with this percentage; queueing_delay_us says why.  */
-#define CROWDED_PERIOD_US 500000
+/* For PLANNER_CROWDED_PERIOD_US after a refusal as PLANNER_CROWDED, the queued
+   work of the service counts with this percentage; queueing_delay_us says why.
+ */
 #define CROWDED_QUEUE_PERCENT 200
 /* Refused callers return after the present queue has been served, spread so
    that they don't return together.  */
@@ -367,7 +367,7 @@
                    int64_t now_us)
 {
   int64_t cpu = MAX (MAX (b->used_cpu, b->cpu / MIN_BUSY_DIVISOR), 1);
-  bool crowded = now_us - service->last_crowded_us < CROWDED_PERIOD_US;
+  bool crowded = now_us - service->last_crowded_us < PLANNER_CROWDED_PERIOD_US;
   double work = b->queued_work * (crowded ? CROWDED_QUEUE_PERCENT : 100) / 100;
   return (int64_t)MIN (work / (double)cpu, (double)MAX_DELAY_US);
 }
@@ -517,6 +517,8 @@
         refuse_job (planner, job, PLANNER_EVACUATED, b, now_us);
       else if (no_worker && !job->request.started)
         refuse_job (planner, job, PLANNER_NO_WORKER, b, now_us);
+      else if (job->request.lent && !job->request.started)
+        refuse_job (planner, job, PLANNER_CROWDED, b, now_us);
       else if (b == NULL || !planner->policy->sheds_load)
         continue;
       else if (!job->request.started
--- a/lib/planner/planner.h
+++ b/lib/planner/planner.h
@@ -82,7 +82,9 @@
   unsigned priority;             /* 0 comes first */
   bool started;                  /* some task of the job has started */
   bool suspect;                  /* a waiting task has crashed a worker */
-  unsigned n_tasks;              /* of the whole job */
+  bool lent; /* of another failure domain: served after all own jobs, and
+                refused if it doesn't fit at once */
+  unsigned n_tasks; /* of the whole job */
   unsigned n_waiting;
   const uint32_t *waiting; /* indexes of tasks */
   /* Where the other tasks are; only needed if PER_WORKER is not 0.  */
@@ -171,5 +173,16 @@
                             int64_t token, uint64_t tag);
 /* Grants and refuses what can be decided at NOW_US.  */
 void planner_schedule (struct planner_state *planner, int64_t now_us);
+/* The room of the usable workers of a service, in thousandths of a core.  */
+struct planner_room
+{
+  int64_t capacity;
+  int64_t free;
+  int64_t waiting; /* tasks in the queue */
+  bool crowded;    /* jobs were refused as PLANNER_CROWDED lately */
+};
+
+struct planner_room planner_measure_room (struct planner_state *planner,
+                                          uint64_t service, int64_t now_us);
 /* The number of jobs with waiting tasks.  */
 unsigned planner_count_jobs (const struct planner_state *planner);
--- a/lib/planner/planner_priv.h
+++ b/lib/planner/planner_priv.h
@@ -17,6 +17,9 @@
    back together.  */
 #define PLANNER_SUSPECT_GAP_US 200000
 
+/* A service counts as crowded for this time after a refusal.  */
+#define PLANNER_CROWDED_PERIOD_US 500000
+
 struct worker_entry
 {
   struct planner_worker_report report; /* the latest */
