--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -29,6 +29,7 @@
   if (known->instance != in->index || known->incarnation != in->incarnation)
     return;
   known->answered = true;
+  known->answered_us = world_now (in->world);
   known->code = answer->code;
   in->world->answers[MIN (answer->code, WORLD_CODE_LIMIT - 1)]++;
   if (answer->code == PL_OK)
@@ -77,7 +78,8 @@
 world_domain (int domain)
 {
   static const char *const names[]
-      = { "a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l", "m" };
+      = { "a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l", "m",
+          "n", "o", "p", "q", "r", "s", "t", "u", "v", "w", "x", "y", "z" };
   return names[domain];
 }
 
--- a/tests/world_base.h
+++ b/tests/world_base.h
@@ -114,6 +114,7 @@
   unsigned attempts; /* submissions */
   bool ran;          /* a worker has carried out a start */
   bool answered;
+  int64_t answered_us;
   enum pl_code code;
 };
 
