--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -205,11 +205,10 @@
 
 /* Overflow between failure domains (overflow.c).  */
 extern const struct overflow_sent_ops cell_sent_ops;
-/* Returns the credit under which the refused job may be forwarded, null if
-   there is none.  */
+/* Returns the credit under which a job that can't be served here may be
+   forwarded, null if there is none.  */
 const struct overflow_credit *
-cell_borrow (struct cell *cell, const struct planner_request *request,
-             const struct planner_refusal *refusal);
+cell_borrow (struct cell *cell, const struct planner_request *request);
 /* JOB, which may have been forwarded or received, ends here.  */
 void cell_end_overflow (struct cell *cell, const struct owner_job *job,
                         const struct owner_answer *answer);
--- a/lib/cell/overflow.c
+++ b/lib/cell/overflow.c
@@ -41,12 +41,10 @@
 }
 
 const struct overflow_credit *
-cell_borrow (struct cell *cell, const struct planner_request *request,
-             const struct planner_refusal *refusal)
+cell_borrow (struct cell *cell, const struct planner_request *request)
 {
-  if (!cell->domain_only || refusal->reason == PLANNER_HOPELESS
-      || request->started || request->suspect || request->lent
-      || request->required_label != 0)
+  if (!cell->domain_only || request->started || request->suspect
+      || request->lent || request->required_label != 0)
     return NULL;
   int64_t cpu = (int64_t)request->n_tasks * request->size.cpu;
   const struct overflow_credit *credit = overflow_borrow (
--- a/lib/cell/plan.c
+++ b/lib/cell/plan.c
@@ -2,6 +2,10 @@
    as messages, and the handlers of messages to these roles.  */
 #include "cell_priv.h"
 
+/* Retry-After of a job that can't be passed on in the end, for want of workers
+   of its service.  */
+#define PASSED_ON_RETRY_MS 1000
+
 void
 cell_on_ask (struct cell *cell, uint64_t sender, const Cellpb__Ask *msg)
 {
@@ -96,15 +100,14 @@
   cell_send (cell, request->owner, &env);
 }
 
+/* Refuses a job.  CREDIT, under which it may be forwarded, may be null.  */
 static void
-send_refuse (void *ctx, const struct planner_request *request,
-             const struct planner_refusal *refusal)
+send_refuse_message (struct cell *cell, const struct planner_request *request,
+                     int retry_after_ms, const struct overflow_credit *credit)
 {
-  struct cell *cell = ctx;
   Cellpb__Refuse msg = CELLPB__REFUSE__INIT;
   msg.job = request->job;
-  msg.retry_after_ms = refusal->retry_after_ms;
-  const struct overflow_credit *credit = cell_borrow (cell, request, refusal);
+  msg.retry_after_ms = retry_after_ms;
   if (credit != NULL)
     {
       msg.credit = credit->number;
@@ -113,18 +116,39 @@
       msg.lender_port = credit->addr.port;
     }
   Cellpb__Envelope env = CELL_ENVELOPE (refuse, REFUSE, &msg);
+  cell_send (cell, request->owner, &env);
+}
+
+static void
+send_refuse (void *ctx, const struct planner_request *request,
+             const struct planner_refusal *refusal)
+{
+  struct cell *cell = ctx;
   pl_log (PL_EV_SHED,
           "key=%016" PRIx64 " reason=%s waiting=%u usable_cpu=%" PRId64
           " ahead_us=%" PRId64 " slack_us=%" PRId64 " retry_after_ms=%d",
           request->job, planner_refusal_reason_name (refusal->reason),
           refusal->waiting, refusal->usable_cpu, refusal->ahead_us,
           refusal->slack_us, refusal->retry_after_ms);
-  cell_send (cell, request->owner, &env);
+  const struct overflow_credit *credit = refusal->reason == PLANNER_HOPELESS
+                                             ? NULL
+                                             : cell_borrow (cell, request);
+  send_refuse_message (cell, request, refusal->retry_after_ms, credit);
+}
+
+static bool
+pass_on (void *ctx, const struct planner_request *request)
+{
+  const struct overflow_credit *credit = cell_borrow (ctx, request);
+  if (credit != NULL)
+    send_refuse_message (ctx, request, PASSED_ON_RETRY_MS, credit);
+  return credit != NULL;
 }
 
 const struct planner_ops cell_planner_ops = {
   .grant = send_grant,
   .refuse = send_refuse,
+  .pass_on = pass_on,
 };
 
 static void
--- a/lib/planner/planner.c
+++ b/lib/planner/planner.c
@@ -460,6 +460,17 @@
   planner->ops->refuse (planner->ctx, &request, &refusal);
 }
 
+/* Removes JOB if others serve it.  */
+static bool
+pass_on (struct planner_state *planner, struct job *job)
+{
+  if (planner->ops->pass_on == NULL || job->request.started
+      || !planner->ops->pass_on (planner->ctx, &job->request))
+    return false;
+  remove_job (planner, job);
+  return true;
+}
+
 /* Argument of compare_by_policy.  */
 struct sort_context
 {
@@ -517,6 +528,8 @@
         refuse_job (planner, job, PLANNER_EVACUATED, b, now_us);
       else if (no_worker && !job->request.started)
         refuse_job (planner, job, PLANNER_NO_WORKER, b, now_us);
+      else if (b == NULL && pass_on (planner, job))
+        continue;
       else if (job->request.lent && !job->request.started)
         refuse_job (planner, job, PLANNER_CROWDED, b, now_us);
       else if (b == NULL || !planner->policy->sheds_load)
--- a/lib/planner/planner.h
+++ b/lib/planner/planner.h
@@ -133,6 +133,10 @@
   /* The job will not be served.  */
   void (*refuse) (void *ctx, const struct planner_request *request,
                   const struct planner_refusal *refusal);
+  /* The service of a job of which nothing has started has no usable worker
+     now.  Returns whether others serve the job, which is removed then.  May be
+     null.  */
+  bool (*pass_on) (void *ctx, const struct planner_request *request);
 };
 
 struct planner_state *planner_new (const struct planner_ops *ops, void *ctx);
--- a/tests/cell_overflow_test.c
+++ b/tests/cell_overflow_test.c
@@ -8,6 +8,10 @@
 #define N_SEEDS 10
 #define JOB_DEADLINE_US 1500000
 #define FLOOD_PERIOD_US 10000
+#define RUN_US 200000
+/* In the tests of disturbances, so that leases expire during a run.  */
+#define LONG_RUN_US 2500000
+#define LONG_DEADLINE_US 8000000
 
 static struct world *
 new_fleet (uint64_t seed, int n_domains)
@@ -45,7 +49,7 @@
 /* Many times the traffic that domain 0 can serve arrives there for US, and a
    job now and then in the others.  Returns the number of the latter.  */
 static unsigned
-flood (struct world *world, int64_t us, GPtrArray *others)
+flood (struct world *world, int64_t us, int64_t run_us, GPtrArray *others)
 {
   unsigned n = 0;
   for (int64_t end_us = world_now (world) + us; world_now (world) < end_us;
@@ -53,11 +57,11 @@
     {
       int instance = (int)world_random_between (world, 0, PER_DOMAIN - 1)
                      * world->n_domains;
-      (void)world_submit (world, instance, 2, 200000);
+      (void)world_submit (world, instance, 2, run_us);
       if (n % 10 == 0 && others != NULL)
         {
           struct world_job *job
-              = world_submit (world, instance + 1, 2, 200000);
+              = world_submit (world, instance + 1, 2, run_us);
           if (job != NULL)
             g_ptr_array_add (others, job);
         }
@@ -71,7 +75,7 @@
 static void
 settle_all (struct world *world)
 {
-  for (int i = 0; i < 60; i++)
+  for (int i = 0; i < 120; i++)
     {
       world_resend_lost_jobs (world);
       resend_unknown_jobs (world);
@@ -88,7 +92,7 @@
   g_autoptr (GPtrArray) others = g_ptr_array_new ();
   int64_t received = pl_counter (PL_CTR_OVERFLOW_RECEIVED_TOTAL);
   int64_t lost = pl_counter (PL_CTR_OVERFLOW_LOST_TOTAL);
-  unsigned n = flood (world, 3 * SECOND, others);
+  unsigned n = flood (world, 3 * SECOND, RUN_US, others);
   settle_all (world);
   received = pl_counter (PL_CTR_OVERFLOW_RECEIVED_TOTAL) - received;
   printf ("flooded domain: %u jobs, %u complete in all, %" PRId64
@@ -117,14 +121,15 @@
   for (uint64_t seed = 1; seed <= N_SEEDS; seed++)
     {
       struct world *world = new_fleet (seed, N_DOMAINS);
+      world->job_deadline_us = LONG_DEADLINE_US;
       int64_t received = pl_counter (PL_CTR_OVERFLOW_RECEIVED_TOTAL);
-      (void)flood (world, SECOND, NULL);
+      (void)flood (world, SECOND, LONG_RUN_US, NULL);
       CU_ASSERT_TRUE (pl_counter (PL_CTR_OVERFLOW_RECEIVED_TOTAL) > received);
       disturbance->begin (world);
-      (void)flood (world, 600000, NULL);
+      (void)flood (world, 600000, LONG_RUN_US, NULL);
       if (disturbance->end != NULL)
         disturbance->end (world);
-      (void)flood (world, SECOND, NULL);
+      (void)flood (world, SECOND, LONG_RUN_US, NULL);
       settle_all (world);
       CU_ASSERT_TRUE (all_answered (world));
       check_violations (world, disturbance->name, seed);
@@ -163,16 +168,24 @@
   play (&cuts[1]);
 }
 
+/* Ends half of the instances of domain 0, without its planner.  */
+static void
+kill_fronts (struct world *world, bool silent)
+{
+  for (int i = 1; i <= PER_DOMAIN / 2; i++)
+    world_kill (world, i * N_DOMAINS, silent);
+}
+
 static void
 kill_front (struct world *world)
 {
-  world_kill (world, N_DOMAINS, false);
+  kill_fronts (world, false);
 }
 
 static void
 kill_front_silently (struct world *world)
 {
-  world_kill (world, 2 * N_DOMAINS, true);
+  kill_fronts (world, true);
 }
 
 /* Guards against runs at the lender that go on when the caller of a front that
@@ -306,7 +319,7 @@
 test_a_withdrawn_job_ends (void)
 {
   struct world *world = new_fleet (4, N_DOMAINS);
-  (void)flood (world, SECOND, NULL);
+  (void)flood (world, SECOND, RUN_US, NULL);
   for (int i = 0; i < world->n_instances; i += N_DOMAINS)
     {
       struct owner_table *jobs = cell_jobs (world->instances[i].cell);
@@ -337,10 +350,10 @@
 measure_cost (int n_domains)
 {
   struct world *world = new_fleet (1, n_domains);
-  (void)flood (world, SECOND, NULL);
+  (void)flood (world, SECOND, RUN_US, NULL);
   int64_t requests = pl_counter (PL_CTR_OVERFLOW_CREDIT_REQUESTS_TOTAL);
   int64_t bytes = pl_counter (PL_CTR_OVERFLOW_BYTES_TOTAL);
-  (void)flood (world, SECOND, NULL);
+  (void)flood (world, SECOND, RUN_US, NULL);
   struct cost cost
       = { pl_counter (PL_CTR_OVERFLOW_CREDIT_REQUESTS_TOTAL) - requests,
           pl_counter (PL_CTR_OVERFLOW_BYTES_TOTAL) - bytes };
@@ -366,7 +379,7 @@
   int64_t bytes = pl_counter (PL_CTR_OVERFLOW_BYTES_TOTAL);
   struct world *small = world_new (1, 6, 6, 3);
   world_run_for (small, SECOND);
-  (void)flood (small, SECOND, NULL);
+  (void)flood (small, SECOND, RUN_US, NULL);
   world_free (small);
   struct world *idle = new_fleet (1, N_DOMAINS);
   run_load (idle, SECOND, 2, 100000);
--- /dev/null
+++ b/tests/faults/mutants/received-never-expires.sed
@@ -0,0 +1,4 @@
+# file: lib/overflow/received.c
+# test: cell_overflow_test
+# change: a received job goes on though its front is silent
+s/received->until_us > now_us/true/
