--- a/tests/planner_test.c
+++ b/tests/planner_test.c
@@ -597,6 +597,61 @@
   planner_free (planner);
 }
 
+/* Guards against jobs of another failure domain that go before own ones, wait
+   for room, or have own jobs refused as if the service were crowded.  */
+static void
+test_lent_jobs_take_what_is_left (void)
+{
+  struct decisions decisions = { 0 };
+  struct planner_state *planner = planner_new (&ops, &decisions);
+  report_worker (planner, 1, 32000, 0);
+  for (uint64_t job = 10; job < 13; job++)
+    {
+      struct planner_request request
+          = make_request (job, 1, 14000, 60 * MS, 0);
+      request.lent = job < 12;
+      planner_put_request (planner, &request);
+    }
+  planner_schedule (planner, 0);
+  CU_ASSERT_EQUAL (decisions.grants, 2);
+  CU_ASSERT_EQUAL (decisions.jobs[0], 12);
+  CU_ASSERT_EQUAL (decisions.jobs[1], 10);
+  CU_ASSERT_EQUAL (decisions.refusals, 1);
+  CU_ASSERT_EQUAL (decisions.refused[0], 11);
+  struct planner_room room = planner_measure_room (planner, 1, 0);
+  CU_ASSERT_FALSE (room.crowded);
+  CU_ASSERT_EQUAL (room.capacity, 32000);
+  CU_ASSERT_EQUAL (room.free, 4000);
+  CU_ASSERT_EQUAL (room.waiting, 0);
+  planner_free (planner);
+}
+
+static bool
+pass_on_first (void *ctx, const struct planner_request *request)
+{
+  struct decisions *decisions = ctx;
+  decisions->jobs[decisions->grants++] = request->job;
+  return decisions->grants == 1;
+}
+
+/* Guards against jobs that wait for workers that are gone while another domain
+   could serve them.  */
+static void
+test_jobs_without_workers_are_passed_on (void)
+{
+  static const struct planner_ops passing_ops
+      = { .grant = on_grant, .refuse = on_refuse, .pass_on = pass_on_first };
+  struct decisions decisions = { 0 };
+  struct planner_state *planner = planner_new (&passing_ops, &decisions);
+  put_request (planner, 10, 1, 14000, 60 * MS, 0);
+  put_request (planner, 11, 1, 14000, 60 * MS, 0);
+  planner_schedule (planner, 0);
+  CU_ASSERT_EQUAL (decisions.grants, 2);
+  CU_ASSERT_EQUAL (decisions.refusals, 0);
+  CU_ASSERT_EQUAL (planner_count_jobs (planner), 1);
+  planner_free (planner);
+}
+
 int
 main (void)
 {
@@ -641,6 +696,9 @@
       test_a_queue_delays_its_own_service_only },
     { "an evacuated domain gets nothing",
       test_an_evacuated_domain_gets_nothing },
+    { "lent jobs take what is left", test_lent_jobs_take_what_is_left },
+    { "jobs without workers are passed on",
+      test_jobs_without_workers_are_passed_on },
     CU_TEST_INFO_NULL,
   };
   return test_run ("planner_test", tests);
