--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -66,6 +66,7 @@
   g_queue_init (&cell->inbox);
   g_queue_init (&cell->sent_ends);
   cell->contacts = cell_contacts_new ();
+  g_queue_init (&cell->deferred);
   cell->lender = overflow_lender_new (cell->id);
   cell->borrower = overflow_borrower_new (cell->id);
   cell->sent = overflow_sent_table_new (cell->id, &cell_sent_ops, cell);
@@ -102,6 +103,7 @@
   g_queue_clear_full (&cell->kept_order, g_free);
   cell_close_contacts (cell);
   g_hash_table_unref (cell->contacts);
+  g_queue_clear_full (&cell->deferred, g_free);
   overflow_lender_free (cell->lender);
   overflow_borrower_free (cell->borrower);
   overflow_sent_table_free (cell->sent);
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -134,6 +134,7 @@
   struct overflow_borrower *borrower;
   struct overflow_sent_table *sent;
   struct overflow_received_table *received;
+  GQueue deferred;   /* struct deferred of defer.c, oldest first */
   uint64_t n_picked; /* calls of cell_pick_instance */
   int64_t load_logged_us;
   int64_t logged_load[CELL_LOAD_COUNTERS];
@@ -185,7 +186,8 @@
 
 /* Bound of the domains that room is asked of.  */
 #define CELL_MAX_OVERFLOW_DOMAINS 64
-/* Fills DOMAINS with other domains that have instances; returns their number.
+/* Fills DOMAINS with other domains that have instances and are not evacuated;
+   returns their number.
  */
 unsigned cell_list_other_domains (const struct cell *cell,
                                   uint64_t domains[CELL_MAX_OVERFLOW_DOMAINS]);
@@ -209,6 +211,12 @@
    forwarded, null if there is none.  */
 const struct overflow_credit *
 cell_borrow (struct cell *cell, const struct planner_request *request);
+/* The same for a job for which that was called before.  */
+const struct overflow_credit *
+cell_borrow_again (struct cell *cell, const struct planner_request *request);
+/* Whether the job of the request may be served in another failure domain.  */
+bool cell_may_overflow (const struct cell *cell,
+                        const struct planner_request *request);
 /* JOB, which may have been forwarded or received, ends here.  */
 void cell_end_overflow (struct cell *cell, const struct owner_job *job,
                         const struct owner_answer *answer);
@@ -402,7 +410,24 @@
 void cell_on_taken (struct cell *cell, uint64_t sender,
                     const Cellpb__Taken *msg);
 
+/* Refusals that wait for room of another domain (defer.c).  False if there is
+   none to wait for.  */
+bool cell_defer_refusal (struct cell *cell,
+                         const struct planner_request *request,
+                         int retry_after_ms);
+/* The job is requested anew, or not wanted any more.  */
+void cell_forget_deferred (struct cell *cell, uint64_t job);
+/* Sends the refusals for which there is credit now, or that have waited long
+   enough.  */
+void cell_retry_deferred (struct cell *cell);
+
 /* The planner and the owner (plan.c).  */
+/* Refuses a job to its owner.  CREDIT, under which it may be forwarded, may be
+   null.  */
+void cell_send_refusal (struct cell *cell,
+                        const struct planner_request *request,
+                        int retry_after_ms,
+                        const struct overflow_credit *credit);
 extern const struct planner_ops cell_planner_ops;
 extern const struct owner_ops cell_owner_ops;
 void cell_on_ask (struct cell *cell, uint64_t sender, const Cellpb__Ask *msg);
--- a/lib/cell/fleet.c
+++ b/lib/cell/fleet.c
@@ -364,7 +364,8 @@
          && n < CELL_MAX_OVERFLOW_DOMAINS)
     {
       const struct fleet_domain *domain = value;
-      if (domain->domain != cell->domain && domain->n_instances > 0)
+      if (domain->domain != cell->domain && domain->n_instances > 0
+          && !cell_is_evacuated (cell, domain->domain))
         domains[n++] = domain->domain;
     }
   return n;
--- a/lib/cell/overflow.c
+++ b/lib/cell/overflow.c
@@ -40,15 +40,38 @@
       send_request (cell, request.domains[i], &request);
 }
 
+bool
+cell_may_overflow (const struct cell *cell,
+                   const struct planner_request *request)
+{
+  uint64_t domains[CELL_MAX_OVERFLOW_DOMAINS];
+  return cell->domain_only && !request->started && !request->suspect
+         && !request->lent && request->required_label == 0
+         && cell_list_other_domains (cell, domains) > 0;
+}
+
+static int64_t
+cpu_of_request (const struct planner_request *request)
+{
+  return (int64_t)request->n_tasks * request->size.cpu;
+}
+
+const struct overflow_credit *
+cell_borrow_again (struct cell *cell, const struct planner_request *request)
+{
+  return overflow_borrow_again (cell->borrower, request->service,
+                                cpu_of_request (request),
+                                pl_now_us (cell->clock));
+}
+
 const struct overflow_credit *
 cell_borrow (struct cell *cell, const struct planner_request *request)
 {
-  if (!cell->domain_only || request->started || request->suspect
-      || request->lent || request->required_label != 0)
+  if (!cell_may_overflow (cell, request))
     return NULL;
-  int64_t cpu = (int64_t)request->n_tasks * request->size.cpu;
-  const struct overflow_credit *credit = overflow_borrow (
-      cell->borrower, request->service, cpu, pl_now_us (cell->clock));
+  const struct overflow_credit *credit
+      = overflow_borrow (cell->borrower, request->service,
+                         cpu_of_request (request), pl_now_us (cell->clock));
   ask_for_room (cell);
   return credit;
 }
@@ -57,7 +80,8 @@
 may_lend (const struct cell *cell)
 {
   return cell->domain_only && cell->ready && !cell->draining
-         && cell->planner_id == cell->id;
+         && cell->planner_id == cell->id
+         && !cell_is_evacuated (cell, cell->domain);
 }
 
 static int64_t
@@ -128,6 +152,7 @@
             msg->service, msg->domain, msg->cpu, msg->valid_us / 1000);
   overflow_add_credit (cell->borrower, &credit, msg->asked_us, msg->valid_us,
                        pl_now_us (cell->clock));
+  cell_retry_deferred (cell);
 }
 
 /* Front.  */
@@ -467,5 +492,6 @@
     overflow_drop_credits (cell->borrower);
   else if (cell->domain_only)
     ask_for_room (cell);
+  cell_retry_deferred (cell);
   cell_tick_contacts (cell);
 }
--- a/lib/cell/plan.c
+++ b/lib/cell/plan.c
@@ -46,6 +46,7 @@
     request.domain = peer->domain;
   request.lent = sender == cell->id
                  && overflow_find_received (cell->received, msg->job) != NULL;
+  cell_forget_deferred (cell, msg->job);
   planner_put_request (cell->planner, &request);
   cell->plan_due = true;
 }
@@ -100,10 +101,9 @@
   cell_send (cell, request->owner, &env);
 }
 
-/* Refuses a job.  CREDIT, under which it may be forwarded, may be null.  */
-static void
-send_refuse_message (struct cell *cell, const struct planner_request *request,
-                     int retry_after_ms, const struct overflow_credit *credit)
+void
+cell_send_refusal (struct cell *cell, const struct planner_request *request,
+                   int retry_after_ms, const struct overflow_credit *credit)
 {
   Cellpb__Refuse msg = CELLPB__REFUSE__INIT;
   msg.job = request->job;
@@ -130,10 +130,16 @@
           request->job, planner_refusal_reason_name (refusal->reason),
           refusal->waiting, refusal->usable_cpu, refusal->ahead_us,
           refusal->slack_us, refusal->retry_after_ms);
-  const struct overflow_credit *credit = refusal->reason == PLANNER_HOPELESS
-                                             ? NULL
-                                             : cell_borrow (cell, request);
-  send_refuse_message (cell, request, refusal->retry_after_ms, credit);
+  if (refusal->reason == PLANNER_HOPELESS)
+    {
+      cell_send_refusal (cell, request, refusal->retry_after_ms, NULL);
+      return;
+    }
+  const struct overflow_credit *credit = cell_borrow (cell, request);
+  if (credit == NULL
+      && cell_defer_refusal (cell, request, refusal->retry_after_ms))
+    return;
+  cell_send_refusal (cell, request, refusal->retry_after_ms, credit);
 }
 
 static bool
@@ -141,7 +147,7 @@
 {
   const struct overflow_credit *credit = cell_borrow (ctx, request);
   if (credit != NULL)
-    send_refuse_message (ctx, request, PASSED_ON_RETRY_MS, credit);
+    cell_send_refusal (ctx, request, PASSED_ON_RETRY_MS, credit);
   return credit != NULL;
 }
 
--- a/lib/overflow/borrower.c
+++ b/lib/overflow/borrower.c
@@ -6,7 +6,6 @@
 
 #include <xxhash.h>
 
-#define ASK_PERIOD_US 50000
 /* From a front to a lender over a busy link.  A credit that ends sooner is not
    spent.  */
 #define TRAVEL_US 20000
@@ -81,11 +80,10 @@
 }
 
 const struct overflow_credit *
-overflow_borrow (struct overflow_borrower *borrower, uint64_t service,
-                 int64_t cpu, int64_t now_us)
+overflow_borrow_again (struct overflow_borrower *borrower, uint64_t service,
+                       int64_t cpu, int64_t now_us)
 {
   struct overflow_credit *best = NULL;
-  note_demand (borrower, service, cpu);
   for (guint i = borrower->credits->len; i-- > 0;)
     {
       struct overflow_credit *credit
@@ -108,6 +106,14 @@
   return &borrower->spent;
 }
 
+const struct overflow_credit *
+overflow_borrow (struct overflow_borrower *borrower, uint64_t service,
+                 int64_t cpu, int64_t now_us)
+{
+  note_demand (borrower, service, cpu);
+  return overflow_borrow_again (borrower, service, cpu, now_us);
+}
+
 static void
 note_planner (struct overflow_borrower *borrower, uint64_t domain,
               struct pl_addr addr, int64_t now_us)
@@ -175,7 +181,7 @@
     {
       struct demand *demand
           = &g_array_index (borrower->demands, struct demand, i);
-      if (demand->cpu == 0 || now_us - demand->asked_us < ASK_PERIOD_US)
+      if (demand->cpu == 0 || now_us - demand->asked_us < OVERFLOW_ASK_US)
         continue;
       *request = (struct overflow_request){
         .service = demand->service,
--- a/lib/overflow/overflow.h
+++ b/lib/overflow/overflow.h
@@ -10,6 +10,8 @@
 
 #include "pl.h"
 
+/* A borrower asks for room of a service at most this often.  */
+#define OVERFLOW_ASK_US 25000
 /* Validity of a credit, on the clock of the lender.  */
 #define OVERFLOW_CREDIT_US 200000
 #define OVERFLOW_RENEW_US 100000
@@ -77,6 +79,10 @@
 const struct overflow_credit *
 overflow_borrow (struct overflow_borrower *borrower, uint64_t service,
                  int64_t cpu, int64_t now_us);
+/* The same for a job that was noted before.  */
+const struct overflow_credit *
+overflow_borrow_again (struct overflow_borrower *borrower, uint64_t service,
+                       int64_t cpu, int64_t now_us);
 /* Takes a lender's answer to the request of ASKED_US.  */
 void overflow_add_credit (struct overflow_borrower *borrower,
                           const struct overflow_credit *credit,
--- a/tests/overflow_test.c
+++ b/tests/overflow_test.c
@@ -152,7 +152,7 @@
           asked[request.domains[1]]++;
         }
     }
-  CU_ASSERT_TRUE (n_requests >= 19 && n_requests <= 21);
+  CU_ASSERT_TRUE (n_requests >= 39 && n_requests <= 41);
   for (unsigned i = 1; i <= 5; i++)
     CU_ASSERT_TRUE (asked[i] > 0);
   CU_ASSERT_FALSE (overflow_next_request (borrower, domains, 0,
