--- a/tests/cell_overflow_test.c
+++ b/tests/cell_overflow_test.c
@@ -288,3 +288,159 @@
   world_run_for (world, 2 * SECOND);
   CU_ASSERT_TRUE (pl_counter (PL_CTR_OVERFLOW_RECEIVED_TOTAL)
                   >= received + 90);
+  CU_ASSERT_TRUE (world->complete >= 90);
+  check_violations (world, "evacuated", 5);
+  /* The others are flooded: nothing is lent by the evacuated one.  */
+  int64_t credits = 0;
+  for (int i = 0; i < 300; i++)
+    {
+      (void)world_submit (world, 1, 2, RUN_US);
+      (void)world_submit (world, 2, 2, RUN_US);
+      world_run_for (world, FLOOD_PERIOD_US);
+      if (i == 100)
+        credits = pl_counter (PL_CTR_OVERFLOW_CREDITS_TOTAL);
+    }
+  CU_ASSERT_EQUAL (pl_counter (PL_CTR_OVERFLOW_CREDITS_TOTAL), credits);
+  check_violations (world, "evacuated", 5);
+  world_free (world);
+}
+
+/* Counts the hand-overs of each job.  */
+static void
+count_forwards (struct world *world, GBytes *frame)
+{
+  gsize len;
+  const uint8_t *data = g_bytes_get_data (frame, &len);
+  Cellpb__Envelope *env = cellpb__envelope__unpack (NULL, len, data);
+  if (env->body_case == CELLPB__ENVELOPE__BODY_FORWARD)
+    {
+      GHashTable *counts = world->user;
+      uint64_t job = env->forward->job;
+      unsigned n = GPOINTER_TO_UINT (g_hash_table_lookup (counts, &job)) + 1;
+      g_hash_table_insert (counts, g_memdup2 (&job, sizeof job),
+                           GUINT_TO_POINTER (n));
+    }
+  cellpb__envelope__free_unpacked (env, NULL);
+}
+
+/* Guards against jobs that are passed on and on while several domains are
+   short of workers.  */
+static void
+test_no_job_is_forwarded_twice (void)
+{
+  struct world *world = new_fleet (3, N_DOMAINS);
+  g_autoptr (GHashTable) counts
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  world->user = counts;
+  world->on_frame = count_forwards;
+  for (int i = 0; i < 200; i++)
+    {
+      for (int domain = 0; domain < N_DOMAINS; domain++)
+        if (i % (domain + 1) == 0)
+          (void)world_submit (world, domain + N_DOMAINS, 2, 200000);
+      world_run_for (world, FLOOD_PERIOD_US);
+    }
+  world_run_for (world, 3 * SECOND);
+  CU_ASSERT_TRUE (g_hash_table_size (counts) > 0);
+  GHashTableIter it;
+  gpointer n;
+  g_hash_table_iter_init (&it, counts);
+  while (g_hash_table_iter_next (&it, NULL, &n))
+    CU_ASSERT_EQUAL (GPOINTER_TO_UINT (n), 1);
+  check_violations (world, "circles", 3);
+  world_free (world);
+}
+
+/* Guards against a job whose caller has left, or has cancelled it, and that
+   goes on in another domain.  */
+static void
+test_a_withdrawn_job_ends (void)
+{
+  struct world *world = new_fleet (4, N_DOMAINS);
+  (void)flood (world, SECOND, RUN_US, NULL);
+  for (int i = 0; i < world->n_instances; i += N_DOMAINS)
+    {
+      struct owner_table *jobs = cell_jobs (world->instances[i].cell);
+      GHashTableIter it;
+      gpointer id;
+      g_hash_table_iter_init (&it, world->jobs);
+      while (g_hash_table_iter_next (&it, &id, NULL))
+        {
+          struct owner_job *job = owner_find_job (jobs, *(uint64_t *)id);
+          if (job != NULL)
+            owner_abort_job (jobs, job, PL_CANCELLED_RAN, i % 2 == 0);
+        }
+    }
+  world_run_for (world, 100000);
+  for (int i = 0; i < world->n_instances; i++)
+    CU_ASSERT_EQUAL (owner_count_jobs (cell_jobs (world->instances[i].cell)),
+                     0);
+  world_free (world);
+}
+
+struct cost
+{
+  int64_t requests;
+  int64_t bytes;
+};
+
+static struct cost
+measure_cost (int n_domains)
+{
+  struct world *world = new_fleet (1, n_domains);
+  (void)flood (world, SECOND, RUN_US, NULL);
+  int64_t requests = pl_counter (PL_CTR_OVERFLOW_CREDIT_REQUESTS_TOTAL);
+  int64_t bytes = pl_counter (PL_CTR_OVERFLOW_BYTES_TOTAL);
+  (void)flood (world, SECOND, RUN_US, NULL);
+  struct cost cost
+      = { pl_counter (PL_CTR_OVERFLOW_CREDIT_REQUESTS_TOTAL) - requests,
+          pl_counter (PL_CTR_OVERFLOW_BYTES_TOTAL) - bytes };
+  printf ("%d domains, one flooded: %" PRId64 " requests and %" PRId64
+          " bytes a second\n",
+          n_domains, cost.requests, cost.bytes);
+  world_free (world);
+  return cost;
+}
+
+/* Guards against a cost that grows with the number of domains, and against any
+   where there is one planner, or where no planner refuses.  */
+static void
+test_the_cost_is_bounded (void)
+{
+  static const int sizes[] = { 3, 6, 25 };
+  for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
+    {
+      struct cost cost = measure_cost (sizes[i]);
+      CU_ASSERT_TRUE (cost.requests > 0 && cost.requests <= 82);
+      CU_ASSERT_TRUE (cost.bytes < 60000);
+    }
+  int64_t bytes = pl_counter (PL_CTR_OVERFLOW_BYTES_TOTAL);
+  struct world *small = world_new (1, 6, 6, 3);
+  world_run_for (small, SECOND);
+  (void)flood (small, SECOND, RUN_US, NULL);
+  world_free (small);
+  struct world *idle = new_fleet (1, N_DOMAINS);
+  run_load (idle, SECOND, 2, 100000);
+  world_free (idle);
+  CU_ASSERT_EQUAL (pl_counter (PL_CTR_OVERFLOW_BYTES_TOTAL), bytes);
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = {
+    { "others serve a flooded domain", test_others_serve_a_flooded_domain },
+    { "a cut after the hand-over", test_a_cut_after_the_hand_over },
+    { "a front dies", test_a_front_dies },
+    { "a lender dies", test_a_lender_dies },
+    { "a pause of either side", test_a_pause_of_either_side },
+    { "an evacuated domain overflows", test_an_evacuated_domain_overflows },
+    { "no job is forwarded twice", test_no_job_is_forwarded_twice },
+    { "a withdrawn job ends", test_a_withdrawn_job_ends },
+    { "the cost is bounded", test_the_cost_is_bounded },
+    CU_TEST_INFO_NULL,
+  };
+  const char *level = getenv ("PAPAYALOFT_LOG");
+  pl_log_init ("text", level == NULL ? "error" : level);
+  return test_run ("cell_overflow_test", tests);
+}
