--- a/lib/planner/planner.c
+++ b/lib/planner/planner.c
@@ -522,14 +522,17 @@
       struct service *service
           = find_or_add_service (planner, job->request.service);
       bool no_worker = lacks_workers_too_long (service, b, now_us);
-      if (planner_is_hopeless (job, now_us))
+      bool hopeless = planner_is_hopeless (job, now_us);
+      bool evacuated = is_evacuated (planner, service);
+      if (b == NULL && !no_worker && !evacuated && !hopeless
+          && pass_on (planner, job))
+        continue;
+      if (hopeless)
         refuse_job (planner, job, PLANNER_HOPELESS, b, now_us);
-      else if (is_evacuated (planner, service))
+      else if (evacuated)
         refuse_job (planner, job, PLANNER_EVACUATED, b, now_us);
       else if (no_worker && !job->request.started)
         refuse_job (planner, job, PLANNER_NO_WORKER, b, now_us);
-      else if (b == NULL && pass_on (planner, job))
-        continue;
       else if (job->request.lent && !job->request.started)
         refuse_job (planner, job, PLANNER_CROWDED, b, now_us);
       else if (b == NULL || !planner->policy->sheds_load)
