--- a/tests/cell_overflow_test.c
+++ b/tests/cell_overflow_test.c
@@ -7,7 +7,7 @@
 #define N_DOMAINS 3
 #define N_SEEDS 10
 #define JOB_DEADLINE_US 1500000
-#define FLOOD_PERIOD_US 10000
+#define FLOOD_PERIOD_US ((int64_t)10000)
 #define RUN_US 200000
 /* In the tests of disturbances, so that leases expire during a run.  */
 #define LONG_RUN_US 2500000
--- a/tests/overflow_test.c
+++ b/tests/overflow_test.c
@@ -4,7 +4,7 @@
 
 #define SERVICE 7
 #define OTHER_SERVICE 8
-#define CORE 1000
+#define CORE ((int64_t)1000)
 #define ME 0x1000
 #define PEER 0x2000
 #define SECOND_US ((int64_t)1000000)
