--- a/lib/planner/planner.c
+++ b/lib/planner/planner.c
@@ -323,6 +323,53 @@
     }
 }
 
+/* Chooses workers for all waiting tasks of JOB, each with the former ones in
+   mind, and appends them to WORKERS until there is none.  Places nothing.  */
+static void
+choose_all (struct planner_state *planner, struct job *job, GPtrArray *workers,
+            int64_t now_us)
+{
+  for (guint i = 0; i < job->waiting->len; i++)
+    {
+      uint32_t index = g_array_index (job->waiting, uint32_t, i);
+      struct worker_entry *w
+          = planner->policy->choose (planner, job, index, now_us);
+      if (w == NULL)
+        break;
+      struct grant grant = { .tag = planner_task_tag (job->request.job, index),
+                             .token = w->report.token,
+                             .size = job->request.size,
+                             .granted_us = now_us };
+      g_array_append_val (w->grants, grant);
+      record_placed (job, index, w->report.worker);
+      g_ptr_array_add (workers, w);
+    }
+  for (guint i = 0; i < workers->len; i++)
+    {
+      const struct worker_entry *w = workers->pdata[i];
+      uint32_t index = g_array_index (job->waiting, uint32_t, i);
+      planner_release_grant (planner, w->report.worker, w->report.token,
+                             planner_task_tag (job->request.job, index));
+    }
+  g_array_set_size (job->placed, 0);
+}
+
+/* Places all tasks of JOB, which has none placed, or none: a job that waits in
+   part for room would hold what others can use.  */
+static void
+place_whole_job (struct planner_state *planner, struct job *job,
+                 int64_t now_us)
+{
+  g_autoptr (GPtrArray) workers = g_ptr_array_new ();
+  choose_all (planner, job, workers, now_us);
+  if (workers->len < job->waiting->len)
+    return;
+  for (guint i = 0; i < workers->len; i++)
+    place_task (planner, job, workers->pdata[i],
+                g_array_index (job->waiting, uint32_t, i), now_us);
+  g_array_set_size (job->waiting, 0);
+}
+
 /* The usable workers of one service and the work that waits for them.  */
 struct backlog
 {
@@ -573,7 +620,12 @@
     {
       struct job *job = g_ptr_array_index (planner->jobs, i);
       if (!planner_is_hopeless (job, now_us))
-        place_job (planner, job, now_us);
+        {
+          if (job->request.lent && !job->request.started)
+            place_whole_job (planner, job, now_us);
+          else
+            place_job (planner, job, now_us);
+        }
     }
   refuse_jobs (planner, now_us);
   remove_placed_jobs (planner);
--- a/tests/planner_test.c
+++ b/tests/planner_test.c
@@ -618,6 +618,15 @@
   CU_ASSERT_EQUAL (decisions.jobs[1], 10);
   CU_ASSERT_EQUAL (decisions.refusals, 1);
   CU_ASSERT_EQUAL (decisions.refused[0], 11);
+  /* One of two tasks fits: none starts.  */
+  report_worker (planner, 2, 32000, 10000);
+  struct planner_request wide = make_request (13, 2, 14000, 60 * MS, 0);
+  wide.lent = true;
+  planner_put_request (planner, &wide);
+  planner_schedule (planner, 0);
+  CU_ASSERT_EQUAL (decisions.grants, 2);
+  CU_ASSERT_EQUAL (decisions.refusals, 2);
+  planner_remove_worker (planner, 2, 1);
   struct planner_room room = planner_measure_room (planner, 1, 0);
   CU_ASSERT_FALSE (room.crowded);
   CU_ASSERT_EQUAL (room.capacity, 32000);
