--- a/lib/cell/cell.c
+++ b/lib/cell/cell.c
@@ -65,7 +65,6 @@
   cell->config = g_bytes_new (NULL, 0);
   g_queue_init (&cell->inbox);
   g_queue_init (&cell->sent_ends);
-  cell->contacts = cell_contacts_new ();
   g_queue_init (&cell->deferred);
   cell->lender = overflow_lender_new (cell->id);
   cell->borrower = overflow_borrower_new (cell->id);
@@ -101,8 +100,6 @@
   g_hash_table_unref (cell->kept);
   g_hash_table_unref (cell->remotes);
   g_queue_clear_full (&cell->kept_order, g_free);
-  cell_close_contacts (cell);
-  g_hash_table_unref (cell->contacts);
   g_queue_clear_full (&cell->deferred, g_free);
   overflow_lender_free (cell->lender);
   overflow_borrower_free (cell->borrower);
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -125,11 +125,10 @@
   GQueue inbox;         /* GBytes of messages of this instance to itself */
   GHashTable *searches; /* number -> struct search of find.c */
   uint64_t n_searches;
-  GHashTable *kept;     /* job -> struct kept of kept.c */
-  GQueue kept_order;    /* struct kept, oldest first */
-  GHashTable *remotes;  /* address -> struct remote of remote.c */
-  GQueue sent_ends;     /* struct sent_end of resync.c, oldest first */
-  GHashTable *contacts; /* address -> struct contact of contact.c */
+  GHashTable *kept;    /* job -> struct kept of kept.c */
+  GQueue kept_order;   /* struct kept, oldest first */
+  GHashTable *remotes; /* address -> struct remote of remote.c */
+  GQueue sent_ends;    /* struct sent_end of resync.c, oldest first */
   struct overflow_lender *lender;
   struct overflow_borrower *borrower;
   struct overflow_sent_table *sent;
@@ -189,22 +188,14 @@
 /* Fills DOMAINS with other domains that have instances and are not evacuated;
    returns their number.
  */
-unsigned cell_list_other_domains (const struct cell *cell,
-                                  uint64_t domains[CELL_MAX_OVERFLOW_DOMAINS]);
+unsigned
+cell_list_overflow_domains (const struct cell *cell,
+                            uint64_t domains[CELL_MAX_OVERFLOW_DOMAINS]);
 /* Sets ADDR to a registered instance of DOMAIN, another one with each call.
    False if there is none.  */
 bool cell_pick_instance (struct cell *cell, uint64_t domain,
                          struct pl_addr *addr);
 
-/* Links to instances of other failure domains (contact.c).  */
-GHashTable *cell_contacts_new (void);
-/* Opens a link if there is none; the message waits until it is up.  */
-void cell_send_to_contact (struct cell *cell, struct pl_addr addr,
-                           Cellpb__Envelope *env);
-void cell_note_contact (struct cell *cell, const void *link, bool up);
-void cell_tick_contacts (struct cell *cell);
-void cell_close_contacts (struct cell *cell);
-
 /* Overflow between failure domains (overflow.c).  */
 extern const struct overflow_sent_ops cell_sent_ops;
 /* Returns the credit under which a job that can't be served here may be
--- a/lib/cell/fleet.c
+++ b/lib/cell/fleet.c
@@ -353,8 +353,8 @@
 }
 
 unsigned
-cell_list_other_domains (const struct cell *cell,
-                         uint64_t domains[CELL_MAX_OVERFLOW_DOMAINS])
+cell_list_overflow_domains (const struct cell *cell,
+                            uint64_t domains[CELL_MAX_OVERFLOW_DOMAINS])
 {
   unsigned n = 0;
   GHashTableIter it;
--- a/lib/cell/member.c
+++ b/lib/cell/member.c
@@ -229,7 +229,6 @@
     {
       cell_note_call (cell, link, true);
       cell_remote_link_up (cell, link);
-      cell_note_contact (cell, link, true);
       return;
     }
   peer->refuses_connections = false;
@@ -249,7 +248,6 @@
     {
       cell_note_call (cell, link, false);
       cell_remote_link_down (cell, link, refused);
-      cell_note_contact (cell, link, false);
     }
 }
 
--- a/lib/cell/overflow.c
+++ b/lib/cell/overflow.c
@@ -6,6 +6,17 @@
 /* Bytes of a Forward without the task's specification and the names.  */
 #define FORWARD_BYTES 160
 
+static void
+send_to (struct cell *cell, struct pl_addr addr, Cellpb__Envelope *env)
+{
+  /* As they will be when it is sent: they are part of its length.  */
+  env->sender = cell->id;
+  env->sent_us = pl_now_us (cell->clock);
+  pl_count (PL_CTR_OVERFLOW_BYTES_TOTAL,
+            (int64_t)cellpb__envelope__get_packed_size (env));
+  cell_send_remote (cell, addr, env);
+}
+
 /* Asking for room and lending it.  */
 
 static void
@@ -25,7 +36,7 @@
   msg.asked_us = pl_now_us (cell->clock);
   Cellpb__Envelope env = CELL_ENVELOPE (credit_request, CREDIT_REQUEST, &msg);
   pl_count (PL_CTR_OVERFLOW_CREDIT_REQUESTS_TOTAL, 1);
-  cell_send_to_contact (cell, addr, &env);
+  send_to (cell, addr, &env);
 }
 
 static void
@@ -33,7 +44,7 @@
 {
   uint64_t domains[CELL_MAX_OVERFLOW_DOMAINS];
   struct overflow_request request;
-  unsigned n = cell_list_other_domains (cell, domains);
+  unsigned n = cell_list_overflow_domains (cell, domains);
   while (overflow_next_request (cell->borrower, domains, n,
                                 pl_now_us (cell->clock), &request))
     for (unsigned i = 0; i < request.n_domains; i++)
@@ -47,7 +58,7 @@
   uint64_t domains[CELL_MAX_OVERFLOW_DOMAINS];
   return cell->domain_only && !request->started && !request->suspect
          && !request->lent && request->required_label == 0
-         && cell_list_other_domains (cell, domains) > 0;
+         && cell_list_overflow_domains (cell, domains) > 0;
 }
 
 static int64_t
@@ -128,8 +139,7 @@
   credit.port = cell->addr.port;
   pl_count (PL_CTR_OVERFLOW_CREDITS_TOTAL, credit.cpu > 0);
   Cellpb__Envelope env = CELL_ENVELOPE (credit, CREDIT, &credit);
-  cell_send_to_contact (cell, (struct pl_addr){ msg->ip, (uint16_t)msg->port },
-                        &env);
+  send_to (cell, (struct pl_addr){ msg->ip, (uint16_t)msg->port }, &env);
 }
 
 void
@@ -186,7 +196,7 @@
   msg.priority = job->priority;
   msg.max_attempts = job->max_attempts;
   Cellpb__Envelope env = CELL_ENVELOPE (forward, FORWARD, &msg);
-  cell_send_to_contact (cell, lender, &env);
+  send_to (cell, lender, &env);
   pl_count (PL_CTR_OVERFLOW_FORWARDED_TOTAL, 1);
   pl_log (PL_EV_OVERFLOW_OUT,
           "key=%016" PRIx64 " number=%016" PRIx64 " lender=%016" PRIx64
@@ -243,7 +253,7 @@
       msg.n_withdrawn = renewal->withdrawn->len;
     }
   Cellpb__Envelope env = CELL_ENVELOPE (renew, RENEW, &msg);
-  cell_send_to_contact (cell, renewal->addr, &env);
+  send_to (cell, renewal->addr, &env);
 }
 
 static void
@@ -301,7 +311,7 @@
   msg.code = answer->code;
   msg.retry_after_ms = answer->retry_after_ms;
   Cellpb__Envelope env = CELL_ENVELOPE (result, RESULT, &msg);
-  cell_send_to_contact (cell, front, &env);
+  send_to (cell, front, &env);
 }
 
 static void
@@ -447,7 +457,7 @@
   Cellpb__Renewed renewed = CELLPB__RENEWED__INIT;
   renewed.sent_us = sent_us;
   Cellpb__Envelope env = CELL_ENVELOPE (renewed, RENEWED, &renewed);
-  cell_send_to_contact (cell, front, &env);
+  send_to (cell, front, &env);
 }
 
 void
@@ -493,5 +503,4 @@
   else if (cell->domain_only)
     ask_for_room (cell);
   cell_retry_deferred (cell);
-  cell_tick_contacts (cell);
 }
