--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -4,6 +4,7 @@
 
 #include "cell.h"
 #include "cell.pb-c.h"
+#include "overflow.h"
 
 /* After this silence a peer is treated as lost: the planner drops its workers
    and jobs, and its runs on workers held here are stopped.  */
@@ -128,6 +129,12 @@
   GQueue kept_order;   /* struct kept, oldest first */
   GHashTable *remotes; /* address -> struct remote of remote.c */
   GQueue sent_ends;    /* struct sent_end of resync.c, oldest first */
+  struct overflow_lender *lender;
+  struct overflow_borrower *borrower;
+  struct overflow_sent_table *sent;
+  struct overflow_received_table *received;
+  GQueue deferred;   /* struct deferred of defer.c, oldest first */
+  uint64_t n_picked; /* calls of cell_pick_instance */
   int64_t load_logged_us;
   int64_t logged_load[CELL_LOAD_COUNTERS];
 };
@@ -176,6 +183,51 @@
 /* Whether this instance's domain holds the workers of DOMAIN.  */
 bool cell_serves_domain (const struct cell *cell, uint64_t domain);
 
+/* Bound of the domains that room is asked of.  */
+#define CELL_MAX_OVERFLOW_DOMAINS 64
+/* Fills DOMAINS with other domains that have instances and are not evacuated;
+   returns their number.
+ */
+unsigned
+cell_list_overflow_domains (const struct cell *cell,
+                            uint64_t domains[CELL_MAX_OVERFLOW_DOMAINS]);
+/* Sets ADDR to a registered instance of DOMAIN, another one with each call.
+   False if there is none.  */
+bool cell_pick_instance (struct cell *cell, uint64_t domain,
+                         struct pl_addr *addr);
+
+/* Overflow between failure domains (overflow.c).  */
+extern const struct overflow_sent_ops cell_sent_ops;
+/* Returns the credit under which a job that can't be served here may be
+   forwarded, null if there is none.  */
+const struct overflow_credit *
+cell_borrow (struct cell *cell, const struct planner_request *request);
+/* The same for a job for which that was called before.  */
+const struct overflow_credit *
+cell_borrow_again (struct cell *cell, const struct planner_request *request);
+/* Whether the job of the request may be served in another failure domain.  */
+bool cell_may_overflow (const struct cell *cell,
+                        const struct planner_request *request);
+/* JOB, which may have been forwarded or received, ends here.  */
+void cell_end_overflow (struct cell *cell, const struct owner_job *job,
+                        const struct owner_answer *answer);
+/* Ends the received jobs whose leases have expired.  */
+void cell_expire_received (struct cell *cell);
+void cell_tick_overflow (struct cell *cell);
+void cell_on_refuse (struct cell *cell, const Cellpb__Refuse *msg);
+void cell_on_credit_request (struct cell *cell,
+                             const Cellpb__CreditRequest *msg);
+void cell_on_credit (struct cell *cell, uint64_t sender,
+                     const Cellpb__Credit *msg);
+void cell_on_forward (struct cell *cell, uint64_t sender, int64_t sent_us,
+                      const Cellpb__Forward *msg);
+void cell_on_renew (struct cell *cell, uint64_t sender, int64_t sent_us,
+                    const Cellpb__Renew *msg);
+void cell_on_renewed (struct cell *cell, uint64_t sender,
+                      const Cellpb__Renewed *msg);
+void cell_on_result (struct cell *cell, uint64_t sender,
+                     const Cellpb__Result *msg);
+
 /* Peers: failure detection and the choice of the planner (member.c),
    heartbeats (heartbeat.c, heard.c).  */
 struct peer *cell_find_peer (struct cell *cell, uint64_t id);
@@ -222,6 +274,8 @@
 void cell_send_heartbeats (struct cell *cell);
 /* In full, to one peer, which is to do the same if ASKS_STATE.  */
 void cell_send_heartbeat (struct cell *cell, struct peer *to, bool asks_state);
+/* Returns the frame of a message.  The caller frees it.  */
+GBytes *cell_pack (struct cell *cell, Cellpb__Envelope *env);
 void cell_dispatch (struct cell *cell, uint64_t sender,
                     const Cellpb__Envelope *env);
 
@@ -347,7 +401,24 @@
 void cell_on_taken (struct cell *cell, uint64_t sender,
                     const Cellpb__Taken *msg);
 
+/* Refusals that wait for room of another domain (defer.c).  False if there is
+   none to wait for.  */
+bool cell_defer_refusal (struct cell *cell,
+                         const struct planner_request *request,
+                         int retry_after_ms);
+/* The job is requested anew, or not wanted any more.  */
+void cell_forget_deferred (struct cell *cell, uint64_t job);
+/* Sends the refusals for which there is credit now, or that have waited long
+   enough.  */
+void cell_retry_deferred (struct cell *cell);
+
 /* The planner and the owner (plan.c).  */
+/* Refuses a job to its owner.  CREDIT, under which it may be forwarded, may be
+   null.  */
+void cell_send_refusal (struct cell *cell,
+                        const struct planner_request *request,
+                        int retry_after_ms,
+                        const struct overflow_credit *credit);
 extern const struct planner_ops cell_planner_ops;
 extern const struct owner_ops cell_owner_ops;
 void cell_on_ask (struct cell *cell, uint64_t sender, const Cellpb__Ask *msg);
--- a/lib/cell/plan.c
+++ b/lib/cell/plan.c
@@ -2,6 +2,10 @@
    as messages, and the handlers of messages to these roles.  */
 #include "cell_priv.h"
 
+/* Retry-After of a job that can't be passed on in the end, for want of workers
+   of its service.  */
+#define PASSED_ON_RETRY_MS 1000
+
 void
 cell_on_ask (struct cell *cell, uint64_t sender, const Cellpb__Ask *msg)
 {
@@ -40,6 +44,9 @@
   const struct peer *peer = cell_find_peer (cell, sender);
   if (peer != NULL)
     request.domain = peer->domain;
+  request.lent = sender == cell->id
+                 && overflow_find_received (cell->received, msg->job) != NULL;
+  cell_forget_deferred (cell, msg->job);
   planner_put_request (cell->planner, &request);
   cell->plan_due = true;
 }
@@ -125,27 +132,60 @@
   cell_send (cell, request->owner, &env);
 }
 
+void
+cell_send_refusal (struct cell *cell, const struct planner_request *request,
+                   int retry_after_ms, const struct overflow_credit *credit)
+{
+  Cellpb__Refuse msg = CELLPB__REFUSE__INIT;
+  msg.job = request->job;
+  msg.retry_after_ms = retry_after_ms;
+  if (credit != NULL)
+    {
+      msg.credit = credit->number;
+      msg.lender = credit->lender;
+      msg.lender_ip = credit->addr.ip;
+      msg.lender_port = credit->addr.port;
+    }
+  Cellpb__Envelope env = CELL_ENVELOPE (refuse, REFUSE, &msg);
+  cell_send (cell, request->owner, &env);
+}
+
 static void
 send_refuse (void *ctx, const struct planner_request *request,
              const struct planner_refusal *refusal)
 {
   struct cell *cell = ctx;
-  Cellpb__Refuse msg = CELLPB__REFUSE__INIT;
-  msg.job = request->job;
-  msg.retry_after_ms = refusal->retry_after_ms;
-  Cellpb__Envelope env = CELL_ENVELOPE (refuse, REFUSE, &msg);
   pl_log (PL_EV_SHED,
           "key=%016" PRIx64 " reason=%s waiting=%u usable_cpu=%" PRId64
           " ahead_us=%" PRId64 " slack_us=%" PRId64 " retry_after_ms=%d",
           request->job, planner_refusal_reason_name (refusal->reason),
           refusal->waiting, refusal->usable_cpu, refusal->ahead_us,
           refusal->slack_us, refusal->retry_after_ms);
-  cell_send (cell, request->owner, &env);
+  if (refusal->reason == PLANNER_HOPELESS)
+    {
+      cell_send_refusal (cell, request, refusal->retry_after_ms, NULL);
+      return;
+    }
+  const struct overflow_credit *credit = cell_borrow (cell, request);
+  if (credit == NULL
+      && cell_defer_refusal (cell, request, refusal->retry_after_ms))
+    return;
+  cell_send_refusal (cell, request, refusal->retry_after_ms, credit);
+}
+
+static bool
+pass_on (void *ctx, const struct planner_request *request)
+{
+  const struct overflow_credit *credit = cell_borrow (ctx, request);
+  if (credit != NULL)
+    cell_send_refusal (ctx, request, PASSED_ON_RETRY_MS, credit);
+  return credit != NULL;
 }
 
 const struct planner_ops cell_planner_ops = {
   .grant = send_grant,
   .refuse = send_refuse,
+  .pass_on = pass_on,
 };
 
 static void
@@ -262,9 +302,17 @@
              const struct owner_answer *answer)
 {
   struct cell *cell = ctx;
+  cell_end_overflow (cell, job, answer);
   cell->ops->answer (cell->ctx, job, answer);
 }
 
+static void
+on_abandoned (void *ctx, struct owner_job *job)
+{
+  struct owner_answer answer = { .code = PL_CANCELLED_RAN };
+  cell_end_overflow (ctx, job, &answer);
+}
+
 const struct owner_ops cell_owner_ops = {
   .ask = send_ask,
   .drop = send_drop,
@@ -273,6 +321,7 @@
   .claim = send_claim,
   .stop = send_stop,
   .answer = pass_answer,
+  .abandon = on_abandoned,
 };
 
 void
--- a/lib/planner/admission.c
+++ b/lib/planner/admission.c
@@ -10,9 +10,9 @@
    one: other instances have taken the workers of a dead holder by then, unless
    they must wait until its registration expires.  */
 #define NO_WORKER_TIMEOUT_US 500000
-/* For this time after a refusal as PLANNER_CROWDED, the queued work of the
-   service counts with this percentage; queueing_delay_us says why.  */
-#define CROWDED_PERIOD_US 500000
+/* For PLANNER_CROWDED_PERIOD_US after a refusal as PLANNER_CROWDED, the queued
+   work of the service counts with this percentage; queueing_delay_us says why.
+ */
 #define CROWDED_QUEUE_PERCENT 200
 /* Refused callers return after the present queue has been served, spread so
    that they don't return together.  */
@@ -62,7 +62,7 @@
                    int64_t now_us)
 {
   int64_t cpu = MAX (MAX (b->used_cpu, b->cpu / MIN_BUSY_DIVISOR), 1);
-  bool crowded = now_us - service->last_crowded_us < CROWDED_PERIOD_US;
+  bool crowded = now_us - service->last_crowded_us < PLANNER_CROWDED_PERIOD_US;
   double work = b->queued_work * (crowded ? CROWDED_QUEUE_PERCENT : 100) / 100;
   return (int64_t)MIN (work / (double)cpu, (double)MAX_DELAY_US);
 }
@@ -155,11 +155,24 @@
   if (planner->policy->looks_ahead)
     {
       planner_end_promise (job, now_us);
-      planner_note_refused (planner, job, reason);
+      if (!request.lent) /* its own planner counts it */
+        planner_note_refused (planner, job, reason);
     }
   planner_drop_job (planner, job);
   planner->ops->refuse (planner->ctx, &request, &refusal);
 }
+
+/* Removes JOB if others serve it.  */
+static bool
+pass_on (struct planner_state *planner, struct job *job)
+{
+  if (planner->ops->pass_on == NULL || job->request.started
+      || !planner->ops->pass_on (planner->ctx, &job->request))
+    return false;
+  planner_drop_job (planner, job);
+  return true;
+}
+
 /* Exports the CPU that is free though tasks wait for the service: none of them
    fits there.  */
 static void
@@ -195,12 +208,19 @@
       struct service *service
           = planner_find_service (planner, job->request.service);
       bool no_worker = lacks_workers_too_long (service, b, now_us);
-      if (planner_is_hopeless (job, now_us))
+      bool hopeless = planner_is_hopeless (job, now_us);
+      bool evacuated = is_evacuated (planner, service);
+      if (b == NULL && !no_worker && !evacuated && !hopeless
+          && pass_on (planner, job))
+        continue;
+      if (hopeless)
         refuse_job (planner, job, PLANNER_HOPELESS, b, now_us);
-      else if (is_evacuated (planner, service))
+      else if (evacuated)
         refuse_job (planner, job, PLANNER_EVACUATED, b, now_us);
       else if (no_worker && !job->request.started)
         refuse_job (planner, job, PLANNER_NO_WORKER, b, now_us);
+      else if (job->request.lent && !job->request.started)
+        refuse_job (planner, job, PLANNER_CROWDED, b, now_us);
       else if (b == NULL || !planner->policy->sheds_load)
         continue;
       else if (!job->request.started
--- a/lib/planner/planner.h
+++ b/lib/planner/planner.h
@@ -93,7 +93,9 @@
   unsigned priority;             /* 0 comes first */
   bool started;                  /* some task of the job has started */
   bool suspect;                  /* a waiting task has crashed a worker */
-  unsigned n_tasks;              /* of the whole job */
+  bool lent; /* of another failure domain: served after all own jobs, and
+                refused if it doesn't fit at once */
+  unsigned n_tasks; /* of the whole job */
   unsigned n_waiting;
   const uint32_t *waiting; /* indexes of tasks */
   /* Where the other tasks are; only needed if PER_WORKER is not 0.  */
@@ -142,6 +144,10 @@
   /* The job will not be served.  */
   void (*refuse) (void *ctx, const struct planner_request *request,
                   const struct planner_refusal *refusal);
+  /* The service of a job of which nothing has started has no usable worker
+     now.  Returns whether others serve the job, which is removed then.  May be
+     null.  */
+  bool (*pass_on) (void *ctx, const struct planner_request *request);
 };
 
 struct planner_state *planner_new (const struct planner_ops *ops, void *ctx);
@@ -186,5 +192,16 @@
                             int64_t token, uint64_t tag);
 /* Grants and refuses what can be decided at NOW_US.  */
 void planner_schedule (struct planner_state *planner, int64_t now_us);
+/* The room of the usable workers of a service, in thousandths of a core.  */
+struct planner_room
+{
+  int64_t capacity;
+  int64_t free;
+  int64_t waiting; /* tasks in the queue */
+  bool crowded;    /* jobs were refused as PLANNER_CROWDED lately */
+};
+
+struct planner_room planner_measure_room (struct planner_state *planner,
+                                          uint64_t service, int64_t now_us);
 /* The number of jobs with waiting tasks.  */
 unsigned planner_count_jobs (const struct planner_state *planner);
