--- a/lib/planner/schedule.c
+++ b/lib/planner/schedule.c
@@ -78,8 +78,10 @@
       struct grant grant = { .tag = planner_task_tag (job->request.job, index),
                              .token = w->report.token,
                              .size = job->request.size,
-                             .granted_us = now_us };
+                             .granted_us = now_us,
+                             .run_us = planner_run_us_on (w, job) };
       g_array_append_val (w->grants, grant);
+      planner_index_worker (planner, w);
       planner_record_placed (job, index, w->report.worker);
       g_ptr_array_add (workers, w);
     }
