overflow, planner: what the second reading found

- A walk over the queue that follows a refusal had no looks left for reservations, and their number had no bound: renewed for each walk, four walks a pass.
- Two tasks of a lent job could together delay a reserved start: lent jobs use no reserved worker.
- Grants made before the planner looks ahead did not time out by themselves.
- Refused jobs beyond the 64th all took the same place, so that most were not reviewed.
- The same waiting job was counted as demand in each pass (test in planner_test).
- A job that a lender returned had no Retry-After.
- A Drop of another owner of the same job ended a deferred refusal.
- Requests for credit and forwarded jobs are taken from registered instances only, since the answer opens a link.
- A confirmed renewal in the future hid a silent lender (test in overflow_test, failed before).

--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -407,7 +407,7 @@
                          const struct planner_request *request,
                          int retry_after_ms);
 /* The job is requested anew, or not wanted any more.  */
-void cell_forget_deferred (struct cell *cell, uint64_t job);
+void cell_forget_deferred (struct cell *cell, uint64_t job, uint64_t owner);
 /* Sends the refusals for which there is credit now, or that have waited long
    enough.  */
 void cell_retry_deferred (struct cell *cell);
--- a/lib/cell/defer.c
+++ b/lib/cell/defer.c
@@ -1,6 +1,5 @@
-/* Refusals that wait a moment for the answer of another failure domain.  A job
-   that is refused just before room is lent would else be lost, though its
-   caller has time.  */
+/* Refusals that are held back for a short time while another failure domain is
+   asked for credit, so that the job can be forwarded instead.  */
 #include "cell_priv.h"
 
 /* Until the next request for room is due, and answered.  */
@@ -31,15 +30,17 @@
 }
 
 void
-cell_forget_deferred (struct cell *cell, uint64_t job)
+cell_forget_deferred (struct cell *cell, uint64_t job, uint64_t owner)
 {
   for (GList *l = cell->deferred.head; l != NULL; l = l->next)
-    if (((struct deferred *)l->data)->request.job == job)
-      {
-        g_free (l->data);
-        g_queue_delete_link (&cell->deferred, l);
-        return;
-      }
+    {
+      struct deferred *deferred = l->data;
+      if (deferred->request.job != job || deferred->request.owner != owner)
+        continue;
+      g_queue_delete_link (&cell->deferred, l);
+      g_free (deferred);
+      return;
+    }
 }
 
 void
--- a/lib/cell/fleet.c
+++ b/lib/cell/fleet.c
@@ -376,21 +376,11 @@
 {
   const struct fleet_domain *from
       = g_hash_table_lookup (cell->domains, &domain);
-  if (from == NULL || from->n_instances == 0)
+  if (from == NULL || from->members->len == 0)
     return false;
-  unsigned skip = (unsigned)(cell->n_picked++ % from->n_instances);
-  GHashTableIter it;
-  gpointer value;
-  g_hash_table_iter_init (&it, cell->fleet);
-  while (g_hash_table_iter_next (&it, NULL, &value))
-    {
-      const struct fleet_member *member = value;
-      if (member->domain != domain || skip-- > 0)
-        continue;
-      *addr = member->addr;
-      return true;
-    }
-  return false;
+  *addr = g_array_index (from->members, struct pl_addr,
+                         cell->n_picked++ % from->members->len);
+  return true;
 }
 
 /* Calls the instances that an empty domain had last.  */
--- a/lib/cell/msg.c
+++ b/lib/cell/msg.c
@@ -141,7 +141,7 @@
       cell_on_ask (cell, sender, env->ask);
       break;
     case CELLPB__ENVELOPE__BODY_DROP:
-      cell_forget_deferred (cell, env->drop->job);
+      cell_forget_deferred (cell, env->drop->job, sender);
       planner_remove_job (cell->planner, env->drop->job, sender);
       break;
     case CELLPB__ENVELOPE__BODY_GRANT:
--- a/lib/cell/overflow.c
+++ b/lib/cell/overflow.c
@@ -123,6 +123,9 @@
 void
 cell_on_credit_request (struct cell *cell, const Cellpb__CreditRequest *msg)
 {
+  struct pl_addr borrower = { msg->ip, (uint16_t)msg->port };
+  if (!cell_is_instance_registered (cell, borrower))
+    return;
   if (cell->planner_id != cell->id)
     {
       if (!msg->passed_on)
@@ -139,7 +142,7 @@
   credit.port = cell->addr.port;
   pl_count (PL_CTR_OVERFLOW_CREDITS_TOTAL, credit.cpu > 0);
   Cellpb__Envelope env = CELL_ENVELOPE (credit, CREDIT, &credit);
-  send_to (cell, (struct pl_addr){ msg->ip, (uint16_t)msg->port }, &env);
+  send_to (cell, borrower, &env);
 }
 
 void
@@ -292,6 +295,9 @@
   struct owner_job *job = owner_find_job (cell->jobs, sent->job);
   struct owner_answer answer
       = { (enum pl_code)msg->code, msg->retry_after_ms };
+  /* A lender that has not run the job need not say when to come back.  */
+  if (answer.retry_after_ms == 0)
+    answer.retry_after_ms = planner_retry_after_ms (sent->job);
   overflow_end_sent (cell->sent, sent->job, false);
   if (job == NULL)
     return;
@@ -384,7 +390,7 @@
     .addr = { msg->ip, (uint16_t)msg->port },
   };
   struct overflow_answer answer;
-  if (msg->to != cell->id
+  if (msg->to != cell->id || !cell_is_instance_registered (cell, received.addr)
       || overflow_find_received_number (cell->received, msg->number) != NULL)
     return;
   if (!admit (cell, msg, &answer))
--- a/lib/cell/plan.c
+++ b/lib/cell/plan.c
@@ -2,10 +2,6 @@
    as messages, and the handlers of messages to these roles.  */
 #include "cell_priv.h"
 
-/* Retry-After of a job that can't be passed on in the end, for want of workers
-   of its service.  */
-#define PASSED_ON_RETRY_MS 1000
-
 void
 cell_on_ask (struct cell *cell, uint64_t sender, const Cellpb__Ask *msg)
 {
@@ -46,7 +42,7 @@
     request.domain = peer->domain;
   request.lent = sender == cell->id
                  && overflow_find_received (cell->received, msg->job) != NULL;
-  cell_forget_deferred (cell, msg->job);
+  cell_forget_deferred (cell, msg->job, sender);
   planner_put_request (cell->planner, &request);
   cell->plan_due = true;
 }
@@ -105,7 +101,8 @@
   int64_t now_us = pl_now_us (cell->clock);
   if (cell->domain_only && decode_runs (msg, now_us, runs))
     report.details = runs;
-  planner_set_lookahead (cell->planner, cell->domain_only);
+  planner_set_lookahead (cell->planner, cell->domain_only,
+                         pl_now_us (cell->clock));
   planner_update_worker (cell->planner, &report, now_us);
   cell->plan_due = true;
 }
@@ -174,11 +171,13 @@
 }
 
 static bool
-pass_on (void *ctx, const struct planner_request *request)
+pass_on (void *ctx, const struct planner_request *request, bool again)
 {
-  const struct overflow_credit *credit = cell_borrow (ctx, request);
+  const struct overflow_credit *credit
+      = again ? cell_borrow_again (ctx, request) : cell_borrow (ctx, request);
   if (credit != NULL)
-    cell_send_refusal (ctx, request, PASSED_ON_RETRY_MS, credit);
+    cell_send_refusal (ctx, request, planner_retry_after_ms (request->job),
+                       credit);
   return credit != NULL;
 }
 
--- a/lib/cell/remote.c
+++ b/lib/cell/remote.c
@@ -5,8 +5,9 @@
 
 /* Searches of a caller's repeated requests, 1 to 3 s apart, use one link.  */
 #define IDLE_US 10000000
-/* Frames that wait for a link to come up, 64 bytes each.  Further ones are
-   dropped: their searches ask again, or tell the caller to do so.  */
+/* Frames that wait for a link to come up.  Further ones are dropped: a search
+   asks again or tells the caller to do so, and a forwarding is answered as not
+   run after its next renewal.  */
 #define MAX_WAITING 4096
 
 struct remote
--- a/lib/overflow/sent.c
+++ b/lib/overflow/sent.c
@@ -201,7 +201,8 @@
 {
   struct lender *lender = g_hash_table_lookup (table->lenders, &id);
   if (lender != NULL)
-    lender->heard_sent_us = MAX (lender->heard_sent_us, sent_us);
+    lender->heard_sent_us
+        = MAX (lender->heard_sent_us, MIN (sent_us, lender->renewed_us));
 }
 
 /* Whether the lender has not confirmed SENT for as long as a lease lasts: it
--- a/lib/planner/admission.c
+++ b/lib/planner/admission.c
@@ -14,8 +14,6 @@
    work of the service counts with this percentage; queueing_delay_us says why.
  */
 #define CROWDED_QUEUE_PERCENT 200
-/* Refused callers return after the present queue has been served, spread so
-   that they don't return together.  */
 #define RETRY_AFTER_MIN_MS 1000
 #define RETRY_AFTER_SPREAD_MS 2000
 /* The usable workers of one service and the work that waits for them.  */
@@ -118,6 +116,12 @@
          && service->n_evacuated == service->n_workers;
 }
 
+int
+planner_retry_after_ms (uint64_t job)
+{
+  return RETRY_AFTER_MIN_MS + (int)(job % RETRY_AFTER_SPREAD_MS);
+}
+
 const char *
 planner_refusal_reason_name (enum planner_refusal_reason reason)
 {
@@ -142,8 +146,7 @@
       = planner_find_service (planner, request.service);
   struct planner_refusal refusal = {
     .reason = reason,
-    .retry_after_ms
-    = RETRY_AFTER_MIN_MS + (int)(request.job % RETRY_AFTER_SPREAD_MS),
+    .retry_after_ms = planner_retry_after_ms (request.job),
     .waiting = planner->jobs->len,
     .usable_cpu = b == NULL ? 0 : b->cpu,
     .ahead_us = b == NULL ? 0 : queueing_delay_us (service, b, now_us),
@@ -166,8 +169,11 @@
 static bool
 pass_on (struct planner_state *planner, struct job *job)
 {
-  if (planner->ops->pass_on == NULL || job->request.started
-      || !planner->ops->pass_on (planner->ctx, &job->request))
+  if (planner->ops->pass_on == NULL || job->request.started)
+    return false;
+  bool again = job->offered;
+  job->offered = true;
+  if (!planner->ops->pass_on (planner->ctx, &job->request, again))
     return false;
   planner_drop_job (planner, job);
   return true;
--- a/lib/planner/choose.c
+++ b/lib/planner/choose.c
@@ -247,13 +247,6 @@
   return can_wait ? NULL : any.entry;
 }
 
-/* The walk over the workers that a task fits on ends after this many that may
-   take it: those further on leave larger gaps.  */
-#define MAX_FITTING 16
-/* The same, with those that may not take it: reserved, remote or slow ones,
-   or those without enough memory.  */
-#define MAX_LOOKS 64
-
 /* The walk over the workers that a task fits on ends after this many on which
    it would end in time: those further on leave larger gaps.  */
 #define MAX_FITTING 16
@@ -264,12 +257,18 @@
                  const struct service *service, const struct job *job,
                  uint32_t index, int64_t now_us)
 {
+  bool found = false;
+  int looks = 0;
   GSequenceIter *it = g_sequence_get_begin_iter (service->by_free);
-  for (; !g_sequence_iter_is_end (it); it = g_sequence_iter_next (it))
-    if (planner_is_eligible (planner, g_sequence_get (it), job, index, now_us)
-        && meets_objective (g_sequence_get (it), job, now_us))
-      return true;
-  return false;
+  for (; !found && !g_sequence_iter_is_end (it);
+       it = g_sequence_iter_next (it), looks++)
+    {
+      const struct worker_entry *w = g_sequence_get (it);
+      found = planner_is_eligible (planner, w, job, index, now_us)
+              && meets_objective (w, job, now_us);
+    }
+  pl_count (PL_CTR_PLANNER_LOOKS_TOTAL, looks);
+  return found;
 }
 
 struct worker_entry *
--- a/lib/planner/hindsight.c
+++ b/lib/planner/hindsight.c
@@ -18,7 +18,7 @@
     return;
   unsigned i = planner->n_refused < PLANNER_MAX_REFUSED
                    ? planner->n_refused++
-                   : planner->next_refused;
+                   : planner->next_written++ % PLANNER_MAX_REFUSED;
   planner->refused[i] = (struct refused){
     .service = request->service,
     .size = request->size,
--- a/lib/planner/index.c
+++ b/lib/planner/index.c
@@ -77,12 +77,33 @@
     planner_index_worker (planner, value);
 }
 
+/* Notes when the grants that were made so far time out, at the latest.  */
+static void
+note_timeouts (struct planner_state *planner, int64_t now_us)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, planner->workers);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const struct worker_entry *w = value;
+      if (w->grants->len == 0)
+        continue;
+      struct grant_timeout *timeout = g_new (struct grant_timeout, 1);
+      *timeout = (struct grant_timeout){ w->report.worker,
+                                         now_us + PLANNER_GRANT_TIMEOUT_US };
+      g_queue_push_tail (&planner->timeouts, timeout);
+    }
+}
+
 void
-planner_set_lookahead (struct planner_state *planner, bool on)
+planner_set_lookahead (struct planner_state *planner, bool on, int64_t now_us)
 {
   if (planner->policy->looks_ahead == on)
     return;
   planner->policy = on ? &planner_policy_lookahead : &planner_policy_default;
   g_queue_clear_full (&planner->timeouts, g_free);
+  if (on)
+    note_timeouts (planner, now_us);
   planner_index_all (planner);
 }
--- a/lib/planner/planner.h
+++ b/lib/planner/planner.h
@@ -121,6 +121,9 @@
                       */
 };
 
+/* Retry-After of a refused JOB in ms.  Callers return after the present queue
+   has been served, spread so that they don't return together.  */
+int planner_retry_after_ms (uint64_t job);
 const char *planner_refusal_reason_name (enum planner_refusal_reason reason);
 
 /* Why a job is refused, and the figures behind it, for the log.  */
@@ -145,9 +148,10 @@
   void (*refuse) (void *ctx, const struct planner_request *request,
                   const struct planner_refusal *refusal);
   /* The service of a job of which nothing has started has no usable worker
-     now.  Returns whether others serve the job, which is removed then.  May be
-     null.  */
-  bool (*pass_on) (void *ctx, const struct planner_request *request);
+     now.  Returns whether others serve the job, which is removed then.  AGAIN:
+     it was asked for this job before.  May be null.  */
+  bool (*pass_on) (void *ctx, const struct planner_request *request,
+                   bool again);
 };
 
 struct planner_state *planner_new (const struct planner_ops *ops, void *ctx);
@@ -155,7 +159,8 @@
 /* Whether the planner looks ahead: it reserves the room that running tasks
    leave for jobs that can't start now (see docs/design/lookahead.md).  Off in
    a new planner.  */
-void planner_set_lookahead (struct planner_state *planner, bool on);
+void planner_set_lookahead (struct planner_state *planner, bool on,
+                            int64_t now_us);
 /* Takes a holder's report, which arrived at NOW_US.  It confirms the grants
    whose tasks it lists as runs.  */
 void planner_update_worker (struct planner_state *planner,
--- a/lib/planner/planner_priv.h
+++ b/lib/planner/planner_priv.h
@@ -44,6 +44,7 @@
   uint64_t seq;        /* order of the first requests */
   int64_t promised_us; /* first reserved start of a task; 0: none */
   bool is_reserved;    /* room is held for it in this pass */
+  bool offered;        /* to others, by the op pass_on */
 };
 
 /* How jobs are ordered, placed and refused.  */
@@ -127,10 +128,11 @@
   GQueue timeouts;     /* struct grant_timeout, oldest first */
   GPtrArray *reserved; /* struct worker_entry reserved in this pass */
   bool room_given_up;  /* a job was refused for which room was held */
-  int reserve_looks;   /* at workers in this pass, for reservations */
+  int reserve_looks;   /* at workers in this walk, for reservations */
   struct refused refused[PLANNER_MAX_REFUSED]; /* the latest ones */
   unsigned n_refused;
   unsigned next_refused; /* to be looked at */
+  unsigned next_written; /* in place of which one, once all are in use */
 };
 
 struct planner_state *
@@ -176,15 +178,17 @@
 /* Call first in each pass.  */
 void planner_begin_pass (struct planner_state *planner, int64_t now_us);
 void planner_clear_reservations (struct planner_state *planner);
-/* Reserves room for the waiting tasks of JOB if they are large among those
-   that wait: for all of them, unless the job has started in part.  */
+/* Reserves room for the waiting tasks of JOB if they are large against
+   the mean of those that start: for all of them, unless the job has started in
+   part.  */
 void planner_reserve_for (struct planner_state *planner, struct job *job,
                           int64_t now_us);
 /* Whether a task of JOB that starts on W now delays no reserved start.  */
 bool planner_leaves_reservation (const struct worker_entry *w,
                                  const struct job *job, int64_t now_us);
-/* Notes that a task of JOB starts on W, beside what is reserved there.  */
-void planner_start_beside (struct planner_state *planner,
+/* A task of JOB starts on W: counts it for the mean size, and beside what is
+   reserved there.  */
+void planner_record_start (struct planner_state *planner,
                            struct worker_entry *w, const struct job *job,
                            int64_t now_us);
 /* A task of JOB starts, or the job is refused: counts whether the promised
--- a/lib/planner/reserve.c
+++ b/lib/planner/reserve.c
@@ -31,7 +31,6 @@
 planner_begin_pass (struct planner_state *planner, int64_t now_us)
 {
   planner_index_expire (planner, now_us);
-  planner->reserve_looks = 0;
   pl_gauge_set (PL_CTR_PLANNER_STRANDED_CORES, 0);
 }
 
@@ -56,6 +55,10 @@
 planner_leaves_reservation (const struct worker_entry *w,
                             const struct job *job, int64_t now_us)
 {
+  /* The tasks of a job of another domain are tried out together, and could
+     only together delay the reserved start.  */
+  if (job->request.lent && w->reserved)
+    return false;
   return !w->reserved || now_us + planner_run_us_on (w, job) <= w->reserved_us
          || planner_resources_fit (w->report.capacity, w->reserved_used,
                                    job->request.size);
@@ -175,7 +178,7 @@
 }
 
 void
-planner_start_beside (struct planner_state *planner, struct worker_entry *w,
+planner_record_start (struct planner_state *planner, struct worker_entry *w,
                       const struct job *job, int64_t now_us)
 {
   struct service *service
--- a/lib/planner/room.c
+++ b/lib/planner/room.c
@@ -3,7 +3,7 @@
 #include "planner_priv.h"
 
 static void
-add_workers (struct planner_state *planner, uint64_t service,
+add_workers (struct planner_state *planner, uint64_t service, int64_t now_us,
              struct planner_room *room)
 {
   GHashTableIter it;
@@ -12,7 +12,8 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       const struct worker_entry *w = value;
-      if (w->report.service != service || !planner_worker_usable (planner, w))
+      if (w->report.service != service || !planner_worker_usable (planner, w)
+          || now_us - w->reported_us > PLANNER_REPORT_STALE_US)
         continue;
       room->capacity += w->report.capacity.cpu;
       room->free
@@ -42,7 +43,7 @@
   room.crowded
       = state != NULL
         && now_us - state->last_crowded_us < PLANNER_CROWDED_PERIOD_US;
-  add_workers (planner, service, &room);
+  add_workers (planner, service, now_us, &room);
   add_jobs (planner, service, &room);
   return room;
 }
--- a/lib/planner/schedule.c
+++ b/lib/planner/schedule.c
@@ -11,21 +11,28 @@
                                      now_us + PLANNER_GRANT_TIMEOUT_US };
   g_queue_push_tail (&planner->timeouts, timeout);
   planner_end_promise (job, now_us);
-  planner_start_beside (planner, w, job, now_us);
+  planner_record_start (planner, w, job, now_us);
   planner_index_worker (planner, w);
 }
 
-static void
-place_task (struct planner_state *planner, struct job *job,
-            struct worker_entry *w, uint32_t index, int64_t now_us)
+static struct grant
+make_grant (const struct worker_entry *w, const struct job *job,
+            uint32_t index, int64_t now_us)
 {
-  struct grant grant = {
+  return (struct grant){
     .tag = planner_task_tag (job->request.job, index),
     .token = w->report.token,
     .size = job->request.size,
     .granted_us = now_us,
     .run_us = planner_run_us_on (w, job),
   };
+}
+
+static void
+place_task (struct planner_state *planner, struct job *job,
+            struct worker_entry *w, uint32_t index, int64_t now_us)
+{
+  struct grant grant = make_grant (w, job, index, now_us);
   struct planner_placement placement = {
     .report = &w->report,
     .used = planner_worker_used (w),
@@ -75,11 +82,7 @@
           = planner->policy->choose (planner, job, index, now_us);
       if (w == NULL)
         break;
-      struct grant grant = { .tag = planner_task_tag (job->request.job, index),
-                             .token = w->report.token,
-                             .size = job->request.size,
-                             .granted_us = now_us,
-                             .run_us = planner_run_us_on (w, job) };
+      struct grant grant = make_grant (w, job, index, now_us);
       g_array_append_val (w->grants, grant);
       planner_index_worker (planner, w);
       planner_record_placed (job, index, w->report.worker);
@@ -111,6 +114,10 @@
   g_array_set_size (job->waiting, 0);
 }
 
+/* Bound of the work of a pass: room that a refusal gives up in the last walk
+   over the queue is offered in the next pass.  */
+#define MAX_WALKS 4
+
 /* Argument of compare_by_policy.  */
 struct sort_context
 {
@@ -154,9 +161,10 @@
   planner->room_given_up = planner->jobs->len > 0;
   /* Room that was held for a job that is refused is given to the others at
      once.  */
-  while (planner->room_given_up)
+  for (int walks = 0; planner->room_given_up && walks < MAX_WALKS; walks++)
     {
       planner->room_given_up = false;
+      planner->reserve_looks = 0; /* reservations are made anew */
       place_queue (planner, now_us);
       planner_refuse_jobs (planner, now_us);
       planner_remove_placed_jobs (planner);
--- a/tests/overflow_test.c
+++ b/tests/overflow_test.c
@@ -221,6 +221,22 @@
   overflow_sent_table_free (sent);
 }
 
+/* Guards against a lender that is never taken for silent because it has
+   confirmed a renewal that is still to come.  */
+static void
+test_a_renewal_to_come_is_not_confirmed (void)
+{
+  struct front_log log = { 0 };
+  struct overflow_sent_table *sent
+      = overflow_sent_table_new (ME, &logging_ops, &log);
+  (void)overflow_add_sent (sent, 1, PEER, (struct pl_addr){ 1, 2 }, START_US);
+  overflow_on_renewed (sent, PEER, START_US + 60 * SECOND_US);
+  for (int64_t t = START_US; t < START_US + 3 * SECOND_US; t += 20000)
+    overflow_tick_sent (sent, t);
+  CU_ASSERT_EQUAL (log.n_lost, 1);
+  overflow_sent_table_free (sent);
+}
+
 /* Guards against a paused front that renews, when it goes on, what the lender
    has ended meanwhile.  */
 static void
@@ -328,6 +344,8 @@
     { "expired credits are dropped", test_expired_credits_are_dropped },
     { "few domains are asked", test_few_domains_are_asked },
     { "a silent lender is left", test_a_silent_lender_is_left },
+    { "a renewal to come is not confirmed",
+      test_a_renewal_to_come_is_not_confirmed },
     { "a paused front renews nothing", test_a_paused_front_renews_nothing },
     { "bytes are bounded", test_bytes_are_bounded },
     { "leases end with their front", test_leases_end_with_their_front },
--- a/tests/planner_lookahead_test.c
+++ b/tests/planner_lookahead_test.c
@@ -45,7 +45,7 @@
   static const struct planner_ops ops
       = { .grant = on_grant, .refuse = on_refuse };
   struct planner_state *planner = planner_new (&ops, starts);
-  planner_set_lookahead (planner, true);
+  planner_set_lookahead (planner, true, 0);
   return planner;
 }
 
--- a/tests/planner_test.c
+++ b/tests/planner_test.c
@@ -47,7 +47,7 @@
 start_planner (struct decisions *decisions)
 {
   struct planner_state *planner = planner_new (&ops, decisions);
-  planner_set_lookahead (planner, lookahead);
+  planner_set_lookahead (planner, lookahead, 0);
   return planner;
 }
 
@@ -647,15 +647,17 @@
 }
 
 static bool
-pass_on_first (void *ctx, const struct planner_request *request)
+pass_on_first (void *ctx, const struct planner_request *request, bool again)
 {
   struct decisions *decisions = ctx;
   decisions->jobs[decisions->grants++] = request->job;
+  CU_ASSERT_EQUAL (again, decisions->grants > 2);
   return decisions->grants == 1;
 }
 
 /* Guards against jobs that wait for workers that are gone while another domain
-   could serve them.  */
+   could serve them, and against asking for room for one job again and again.
+ */
 static void
 test_jobs_without_workers_are_passed_on (void)
 {
@@ -669,6 +671,8 @@
   CU_ASSERT_EQUAL (decisions.grants, 2);
   CU_ASSERT_EQUAL (decisions.refusals, 0);
   CU_ASSERT_EQUAL (planner_count_jobs (planner), 1);
+  planner_schedule (planner, MS);
+  CU_ASSERT_EQUAL (decisions.grants, 3);
   planner_free (planner);
 }
 
