--- a/lib/planner/planner_priv.h
+++ b/lib/planner/planner_priv.h
@@ -128,7 +128,7 @@
   GQueue timeouts;     /* struct grant_timeout, oldest first */
   GPtrArray *reserved; /* struct worker_entry reserved in this pass */
   bool room_given_up;  /* a job was refused for which room was held */
-  int reserve_looks;   /* at workers in this walk, for reservations */
+  int reserve_looks;   /* at workers in this pass, for reservations */
   struct refused refused[PLANNER_MAX_REFUSED]; /* the latest ones */
   unsigned n_refused;
   unsigned next_refused; /* to be looked at */
--- a/lib/planner/reserve.c
+++ b/lib/planner/reserve.c
@@ -31,6 +31,7 @@
 planner_begin_pass (struct planner_state *planner, int64_t now_us)
 {
   planner_index_expire (planner, now_us);
+  planner->reserve_looks = 0;
   pl_gauge_set (PL_CTR_PLANNER_STRANDED_CORES, 0);
 }
 
--- a/lib/planner/schedule.c
+++ b/lib/planner/schedule.c
@@ -164,7 +164,6 @@
   for (int walks = 0; planner->room_given_up && walks < MAX_WALKS; walks++)
     {
       planner->room_given_up = false;
-      planner->reserve_looks = 0; /* reservations are made anew */
       place_queue (planner, now_us);
       planner_refuse_jobs (planner, now_us);
       planner_remove_placed_jobs (planner);
