--- a/lib/base/counters.gen.c
+++ b/lib/base/counters.gen.c
@@ -151,7 +151,7 @@
   { .name = "papayaloft_overflow_not_admitted_total", .type = "counter",
     .help = "Jobs from other failure domains without an open credit." },
   { .name = "papayaloft_overflow_expired_total", .type = "counter",
-    .help = "Received jobs that were ended because their front was gone or silent." },
+    .help = "Received jobs that were ended because their origin was gone or silent." },
   { .name = "papayaloft_overflow_bytes_total", .type = "counter",
     .help = "Bytes of credits, handed over jobs and their results sent to other failure domains." },
 };
--- a/lib/cell/cell.pb-c.h
+++ b/lib/cell/cell.pb-c.h
@@ -777,7 +777,7 @@
 
 
 /*
- * Front to lender: a job that the lender is to serve as its own.
+ * Origin to lender: a job that the lender is to serve as its own.
  */
 struct  Cellpb__Forward
 {
@@ -792,7 +792,7 @@
    */
   uint64_t to;
   /*
-   * address of the front
+   * address of the origin
    */
   uint32_t ip;
   uint32_t port;
@@ -808,7 +808,7 @@
   int64_t declared_us;
   double stretch;
   /*
-   * less the time that the job has spent at the front
+   * less the time that the job has spent at the origin
    */
   int64_t target_us;
   /*
@@ -824,7 +824,7 @@
 
 
 /*
- * Front to lender: forwardings whose jobs are still wanted, all of this front,
+ * Origin to lender: forwardings whose jobs are still wanted, all of this origin,
  * and those that are not wanted any more.
  */
 struct  Cellpb__Renew
@@ -839,7 +839,7 @@
   size_t n_withdrawn;
   uint64_t *withdrawn;
   /*
-   * address of the front
+   * address of the origin
    */
   uint32_t ip;
   uint32_t port;
@@ -850,13 +850,13 @@
 
 
 /*
- * Lender to front: a Renew has been handled.
+ * Lender to origin: a Renew has been handled.
  */
 struct  Cellpb__Renewed
 {
   ProtobufCMessage base;
   /*
-   * of the Renew, on the clock of the front
+   * of the Renew, on the clock of the origin
    */
   int64_t sent_us;
 };
@@ -866,7 +866,7 @@
 
 
 /*
- * Lender to front: how a forwarded job has ended.
+ * Lender to origin: how a forwarded job has ended.
  */
 struct  Cellpb__Result
 {
--- a/lib/cell/member.c
+++ b/lib/cell/member.c
@@ -257,8 +257,8 @@
   struct peer *peer = link_peer == 0 ? NULL : cell_find_peer (cell, link_peer);
   if (peer != NULL && peer->link_closed_us == 0)
     peer->link_closed_us = pl_now_us (cell->clock);
-  overflow_on_front_closed (cell->received, link_peer,
-                            pl_now_us (cell->clock));
+  overflow_on_origin_closed (cell->received, link_peer,
+                             pl_now_us (cell->clock));
 }
 
 static bool
--- a/lib/cell/overflow.c
+++ b/lib/cell/overflow.c
@@ -168,7 +168,7 @@
   cell_retry_deferred (cell);
 }
 
-/* Front.  */
+/* Origin.  */
 
 static void
 send_forward (struct cell *cell, const struct owner_job *job,
@@ -309,7 +309,7 @@
 /* Lender.  */
 
 static void
-send_result (struct cell *cell, struct pl_addr front,
+send_result (struct cell *cell, struct pl_addr origin,
              const struct overflow_answer *answer)
 {
   Cellpb__Result msg = CELLPB__RESULT__INIT;
@@ -317,15 +317,15 @@
   msg.code = answer->code;
   msg.retry_after_ms = answer->retry_after_ms;
   Cellpb__Envelope env = CELL_ENVELOPE (result, RESULT, &msg);
-  send_to (cell, front, &env);
+  send_to (cell, origin, &env);
 }
 
 static void
-answer_front (struct cell *cell, struct pl_addr front,
-              const struct overflow_answer *answer)
+answer_origin (struct cell *cell, struct pl_addr origin,
+               const struct overflow_answer *answer)
 {
   overflow_set_answer (cell->received, answer, pl_now_us (cell->clock));
-  send_result (cell, front, answer);
+  send_result (cell, origin, answer);
 }
 
 static void
@@ -352,12 +352,12 @@
 }
 
 static void
-log_received (const Cellpb__Forward *msg, uint64_t front, const char *result)
+log_received (const Cellpb__Forward *msg, uint64_t origin, const char *result)
 {
   pl_log (PL_EV_OVERFLOW_IN,
-          "key=%016" PRIx64 " number=%016" PRIx64 " front=%016" PRIx64
+          "key=%016" PRIx64 " number=%016" PRIx64 " origin=%016" PRIx64
           " result=%s",
-          msg->job, msg->number, front, result);
+          msg->job, msg->number, origin, result);
 }
 
 /* Whether the job is admitted; if not, fills ANSWER.  */
@@ -386,7 +386,7 @@
   struct overflow_received received = {
     .number = msg->number,
     .job = msg->job,
-    .front = sender,
+    .origin = sender,
     .addr = { msg->ip, (uint16_t)msg->port },
   };
   struct overflow_answer answer;
@@ -397,10 +397,10 @@
     {
       pl_count (PL_CTR_OVERFLOW_NOT_ADMITTED_TOTAL, 1);
       log_received (msg, sender, "refused");
-      answer_front (cell, received.addr, &answer);
+      answer_origin (cell, received.addr, &answer);
       return;
     }
-  /* The front has withdrawn a number that is known.  */
+  /* The origin has withdrawn a number that is known.  */
   if (!overflow_receive (cell->received, &received, sent_us,
                          pl_now_us (cell->clock)))
     return;
@@ -409,7 +409,7 @@
   submit (cell, msg);
 }
 
-/* Ends a received job that its front does not want, or may have given up.  Its
+/* Ends a received job that its origin does not want, or may have given up. Its
    runs may have started.  */
 static void
 end_received (struct cell *cell, uint64_t number, uint64_t id)
@@ -444,7 +444,7 @@
                const Cellpb__Renew *msg)
 {
   int64_t now_us = pl_now_us (cell->clock);
-  struct pl_addr front = { msg->ip, (uint16_t)msg->port };
+  struct pl_addr origin = { msg->ip, (uint16_t)msg->port };
   if (msg->to != cell->id)
     return;
   for (size_t i = 0; i < msg->n_withdrawn; i++)
@@ -458,12 +458,12 @@
       const struct overflow_answer *answer
           = overflow_renew_received (cell->received, msg->numbers[i], now_us);
       if (answer != NULL)
-        send_result (cell, front, answer);
+        send_result (cell, origin, answer);
     }
   Cellpb__Renewed renewed = CELLPB__RENEWED__INIT;
   renewed.sent_us = sent_us;
   Cellpb__Envelope env = CELL_ENVELOPE (renewed, RENEWED, &renewed);
-  send_to (cell, front, &env);
+  send_to (cell, origin, &env);
 }
 
 void
@@ -476,8 +476,8 @@
     {
       pl_count (PL_CTR_OVERFLOW_EXPIRED_TOTAL, 1);
       pl_log (PL_EV_OVERFLOW_EXPIRED,
-              "key=%016" PRIx64 " number=%016" PRIx64 " front=%016" PRIx64,
-              received->job, received->number, received->front);
+              "key=%016" PRIx64 " number=%016" PRIx64 " origin=%016" PRIx64,
+              received->job, received->number, received->origin);
       end_received (cell, received->number, received->job);
       g_free (received);
     }
@@ -496,7 +496,7 @@
     return;
   struct overflow_answer told
       = { received->number, answer->code, answer->retry_after_ms };
-  answer_front (cell, received->addr, &told);
+  answer_origin (cell, received->addr, &told);
 }
 
 void
--- a/lib/overflow/borrower.c
+++ b/lib/overflow/borrower.c
@@ -6,8 +6,8 @@
 
 #include <xxhash.h>
 
-/* From a front to a lender over a busy link.  A credit that ends sooner is not
-   spent.  */
+/* From an origin to a lender over a busy link.  A credit that ends sooner is
+   not spent.  */
 #define TRAVEL_US 20000
 /* After this time without an answer, a planner may have been replaced.  */
 #define PLANNER_KNOWN_US 5000000
--- a/lib/overflow/overflow.h
+++ b/lib/overflow/overflow.h
@@ -1,7 +1,7 @@
 /* Overflow of whole jobs between failure domains, each of which plans alone:
    docs/design/overflow.md.  A planner that has to refuse a job (borrower) may
    hold credit of another domain's planner (lender).  Then the instance that
-   received the job from its caller (front) forwards it to the lender, which
+   received the job from its caller (origin) forwards it to the lender, which
    owns it from then on.
 
    Performs no I/O and gets the time as an argument.  Used by one thread.
@@ -18,13 +18,13 @@
 /* A received job ends this long after its latest renewal was handled.  */
 #define OVERFLOW_LEASE_US 400000
 /* A renewal that was under way for this much longer than the quickest
-   forwarding of its front extends no lease.  */
+   forwarding of its origin extends no lease.  */
 #define OVERFLOW_STALE_US 200000
 /* From the order to stop the runs of a received job to their end.  */
 #define OVERFLOW_STOP_US 150000
-/* A front that has lost the lender takes the runs of a job for ended this long
-   after it last sent a renewal.  A forwarding is under way for no longer than
-   its credit is open, so that a renewal that counts is under way for
+/* An origin that has lost the lender takes the runs of a job for ended this
+   long after it last sent a renewal.  A forwarding is under way for no longer
+   than its credit is open, so that a renewal that counts is under way for
    OVERFLOW_CREDIT_US and OVERFLOW_STALE_US at most.  */
 #define OVERFLOW_END_US                                                       \
   (OVERFLOW_CREDIT_US + OVERFLOW_STALE_US + OVERFLOW_LEASE_US                 \
@@ -113,7 +113,7 @@
                             uint64_t domain, int64_t now_us,
                             struct pl_addr *addr);
 
-/* Forwarded jobs, at the front.  */
+/* Forwarded jobs, at the origin.  */
 
 struct overflow_sent
 {
@@ -177,7 +177,7 @@
 {
   uint64_t number;
   uint64_t job;
-  uint64_t front; /* incarnation */
+  uint64_t origin; /* incarnation */
   struct pl_addr addr;
   int64_t until_us; /* of its lease */
 };
@@ -193,7 +193,7 @@
 struct overflow_received_table *overflow_received_table_new (void);
 void overflow_received_table_free (struct overflow_received_table *table);
 /* Takes the job of a forwarding that was sent at SENT_US on the clock of the
-   front and admitted at NOW_US; the lease is computed here.  False if the
+   origin and admitted at NOW_US; the lease is computed here.  False if the
    number is known already.  */
 bool overflow_receive (struct overflow_received_table *table,
                        const struct overflow_received *received,
@@ -207,7 +207,7 @@
                           int64_t now_us);
 /* Whether a renewal of FRONT, sent at SENT_US on its clock, is fresh enough to
    count.  */
-bool overflow_is_fresh (struct overflow_received_table *table, uint64_t front,
+bool overflow_is_fresh (struct overflow_received_table *table, uint64_t origin,
                         int64_t sent_us, int64_t now_us);
 /* Extends the lease of forwarding NUMBER.  Returns null if it is in force;
    else the answer to repeat.  A number that is not known has not run, and is
@@ -221,8 +221,8 @@
                                uint64_t number);
 /* The connection of FRONT was closed: its leases end soon, unless it
    reconnects.  */
-void overflow_on_front_closed (struct overflow_received_table *table,
-                               uint64_t front, int64_t now_us);
+void overflow_on_origin_closed (struct overflow_received_table *table,
+                                uint64_t origin, int64_t now_us);
 /* Removes and returns a received job whose lease has expired, null if there is
    none.  The caller frees it.  */
 struct overflow_received *
--- a/lib/overflow/received.c
+++ b/lib/overflow/received.c
@@ -1,19 +1,19 @@
 /* The jobs that a lender has received: their leases, and the answers that it
-   keeps until their front has them.  */
+   keeps until their origin has them.  */
 #include "overflow.h"
 
-/* A front lists a forwarding for OVERFLOW_LEASE_US after the lender last
+/* An origin lists a forwarding for OVERFLOW_LEASE_US after the lender last
    confirmed it, and a renewal that counts is not much older.  */
 #define ANSWER_KEPT_US 3000000
-/* Of a front whose connection was closed, until it reconnects.  */
+/* Of an origin whose connection was closed, until it reconnects.  */
 #define CLOSED_LEASE_US 160000
 /* The clocks of two machines drift by little in this time.  */
 #define BASELINE_US 2000000
-/* A front that has forwarded nothing for so long has no leases left.  */
-#define FRONT_KEPT_US 60000000
+/* An origin that has forwarded nothing for so long has no leases left.  */
+#define ORIGIN_KEPT_US 60000000
 
 /* An instance that has forwarded jobs to this one.  */
-struct front
+struct origin
 {
   uint64_t id;
   /* Our clock minus its clock plus the delay of a forwarding.  */
@@ -34,7 +34,7 @@
   GHashTable *by_job;
   GHashTable *answers;    /* number -> struct kept_answer */
   GQueue oldest;          /* struct kept_answer, oldest first */
-  GHashTable *fronts;     /* id -> struct front */
+  GHashTable *origins;    /* id -> struct origin */
   int64_t next_expiry_us; /* no lease expires before; see take_expired */
 };
 
@@ -48,7 +48,7 @@
   table->by_job = g_hash_table_new (g_int64_hash, g_int64_equal);
   table->answers
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
-  table->fronts
+  table->origins
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   g_queue_init (&table->oldest);
   table->next_expiry_us = INT64_MAX;
@@ -62,28 +62,28 @@
   g_hash_table_unref (table->by_job);
   g_hash_table_unref (table->by_number);
   g_hash_table_unref (table->answers);
-  g_hash_table_unref (table->fronts);
+  g_hash_table_unref (table->origins);
   g_free (table);
 }
 
 static void
-note_front (struct overflow_received_table *table, uint64_t id,
-            int64_t sent_us, int64_t now_us)
+note_origin (struct overflow_received_table *table, uint64_t id,
+             int64_t sent_us, int64_t now_us)
 {
   int64_t offset_us = now_us - sent_us;
-  struct front *front = g_hash_table_lookup (table->fronts, &id);
-  if (front == NULL)
+  struct origin *origin = g_hash_table_lookup (table->origins, &id);
+  if (origin == NULL)
     {
-      front = g_new (struct front, 1);
-      *front = (struct front){ id, offset_us, now_us, now_us };
-      g_hash_table_insert (table->fronts, &front->id, front);
+      origin = g_new (struct origin, 1);
+      *origin = (struct origin){ id, offset_us, now_us, now_us };
+      g_hash_table_insert (table->origins, &origin->id, origin);
     }
-  front->used_us = now_us;
-  if (offset_us > front->offset_us
-      && now_us - front->offset_at_us < BASELINE_US)
+  origin->used_us = now_us;
+  if (offset_us > origin->offset_us
+      && now_us - origin->offset_at_us < BASELINE_US)
     return;
-  front->offset_us = offset_us;
-  front->offset_at_us = now_us;
+  origin->offset_us = offset_us;
+  origin->offset_at_us = now_us;
 }
 
 bool
@@ -95,7 +95,7 @@
       || g_hash_table_contains (table->by_job, &received->job)
       || g_hash_table_contains (table->answers, &received->number))
     return false;
-  note_front (table, received->front, sent_us, now_us);
+  note_origin (table, received->origin, sent_us, now_us);
   struct overflow_received *added = g_memdup2 (received, sizeof *received);
   added->until_us = now_us + OVERFLOW_LEASE_US;
   table->next_expiry_us = MIN (table->next_expiry_us, added->until_us);
@@ -162,11 +162,11 @@
 overflow_is_fresh (struct overflow_received_table *table, uint64_t id,
                    int64_t sent_us, int64_t now_us)
 {
-  struct front *front = g_hash_table_lookup (table->fronts, &id);
-  if (front == NULL)
+  struct origin *origin = g_hash_table_lookup (table->origins, &id);
+  if (origin == NULL)
     return true; /* it has no leases here */
-  front->used_us = now_us;
-  return now_us - sent_us - front->offset_us <= OVERFLOW_STALE_US;
+  origin->used_us = now_us;
+  return now_us - sent_us - origin->offset_us <= OVERFLOW_STALE_US;
 }
 
 const struct overflow_answer *
@@ -186,8 +186,8 @@
 }
 
 void
-overflow_on_front_closed (struct overflow_received_table *table,
-                          uint64_t front, int64_t now_us)
+overflow_on_origin_closed (struct overflow_received_table *table,
+                           uint64_t origin, int64_t now_us)
 {
   GHashTableIter it;
   gpointer value;
@@ -197,20 +197,20 @@
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
       struct overflow_received *received = value;
-      if (received->front == front)
+      if (received->origin == origin)
         received->until_us
             = MIN (received->until_us, now_us + CLOSED_LEASE_US);
     }
 }
 
 static void
-forget_fronts (struct overflow_received_table *table, int64_t now_us)
+forget_origins (struct overflow_received_table *table, int64_t now_us)
 {
   GHashTableIter it;
   gpointer value;
-  g_hash_table_iter_init (&it, table->fronts);
+  g_hash_table_iter_init (&it, table->origins);
   while (g_hash_table_iter_next (&it, NULL, &value))
-    if (now_us - ((struct front *)value)->used_us > FRONT_KEPT_US)
+    if (now_us - ((struct origin *)value)->used_us > ORIGIN_KEPT_US)
       g_hash_table_iter_remove (&it);
 }
 
@@ -223,7 +223,7 @@
     return NULL;
   table->next_expiry_us = INT64_MAX;
   forget_answers (table, now_us);
-  forget_fronts (table, now_us);
+  forget_origins (table, now_us);
   g_hash_table_iter_init (&it, table->by_number);
   while (g_hash_table_iter_next (&it, NULL, &value))
     {
--- a/lib/overflow/sent.c
+++ b/lib/overflow/sent.c
@@ -1,4 +1,4 @@
-/* The jobs that a front has forwarded: their renewal, and how the loss of a
+/* The jobs that an origin has forwarded: their renewal, and how the loss of a
    lender is noticed.  */
 #include "overflow.h"
 
--- a/lib/planner/planner_priv.h
+++ b/lib/planner/planner_priv.h
@@ -167,7 +167,7 @@
                                    int64_t now_us,
                                    struct planner_resources *used);
 
-/* Refusals in hindsight (hindsight.c).  Notes that JOB is refused.  */
+/* Review of refusals (review.c).  Notes that JOB is refused.  */
 void planner_note_refused (struct planner_state *planner,
                            const struct job *job,
                            enum planner_refusal_reason reason);
--- a/lib/planner/hindsight.c
+++ b/lib/planner/review.c
@@ -1,5 +1,5 @@
-/* Refusals in hindsight: jobs that were refused although room for all their
-   tasks was left over before their latest start.  */
+/* Review of refusals: counts jobs that were refused although room for all
+   their tasks was left over before their latest start.  */
 #include "planner_priv.h"
 
 /* Refused jobs that a pass looks at, and workers that it looks at for each:
--- a/tests/cell_overflow_test.c
+++ b/tests/cell_overflow_test.c
@@ -170,32 +170,32 @@
 
 /* Ends half of the instances of domain 0, without its planner.  */
 static void
-kill_fronts (struct world *world, bool silent)
+kill_origins (struct world *world, bool silent)
 {
   for (int i = 1; i <= PER_DOMAIN / 2; i++)
     world_kill (world, i * N_DOMAINS, silent);
 }
 
 static void
-kill_front (struct world *world)
+kill_origin (struct world *world)
 {
-  kill_fronts (world, false);
+  kill_origins (world, false);
 }
 
 static void
-kill_front_silently (struct world *world)
+kill_origin_silently (struct world *world)
 {
-  kill_fronts (world, true);
+  kill_origins (world, true);
 }
 
-/* Guards against runs at the lender that go on when the caller of a front that
-   has died sends its job again.  */
+/* Guards against runs at the lender that go on when the caller of an origin
+   that has died sends its job again.  */
 static void
-test_a_front_dies (void)
+test_a_origin_dies (void)
 {
   static const struct disturbance deaths[]
-      = { { "front killed", kill_front, NULL },
-          { "front lost", kill_front_silently, NULL } };
+      = { { "origin killed", kill_origin, NULL },
+          { "origin lost", kill_origin_silently, NULL } };
   play (&deaths[0]);
   play (&deaths[1]);
 }
@@ -243,26 +243,26 @@
 }
 
 static void
-freeze_front (struct world *world)
+freeze_origin (struct world *world)
 {
   world_set_frozen (world, N_DOMAINS, true);
 }
 
 static void
-thaw_front (struct world *world)
+thaw_origin (struct world *world)
 {
   world_thaw (world, N_DOMAINS, false);
 }
 
-/* Guards against a paused lender that goes on with jobs that its fronts have
-   given up, and against a paused front that renews such jobs.  */
+/* Guards against a paused lender that goes on with jobs that its origins have
+   given up, and against a paused origin that renews such jobs.  */
 static void
 test_a_pause_of_either_side (void)
 {
   static const struct disturbance pauses[]
       = { { "lender paused, timers first", freeze_lender, thaw_lender },
           { "lender paused", freeze_lender, thaw_lender_reading },
-          { "front paused", freeze_front, thaw_front } };
+          { "origin paused", freeze_origin, thaw_origin } };
   for (size_t i = 0; i < G_N_ELEMENTS (pauses); i++)
     play (&pauses[i]);
 }
@@ -431,7 +431,7 @@
   CU_TestInfo tests[] = {
     { "others serve a flooded domain", test_others_serve_a_flooded_domain },
     { "a cut after the hand-over", test_a_cut_after_the_hand_over },
-    { "a front dies", test_a_front_dies },
+    { "an origin dies", test_a_origin_dies },
     { "a lender dies", test_a_lender_dies },
     { "a pause of either side", test_a_pause_of_either_side },
     { "an evacuated domain overflows", test_an_evacuated_domain_overflows },
--- a/tests/overflow_test.c
+++ b/tests/overflow_test.c
@@ -160,8 +160,8 @@
   overflow_borrower_free (borrower);
 }
 
-/* What the front has done.  */
-struct front_log
+/* What the origin has done.  */
+struct origin_log
 {
   unsigned n_renewals;
   unsigned n_numbers;
@@ -172,7 +172,7 @@
 static void
 log_renewal (void *ctx, const struct overflow_renewal *renewal)
 {
-  struct front_log *log = ctx;
+  struct origin_log *log = ctx;
   log->n_renewals++;
   log->n_numbers = renewal->numbers == NULL ? 0 : renewal->numbers->len;
   log->n_withdrawn += renewal->withdrawn == NULL ? 0 : renewal->withdrawn->len;
@@ -182,7 +182,7 @@
 log_lost (void *ctx, const struct overflow_sent *sent)
 {
   (void)sent;
-  ((struct front_log *)ctx)->n_lost++;
+  ((struct origin_log *)ctx)->n_lost++;
 }
 
 static const struct overflow_sent_ops logging_ops
@@ -193,7 +193,7 @@
 static void
 test_a_silent_lender_is_left (void)
 {
-  struct front_log log = { 0 };
+  struct origin_log log = { 0 };
   struct overflow_sent_table *sent
       = overflow_sent_table_new (ME, &logging_ops, &log);
   struct pl_addr addr = { 1, 2 };
@@ -226,7 +226,7 @@
 static void
 test_a_renewal_to_come_is_not_confirmed (void)
 {
-  struct front_log log = { 0 };
+  struct origin_log log = { 0 };
   struct overflow_sent_table *sent
       = overflow_sent_table_new (ME, &logging_ops, &log);
   (void)overflow_add_sent (sent, 1, PEER, (struct pl_addr){ 1, 2 }, START_US);
@@ -237,12 +237,12 @@
   overflow_sent_table_free (sent);
 }
 
-/* Guards against a paused front that renews, when it goes on, what the lender
+/* Guards against a paused origin that renews, when it goes on, what the lender
    has ended meanwhile.  */
 static void
-test_a_paused_front_renews_nothing (void)
+test_a_paused_origin_renews_nothing (void)
 {
-  struct front_log log = { 0 };
+  struct origin_log log = { 0 };
   struct overflow_sent_table *sent
       = overflow_sent_table_new (ME, &logging_ops, &log);
   (void)overflow_add_sent (sent, 1, PEER, (struct pl_addr){ 1, 2 }, START_US);
@@ -272,14 +272,14 @@
          int64_t now_us)
 {
   struct overflow_received received
-      = { .number = number, .job = number + 100, .front = PEER };
+      = { .number = number, .job = number + 100, .origin = PEER };
   return overflow_receive (table, &received, now_us, now_us);
 }
 
-/* Guards against a lease that outlasts its front, or ends while it is
+/* Guards against a lease that outlasts its origin, or ends while it is
    renewed.  */
 static void
-test_leases_end_with_their_front (void)
+test_leases_end_with_their_origin (void)
 {
   struct overflow_received_table *table = overflow_received_table_new ();
   CU_ASSERT_TRUE (receive (table, 1, START_US));
@@ -288,7 +288,7 @@
   CU_ASSERT_PTR_NULL (overflow_take_expired (table, t));
   CU_ASSERT_PTR_NULL (overflow_renew_received (table, 1, t));
   CU_ASSERT_PTR_NULL (overflow_take_expired (table, t + 1));
-  overflow_on_front_closed (table, PEER, t + 1);
+  overflow_on_origin_closed (table, PEER, t + 1);
   CU_ASSERT_PTR_NULL (overflow_take_expired (table, t + 100000));
   struct overflow_received *expired
       = overflow_take_expired (table, t + 200000);
@@ -299,7 +299,7 @@
 }
 
 /* Guards against a renewal that a partition has delayed, and that keeps a job
-   which the front has given up.  */
+   which the origin has given up.  */
 static void
 test_a_late_renewal_does_not_count (void)
 {
@@ -346,9 +346,9 @@
     { "a silent lender is left", test_a_silent_lender_is_left },
     { "a renewal to come is not confirmed",
       test_a_renewal_to_come_is_not_confirmed },
-    { "a paused front renews nothing", test_a_paused_front_renews_nothing },
+    { "a paused origin renews nothing", test_a_paused_origin_renews_nothing },
     { "bytes are bounded", test_bytes_are_bounded },
-    { "leases end with their front", test_leases_end_with_their_front },
+    { "leases end with their origin", test_leases_end_with_their_origin },
     { "a late renewal does not count", test_a_late_renewal_does_not_count },
     { "answers stand", test_answers_stand },
     CU_TEST_INFO_NULL,
