--- a/lib/cell/cell.pb-c.c
+++ b/lib/cell/cell.pb-c.c
@@ -3502,12 +3502,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "cold_left_ms",
+    "warmup_left_ms",
     20,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Cellpb__Worker, cold_left_ms),
+    offsetof(Cellpb__Worker, warmup_left_ms),
     NULL,
     NULL,
     0,             /* flags */
@@ -3516,7 +3516,6 @@
 };
 static const unsigned cellpb__worker__field_indices_by_name[] = {
   6,   /* field[6] = capacity */
-  10,   /* field[10] = cold_left_ms */
   4,   /* field[4] = domain */
   8,   /* field[8] = draining */
   0,   /* field[0] = id */
@@ -3526,6 +3525,7 @@
   2,   /* field[2] = port */
   9,   /* field[9] = revision */
   3,   /* field[3] = service */
+  10,   /* field[10] = warmup_left_ms */
 };
 static const ProtobufCIntRange cellpb__worker__number_ranges[2 + 1] =
 {
--- a/lib/cell/cell.pb-c.h
+++ b/lib/cell/cell.pb-c.h
@@ -567,7 +567,7 @@
   /*
    * it stays slow for so long; 0: not known
    */
-  int64_t cold_left_ms;
+  int64_t warmup_left_ms;
 };
 #define CELLPB__WORKER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cellpb__worker__descriptor) \
--- a/lib/cell/check.c
+++ b/lib/cell/check.c
@@ -143,7 +143,7 @@
           || worker->port > UINT16_MAX || worker->capacity == NULL
           || !is_amount (worker->capacity) || worker->capacity->cpu <= 0
           || !is_token (worker->revision) || !is_token (worker->incarnation_ms)
-          || !is_cold_time (worker->cold_left_ms))
+          || !is_cold_time (worker->warmup_left_ms))
         return false;
     }
   return is_token (registry->revision);
--- a/lib/cell/reader.c
+++ b/lib/cell/reader.c
@@ -100,7 +100,7 @@
   msg.incarnation_ms = info->incarnation_ms;
   msg.draining = info->draining;
   msg.revision = known->changed_revision;
-  msg.cold_left_ms = MAX (info->cold_until_us - now_us, 0) / 1000;
+  msg.warmup_left_ms = MAX (info->cold_until_us - now_us, 0) / 1000;
   return msg;
 }
 
@@ -181,7 +181,7 @@
     .incarnation_ms = msg->incarnation_ms,
     .draining = msg->draining,
     .revision = msg->revision,
-    .cold_left_ms = msg->cold_left_ms,
+    .warmup_left_ms = msg->warmup_left_ms,
   };
   for (size_t i = 0; i < msg->n_labels && i < PLANNER_MAX_LABELS; i++)
     info.labels[i] = msg->labels[i];
--- a/lib/cell/registry.c
+++ b/lib/cell/registry.c
@@ -48,9 +48,9 @@
 with_absolute_times (struct cell *cell, const struct lease_worker_info *entry)
 {
   struct lease_worker_info info = *entry;
-  if (info.cold_left_ms > 0)
-    info.cold_until_us = pl_now_us (cell->clock) + info.cold_left_ms * 1000;
-  info.cold_left_ms = 0;
+  if (info.warmup_left_ms > 0)
+    info.cold_until_us = pl_now_us (cell->clock) + info.warmup_left_ms * 1000;
+  info.warmup_left_ms = 0;
   return info;
 }
 
--- a/lib/lease/lease.h
+++ b/lib/lease/lease.h
@@ -138,7 +138,7 @@
   int64_t revision; /* of the registry when this was written; 0: not known */
   /* How much longer it stays slow after its start, as its entry says; 0: it is
      not cold, or not known.  */
-  int64_t cold_left_ms;
+  int64_t warmup_left_ms;
   /* The same as a time on the clock of this process, which lib/cell sets when
      it reads the entry; 0: not cold.  */
   int64_t cold_until_us;
--- a/tests/cell_size_test.c
+++ b/tests/cell_size_test.c
@@ -366,7 +366,7 @@
   unsigned cold = 0;
   for (int i = 0; i < world->n_workers; i++)
     {
-      world->workers[i].cold_left_ms = 5000;
+      world->workers[i].warmup_left_ms = 5000;
       world_change_worker (world, i, 32000, false, -1);
     }
   world_run_for (world, SECOND);
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -97,7 +97,7 @@
     .incarnation_ms = w->incarnation_ms,
     .draining = w->draining,
     .revision = w->revision,
-    .cold_left_ms = w->cold_left_ms,
+    .warmup_left_ms = w->warmup_left_ms,
   };
   if (in->cell == NULL)
     return;
--- a/tests/platform_test.c
+++ b/tests/platform_test.c
@@ -53,7 +53,7 @@
   CU_ASSERT_EQUAL (info.labels[1], cell_name_hash (pl_str ("r1-3")));
   CU_ASSERT_EQUAL (info.incarnation_ms, 77);
   CU_ASSERT_FALSE (info.draining);
-  CU_ASSERT_EQUAL (info.cold_left_ms, 0);
+  CU_ASSERT_EQUAL (info.warmup_left_ms, 0);
 }
 
 /* Guards against a worker that is not known to be cold, and against a wrong
@@ -74,7 +74,7 @@
           "\"cold_left_ms\":%s}",
           texts[i]);
       CU_ASSERT_TRUE (pf_decode_worker ("i-1", pl_str (entry), &info, &err));
-      CU_ASSERT_EQUAL (info.cold_left_ms, left_ms[i]);
+      CU_ASSERT_EQUAL (info.warmup_left_ms, left_ms[i]);
     }
 }
 
--- a/tests/world_base.h
+++ b/tests/world_base.h
@@ -70,7 +70,7 @@
   struct world_event *poll; /* waits for the end of a run; may be null */
   double failure_share;     /* of its runs that fail */
   bool hangs;               /* its runs take 60 s */
-  int64_t cold_left_ms;     /* as its entry says */
+  int64_t warmup_left_ms;   /* as its entry says */
 };
 
 struct world_link
