lease: a restarted worker gets a raised token

What callers saw: nothing; tasks of theirs were started on a worker above its capacity or twice, seconds after the order.

Cause: a start that is held up on its way reaches the worker's next process, which has seen no token and counts its clock anew. The deadline of the start, a time on the former process's clock, lies far ahead there, so that it is not refused as late. The holder went on with the same token after a restart, so that nothing refused it at any later time either.

Change: when a poll shows another incarnation, the holder raises its token and asks again at once. The answer to that poll settles what the former process has not listed: a run that is listed goes on and is claimed by its owner under the new lease, any other never starts. Until then nothing is started there and nobody is told which runs were found. A run keeps the token that its owner knows, so that its end and its stop are understood. A lease counts from the answer to a start, as a process whose restart was not noticed yet grants the longest one when it carries out the start.

Ruled out: the stop of an unlisted start, which was repeated and acknowledged (it is sent only while the holder has the run); another holder (the token was that of the same one); the number of the run (the new process knows none).

--- a/lib/cell/assign.c
+++ b/lib/cell/assign.c
@@ -152,16 +152,23 @@
   return token;
 }
 
-static void
-take_worker (struct cell *cell, struct known_worker *known, int64_t now_us)
+int64_t
+cell_use_next_token (struct cell *cell, struct known_worker *known)
 {
   int64_t token = next_token (cell, known);
   known->highest_token = token;
+  pl_log (PL_EV_TAKE, "worker=%s token=%" PRId64 " born_ms=%" PRId64,
+          known->id, token, known->info.incarnation_ms);
+  return token;
+}
+
+static void
+take_worker (struct cell *cell, struct known_worker *known, int64_t now_us)
+{
+  int64_t token = cell_use_next_token (cell, known);
   known->take_after_us = 0;
   known->reachable_us = 0;
   pl_count (PL_CTR_WORKERS_TAKEN_TOTAL, 1);
-  pl_log (PL_EV_TAKE, "worker=%s token=%" PRId64 " born_ms=%" PRId64,
-          known->id, token, known->info.incarnation_ms);
   lease_take (cell->leases, &known->info, token, now_us);
 }
 
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -317,6 +317,9 @@
 void cell_unsettle_worker (struct cell *cell, struct known_worker *known);
 /* Takes, yields and probes workers that are not settled.  */
 void cell_assign_workers (struct cell *cell);
+/* Returns a token above every one that is known to be used on the worker, and
+   records it as used.  */
+int64_t cell_use_next_token (struct cell *cell, struct known_worker *known);
 void cell_on_yield (struct cell *cell, const Cellpb__Yield *msg);
 
 /* The registry (registry.c).  Tells PEER, which the registry does not serve,
--- a/lib/cell/hold.c
+++ b/lib/cell/hold.c
@@ -119,6 +119,9 @@
 void
 cell_send_taken (struct cell *cell, uint64_t to, const struct lease_worker *w)
 {
+  /* Which of the runs go on is not known yet; all are told when it is.  */
+  if (w->fencing)
+    return;
   unsigned n = w->runs->len;
   g_autoptr (GArray) runs = g_array_new (FALSE, FALSE, sizeof (Cellpb__RunId));
   g_autoptr (GPtrArray) pointers = g_ptr_array_new ();
@@ -155,6 +158,15 @@
   cell_send_taken (cell, 0, w);
 }
 
+static int64_t
+raise_token (void *ctx, const struct lease_worker *w)
+{
+  struct cell *cell = ctx;
+  struct known_worker *known
+      = g_hash_table_lookup (cell->workers, &w->info.worker);
+  return cell_use_next_token (cell, known);
+}
+
 static void
 on_lost (void *ctx, struct lease_worker *w, enum lease_reply reason)
 {
@@ -216,6 +228,7 @@
   .ended = on_ended,
   .silent = on_silent,
   .taken = on_taken,
+  .raise_token = raise_token,
   .lost = on_lost,
   .changed = on_changed,
   .may_be_taken = may_be_taken,
--- a/lib/lease/health.c
+++ b/lib/lease/health.c
@@ -88,6 +88,6 @@
 lease_is_usable (const struct lease_worker *w, int64_t now_us)
 {
   return w->state == LEASE_WORKER_HELD && w->token != LEASE_PROBE_TOKEN
-         && !w->info.draining && !w->renewal_withheld && is_described (w)
-         && w->health.ejected_until_us <= now_us;
+         && !w->fencing && !w->info.draining && !w->renewal_withheld
+         && is_described (w) && w->health.ejected_until_us <= now_us;
 }
--- a/lib/lease/lease.h
+++ b/lib/lease/lease.h
@@ -108,6 +108,7 @@
 {
   struct lease_run_id id;
   uint64_t owner;       /* 0: found on the worker, not claimed yet */
+  int64_t token;        /* of the lease that its owner knows it to be under */
   int64_t unclaimed_us; /* since when its owner has to claim it; 0: has not */
   struct planner_resources size;
   enum lease_run_state state;
@@ -196,6 +197,9 @@
   char *id;
   enum lease_worker_state state;
   int64_t token;
+  /* Its process was restarted, and no poll with the token that was raised
+     because of that has been answered yet.  */
+  bool fencing;
   int64_t taken_us;     /* when it answered its first poll; 0: not yet */
   int64_t described_ms; /* incarnation that the registry's entry describes */
   bool answered; /* some poll was: its clock and what runs there are known */
@@ -273,8 +277,12 @@
      REPLY is the result of the latest poll.  */
   void (*silent) (void *ctx, struct lease_worker *w, enum lease_reply reply,
                   int64_t silence_us);
-  /* The worker is held now; W->runs lists what runs there, without owners.  */
+  /* The worker is held now under its token; W->runs lists what runs there.
+     Called again after each restart of the worker.  */
   void (*taken) (void *ctx, struct lease_worker *w);
+  /* Returns a token above every one that is known to be used on the worker,
+     whose process was restarted.  */
+  int64_t (*raise_token) (void *ctx, const struct lease_worker *w);
   /* The worker is no longer held; W is freed after the call.  REASON is
      LEASE_REPLY_FENCED, LEASE_REPLY_RESTARTED, or LEASE_REPLY_NO_ANSWER if the
      worker's process has ended.  */
--- a/lib/lease/lease_priv.h
+++ b/lib/lease/lease_priv.h
@@ -100,9 +100,15 @@
 void lease_apply_lists (struct lease_table *table, struct lease_worker *w,
                         const struct lease_poll_result *result,
                         int64_t now_us);
-/* Another incarnation of the worker has answered than before.  */
+/* Another incarnation of the worker has answered than before.  Raises the
+   token.  */
 void lease_apply_restart (struct lease_table *table, struct lease_worker *w,
                           int64_t now_us);
+/* The worker has answered a poll with a new token, with the lists of RESULT,
+   and refuses calls with an older one from now on.  */
+void lease_apply_fence (struct lease_table *table, struct lease_worker *w,
+                        const struct lease_poll_result *result,
+                        int64_t now_us);
 
 /* Whether the lease of W, which is one for all runs there, may be renewed.  */
 bool lease_may_renew (const struct lease_table *table,
--- a/lib/lease/listed.c
+++ b/lib/lease/listed.c
@@ -68,7 +68,7 @@
       run->state = LEASE_RUN_RUNNING;
       run->added_us = now_us;
       run->unclaimed_us = now_us;
-      if (w->state == LEASE_WORKER_HELD)
+      if (w->taken_us != 0)
         /* The worker has carried out a start that was given up already.  */
         lease_order_stop (table, w, run, now_us);
     }
@@ -123,14 +123,17 @@
 
 /* The worker's process was restarted: runs that the former process has listed
    have ended with it, and ends are numbered from 1 again.  A start that was
-   not listed may have reached either process.  It is settled by what the new
-   one lists and acknowledges; a stop that the former one has acknowledged
-   says nothing of the new one and is ordered again.  */
+   not listed may have reached either process, or may reach the new one later.
+   The token is raised, so that the new process refuses it from the next poll
+   on, and the answer to that poll settles it.  A stop that the former process
+   has acknowledged says nothing of the new one and is ordered again.  */
 void
 lease_apply_restart (struct lease_table *table, struct lease_worker *w,
                      int64_t now_us)
 {
   w->last_end = 0;
+  w->fencing = true;
+  w->token = table->ops->raise_token (table->ctx, w);
   lease_blame_runs (table, w, LEASE_CAUSE_RESTARTED);
   for (guint i = w->runs->len; i-- > 0;)
     {
@@ -147,3 +150,28 @@
     }
   table->ops->changed (table->ctx, w);
 }
+
+/* Runs that are listed go on, and their owners have to claim them under the
+   new lease.  The others never start any more; the former process may have
+   started them.  */
+void
+lease_apply_fence (struct lease_table *table, struct lease_worker *w,
+                   const struct lease_poll_result *result, int64_t now_us)
+{
+  w->fencing = false;
+  for (guint i = w->runs->len; i-- > 0;)
+    {
+      struct lease_run *run = g_ptr_array_index (w->runs, i);
+      if (run->token == w->token)
+        continue;
+      if (!is_listed (result, &run->id))
+        {
+          lease_end_run (table, w, run, LEASE_END_STOPPED,
+                         LEASE_CAUSE_RESTARTED, now_us);
+          continue;
+        }
+      if (run->state == LEASE_RUN_STARTING)
+        run->state = LEASE_RUN_RUNNING;
+      run->unclaimed_us = now_us;
+    }
+}
--- a/lib/lease/poll.c
+++ b/lib/lease/poll.c
@@ -139,7 +139,8 @@
       = now_us + (w->state == LEASE_WORKER_SILENT ? SILENT_POLL_US : 0);
 }
 
-/* Whether the worker answers as another incarnation than before.  */
+/* Whether the worker answers as another incarnation than before, so that
+   orders to the former one may be carried out by it.  */
 static bool
 update_incarnation (struct lease_worker *w,
                     const struct lease_poll_result *result)
@@ -156,18 +157,21 @@
                   const struct lease_poll_result *result, int64_t now_us)
 {
   learn_call_time (table, w, result, now_us);
-  bool first = !w->answered;
   bool was_silent = w->state == LEASE_WORKER_SILENT;
-  bool restarted = update_incarnation (w, result);
+  bool restarted = update_incarnation (w, result) && w->answered
+                   && w->token != LEASE_PROBE_TOKEN;
+  bool first = !w->answered || (w->fencing && !restarted);
   if (restarted)
     lease_apply_restart (table, w, now_us);
-  /* A former holder may have renewed the lease until this token was seen.  */
-  if (first)
+  /* Calls with an older token may have renewed the lease until now.  */
+  if (first || restarted)
     w->renewed_us = now_us;
   w->answered = true;
   w->answered_us = now_us;
   w->clock_offset_ms = result->clock_ms - now_us / 1000;
   lease_apply_lists (table, w, result, now_us);
+  if (first)
+    lease_apply_fence (table, w, result, now_us);
   w->state = LEASE_WORKER_HELD;
   /* After a restart the next list, which settles what this one does not, is
      asked for at once.  */
--- a/lib/lease/run.c
+++ b/lib/lease/run.c
@@ -92,6 +92,7 @@
 {
   struct lease_run *run = g_new0 (struct lease_run, 1);
   run->id = *id;
+  run->token = w->token;
   g_ptr_array_add (w->runs, run);
   return run;
 }
@@ -130,7 +131,7 @@
     .blame = never_started ? LEASE_BLAME_NONE : run->blame,
     .took_us = lease_run_time_us (run, now_us),
     .age_us = now_us - run->added_us,
-    .token = w->token,
+    .token = run->token,
     .acknowledged = lease_is_acknowledged (run),
   };
   g_ptr_array_remove_fast (w->runs, run);
@@ -216,6 +217,7 @@
       || (run->owner != 0 && run->owner != order->owner))
     return false;
   run->owner = order->owner;
+  run->token = w->token;
   run->unclaimed_us = 0;
   run->size = order->size;
   run->expect_us = order->expect_us;
@@ -232,7 +234,7 @@
 {
   struct lease_run *run = lease_find_run (w, id);
   if (run == NULL || run->state == LEASE_RUN_STOPPING
-      || (token != 0 && token != w->token))
+      || (token != 0 && token != run->token))
     return;
   if (run->owner == 0 || run->owner == owner)
     lease_order_stop (table, w, run, now_us);
@@ -355,6 +357,9 @@
     return;
   if (reply == LEASE_REPLY_OK)
     {
+      /* A process that counts its clock anew has granted the longest lease
+         when it carried out the start.  */
+      w->renewed_us = now_us;
       if (run->started_us == 0)
         run->started_us = now_us;
       if (run->state == LEASE_RUN_STARTING)
--- a/tests/cell_loss_test.c
+++ b/tests/cell_loss_test.c
@@ -34,6 +34,30 @@
     }
 }
 
+/* Guards against a start that a worker carries out seconds later, after its
+   process was restarted and its holder has looked at it.  */
+static void
+test_a_late_start_is_refused_by_a_restarted_worker (void)
+{
+  for (uint64_t seed = 1; seed <= MORE_SEEDS; seed++)
+    {
+      struct world *world = world_new (seed, 3, 8, 2);
+      world->late_order_share = 0.05;
+      world_run_for (world, SECOND);
+      for (int i = 0; i < 16; i++)
+        {
+          run_load (world, 500000, 3, 400000);
+          world_end_worker (world, &world->workers[i % 8], true);
+          world_run_for (world, world_random_between (world, 0, 3000));
+          world_boot_worker (world, i % 8);
+        }
+      settle (world);
+      CU_ASSERT_TRUE (all_answered (world));
+      check_violations (world, "late start", seed);
+      world_free (world);
+    }
+}
+
 /* Guards against starts by the capacity that a worker had before it shrank,
    while tasks of that time still run there; and against capacity that has
    grown again and is not used.  */
@@ -334,6 +358,8 @@
       test_a_capacity_that_shrinks_is_kept_to },
     { "a worker that restarts at once runs nothing twice",
       test_a_worker_that_restarts_at_once_runs_nothing_twice },
+    { "a late start is refused by a restarted worker",
+      test_a_late_start_is_refused_by_a_restarted_worker },
     { "starts on dead workers are no crashes",
       test_starts_on_dead_workers_are_no_crashes },
     { "messages lost with a connection are made good",
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -389,6 +389,7 @@
 {
   struct world_worker *w = &world->workers[index];
   w->up = true;
+  w->booted_us = world_now (world);
   w->incarnation_ms = world_now (world) / 1000 + 1;
   w->revision = ++world->registry_revision;
   world_announce_worker (world, w, -1);
--- a/tests/lease_crash_test.c
+++ b/tests/lease_crash_test.c
@@ -62,7 +62,7 @@
                                       .incarnation_ms = 6,
                                       .running = running,
                                       .n_running = n_running };
-  lease_poll_done (table, 1, TOKEN, &result, now_us);
+  lease_poll_done (table, 1, present_token (table), &result, now_us);
 }
 
 /* Takes the worker, starts run 1 of job 1, which it lists, and has the poll
@@ -100,8 +100,8 @@
 }
 
 /* Guards against the same for a start that was on its way when the restarted
-   process listed its runs: with an answer it is settled by the next list,
-   without one by a stop that the new process acknowledges.  */
+   process listed its runs: whatever its answer, it is settled by the first
+   list that was asked for with the raised token.  */
 static void
 test_a_start_beside_a_restart_ends_only_when_certain (void)
 {
@@ -115,14 +115,15 @@
       CU_ASSERT_TRUE (lease_start (table, w, &order, 21 * MS));
       answer_restarted (table, NULL, 0, 22 * MS);
       CU_ASSERT_EQUAL (sink.poll_wait_ms, 0); /* soon settled */
+      CU_ASSERT_TRUE (w->token > TOKEN);
       lease_start_done (table, 1, TOKEN, &order.id,
                         answered ? LEASE_REPLY_OK : LEASE_REPLY_NO_ANSWER,
                         23 * MS);
       CU_ASSERT_TRUE (lease_has_run (w, &order.id));
-      answer_restarted (table, NULL, 0, 24 * MS);
+      fail_poll (table, LEASE_REPLY_NO_ANSWER, 23 * MS);
+      lease_tick (table, 43 * MS);
       CU_ASSERT_TRUE (lease_has_run (w, &order.id));
-      lease_stop_done (table, 1, TOKEN, &order.id, LEASE_REPLY_OK, 24 * MS);
-      answer_restarted (table, NULL, 0, 25 * MS);
+      answer_restarted (table, NULL, 0, 44 * MS);
       CU_ASSERT_FALSE (lease_has_run (w, &order.id));
       CU_ASSERT_EQUAL (sink.ends, 2);
       CU_ASSERT_EQUAL (sink.end, LEASE_END_STOPPED);
@@ -130,6 +131,55 @@
     }
 }
 
+/* Has all polls fail with REPLY from FROM_MS until UNTIL_MS.  */
+static void
+fail_polls (struct lease_table *table, enum lease_reply reply, int64_t from_ms,
+            int64_t until_ms)
+{
+  for (int64_t ms = from_ms; ms < until_ms; ms += 100)
+    fail_poll (table, reply, ms * MS);
+}
+
+/* Guards against orders to the former process that the new one carries out
+   later: the token is raised at once, and nothing is started before the worker
+   has answered a poll with it.  */
+static void
+test_a_restart_raises_the_token (void)
+{
+  struct sink sink = { 0 };
+  struct lease_table *table = lease_table_new (&ops, &sink);
+  struct lease_worker *w = take_and_answer (table, 0);
+  struct lease_worker_info restarted = info;
+  restarted.incarnation_ms = 6;
+  answer_restarted (table, NULL, 0, 10 * MS);
+  lease_update (table, w, &restarted);
+  CU_ASSERT_TRUE (w->token > TOKEN);
+  struct lease_order order = make_order (1, 1);
+  CU_ASSERT_FALSE (lease_start (table, w, &order, 11 * MS));
+  order.token = w->token;
+  CU_ASSERT_FALSE (lease_start (table, w, &order, 11 * MS));
+  answer_restarted (table, NULL, 0, 12 * MS);
+  CU_ASSERT_TRUE (lease_start (table, w, &order, 13 * MS));
+  lease_table_free (table);
+}
+
+/* Guards against a run that is taken for ended while its lease goes on: a
+   process whose restart has not been noticed grants the longest lease when it
+   carries out the start, not when the start is sent.  */
+static void
+test_a_lease_counts_from_the_answer_to_its_start (void)
+{
+  struct sink sink = { 0 };
+  struct lease_table *table = lease_table_new (&ops, &sink);
+  struct lease_order order = take_and_send_start (table);
+  lease_start_done (table, 1, TOKEN, &order.id, LEASE_REPLY_OK, 300 * MS);
+  fail_polls (table, LEASE_REPLY_NO_ANSWER, 310, 1300);
+  CU_ASSERT_EQUAL (sink.ends, 0);
+  fail_poll (table, LEASE_REPLY_NO_ANSWER, 300 * MS + LEASE_EXPIRY_US + MS);
+  CU_ASSERT_EQUAL (sink.ends, 1);
+  lease_table_free (table);
+}
+
 /* Guards against a stop that only the former process has acknowledged: the new
    one would still carry out the start.  */
 static void
@@ -192,9 +242,9 @@
   struct lease_worker_info changed = info;
   changed.draining = draining;
   lease_update (table, w, &changed);
-  for (int64_t ms = 110; ms < 1300; ms += 100)
-    fail_poll (table, reply, ms * MS);
+  fail_polls (table, reply, 110, 1300);
   CU_ASSERT_EQUAL (sink->ends, 2);
+  CU_ASSERT_EQUAL (sink->cause, LEASE_CAUSE_EXPIRED);
   lease_table_free (table);
 }
 
@@ -234,7 +284,6 @@
       struct sink sink = { 0 };
       lose_worker (cases[i].reply, cases[i].draining, cases[i].answered,
                    &sink);
-      CU_ASSERT_EQUAL (sink.cause, LEASE_CAUSE_EXPIRED);
       CU_ASSERT_EQUAL (sink.silent_reply, cases[i].reply);
       CU_ASSERT_EQUAL (sink.blames[0], cases[i].blames[0]);
       CU_ASSERT_EQUAL (sink.blames[1], cases[i].blames[1]);
@@ -250,10 +299,10 @@
   struct lease_table *table = lease_table_new (&ops, &sink);
   struct lease_worker *w = lease_take (table, &info, TOKEN, 0);
   answer_poll (table, NULL, 0, NULL, 0, MS);
-  struct lease_poll_result result
-      = { .reply = LEASE_REPLY_OK, .clock_ms = 1, .incarnation_ms = 6 };
-  lease_poll_done (table, 1, TOKEN, &result, 2 * MS);
+  answer_restarted (table, NULL, 0, 2 * MS);
+  answer_restarted (table, NULL, 0, 2 * MS);
   struct lease_order order = make_order (7, 1);
+  order.token = w->token;
   CU_ASSERT_FALSE (lease_start (table, w, &order, 3 * MS));
   struct lease_worker_info changed = info;
   lease_update (table, w, &changed); /* the former process's entry, again */
@@ -292,7 +341,9 @@
   lease_poll_done (table, 1, TOKEN, &result, 25 * MS);
   CU_ASSERT_EQUAL (w->runs->len, 0);
   CU_ASSERT_EQUAL (sink.ends, 3);
-  CU_ASSERT_TRUE (lease_start (table, w, &order, 26 * MS));
+  answer_restarted (table, NULL, 0, 26 * MS);
+  order.token = w->token;
+  CU_ASSERT_TRUE (lease_start (table, w, &order, 27 * MS));
   lease_table_free (table);
 }
 
@@ -315,8 +366,7 @@
   answer_poll (table, NULL, 0, NULL, 0, MS);
   struct lease_order order = make_order (7, 1);
   CU_ASSERT_TRUE (lease_start (table, w, &order, 2 * MS));
-  for (int64_t ms = 10; ms < 1200; ms += 100)
-    fail_poll (table, LEASE_REPLY_CONN_REFUSED, ms * MS);
+  fail_polls (table, LEASE_REPLY_CONN_REFUSED, 10, 1200);
   CU_ASSERT_EQUAL (sink.ends, 1);
   CU_ASSERT_EQUAL (sink.blames[0], LEASE_BLAME_POSSIBLE);
   lease_table_free (table);
@@ -334,6 +384,9 @@
       test_a_run_of_the_restarted_process_is_kept },
     { "a start beside a restart ends only when certain",
       test_a_start_beside_a_restart_ends_only_when_certain },
+    { "a restart raises the token", test_a_restart_raises_the_token },
+    { "a lease counts from the answer to its start",
+      test_a_lease_counts_from_the_answer_to_its_start },
     { "a stop is repeated after a restart",
       test_a_stop_is_repeated_after_a_restart },
     { "ends of a restarted process are not acknowledged unread",
--- a/tests/lease_fixture.h
+++ b/tests/lease_fixture.h
@@ -120,6 +120,13 @@
   return owner != sink->lost_owner;
 }
 
+static int64_t
+raise_token (void *ctx, const struct lease_worker *w)
+{
+  (void)ctx;
+  return w->token + 1;
+}
+
 static const struct lease_ops ops = {
   .poll = on_poll,
   .start = on_start,
@@ -127,6 +134,7 @@
   .ended = on_ended,
   .silent = on_silent,
   .taken = on_taken,
+  .raise_token = raise_token,
   .lost = on_lost,
   .changed = on_changed,
   .may_be_taken = may_be_taken,
@@ -141,6 +149,14 @@
   .incarnation_ms = 5,
 };
 
+/* The token of the worker's present lease.  */
+static inline int64_t
+present_token (struct lease_table *table)
+{
+  const struct lease_worker *w = lease_find_worker (table, 1);
+  return w == NULL ? TOKEN : w->token;
+}
+
 /* Passes the answer of a poll with the given lists.  */
 static inline void
 answer_poll (struct lease_table *table, const struct lease_running *running,
@@ -156,14 +172,14 @@
     .ended = ended,
     .n_ended = n_ended,
   };
-  lease_poll_done (table, 1, TOKEN, &result, now_us);
+  lease_poll_done (table, 1, present_token (table), &result, now_us);
 }
 
 static inline void
 fail_poll (struct lease_table *table, enum lease_reply reply, int64_t now_us)
 {
   struct lease_poll_result result = { .reply = reply };
-  lease_poll_done (table, 1, TOKEN, &result, now_us);
+  lease_poll_done (table, 1, present_token (table), &result, now_us);
 }
 
 static inline struct lease_order
--- a/tests/world_base.h
+++ b/tests/world_base.h
@@ -46,7 +46,7 @@
   int64_t last_end;
   int wait_ms;      /* of a poll; in world_try_link the index of the link */
   unsigned attempt; /* number of the attempt to connect a link */
-  bool no_answer;
+  bool no_answer;   /* of a call: it ends without one */
   struct lease_run_id id;
   struct planner_resources size;
   int64_t run_us;
@@ -63,7 +63,8 @@
   int64_t incarnation_ms;
   int64_t revision; /* of its entry in the registry */
   bool up;
-  bool refuses; /* while it is down, connections are refused */
+  bool refuses;      /* while it is down, connections are refused */
+  int64_t booted_us; /* when its process started; its clock counts from then */
   bool draining;
   bool replaced; /* a worker with another id answers at its address */
   struct model_worker model;
--- a/tests/world_workers.h
+++ b/tests/world_workers.h
@@ -193,6 +193,13 @@
     }
 }
 
+/* The time of the world at which the clock of W shows CLOCK_MS.  */
+static inline int64_t
+world_time_of_worker (const struct world_worker *w, int64_t clock_ms)
+{
+  return w->booted_us + clock_ms * 1000;
+}
+
 static inline enum lease_reply
 world_apply_start (struct world *world, struct world_worker *w,
                    const struct world_event *event)
@@ -200,7 +207,7 @@
   bool begun;
   struct model_start start = {
     .token = event->token,
-    .deadline_us = event->deadline_ms * 1000,
+    .deadline_us = world_time_of_worker (w, event->deadline_ms),
     .id = event->id,
     .size = event->size,
     .run_us = w->hangs ? 60000000 : event->run_us,
@@ -312,7 +319,7 @@
   answer->base.seq = world->seq++;
   answer->base.handler = world_poll_answer_arrives;
   answer->result.reply = reply;
-  answer->result.clock_ms = world_now (world) / 1000;
+  answer->result.clock_ms = (world_now (world) - w->booted_us) / 1000;
   answer->result.incarnation_ms = w->incarnation_ms;
   for (guint i = 0; reply == LEASE_REPLY_OK && i < w->model.runs->len; i++)
     answer->running[answer->result.n_running++].id
@@ -373,7 +380,8 @@
       return;
     }
   if (event->deadline_ms != 0)
-    model_renew (&w->model, event->deadline_ms * 1000, world_now (world));
+    model_renew (&w->model, world_time_of_worker (w, event->deadline_ms),
+                 world_now (world));
   world_schedule_worker (world, w);
   model_acknowledge (&w->model, event->last_end);
   if (w->model.ended->len > 0 || event->wait_ms == 0)
