--- a/lib/cell/assign.c
+++ b/lib/cell/assign.c
@@ -290,13 +290,13 @@
 }
 
 /* Gives up a worker that was removed from the registry; false while runs on it
-   have not ended.  */
+   may go on.  */
 static bool
 drop_removed_worker (struct cell *cell, struct known_worker *known)
 {
   struct lease_worker *w
       = lease_find_worker (cell->leases, known->info.worker);
-  if (w != NULL && w->runs->len > 0)
+  if (w != NULL && w->runs->len > 0 && !lease_has_only_unanswered_starts (w))
     return false;
   if (w != NULL)
     lease_worker_ended (cell->leases, w);
--- a/lib/lease/lease.h
+++ b/lib/lease/lease.h
@@ -360,6 +360,10 @@
                   const struct lease_order *order, int64_t now_us);
 bool lease_has_run (const struct lease_worker *w,
                     const struct lease_run_id *id);
+/* Whether W is silent and all runs there are starts without an answer.  They
+   are not known to have ended before W answers, but a worker that has left the
+   registry may never do.  */
+bool lease_has_only_unanswered_starts (const struct lease_worker *w);
 /* Stops a run by order of OWNER, if the run is its own or has no owner yet.
    TOKEN is that of the lease which the order names, 0 if it names none; an
    order for another lease is ignored.  */
--- a/lib/lease/poll.c
+++ b/lib/lease/poll.c
@@ -94,6 +94,22 @@
     lease_send_poll (table, w, now_us);
 }
 
+/* Ends the runs that the silent worker has acknowledged.  A start without an
+   answer stays: it may wait for the worker's next process, which counts its
+   clock anew and would not refuse it as late.  */
+static void
+end_acknowledged_runs (struct lease_table *table, struct lease_worker *w,
+                       enum lease_end end, int64_t now_us)
+{
+  lease_blame_runs (table, w, LEASE_CAUSE_EXPIRED);
+  for (guint i = w->runs->len; i-- > 0;)
+    {
+      struct lease_run *run = g_ptr_array_index (w->runs, i);
+      if (lease_is_acknowledged (run))
+        lease_end_run (table, w, run, end, LEASE_CAUSE_EXPIRED, now_us);
+    }
+}
+
 /* This holder's last renewal has expired.  That ends the runs only if nobody
    else has renewed their lease.  Where another instance may have, the worker
    is asked once more, since it can tell; without an answer it is not known
@@ -109,7 +125,7 @@
         return;
       end = LEASE_END_UNKNOWN;
     }
-  lease_end_all_runs (table, w, end, LEASE_CAUSE_EXPIRED, now_us);
+  end_acknowledged_runs (table, w, end, now_us);
 }
 
 /* A poll got no answer.  The lease is not renewed until an answer arrives, so
--- a/lib/lease/run.c
+++ b/lib/lease/run.c
@@ -103,6 +103,15 @@
   return run->started_us > 0 || run->state == LEASE_RUN_RUNNING;
 }
 
+bool
+lease_has_only_unanswered_starts (const struct lease_worker *w)
+{
+  for (guint i = 0; i < w->runs->len; i++)
+    if (lease_is_acknowledged (g_ptr_array_index (w->runs, i)))
+      return false;
+  return w->state == LEASE_WORKER_SILENT;
+}
+
 int64_t
 lease_run_time_us (const struct lease_run *run, int64_t now_us)
 {
--- a/lib/lease/table.c
+++ b/lib/lease/table.c
@@ -162,6 +162,16 @@
   return now_us - run->started_us > limit_us;
 }
 
+/* Whether a stop may still be of use: a worker that is silent has ended all
+   runs when its lease has expired, and starts that wait for its next process
+   are settled when that answers.  */
+static bool
+may_take_stops (const struct lease_worker *w, int64_t now_us)
+{
+  return w->state != LEASE_WORKER_SILENT
+         || now_us - w->renewed_us <= LEASE_EXPIRY_US;
+}
+
 static void
 tick_run (struct lease_table *table, struct lease_worker *w,
           struct lease_run *run, int64_t now_us)
@@ -169,7 +179,8 @@
   if (run->state == LEASE_RUN_STOPPING)
     {
       if (run->stop_acked_us == 0
-          && now_us - run->stop_sent_us > STOP_RESEND_US)
+          && now_us - run->stop_sent_us > STOP_RESEND_US
+          && may_take_stops (w, now_us))
         lease_order_stop (table, w, run, now_us);
       return;
     }
--- a/tests/cell_loss_test.c
+++ b/tests/cell_loss_test.c
@@ -34,6 +34,37 @@
     }
 }
 
+/* Guards against a task that is started elsewhere while a start of it waits
+   for the next process of its worker, which counts its clock anew and so does
+   not refuse the start as late.  */
+static void
+test_a_start_that_waits_for_the_next_process_runs_nothing_twice (void)
+{
+  for (uint64_t seed = 1; seed <= MORE_SEEDS; seed++)
+    {
+      struct world *world = world_new (seed, 3, 8, 2);
+      for (int i = 0; i < world->n_workers; i++)
+        world->workers[i].supervised = true;
+      world_run_for (world, SECOND);
+      for (int i = 0; i < 12; i++)
+        {
+          struct world_worker *w = &world->workers[i % 8];
+          run_load (world, 500000, 3, 1500000);
+          world_end_worker (world, w, false);
+          world_run_for (world, world_random_between (world, 0, 50000));
+          for (int k = 0; k < 3; k++)
+            (void)world_submit (world, k, 3, 1500000);
+          run_load (world, world_random_between (world, 100000, 3000000), 3,
+                    1500000);
+          world_boot_worker (world, w->index);
+        }
+      settle (world);
+      CU_ASSERT_TRUE (all_answered (world));
+      check_violations (world, "waiting start", seed);
+      world_free (world);
+    }
+}
+
 /* Guards against a start that a worker carries out seconds later, after its
    process was restarted and its holder has looked at it.  */
 static void
@@ -58,6 +89,34 @@
     }
 }
 
+/* Guards against jobs that wait for a worker that is lost for good, with a
+   start that it has not answered: its removal from the registry ends that.  */
+static void
+test_a_start_on_a_removed_worker_is_given_up (void)
+{
+  unsigned waited = 0;
+  for (uint64_t seed = 1; seed <= SEEDS; seed++)
+    {
+      struct world *world = world_new (seed, 3, 4, 2);
+      world->job_deadline_us = 20 * SECOND;
+      world->workers[0].supervised = true;
+      world_run_for (world, SECOND);
+      world_end_worker (world, &world->workers[0], false);
+      for (int i = 0; i < 6; i++)
+        (void)world_submit (world, i % 3, 1, 2000000);
+      world_run_for (world, 4 * SECOND);
+      waited += !all_answered (world);
+      for (int i = 0; i < 3; i++)
+        cell_remove_worker (world->instances[i].cell, world->workers[0].key);
+      settle (world);
+      CU_ASSERT_TRUE (all_answered (world));
+      CU_ASSERT_EQUAL (world->answers[PL_OK], 6);
+      check_violations (world, "removed", seed);
+      world_free (world);
+    }
+  CU_ASSERT_TRUE (waited > 0);
+}
+
 /* Guards against starts by the capacity that a worker had before it shrank,
    while tasks of that time still run there; and against capacity that has
    grown again and is not used.  */
@@ -358,8 +417,12 @@
       test_a_capacity_that_shrinks_is_kept_to },
     { "a worker that restarts at once runs nothing twice",
       test_a_worker_that_restarts_at_once_runs_nothing_twice },
+    { "a start that waits for the next process runs nothing twice",
+      test_a_start_that_waits_for_the_next_process_runs_nothing_twice },
     { "a late start is refused by a restarted worker",
       test_a_late_start_is_refused_by_a_restarted_worker },
+    { "a start on a removed worker is given up",
+      test_a_start_on_a_removed_worker_is_given_up },
     { "starts on dead workers are no crashes",
       test_starts_on_dead_workers_are_no_crashes },
     { "messages lost with a connection are made good",
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -393,6 +393,7 @@
   w->incarnation_ms = world_now (world) / 1000 + 1;
   w->revision = ++world->registry_revision;
   world_announce_worker (world, w, -1);
+  world_deliver_waiting_calls (world, w);
 }
 
 /* Changes what a worker says of itself; the instance EXCEPT does not read it
@@ -419,6 +420,7 @@
   w->incarnation_ms = 1;
   w->revision = ++world->registry_revision;
   w->up = true;
+  w->waiting = g_ptr_array_new ();
   struct planner_resources capacity = { cpu, 131072, 0 };
   model_init (&w->model, capacity);
 }
@@ -463,8 +465,12 @@
     world_event_free (g_ptr_array_index (world->delayed_frames, i));
   for (int i = 0; i < world->n_workers; i++)
     {
-      model_clear (&world->workers[i].model);
-      g_free (world->workers[i].poll);
+      struct world_worker *w = &world->workers[i];
+      model_clear (&w->model);
+      g_free (w->poll);
+      for (guint k = 0; k < w->waiting->len; k++)
+        world_event_free (g_ptr_array_index (w->waiting, k));
+      g_ptr_array_unref (w->waiting);
     }
   g_sequence_free (world->events);
   g_ptr_array_unref (world->delayed_frames);
--- a/tests/lease_crash_test.c
+++ b/tests/lease_crash_test.c
@@ -140,6 +140,38 @@
     fail_poll (table, reply, ms * MS);
 }
 
+/* Guards against a task that is started elsewhere because the lease of a start
+   without an answer has expired: the start may wait for the worker's next
+   process, which counts its clock anew and carries it out.  */
+static void
+test_a_start_without_an_answer_outlives_its_lease (void)
+{
+  for (int carried_out = 0; carried_out <= 1; carried_out++)
+    {
+      struct sink sink = { 0 };
+      struct lease_table *table = lease_table_new (&ops, &sink);
+      struct lease_order order = take_and_send_start (table);
+      struct lease_worker *w = lease_find_worker (table, 1);
+      lease_start_done (table, 1, TOKEN, &order.id, LEASE_REPLY_NO_ANSWER,
+                        200 * MS);
+      fail_polls (table, LEASE_REPLY_NO_ANSWER, 200, 5000);
+      CU_ASSERT_EQUAL (sink.ends, 0);
+      CU_ASSERT_TRUE (lease_has_only_unanswered_starts (w));
+      /* The silent worker is not called again and again.  */
+      unsigned stops = sink.stops;
+      lease_tick (table, 5000 * MS);
+      CU_ASSERT_EQUAL (sink.stops, stops);
+      answer_restarted (table, NULL, 0, 5010 * MS);
+      CU_ASSERT_EQUAL (sink.ends, 0);
+      struct lease_running running = { .id = order.id };
+      answer_restarted (table, &running, (unsigned)carried_out, 5011 * MS);
+      CU_ASSERT_EQUAL (sink.ends, carried_out ? 0 : 1);
+      CU_ASSERT_EQUAL (lease_has_run (w, &order.id), carried_out);
+      CU_ASSERT_EQUAL (sink.taken, 2);
+      lease_table_free (table);
+    }
+}
+
 /* Guards against orders to the former process that the new one carries out
    later: the token is raised at once, and nothing is started before the worker
    has answered a poll with it.  */
@@ -243,8 +275,14 @@
   changed.draining = draining;
   lease_update (table, w, &changed);
   fail_polls (table, reply, 110, 1300);
-  CU_ASSERT_EQUAL (sink->ends, 2);
+  CU_ASSERT_EQUAL (sink->ends, answered ? 2 : 1);
   CU_ASSERT_EQUAL (sink->cause, LEASE_CAUSE_EXPIRED);
+  if (!answered)
+    {
+      answer_restarted (table, NULL, 0, 1400 * MS);
+      answer_restarted (table, NULL, 0, 1401 * MS);
+    }
+  CU_ASSERT_EQUAL (sink->ends, 2);
   lease_table_free (table);
 }
 
@@ -366,6 +404,7 @@
   answer_poll (table, NULL, 0, NULL, 0, MS);
   struct lease_order order = make_order (7, 1);
   CU_ASSERT_TRUE (lease_start (table, w, &order, 2 * MS));
+  lease_start_done (table, 1, TOKEN, &order.id, LEASE_REPLY_OK, 3 * MS);
   fail_polls (table, LEASE_REPLY_CONN_REFUSED, 10, 1200);
   CU_ASSERT_EQUAL (sink.ends, 1);
   CU_ASSERT_EQUAL (sink.blames[0], LEASE_BLAME_POSSIBLE);
@@ -384,6 +423,8 @@
       test_a_run_of_the_restarted_process_is_kept },
     { "a start beside a restart ends only when certain",
       test_a_start_beside_a_restart_ends_only_when_certain },
+    { "a start without an answer outlives its lease",
+      test_a_start_without_an_answer_outlives_its_lease },
     { "a restart raises the token", test_a_restart_raises_the_token },
     { "a lease counts from the answer to its start",
       test_a_lease_counts_from_the_answer_to_its_start },
--- a/tests/world_base.h
+++ b/tests/world_base.h
@@ -63,7 +63,11 @@
   int64_t incarnation_ms;
   int64_t revision; /* of its entry in the registry */
   bool up;
-  bool refuses;      /* while it is down, connections are refused */
+  bool refuses; /* while it is down, connections are refused */
+  /* While it is down, a supervisor keeps its listening socket open: calls wait
+     and are carried out by the next process.  */
+  bool supervised;
+  GPtrArray *waiting; /* struct world_event: calls that wait so */
   int64_t booted_us; /* when its process started; its clock counts from then */
   bool draining;
   bool replaced; /* a worker with another id answers at its address */
--- a/tests/world_workers.h
+++ b/tests/world_workers.h
@@ -71,7 +71,7 @@
   w->refuses = refuses;
   if (w->poll != NULL)
     world_send_poll_answer (world, w->poll, LEASE_REPLY_NO_ANSWER,
-                            refuses ? 0 : WORLD_NEVER_US);
+                            refuses || w->supervised ? 0 : WORLD_NEVER_US);
   g_clear_pointer (&w->poll, g_free);
 }
 
@@ -349,6 +349,31 @@
     world_answer_poll (world, w);
 }
 
+/* Keeps a call for the next process of W.  Its caller gets no answer: it waits
+   for less than a process takes to start.  */
+static inline void
+world_keep_call (struct world_worker *w, const struct world_event *call)
+{
+  struct world_event *waiting = g_memdup2 (call, sizeof *call);
+  waiting->no_answer = true;
+  g_ptr_array_add (w->waiting, waiting);
+}
+
+/* Has the process of W, which has just started, carry out the calls that have
+   waited for it, in their order.  */
+static inline void
+world_deliver_waiting_calls (struct world *world, struct world_worker *w)
+{
+  for (guint i = 0; i < w->waiting->len; i++)
+    {
+      struct world_event *call = g_ptr_array_index (w->waiting, i);
+      call->at_us = world_now (world) + 100 + i;
+      call->seq = world->seq++;
+      world_schedule (world, call);
+    }
+  g_ptr_array_set_size (w->waiting, 0);
+}
+
 static inline void
 world_poll_reaches_worker (struct world *world, struct world_event *event)
 {
@@ -366,6 +391,8 @@
                               world_random_delay (world));
       return;
     }
+  if (!w->up && !cut && w->supervised)
+    world_keep_call (w, event);
   if (!w->up || cut)
     {
       world_send_poll_answer (world, event, LEASE_REPLY_NO_ANSWER,
@@ -375,8 +402,9 @@
   world_advance_worker (world, w);
   if (!model_accept_token (&w->model, event->token))
     {
-      world_send_poll_answer (world, event, LEASE_REPLY_FENCED,
-                              world_random_delay (world));
+      if (!event->no_answer)
+        world_send_poll_answer (world, event, LEASE_REPLY_FENCED,
+                                world_random_delay (world));
       return;
     }
   if (event->deadline_ms != 0)
@@ -384,6 +412,8 @@
                  world_now (world));
   world_schedule_worker (world, w);
   model_acknowledge (&w->model, event->last_end);
+  if (event->no_answer)
+    return;
   if (w->model.ended->len > 0 || event->wait_ms == 0)
     {
       world_send_poll_answer (world, event, LEASE_REPLY_OK,
@@ -454,6 +484,8 @@
     reply = apply (world, w, event);
   else if (!cut && w->refuses)
     reply = LEASE_REPLY_CONN_REFUSED;
+  else if (!cut && w->supervised)
+    world_keep_call (w, event);
   if (event->no_answer)
     return;
   if (world_random_chance (world, world->lost_answer_share))
