planner: no grant of a task of which a holder still has a run

Change: holders report the runs on their workers to the planner, those without an answer too. The planner counts them by task and grants no task of which a report lists a run; the job's other tasks are placed. It takes the job as started and says so in a refusal (new field, false from a former build): the job is then answered as one that may have run, and is not forwarded to another failure domain.

Weighed: a message of each unanswered start to all instances, as for tasks that crash workers (more messages, a second list that has to be cleared); remembering the runs of ended jobs at the owner (the job comes to any instance). A planner that has just taken over grants before it has heard all holders: it may miss a run for that moment.

--- a/lib/cell/cell.pb-c.c
+++ b/lib/cell/cell.pb-c.c
@@ -2350,7 +2350,7 @@
   (ProtobufCMessageInit) cellpb__grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__refuse__field_descriptors[6] =
+static const ProtobufCFieldDescriptor cellpb__refuse__field_descriptors[7] =
 {
   {
     "job",
@@ -2424,6 +2424,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "started",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__Refuse, started),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cellpb__refuse__field_indices_by_name[] = {
   2,   /* field[2] = credit */
@@ -2432,11 +2444,12 @@
   4,   /* field[4] = lender_ip */
   5,   /* field[5] = lender_port */
   1,   /* field[1] = retry_after_ms */
+  6,   /* field[6] = started */
 };
 static const ProtobufCIntRange cellpb__refuse__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor cellpb__refuse__descriptor =
 {
@@ -2446,7 +2459,7 @@
   "Cellpb__Refuse",
   "cellpb",
   sizeof(Cellpb__Refuse),
-  6,
+  7,
   cellpb__refuse__field_descriptors,
   cellpb__refuse__field_indices_by_name,
   1,  cellpb__refuse__number_ranges,
--- a/lib/cell/cell.pb-c.h
+++ b/lib/cell/cell.pb-c.h
@@ -302,10 +302,14 @@
   uint64_t lender;
   uint32_t lender_ip;
   uint32_t lender_port;
+  /*
+   * Some task has started. The owner doesn't know it of an earlier submission.
+   */
+  protobuf_c_boolean started;
 };
 #define CELLPB__REFUSE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cellpb__refuse__descriptor) \
-    , 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/lib/cell/overflow.c
+++ b/lib/cell/overflow.c
@@ -226,6 +226,8 @@
 cell_on_refuse (struct cell *cell, const Cellpb__Refuse *msg)
 {
   struct owner_job *job = owner_find_job (cell->jobs, msg->job);
+  if (job != NULL && msg->started)
+    owner_set_started (job);
   if (!may_forward (cell, job, msg))
     {
       owner_on_refusal (cell->jobs, msg->job, msg->retry_after_ms);
--- a/lib/cell/plan.c
+++ b/lib/cell/plan.c
@@ -136,6 +136,7 @@
   Cellpb__Refuse msg = CELLPB__REFUSE__INIT;
   msg.job = request->job;
   msg.retry_after_ms = retry_after_ms;
+  msg.started = request->started;
   if (credit != NULL)
     {
       msg.credit = credit->number;
--- a/lib/owner/job.c
+++ b/lib/owner/job.c
@@ -331,6 +331,13 @@
   finish_missed_deadline (table, job, retry_after_ms);
 }
 
+void
+owner_set_started (struct owner_job *job)
+{
+  job->n_possible_runs++;
+  job->started = true;
+}
+
 bool
 owner_may_forward (const struct owner_table *table,
                    const struct owner_job *job)
--- a/lib/owner/owner.h
+++ b/lib/owner/owner.h
@@ -162,6 +162,9 @@
                      const struct owner_placement *placement);
 void owner_on_refusal (struct owner_table *table, uint64_t job,
                        int retry_after_ms);
+/* A task of JOB may have run, by a start that this instance did not send: JOB
+   is not answered as not run.  */
+void owner_set_started (struct owner_job *job);
 /* Whether JOB may be forwarded: it has not started, and its request was not
    changed since it was refused.  */
 bool owner_may_forward (const struct owner_table *table,
--- a/lib/planner/planner.c
+++ b/lib/planner/planner.c
@@ -56,6 +56,8 @@
   g_queue_init (&planner->timeouts);
   planner->full = g_array_new (FALSE, FALSE, sizeof (struct full_size));
   planner->by_id = g_hash_table_new (g_int64_hash, g_int64_equal);
+  planner->running
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   planner->jobs = g_ptr_array_new_with_free_func (planner_job_free);
   return planner;
 }
@@ -64,6 +66,7 @@
 planner_free (struct planner_state *planner)
 {
   g_hash_table_unref (planner->by_id);
+  g_hash_table_unref (planner->running);
   g_hash_table_unref (planner->workers);
   g_hash_table_unref (planner->paused);
   g_hash_table_unref (planner->evacuated);
@@ -84,6 +87,31 @@
   return false;
 }
 
+/* Counts the runs that REPORT lists, or no longer counts them.  */
+static void
+count_running (struct planner_state *planner,
+               const struct planner_worker_report *report, int change)
+{
+  for (unsigned i = 0; i < report->n_runs; i++)
+    {
+      const uint64_t *tag = &report->runs[i];
+      int n = GPOINTER_TO_INT (g_hash_table_lookup (planner->running, tag));
+      if (n + change > 0)
+        g_hash_table_insert (planner->running, g_memdup2 (tag, sizeof *tag),
+                             GINT_TO_POINTER (n + change));
+      else
+        g_hash_table_remove (planner->running, tag);
+    }
+}
+
+bool
+planner_is_running (const struct planner_state *planner, const struct job *job,
+                    uint32_t index)
+{
+  uint64_t tag = planner_task_tag (job->request.job, index);
+  return g_hash_table_contains (planner->running, &tag);
+}
+
 struct service *
 planner_find_service (struct planner_state *planner, uint64_t key)
 {
@@ -111,12 +139,15 @@
       w->grants = g_array_new (FALSE, FALSE, sizeof (struct grant));
       w->runs = g_array_new (FALSE, FALSE, sizeof (struct planner_run));
       w->report = *report;
+      w->report.n_runs = 0;
       g_hash_table_insert (planner->workers, &w->report.worker, w);
     }
   if (w->report.service != report->service)
     planner_unindex_worker (w);
+  count_running (planner, &w->report, -1);
   w->report = *report;
   w->report.details = NULL;
+  count_running (planner, report, 1);
   g_array_set_size (w->runs, 0);
   if (report->details != NULL)
     g_array_append_vals (w->runs, report->details, report->n_runs);
@@ -134,8 +165,10 @@
                        uint64_t holder)
 {
   struct worker_entry *w = g_hash_table_lookup (planner->workers, &worker);
-  if (w != NULL && w->report.holder == holder)
-    g_hash_table_remove (planner->workers, &worker);
+  if (w == NULL || w->report.holder != holder)
+    return;
+  count_running (planner, &w->report, -1);
+  g_hash_table_remove (planner->workers, &worker);
 }
 
 void
@@ -145,8 +178,13 @@
   gpointer value;
   g_hash_table_iter_init (&it, planner->workers);
   while (g_hash_table_iter_next (&it, NULL, &value))
-    if (((struct worker_entry *)value)->report.holder == holder)
+    {
+      const struct worker_entry *w = value;
+      if (w->report.holder != holder)
+        continue;
+      count_running (planner, &w->report, -1);
       g_hash_table_iter_remove (&it);
+    }
 }
 
 void
--- a/lib/planner/planner_priv.h
+++ b/lib/planner/planner_priv.h
@@ -121,6 +121,7 @@
   GHashTable *evacuated; /* set of domains */
   GPtrArray *jobs;       /* struct job; planner_schedule sorts them */
   GHashTable *by_id;     /* job -> struct job */
+  GHashTable *running;   /* tag -> number of reported runs of the task */
   GHashTable *services;  /* service -> struct service */
   GArray
       *full; /* struct full_size, found in the present pass over the queue */
@@ -135,6 +136,12 @@
   unsigned next_written; /* in place of which one, once all are in use */
 };
 
+/* Whether a report lists a run of task INDEX of JOB.  The owner doesn't know
+   it if the job was sent again meanwhile; the task must not start beside it.
+ */
+bool planner_is_running (const struct planner_state *planner,
+                         const struct job *job, uint32_t index);
+
 struct planner_state *
 planner_new_with_policy (const struct planner_policy *policy,
                          const struct planner_ops *ops, void *ctx);
--- a/lib/planner/schedule.c
+++ b/lib/planner/schedule.c
@@ -49,13 +49,20 @@
   planner->ops->grant (planner->ctx, &job->request, index, &placement);
 }
 
-/* Places tasks of JOB until one has to wait.  */
+/* Places tasks of JOB until one has to wait for room.  */
 static void
 place_job (struct planner_state *planner, struct job *job, int64_t now_us)
 {
-  while (job->waiting->len > 0)
+  guint n_running = 0; /* tasks passed over */
+  while (job->waiting->len > n_running)
     {
-      uint32_t index = g_array_index (job->waiting, uint32_t, 0);
+      uint32_t index = g_array_index (job->waiting, uint32_t, n_running);
+      if (planner_is_running (planner, job, index))
+        {
+          n_running++;
+          job->request.started = true;
+          continue;
+        }
       struct worker_entry *w
           = planner->policy->choose (planner, job, index, now_us);
       if (w == NULL)
@@ -64,7 +71,7 @@
             planner_reserve_for (planner, job, now_us);
           return;
         }
-      g_array_remove_index (job->waiting, 0);
+      g_array_remove_index (job->waiting, n_running);
       place_task (planner, job, w, index, now_us);
     }
 }
@@ -78,6 +85,8 @@
   for (guint i = 0; i < job->waiting->len; i++)
     {
       uint32_t index = g_array_index (job->waiting, uint32_t, i);
+      if (planner_is_running (planner, job, index))
+        break;
       struct worker_entry *w
           = planner->policy->choose (planner, job, index, now_us);
       if (w == NULL)
--- a/tests/cell_loss_test.c
+++ b/tests/cell_loss_test.c
@@ -65,6 +65,45 @@
     }
 }
 
+/* Guards against a job that runs twice because it was sent again after its
+   deadline, while a start of its first attempt waits for the next process of
+   a worker.  */
+static void
+test_a_job_sent_again_waits_for_its_unanswered_start (void)
+{
+  unsigned sent_again = 0;
+  for (uint64_t seed = 1; seed <= MORE_SEEDS; seed++)
+    {
+      struct world *world = world_new (seed, 3, 4, 2);
+      struct world_worker *w = &world->workers[seed % 4];
+      struct world_job *jobs[6];
+      world->job_deadline_us = 3 * SECOND / 2;
+      w->supervised = true;
+      world_run_for (world, SECOND);
+      world_end_worker (world, w, false);
+      for (int i = 0; i < 6; i++)
+        jobs[i] = world_submit (world, i % 3, 1, 1200000);
+      world_run_for (world, world->job_deadline_us + WORLD_RESEND_US);
+      world->job_deadline_us = 4 * SECOND;
+      for (int i = 0; i < 6; i++)
+        if (jobs[i]->code == PL_DEADLINE_RAN)
+          (void)world_submit_job (world, (i + 1) % 3, jobs[i]->id, 1, 1200000);
+      world_run_for (world, world_random_between (world, 0, SECOND));
+      world_boot_worker (world, w->index);
+      settle (world);
+      CU_ASSERT_TRUE (all_answered (world));
+      for (int i = 0; i < 6; i++)
+        if (jobs[i]->attempts > 1)
+          {
+            sent_again++;
+            CU_ASSERT_EQUAL (jobs[i]->code, PL_OK);
+          }
+      check_violations (world, "sent again", seed);
+      world_free (world);
+    }
+  CU_ASSERT_TRUE (sent_again > 0);
+}
+
 /* Guards against a start that a worker carries out seconds later, after its
    process was restarted and its holder has looked at it.  */
 static void
@@ -419,6 +458,8 @@
       test_a_worker_that_restarts_at_once_runs_nothing_twice },
     { "a start that waits for the next process runs nothing twice",
       test_a_start_that_waits_for_the_next_process_runs_nothing_twice },
+    { "a job sent again waits for its unanswered start",
+      test_a_job_sent_again_waits_for_its_unanswered_start },
     { "a late start is refused by a restarted worker",
       test_a_late_start_is_refused_by_a_restarted_worker },
     { "a start on a removed worker is given up",
--- a/tests/owner_test.c
+++ b/tests/owner_test.c
@@ -244,6 +244,12 @@
   CU_ASSERT_EQUAL (fixture.calls.answer.code, PL_DEADLINE_RAN);
   CU_ASSERT_EQUAL (fixture.calls.stops, 1);
   owner_table_free (fixture.table);
+  /* By a start of an earlier submission.  */
+  fixture_init (&fixture, 2);
+  owner_set_started (owner_find_job (fixture.table, 1));
+  owner_on_refusal (fixture.table, 1, 1500);
+  CU_ASSERT_EQUAL (fixture.calls.answer.code, PL_DEADLINE_RAN);
+  owner_table_free (fixture.table);
 }
 
 /* Guards against an answer that a task may have run, which keeps the caller
--- a/tests/planner_test.c
+++ b/tests/planner_test.c
@@ -206,6 +206,32 @@
   planner_free (planner);
 }
 
+/* Guards against a task that is started beside a run of it that a holder still
+   has, on a worker that may be silent.  */
+static void
+test_a_running_task_is_not_granted (void)
+{
+  struct decisions decisions = { 0 };
+  struct planner_state *planner = start_planner (&decisions);
+  struct planner_worker_report silent = make_report (2, 32000, 14000);
+  report_worker (planner, 1, 48000, 0);
+  silent.usable = false;
+  silent.runs[silent.n_runs++] = planner_task_tag (10, 0);
+  planner_update_worker (planner, &silent, 0);
+  put_request (planner, 10, 2, 14000, 60 * MS, 0);
+  planner_schedule (planner, 0);
+  CU_ASSERT_EQUAL_FATAL (decisions.grants, 1);
+  CU_ASSERT_EQUAL (decisions.indexes[0], 1);
+  CU_ASSERT_TRUE (decisions.refusals == 0);
+  silent.n_runs = 0;
+  planner_update_worker (planner, &silent, 10 * MS);
+  planner_schedule (planner, 10 * MS);
+  CU_ASSERT_EQUAL_FATAL (decisions.grants, 2);
+  CU_ASSERT_EQUAL (decisions.indexes[1], 0);
+  CU_ASSERT_EQUAL (decisions.workers[1], 1);
+  planner_free (planner);
+}
+
 /* Guards against small tasks that break up the large free capacity of a
    worker: a task of 14 cores fits best in the rest of a worker of 32 cores. */
 static void
@@ -682,6 +708,7 @@
   CU_TestInfo tests[] = {
     { "grants count until they are reported",
       test_grants_count_until_they_are_reported },
+    { "a running task is not granted", test_a_running_task_is_not_granted },
     { "waiting jobs share a look at full workers",
       test_waiting_jobs_share_a_look_at_full_workers },
     { "workers without cores run nothing",
