lease: no start after a poll without an answer

The same cause, before the start: a worker whose poll had failed counted as held for up to 0.5 s, unless it refused connections. Starts went on there. Its task waited for the worker while others had room.

Change: a worker takes starts only while its latest poll was answered.

Evidence: lease_test "a worker whose poll failed gets no starts", which had only the refused connection before, fails without the change.

Tests that started on a worker after a lost poll send the start before it now, which is what is left of the case. That hid the mutant restart-ends-all-runs from cell_loss_test; its test is lease_crash_test now, and the restarts of cell_loss_test come also before the holder can notice.

--- a/lib/lease/health.c
+++ b/lib/lease/health.c
@@ -84,10 +84,13 @@
   return w->described_ms == 0 || w->described_ms == w->info.incarnation_ms;
 }
 
+/* A poll that got no answer may have ended with the worker's process: a start
+   might reach the next one, which may be of another kind.  */
 bool
 lease_is_usable (const struct lease_worker *w, int64_t now_us)
 {
   return w->state == LEASE_WORKER_HELD && w->token != LEASE_PROBE_TOKEN
-         && !w->fencing && !w->info.draining && !w->renewal_withheld
-         && is_described (w) && w->health.ejected_until_us <= now_us;
+         && w->poll_reply == LEASE_REPLY_OK && !w->fencing && !w->info.draining
+         && !w->renewal_withheld && is_described (w)
+         && w->health.ejected_until_us <= now_us;
 }
--- a/lib/lease/poll.c
+++ b/lib/lease/poll.c
@@ -209,7 +209,10 @@
   struct lease_worker *w = lease_find_worker (table, worker);
   if (w == NULL || w->token != token)
     return;
+  bool had_answer = w->poll_reply == LEASE_REPLY_OK;
   w->poll_reply = result->reply;
+  if (had_answer != (result->reply == LEASE_REPLY_OK))
+    table->ops->changed (table->ctx, w);
   switch (result->reply)
     {
     case LEASE_REPLY_OK:
--- a/tests/cell_loss_test.c
+++ b/tests/cell_loss_test.c
@@ -6,6 +6,8 @@
 
 #define SEEDS 10
 #define MORE_SEEDS 20 /* where the time of the fault is random */
+/* Within this time after a job's submission its starts reach the workers.  */
+#define ON_WAY_US 4000
 
 /* Guards against a task that is started elsewhere while it runs on a worker
    whose process was restarted at once: the start was accepted by the new
@@ -21,9 +23,11 @@
         {
           run_load (world, 100000, 3, 60000);
           (void)world_submit (world, i % 3, 3, 60000);
-          world_run_for (world, world_random_between (world, 0, 1000));
+          world_run_for (world, world_random_between (world, 0, ON_WAY_US));
           world_end_worker (world, &world->workers[i % 8], true);
-          world_run_for (world, world_random_between (world, 0, 3000));
+          /* Every other time before the holder can notice.  */
+          world_run_for (world,
+                         world_random_between (world, 0, i % 2 ? 3000 : 300));
           world_boot_worker (world, i % 8);
           (void)world_submit (world, i % 3, 3, 60000);
         }
@@ -50,10 +54,10 @@
         {
           struct world_worker *w = &world->workers[i % 8];
           run_load (world, 500000, 3, 1500000);
-          world_end_worker (world, w, false);
-          world_run_for (world, world_random_between (world, 0, 50000));
           for (int k = 0; k < 3; k++)
             (void)world_submit (world, k, 3, 1500000);
+          world_run_for (world, world_random_between (world, 0, ON_WAY_US));
+          world_end_worker (world, w, false);
           run_load (world, world_random_between (world, 100000, 3000000), 3,
                     1500000);
           world_boot_worker (world, w->index);
@@ -80,9 +84,10 @@
       world->job_deadline_us = 3 * SECOND / 2;
       w->supervised = true;
       world_run_for (world, SECOND);
-      world_end_worker (world, w, false);
       for (int i = 0; i < 6; i++)
         jobs[i] = world_submit (world, i % 3, 1, 1200000);
+      world_run_for (world, world_random_between (world, 0, ON_WAY_US));
+      world_end_worker (world, w, false);
       world_run_for (world, world->job_deadline_us + WORLD_RESEND_US);
       world->job_deadline_us = 4 * SECOND;
       for (int i = 0; i < 6; i++)
@@ -140,9 +145,10 @@
       world->job_deadline_us = 20 * SECOND;
       world->workers[0].supervised = true;
       world_run_for (world, SECOND);
-      world_end_worker (world, &world->workers[0], false);
       for (int i = 0; i < 6; i++)
         (void)world_submit (world, i % 3, 1, 2000000);
+      world_run_for (world, world_random_between (world, 0, ON_WAY_US));
+      world_end_worker (world, &world->workers[0], false);
       world_run_for (world, 4 * SECOND);
       waited += !all_answered (world);
       for (int i = 0; i < 3; i++)
--- a/tests/lease_crash_test.c
+++ b/tests/lease_crash_test.c
@@ -66,15 +66,19 @@
 }
 
 /* Takes the worker, starts run 1 of job 1, which it lists, and has the poll
-   after that fail at 10 ms as when its process ends.  */
+   after that fail at 10 ms as when its process ends.  The start of job 2,
+   ORDER, is on its way then.  */
 static struct lease_worker *
-take_start_and_crash (struct lease_table *table)
+take_start_and_crash (struct lease_table *table, struct lease_order *order)
 {
-  struct lease_order order = take_and_start (table);
-  struct lease_running running = { .id = order.id };
+  struct lease_order first = take_and_start (table);
+  struct lease_worker *w = lease_find_worker (table, 1);
+  struct lease_running running = { .id = first.id };
   answer_poll (table, &running, 1, NULL, 0, 5 * MS);
+  *order = make_order (2, 1);
+  CU_ASSERT_TRUE (lease_start (table, w, order, 9 * MS));
   fail_poll (table, LEASE_REPLY_NO_ANSWER, 10 * MS);
-  return lease_find_worker (table, 1);
+  return w;
 }
 
 /* Guards against a task that is started elsewhere while it runs: its start was
@@ -85,9 +89,8 @@
 {
   struct sink sink = { 0 };
   struct lease_table *table = lease_table_new (&ops, &sink);
-  struct lease_worker *w = take_start_and_crash (table);
-  struct lease_order order = make_order (2, 1);
-  CU_ASSERT_TRUE (lease_start (table, w, &order, 11 * MS));
+  struct lease_order order;
+  struct lease_worker *w = take_start_and_crash (table, &order);
   lease_start_done (table, 1, TOKEN, &order.id, LEASE_REPLY_OK, 12 * MS);
   struct lease_running running = { .id = order.id };
   lease_tick (table, 20 * MS);
@@ -109,10 +112,9 @@
     {
       struct sink sink = { 0 };
       struct lease_table *table = lease_table_new (&ops, &sink);
-      struct lease_worker *w = take_start_and_crash (table);
+      struct lease_order order;
+      struct lease_worker *w = take_start_and_crash (table, &order);
       lease_tick (table, 20 * MS);
-      struct lease_order order = make_order (2, 1);
-      CU_ASSERT_TRUE (lease_start (table, w, &order, 21 * MS));
       answer_restarted (table, NULL, 0, 22 * MS);
       CU_ASSERT_EQUAL (sink.poll_wait_ms, 0); /* soon settled */
       CU_ASSERT_TRUE (w->token > TOKEN);
--- a/tests/lease_test.c
+++ b/tests/lease_test.c
@@ -435,23 +435,30 @@
 }
 
 /* Guards against tasks that are granted again and again on a worker whose
-   process has ended, until its silence is long enough.  */
+   process has ended, until its silence is long enough; and against starts that
+   wait for its next process.  */
 static void
-test_a_worker_that_refuses_connections_gets_no_starts (void)
+test_a_worker_whose_poll_failed_gets_no_starts (void)
 {
-  struct sink sink = { 0 };
-  struct lease_table *table = lease_table_new (&ops, &sink);
-  struct lease_worker *w = lease_take (table, &info, TOKEN, 0);
-  answer_poll (table, NULL, 0, NULL, 0, MS);
-  fail_poll (table, LEASE_REPLY_CONN_REFUSED, 2 * MS);
-  struct lease_order order = make_order (7, 1);
-  CU_ASSERT_FALSE (lease_start (table, w, &order, 3 * MS));
-  unsigned polls = sink.polls;
-  lease_tick (table, 22 * MS);
-  CU_ASSERT_EQUAL (sink.polls, polls);
-  answer_poll (table, NULL, 0, NULL, 0, 110 * MS);
-  CU_ASSERT_TRUE (lease_start (table, w, &order, 111 * MS));
-  lease_table_free (table);
+  static const enum lease_reply replies[]
+      = { LEASE_REPLY_CONN_REFUSED, LEASE_REPLY_NO_ANSWER };
+  for (size_t i = 0; i < G_N_ELEMENTS (replies); i++)
+    {
+      struct sink sink = { 0 };
+      struct lease_table *table = lease_table_new (&ops, &sink);
+      struct lease_worker *w = lease_take (table, &info, TOKEN, 0);
+      answer_poll (table, NULL, 0, NULL, 0, MS);
+      fail_poll (table, replies[i], 2 * MS);
+      struct lease_order order = make_order (7, 1);
+      CU_ASSERT_FALSE (lease_start (table, w, &order, 3 * MS));
+      /* One that refuses connections is called less often.  */
+      unsigned polls = sink.polls + (replies[i] == LEASE_REPLY_NO_ANSWER);
+      lease_tick (table, 22 * MS);
+      CU_ASSERT_EQUAL (sink.polls, polls);
+      answer_poll (table, NULL, 0, NULL, 0, 110 * MS);
+      CU_ASSERT_TRUE (lease_start (table, w, &order, 111 * MS));
+      lease_table_free (table);
+    }
 }
 
 int
@@ -491,8 +498,8 @@
       test_orders_for_other_leases_are_ignored },
     { "a hanging run is stopped", test_a_hanging_run_is_stopped },
     { "a late first answer is a take", test_a_late_first_answer_is_a_take },
-    { "a worker that refuses connections gets no starts",
-      test_a_worker_that_refuses_connections_gets_no_starts },
+    { "a worker whose poll failed gets no starts",
+      test_a_worker_whose_poll_failed_gets_no_starts },
     CU_TEST_INFO_NULL,
   };
   pl_log_init ("text", "error");
