--- a/lib/cell/cell.pb-c.c
+++ b/lib/cell/cell.pb-c.c
@@ -3302,7 +3302,7 @@
   (ProtobufCMessageInit) cellpb__taken__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor cellpb__worker_state__field_descriptors[5] =
+static const ProtobufCFieldDescriptor cellpb__worker_state__field_descriptors[6] =
 {
   {
     "worker",
@@ -3364,10 +3364,23 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "entry",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Cellpb__WorkerState, entry),
+    &cellpb__worker__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned cellpb__worker_state__field_indices_by_name[] = {
   4,   /* field[4] = capacity */
   3,   /* field[3] = draining */
+  5,   /* field[5] = entry */
   2,   /* field[2] = incarnation_ms */
   1,   /* field[1] = revision */
   0,   /* field[0] = worker */
@@ -3375,7 +3388,7 @@
 static const ProtobufCIntRange cellpb__worker_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor cellpb__worker_state__descriptor =
 {
@@ -3385,7 +3398,7 @@
   "Cellpb__WorkerState",
   "cellpb",
   sizeof(Cellpb__WorkerState),
-  5,
+  6,
   cellpb__worker_state__field_descriptors,
   cellpb__worker_state__field_indices_by_name,
   1,  cellpb__worker_state__number_ranges,
--- a/lib/cell/cell.pb-c.h
+++ b/lib/cell/cell.pb-c.h
@@ -529,7 +529,8 @@
 
 /*
  * To the holder of a worker, if the registry does not serve it: what the
- * worker's entry says.
+ * worker's entry says. The fields from incarnation_ms to capacity are for
+ * instances of a former build, which don't know the whole entry.
  */
 struct  Cellpb__WorkerState
 {
@@ -542,10 +543,14 @@
   int64_t incarnation_ms;
   protobuf_c_boolean draining;
   Cellpb__Amount *capacity;
+  /*
+   * missing: the sender is of a former build
+   */
+  Cellpb__Worker *entry;
 };
 #define CELLPB__WORKER_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&cellpb__worker_state__descriptor) \
-    , 0, 0, 0, 0, NULL }
+    , 0, 0, 0, 0, NULL, NULL }
 
 
 /*
--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -322,7 +322,12 @@
 int64_t cell_use_next_token (struct cell *cell, struct known_worker *known);
 void cell_on_yield (struct cell *cell, const Cellpb__Yield *msg);
 
-/* The registry (registry.c).  Tells PEER, which the registry does not serve,
+/* The registry (registry.c).  The entry of a worker in a message; CAPACITY
+   holds a part of it.  What is decoded points to the id in MSG.  */
+Cellpb__Worker cell_encode_worker (const struct known_worker *known,
+                                   int64_t now_us, Cellpb__Amount *capacity);
+struct lease_worker_info cell_decode_worker (const Cellpb__Worker *msg);
+/* Tells PEER, which the registry does not serve,
    of a later change of a worker that it holds.  */
 void cell_relay_changes (struct cell *cell, struct peer *peer,
                          const Cellpb__Held *held);
--- a/lib/cell/check.c
+++ b/lib/cell/check.c
@@ -120,39 +120,46 @@
 }
 
 static bool
-is_worker_state (const Cellpb__WorkerState *state)
+is_cold_time (int64_t ms)
 {
-  return is_token (state->revision) && is_token (state->incarnation_ms)
-         && state->capacity != NULL && is_amount (state->capacity)
-         && state->capacity->cpu > 0;
+  return ms >= 0 && ms <= MAX_TIME_US / 1000;
 }
 
 static bool
-is_cold_time (int64_t ms)
+is_port (uint32_t port)
 {
-  return ms >= 0 && ms <= MAX_TIME_US / 1000;
+  return port != 0 && port <= UINT16_MAX;
 }
 
 static bool
-is_registry (const Cellpb__Registry *registry)
+is_worker (const Cellpb__Worker *worker)
 {
-  for (size_t i = 0; i < registry->n_changed; i++)
-    {
-      const Cellpb__Worker *worker = registry->changed[i];
-      if (worker->id[0] == '\0' || worker->port == 0
-          || worker->port > UINT16_MAX || worker->capacity == NULL
-          || !is_amount (worker->capacity) || worker->capacity->cpu <= 0
-          || !is_token (worker->revision) || !is_token (worker->incarnation_ms)
-          || !is_cold_time (worker->warmup_left_ms))
-        return false;
-    }
-  return is_token (registry->revision);
+  return worker->id[0] != '\0' && is_port (worker->port)
+         && worker->capacity != NULL && is_amount (worker->capacity)
+         && worker->capacity->cpu > 0 && is_token (worker->revision)
+         && is_token (worker->incarnation_ms)
+         && is_cold_time (worker->warmup_left_ms);
 }
 
 static bool
-is_port (uint32_t port)
+is_worker_state (const Cellpb__WorkerState *state)
 {
-  return port != 0 && port <= UINT16_MAX;
+  const Cellpb__Worker *entry = state->entry;
+  return is_token (state->revision) && is_token (state->incarnation_ms)
+         && state->capacity != NULL && is_amount (state->capacity)
+         && state->capacity->cpu > 0
+         && (entry == NULL
+             || (is_worker (entry)
+                 && cell_name_hash (pl_str (entry->id)) == state->worker));
+}
+
+static bool
+is_registry (const Cellpb__Registry *registry)
+{
+  for (size_t i = 0; i < registry->n_changed; i++)
+    if (!is_worker (registry->changed[i]))
+      return false;
+  return is_token (registry->revision);
 }
 
 /* Of the tasks of some jobs, thousandths of a core.  */
--- a/lib/cell/reader.c
+++ b/lib/cell/reader.c
@@ -82,28 +82,6 @@
     cell->registry_revision = 0;
 }
 
-static Cellpb__Worker
-encode_worker (const struct known_worker *known, int64_t now_us,
-               Cellpb__Amount *capacity)
-{
-  const struct lease_worker_info *info = &known->info;
-  Cellpb__Worker msg = CELLPB__WORKER__INIT;
-  *capacity = cell_encode_amount (info->capacity);
-  msg.id = known->id;
-  msg.ip = info->addr.ip;
-  msg.port = info->addr.port;
-  msg.service = info->service;
-  msg.domain = info->domain;
-  msg.labels = (uint64_t *)info->labels;
-  msg.n_labels = PLANNER_MAX_LABELS;
-  msg.capacity = capacity;
-  msg.incarnation_ms = info->incarnation_ms;
-  msg.draining = info->draining;
-  msg.revision = known->changed_revision;
-  msg.warmup_left_ms = MAX (info->cold_until_us - now_us, 0) / 1000;
-  return msg;
-}
-
 /* The workers that PEER may hold, and of them those that have changed since
    REVISION.  */
 struct worker_list
@@ -140,8 +118,8 @@
   g_autoptr (GPtrArray) pointers = g_ptr_array_new ();
   for (guint i = 0; i < n; i++)
     {
-      workers[i]
-          = encode_worker (list->changed->pdata[i], now_us, &capacities[i]);
+      workers[i] = cell_encode_worker (list->changed->pdata[i], now_us,
+                                       &capacities[i]);
       g_ptr_array_add (pointers, &workers[i]);
     }
   Cellpb__Registry msg = CELLPB__REGISTRY__INIT;
@@ -168,26 +146,6 @@
   send_workers (cell, peer, &list);
 }
 
-static void
-set_told_worker (struct cell *cell, const Cellpb__Worker *msg)
-{
-  struct lease_worker_info info = {
-    .worker = cell_name_hash (pl_str (msg->id)),
-    .id = msg->id,
-    .addr = { msg->ip, (uint16_t)msg->port },
-    .service = msg->service,
-    .domain = msg->domain,
-    .capacity = cell_decode_amount (msg->capacity),
-    .incarnation_ms = msg->incarnation_ms,
-    .draining = msg->draining,
-    .revision = msg->revision,
-    .warmup_left_ms = msg->warmup_left_ms,
-  };
-  for (size_t i = 0; i < msg->n_labels && i < PLANNER_MAX_LABELS; i++)
-    info.labels[i] = msg->labels[i];
-  cell_set_worker (cell, &info);
-}
-
 /* Removes the workers of the served domains that NAMES lacks.  */
 static void
 remove_unnamed (struct cell *cell, const uint64_t *names, size_t n)
@@ -227,7 +185,10 @@
   if (cell_reads_registry (cell) || msg->revision < cell->registry_revision)
     return;
   for (size_t i = 0; i < msg->n_changed; i++)
-    set_told_worker (cell, msg->changed[i]);
+    {
+      struct lease_worker_info info = cell_decode_worker (msg->changed[i]);
+      cell_set_worker (cell, &info);
+    }
   remove_unnamed (cell, msg->names, msg->n_names);
   cell_set_registry_revision (cell, msg->revision);
   if (lacks_named (cell, msg))
--- a/lib/cell/registry.c
+++ b/lib/cell/registry.c
@@ -24,10 +24,8 @@
 has_changed (const struct lease_worker_info *before,
              const struct lease_worker_info *after)
 {
-  return before->draining != after->draining
-         || before->incarnation_ms != after->incarnation_ms
-         || has_become_cold (before, after)
-         || !planner_resources_equal (before->capacity, after->capacity);
+  return lease_decides_differently (before, after)
+         || has_become_cold (before, after);
 }
 
 static void
@@ -81,9 +79,11 @@
     }
   if (changed)
     pl_log (PL_EV_WORKER_SET,
-            "worker=%s draining=%d cpu=%d mem=%d revision=%" PRId64 " cold=%d",
+            "worker=%s draining=%d cpu=%d mem=%d revision=%" PRId64
+            " cold=%d born_ms=%" PRId64 " labels=%" PRIx64 ",%" PRIx64,
             info->id, info->draining, info->capacity.cpu, info->capacity.mem,
-            info->revision, info->cold_until_us != 0);
+            info->revision, info->cold_until_us != 0, info->incarnation_ms,
+            info->labels[0], info->labels[1]);
   changed = changed || known->removed
             || !pl_addr_eq (known->info.addr, info->addr)
             || known->info.domain != info->domain;
@@ -141,6 +141,48 @@
   lease_update (cell->leases, w, &info);
 }
 
+Cellpb__Worker
+cell_encode_worker (const struct known_worker *known, int64_t now_us,
+                    Cellpb__Amount *capacity)
+{
+  const struct lease_worker_info *info = &known->info;
+  Cellpb__Worker msg = CELLPB__WORKER__INIT;
+  *capacity = cell_encode_amount (info->capacity);
+  msg.id = known->id;
+  msg.ip = info->addr.ip;
+  msg.port = info->addr.port;
+  msg.service = info->service;
+  msg.domain = info->domain;
+  msg.labels = (uint64_t *)info->labels;
+  msg.n_labels = PLANNER_MAX_LABELS;
+  msg.capacity = capacity;
+  msg.incarnation_ms = info->incarnation_ms;
+  msg.draining = info->draining;
+  msg.revision = known->changed_revision;
+  msg.warmup_left_ms = MAX (info->cold_until_us - now_us, 0) / 1000;
+  return msg;
+}
+
+struct lease_worker_info
+cell_decode_worker (const Cellpb__Worker *msg)
+{
+  struct lease_worker_info info = {
+    .worker = cell_name_hash (pl_str (msg->id)),
+    .id = msg->id,
+    .addr = { msg->ip, (uint16_t)msg->port },
+    .service = msg->service,
+    .domain = msg->domain,
+    .capacity = cell_decode_amount (msg->capacity),
+    .incarnation_ms = msg->incarnation_ms,
+    .draining = msg->draining,
+    .revision = msg->revision,
+    .warmup_left_ms = msg->warmup_left_ms,
+  };
+  for (size_t i = 0; i < msg->n_labels && i < PLANNER_MAX_LABELS; i++)
+    info.labels[i] = msg->labels[i];
+  return info;
+}
+
 void
 cell_relay_changes (struct cell *cell, struct peer *peer,
                     const Cellpb__Held *held)
@@ -150,17 +192,35 @@
   if (!cell->registry_fresh || known == NULL
       || known->changed_revision <= held->revision)
     return;
-  Cellpb__Amount capacity = cell_encode_amount (known->info.capacity);
+  Cellpb__Amount capacity;
+  Cellpb__Worker entry
+      = cell_encode_worker (known, pl_now_us (cell->clock), &capacity);
   Cellpb__WorkerState msg = CELLPB__WORKER_STATE__INIT;
   msg.worker = held->worker;
   msg.revision = known->changed_revision;
   msg.incarnation_ms = known->info.incarnation_ms;
   msg.draining = known->info.draining;
   msg.capacity = &capacity;
+  msg.entry = &entry;
   Cellpb__Envelope env = CELL_ENVELOPE (worker_state, WORKER_STATE, &msg);
   cell_send_to_peer (cell, peer, &env);
 }
 
+/* What MSG tells of the worker KNOWN.  A former build doesn't tell the labels
+   and the address of another incarnation: that is not described then, and
+   takes no starts, until its entry is read.  */
+static struct lease_worker_info
+decode_state (const struct known_worker *known, const Cellpb__WorkerState *msg)
+{
+  if (msg->entry != NULL)
+    return cell_decode_worker (msg->entry);
+  struct lease_worker_info info = known->info;
+  info.draining = msg->draining;
+  if (msg->incarnation_ms == info.incarnation_ms)
+    info.capacity = cell_decode_amount (msg->capacity);
+  return info;
+}
+
 void
 cell_on_worker_state (struct cell *cell, const Cellpb__WorkerState *msg)
 {
@@ -172,16 +232,15 @@
   /* Instances that first read the same entry at different times know it by
      different revisions: the next heartbeat names this one.  */
   known->changed_revision = msg->revision;
-  struct lease_worker_info info = known->info;
+  struct lease_worker_info info = decode_state (known, msg);
   info.revision = msg->revision;
-  info.incarnation_ms = msg->incarnation_ms;
-  info.draining = msg->draining;
-  info.capacity = cell_decode_amount (msg->capacity);
   if (!has_changed (&known->info, &info))
     return;
   pl_log (PL_EV_WORKER_RELAYED,
-          "worker=%s revision=%" PRId64 " draining=%d cpu=%d mem=%d",
+          "worker=%s revision=%" PRId64 " draining=%d cpu=%d mem=%d"
+          " born_ms=%" PRId64 " labels=%" PRIx64 ",%" PRIx64,
           known->id, info.revision, info.draining, info.capacity.cpu,
-          info.capacity.mem);
+          info.capacity.mem, info.incarnation_ms, info.labels[0],
+          info.labels[1]);
   cell_set_worker (cell, &info);
 }
--- a/lib/lease/lease.h
+++ b/lib/lease/lease.h
@@ -310,6 +310,10 @@
 struct lease_worker *lease_take (struct lease_table *table,
                                  const struct lease_worker_info *info,
                                  int64_t token, int64_t now_us);
+/* Whether starts on a worker are decided differently by AFTER than by BEFORE,
+   two states of its entry.  */
+bool lease_decides_differently (const struct lease_worker_info *before,
+                                const struct lease_worker_info *after);
 /* Applies a change of the registry to a held worker.  */
 void lease_update (struct lease_table *table, struct lease_worker *w,
                    const struct lease_worker_info *info);
--- a/lib/lease/table.c
+++ b/lib/lease/table.c
@@ -87,14 +87,23 @@
   return w;
 }
 
+bool
+lease_decides_differently (const struct lease_worker_info *before,
+                           const struct lease_worker_info *after)
+{
+  return before->draining != after->draining
+         || before->incarnation_ms != after->incarnation_ms
+         || before->service != after->service
+         || memcmp (before->labels, after->labels, sizeof before->labels) != 0
+         || !planner_resources_equal (before->capacity, after->capacity);
+}
+
 void
 lease_update (struct lease_table *table, struct lease_worker *w,
               const struct lease_worker_info *info)
 {
-  bool changed
-      = w->described_ms != info->incarnation_ms
-        || w->info.draining != info->draining
-        || !planner_resources_equal (w->info.capacity, info->capacity);
+  bool changed = w->described_ms != info->incarnation_ms
+                 || lease_decides_differently (&w->info, info);
   copy_info (w, info);
   if (changed)
     table->ops->changed (table->ctx, w);
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -93,6 +93,7 @@
     .addr = { 0x0b000000u + (uint32_t)w->index, 8000 },
     .service = 1,
     .domain = cell_name_hash (pl_str (world_domain (w->domain))),
+    .labels = { w->label },
     .capacity = w->model.capacity,
     .incarnation_ms = w->incarnation_ms,
     .draining = w->draining,
@@ -384,18 +385,25 @@
     world_deliver_delayed_frames (world);
 }
 
+/* Starts a worker's process; the instance EXCEPT does not read its entry.  */
 static inline void
-world_boot_worker (struct world *world, int index)
+world_boot_worker_unseen (struct world *world, int index, int except)
 {
   struct world_worker *w = &world->workers[index];
   w->up = true;
   w->booted_us = world_now (world);
   w->incarnation_ms = world_now (world) / 1000 + 1;
   w->revision = ++world->registry_revision;
-  world_announce_worker (world, w, -1);
+  world_announce_worker (world, w, except);
   world_deliver_waiting_calls (world, w);
 }
 
+static inline void
+world_boot_worker (struct world *world, int index)
+{
+  world_boot_worker_unseen (world, index, -1);
+}
+
 /* Changes what a worker says of itself; the instance EXCEPT does not read it
    from the registry.  */
 static inline void
@@ -525,6 +533,7 @@
       };
       job->run_us = run_us;
       job->per_worker = world->per_worker;
+      job->label = world->required_label;
       g_hash_table_insert (world->jobs, &job->id, job);
     }
   if (owner_find_job (cell_jobs (in->cell), id) != NULL)
@@ -542,6 +551,7 @@
     .spec = pl_str ("spec"),
     .n_tasks = job->n_tasks,
     .per_worker = job->per_worker,
+    .required_label = job->label,
     .size = job->size,
     .declared_us = job->run_us,
     .stretch = 1.6,
--- a/tests/world_base.h
+++ b/tests/world_base.h
@@ -70,7 +70,8 @@
   GPtrArray *waiting; /* struct world_event: calls that wait so */
   int64_t booted_us; /* when its process started; its clock counts from then */
   bool draining;
-  bool replaced; /* a worker with another id answers at its address */
+  uint64_t label; /* its kind; 0: none */
+  bool replaced;  /* a worker with another id answers at its address */
   struct model_worker model;
   struct world_event *poll; /* waits for the end of a run; may be null */
   double failure_share;     /* of its runs that fail */
@@ -109,6 +110,7 @@
   uint64_t id;
   unsigned n_tasks;
   uint32_t per_worker; /* tasks on one worker; 0: no bound */
+  uint64_t label;      /* that its workers must have; 0: any */
   struct planner_resources size;
   int64_t run_us;
   bool crashing;    /* its first task crashes the worker that starts it */
@@ -149,6 +151,7 @@
   double late_order_share;  /* of orders carried out 2 to 12 s later */
   double lost_answer_share; /* of calls carried out without an answer */
   uint32_t per_worker;      /* bound of the jobs submitted next; 0: none */
+  uint64_t required_label;  /* of the jobs submitted next; 0: none */
   GHashTable *jobs;         /* id -> struct world_job */
   unsigned starts;
   unsigned answers[WORLD_CODE_LIMIT];
@@ -161,6 +164,7 @@
   bool evacuated[WORLD_MAX_DOMAINS];
   unsigned evacuated_starts;
   unsigned crowded_starts; /* above a job's bound of tasks per worker */
+  unsigned wrong_starts;   /* on a worker without the job's label */
   unsigned frames;         /* sent between instances */
   /* Results of searches for jobs, by enum cell_search_result.  */
   unsigned searches[CELL_SEARCH_KEPT + 1];
--- a/tests/world_workers.h
+++ b/tests/world_workers.h
@@ -186,6 +186,11 @@
       world->overfull_starts++;
       world_record_violation (world, "LIMIT", event->id.job, event->id.index);
     }
+  if (job != NULL && job->label != 0 && job->label != w->label)
+    {
+      world->wrong_starts++;
+      world_record_violation (world, "ROUTE", event->id.job, event->id.index);
+    }
   if (world_exceeds_bound (world, w, event->id.job))
     {
       world->crowded_starts++;
