planner: an old report keeps no task waiting

A job that is refused in its first pass is also told to have started; the mark was set only where its tasks were passed over.

--- a/lib/cell/cell_priv.h
+++ b/lib/cell/cell_priv.h
@@ -327,8 +327,8 @@
 Cellpb__Worker cell_encode_worker (const struct known_worker *known,
                                    int64_t now_us, Cellpb__Amount *capacity);
 struct lease_worker_info cell_decode_worker (const Cellpb__Worker *msg);
-/* Tells PEER, which the registry does not serve,
-   of a later change of a worker that it holds.  */
+/* Tells PEER, which the registry does not serve, of a later change of a worker
+   that it holds.  */
 void cell_relay_changes (struct cell *cell, struct peer *peer,
                          const Cellpb__Held *held);
 void cell_on_worker_state (struct cell *cell, const Cellpb__WorkerState *msg);
--- a/lib/lease/lease.h
+++ b/lib/lease/lease.h
@@ -10,6 +10,11 @@
    take this holder for lost.  A run is reported as ended when it certainly
    does not run any more; where that can't be known, as LEASE_END_UNKNOWN.
 
+   The worker's process may be replaced at any time by one that knows no token
+   and counts its clock anew.  It may carry out orders that its predecessor has
+   not answered, whatever time has passed, until it has seen a higher token.
+   The holder raises its token when it finds another process.
+
    A state machine without input, output or clock: calls to workers go through
    a vtable, and their results and the time are passed in.  All calls must come
    from one thread.  */
--- a/lib/planner/admission.c
+++ b/lib/planner/admission.c
@@ -142,6 +142,8 @@
             int64_t now_us)
 {
   struct planner_request request = job->request;
+  request.started
+      = request.started || planner_has_running_task (planner, job, now_us);
   const struct service *service
       = planner_find_service (planner, request.service);
   struct planner_refusal refusal = {
--- a/lib/planner/planner.c
+++ b/lib/planner/planner.c
@@ -104,12 +104,41 @@
     }
 }
 
+/* Whether a report that is not out of date lists the task TAG.  */
+static bool
+is_reported (const struct planner_state *planner, uint64_t tag, int64_t now_us)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, planner->workers);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const struct worker_entry *w = value;
+      if (now_us - w->reported_us <= PLANNER_REPORT_STALE_US
+          && reports_run (&w->report, tag))
+        return true;
+    }
+  return false;
+}
+
 bool
 planner_is_running (const struct planner_state *planner, const struct job *job,
-                    uint32_t index)
+                    uint32_t index, int64_t now_us)
 {
   uint64_t tag = planner_task_tag (job->request.job, index);
-  return g_hash_table_contains (planner->running, &tag);
+  return g_hash_table_contains (planner->running, &tag)
+         && is_reported (planner, tag, now_us);
+}
+
+bool
+planner_has_running_task (const struct planner_state *planner,
+                          const struct job *job, int64_t now_us)
+{
+  for (guint i = 0; i < job->waiting->len; i++)
+    if (planner_is_running (planner, job,
+                            g_array_index (job->waiting, uint32_t, i), now_us))
+      return true;
+  return false;
 }
 
 struct service *
--- a/lib/planner/planner_priv.h
+++ b/lib/planner/planner_priv.h
@@ -140,7 +140,11 @@
    it if the job was sent again meanwhile; the task must not start beside it.
  */
 bool planner_is_running (const struct planner_state *planner,
-                         const struct job *job, uint32_t index);
+                         const struct job *job, uint32_t index,
+                         int64_t now_us);
+/* The same for any waiting task of JOB.  */
+bool planner_has_running_task (const struct planner_state *planner,
+                               const struct job *job, int64_t now_us);
 
 struct planner_state *
 planner_new_with_policy (const struct planner_policy *policy,
--- a/lib/planner/schedule.c
+++ b/lib/planner/schedule.c
@@ -57,7 +57,7 @@
   while (job->waiting->len > n_running)
     {
       uint32_t index = g_array_index (job->waiting, uint32_t, n_running);
-      if (planner_is_running (planner, job, index))
+      if (planner_is_running (planner, job, index, now_us))
         {
           n_running++;
           job->request.started = true;
@@ -85,7 +85,7 @@
   for (guint i = 0; i < job->waiting->len; i++)
     {
       uint32_t index = g_array_index (job->waiting, uint32_t, i);
-      if (planner_is_running (planner, job, index))
+      if (planner_is_running (planner, job, index, now_us))
         break;
       struct worker_entry *w
           = planner->policy->choose (planner, job, index, now_us);
