tests: split two large files of the emulated deployment

cell_fault_test had grown to 660 lines: the tests of instances that the registry does not serve are a program of their own, cell_registry_test. world_workers.h had the workers and the calls to them: the calls are in world_calls.h.

--- a/tests/faults/mutants/relayed-without-labels.sed
+++ b/tests/faults/mutants/relayed-without-labels.sed
@@ -1,5 +1,5 @@
 # file: lib/cell/registry.c
-# test: cell_fault_test
+# test: cell_registry_test
 # change: a relayed state of another process is completed with the former one's
 # labels
 s/^  if (msg->entry != NULL)$/  if (false)/
--- a/tests/world_links.h
+++ b/tests/world_links.h
@@ -2,7 +2,7 @@
    and the delivery of frames.  */
 #pragma once
 
-#include "world_workers.h"
+#include "world_calls.h"
 
 static inline int
 world_instance_at (struct world *world, struct pl_addr addr)
