--- a/tests/cell_soak.h
+++ b/tests/cell_soak.h
@@ -90,6 +90,9 @@
   struct world *world = world_new (seed, fleet->n_instances, fleet->n_workers,
                                    fleet->n_domains);
   world->delay_cut_frames = seed % 2 == 0;
+  /* Calls to a worker that is down wait for its next process.  */
+  for (int i = 0; i < world->n_workers; i++)
+    world->workers[i].supervised = seed % 3 == 0;
   world_run_for (world, SECOND);
   for (int i = 0; i < 300; i++)
     {
