planner: reported runs are looked up without a scan of the workers

Whether a report of a run is out of date was found by a walk over all workers' reports, for each task that waits for its run, in each pass: cost that grows with the fleet. The planner keeps with each task that is reported when the latest report of it arrived.

--- a/lib/planner/planner.c
+++ b/lib/planner/planner.c
@@ -57,7 +57,7 @@
   planner->full = g_array_new (FALSE, FALSE, sizeof (struct full_size));
   planner->by_id = g_hash_table_new (g_int64_hash, g_int64_equal);
   planner->running
-      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   planner->jobs = g_ptr_array_new_with_free_func (planner_job_free);
   return planner;
 }
@@ -87,38 +87,38 @@
   return false;
 }
 
-/* Counts the runs that REPORT lists, or no longer counts them.  */
+/* Notes the runs that REPORT, which has arrived now, lists.  */
 static void
-count_running (struct planner_state *planner,
-               const struct planner_worker_report *report, int change)
+add_running (struct planner_state *planner,
+             const struct planner_worker_report *report, int64_t now_us)
 {
   for (unsigned i = 0; i < report->n_runs; i++)
     {
-      const uint64_t *tag = &report->runs[i];
-      int n = GPOINTER_TO_INT (g_hash_table_lookup (planner->running, tag));
-      if (n + change > 0)
-        g_hash_table_insert (planner->running, g_memdup2 (tag, sizeof *tag),
-                             GINT_TO_POINTER (n + change));
-      else
-        g_hash_table_remove (planner->running, tag);
+      struct running *running
+          = g_hash_table_lookup (planner->running, &report->runs[i]);
+      if (running == NULL)
+        {
+          running = g_new0 (struct running, 1);
+          running->tag = report->runs[i];
+          g_hash_table_insert (planner->running, &running->tag, running);
+        }
+      running->n_reports++;
+      running->reported_us = now_us;
     }
 }
 
-/* Whether a report that is not out of date lists the task TAG.  */
-static bool
-is_reported (const struct planner_state *planner, uint64_t tag, int64_t now_us)
+/* REPORT is replaced, or its worker removed.  */
+static void
+remove_running (struct planner_state *planner,
+                const struct planner_worker_report *report)
 {
-  GHashTableIter it;
-  gpointer value;
-  g_hash_table_iter_init (&it, planner->workers);
-  while (g_hash_table_iter_next (&it, NULL, &value))
+  for (unsigned i = 0; i < report->n_runs; i++)
     {
-      const struct worker_entry *w = value;
-      if (now_us - w->reported_us <= PLANNER_REPORT_STALE_US
-          && reports_run (&w->report, tag))
-        return true;
+      struct running *running
+          = g_hash_table_lookup (planner->running, &report->runs[i]);
+      if (--running->n_reports == 0)
+        g_hash_table_remove (planner->running, &report->runs[i]);
     }
-  return false;
 }
 
 bool
@@ -126,8 +126,9 @@
                     uint32_t index, int64_t now_us)
 {
   uint64_t tag = planner_task_tag (job->request.job, index);
-  return g_hash_table_contains (planner->running, &tag)
-         && is_reported (planner, tag, now_us);
+  const struct running *running = g_hash_table_lookup (planner->running, &tag);
+  return running != NULL
+         && now_us - running->reported_us <= PLANNER_REPORT_STALE_US;
 }
 
 bool
@@ -173,10 +174,10 @@
     }
   if (w->report.service != report->service)
     planner_unindex_worker (w);
-  count_running (planner, &w->report, -1);
+  remove_running (planner, &w->report);
   w->report = *report;
   w->report.details = NULL;
-  count_running (planner, report, 1);
+  add_running (planner, report, now_us);
   g_array_set_size (w->runs, 0);
   if (report->details != NULL)
     g_array_append_vals (w->runs, report->details, report->n_runs);
@@ -196,7 +197,7 @@
   struct worker_entry *w = g_hash_table_lookup (planner->workers, &worker);
   if (w == NULL || w->report.holder != holder)
     return;
-  count_running (planner, &w->report, -1);
+  remove_running (planner, &w->report);
   g_hash_table_remove (planner->workers, &worker);
 }
 
@@ -211,7 +212,7 @@
       const struct worker_entry *w = value;
       if (w->report.holder != holder)
         continue;
-      count_running (planner, &w->report, -1);
+      remove_running (planner, &w->report);
       g_hash_table_iter_remove (&it);
     }
 }
--- a/lib/planner/planner_priv.h
+++ b/lib/planner/planner_priv.h
@@ -91,6 +91,14 @@
   int64_t at_us;
 };
 
+/* A task of which holders report runs.  */
+struct running
+{
+  uint64_t tag;
+  unsigned n_reports;  /* that list it */
+  int64_t reported_us; /* when the latest of these arrived */
+};
+
 /* A size of a task that fits on no worker of the service now.  */
 struct full_size
 {
@@ -121,7 +129,7 @@
   GHashTable *evacuated; /* set of domains */
   GPtrArray *jobs;       /* struct job; planner_schedule sorts them */
   GHashTable *by_id;     /* job -> struct job */
-  GHashTable *running;   /* tag -> number of reported runs of the task */
+  GHashTable *running;   /* planner_task_tag -> struct running */
   GHashTable *services;  /* service -> struct service */
   GArray
       *full; /* struct full_size, found in the present pass over the queue */
--- a/tests/cell_loss_test.c
+++ b/tests/cell_loss_test.c
@@ -8,6 +8,7 @@
 #define MORE_SEEDS 20 /* where the time of the fault is random */
 /* Within this time after a job's submission its starts reach the workers.  */
 #define ON_WAY_US 4000
+#define N_JOBS 6 /* that all workers can run at once */
 
 /* Guards against a task that is started elsewhere while it runs on a worker
    whose process was restarted at once: the start was accepted by the new
@@ -80,24 +81,24 @@
     {
       struct world *world = world_new (seed, 3, 4, 2);
       struct world_worker *w = &world->workers[seed % 4];
-      struct world_job *jobs[6];
+      struct world_job *jobs[N_JOBS];
       world->job_deadline_us = 3 * SECOND / 2;
       w->supervised = true;
       world_run_for (world, SECOND);
-      for (int i = 0; i < 6; i++)
+      for (int i = 0; i < N_JOBS; i++)
         jobs[i] = world_submit (world, i % 3, 1, 1200000);
       world_run_for (world, world_random_between (world, 0, ON_WAY_US));
       world_end_worker (world, w, false);
       world_run_for (world, world->job_deadline_us + WORLD_RESEND_US);
       world->job_deadline_us = 4 * SECOND;
-      for (int i = 0; i < 6; i++)
+      for (int i = 0; i < N_JOBS; i++)
         if (jobs[i]->code == PL_DEADLINE_RAN)
           (void)world_submit_job (world, (i + 1) % 3, jobs[i]->id, 1, 1200000);
       world_run_for (world, world_random_between (world, 0, SECOND));
       world_boot_worker (world, w->index);
       settle (world);
       CU_ASSERT_TRUE (all_answered (world));
-      for (int i = 0; i < 6; i++)
+      for (int i = 0; i < N_JOBS; i++)
         if (jobs[i]->attempts > 1)
           {
             sent_again++;
@@ -145,7 +146,7 @@
       world->job_deadline_us = 20 * SECOND;
       world->workers[0].supervised = true;
       world_run_for (world, SECOND);
-      for (int i = 0; i < 6; i++)
+      for (int i = 0; i < N_JOBS; i++)
         (void)world_submit (world, i % 3, 1, 2000000);
       world_run_for (world, world_random_between (world, 0, ON_WAY_US));
       world_end_worker (world, &world->workers[0], false);
@@ -155,7 +156,7 @@
         cell_remove_worker (world->instances[i].cell, world->workers[0].key);
       settle (world);
       CU_ASSERT_TRUE (all_answered (world));
-      CU_ASSERT_EQUAL (world->answers[PL_OK], 6);
+      CU_ASSERT_EQUAL (world->answers[PL_OK], N_JOBS);
       check_violations (world, "removed", seed);
       world_free (world);
     }
